--- /dev/null
+++ b/crates/common/src/error.rs
@@ -0,0 +1,164 @@
+//! The closed list of error kinds and what each one answers.
+//!
+//! `docs/ERRORS.md` shows the same table, and a test compares the two.
+
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+use basilbridge_derives::{
+    data,
+    kind, //
+};
+use serde_with::DurationMilliSeconds;
+
+/// Whether the work of a refused request ran.
+#[kind]
+pub enum Ran {
+    /// The work did not run and will not run.
+    No,
+    /// The work ran.
+    Yes,
+    /// Whether the work ran is not known.
+    Unknown,
+}
+
+/// The row of the table that belongs to a kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The gRPC code, by its number.
+    pub code: i32,
+    /// The exit code of the command line.
+    pub exit: u8,
+    /// Whether the work ran.
+    pub ran: Ran,
+    /// Whether the same request may be sent again.
+    pub retry: bool,
+}
+
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $kind:ident = $status:literal, $code:literal, $exit:literal, $ran:ident, $retry:literal;)*) => {
+        /// The kinds of error that any part may return.
+        #[kind]
+        pub enum Kind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl Kind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// Returns the row of the table for this kind.
+            pub const fn answer(self) -> Answer {
+                match self {
+                    $(Self::$kind => Answer {
+                        status: $status,
+                        code: $code,
+                        exit: $exit,
+                        ran: Ran::$ran,
+                        retry: $retry,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    /// The request is malformed.
+    Malformed = 400, 3, 64, No, false;
+    /// The body or a header is longer than allowed.
+    TooLarge = 413, 3, 65, No, false;
+    /// The sender took too long to send its request.
+    SlowRequest = 408, 4, 66, No, true;
+    /// The key is missing, wrong or withdrawn.
+    Unauthorized = 401, 16, 67, No, false;
+    /// The key is valid, but not for this.
+    Forbidden = 403, 7, 68, No, false;
+    /// There is no such thing.
+    NotFound = 404, 5, 69, No, false;
+    /// The method is not allowed on this path.
+    MethodNotAllowed = 405, 12, 70, No, false;
+    /// The state has changed since it was read.
+    Conflict = 409, 10, 71, No, false;
+    /// The work fits on no worker, or is over its team's limit alone.
+    Impossible = 422, 9, 72, No, false;
+    /// The team or the VM takes no more for now.
+    Overloaded = 429, 8, 73, No, true;
+    /// The deadline passed before the work started.
+    Expired = 504, 4, 74, No, true;
+    /// This VM is stopping.
+    Draining = 503, 14, 75, No, true;
+    /// This VM does not own the shard.
+    NotOwner = 503, 14, 76, No, true;
+    /// No owner of the shard can be reached, and the request was not sent.
+    Unreachable = 503, 14, 77, No, true;
+    /// The platform's service can't be reached, and the request needs it.
+    StoreUnavailable = 503, 14, 78, No, true;
+    /// The epoch of a command is lower than one that the worker has seen.
+    StaleEpoch = 409, 9, 79, No, true;
+    /// A write was sent and its outcome is not known yet.
+    WriteUnknown = 503, 2, 80, Unknown, false;
+    /// The work was sent and its outcome is not known.
+    OutcomeUnknown = 502, 2, 81, Unknown, false;
+    /// A worker's answer was cut off.
+    Truncated = 502, 15, 82, Unknown, false;
+    /// The work ran and failed.
+    TaskFailed = 500, 13, 83, Yes, false;
+    /// The work was stopped after it had started.
+    Stopped = 500, 1, 84, Yes, false;
+    /// The configuration on this VM is older than allowed.
+    StaleConfiguration = 503, 14, 85, No, true;
+    /// A fault in this program.
+    Internal = 500, 13, 86, Unknown, false;
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // A unit variant serialises as its name, and this prints it in snake case.
+        serde::Serialize::serialize(self, f)
+    }
+}
+
+/// An error as it is shown to people and sent on the wire.
+#[data]
+#[derive(thiserror::Error)]
+#[error("{kind}: {message}")]
+pub struct Error {
+    /// The kind.
+    pub kind: Kind,
+    /// What happened, in a sentence.
+    pub message: String,
+    /// How long to wait before the same request is sent again.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(
+        default,
+        rename = "retry_after_ms",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Makes an error of `kind` that says `message`.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Tells the caller to come back after `wait`.
+    #[must_use]
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+}
+
+/// What most functions of this workspace return.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/common/src/id.rs
@@ -0,0 +1,185 @@
+//! Identifiers.
+
+use std::{
+    fmt,
+    str::FromStr,
+    sync::Arc, //
+};
+
+use basilbridge_derives::id;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A shared immutable name, such as that of a team, a queue or a data centre.
+pub type Name = Arc<str>;
+
+/// The number that orders the owners of a shard; workers refuse a lower one.
+#[id]
+#[derive(Default)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// Returns the epoch that follows this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// The version of a row in the table service; zero stands for a row that does not exist.
+#[id]
+#[derive(Default)]
+pub struct Version(pub u64);
+
+/// One life of an entry VM's process; a process that starts anew takes a new session.
+#[id]
+pub struct Session(pub u64);
+
+/// One boot of a worker; a worker that starts anew forgets what it ran.
+#[id]
+pub struct Boot(pub u64);
+
+/// The racks of one data centre that one entry VM owns at a time.
+///
+/// Racks are numbered from zero in each data centre and a shard holds a fixed count of them, so
+/// that the shard of a worker never depends on a list of VMs that lags.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Shard {
+    /// The data centre, which holds no dash.
+    pub data_centre: Name,
+    /// The number of this shard in its data centre.
+    pub number: u32,
+}
+
+/// A piece of text that is not an identifier of the wanted kind.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{text}` is not a valid {wanted}")]
+pub struct Malformed {
+    /// What was wanted.
+    pub wanted: &'static str,
+    /// What was given.
+    pub text: String,
+}
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.data_centre, self.number)
+    }
+}
+
+impl FromStr for Shard {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed {
+            wanted: "shard",
+            text: text.to_owned(),
+        };
+        let (data_centre, number) = text.rsplit_once('-').ok_or_else(malformed)?;
+        if data_centre.is_empty() || data_centre.contains('.') {
+            return Err(malformed());
+        }
+        Ok(Self {
+            data_centre: data_centre.into(),
+            number: number.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
+/// A job, by the shard that accepted it, the epoch of the owner then, and a number.
+///
+/// The shard is part of the id so that any entry VM finds the job's home without a lookup.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Job {
+    /// The shard that accepted the job.
+    pub shard: Shard,
+    /// The epoch of the owner that accepted it.
+    pub epoch: Epoch,
+    /// The count of jobs that this owner accepted before, plus one.
+    pub number: u64,
+}
+
+impl fmt::Display for Job {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.shard, self.epoch.0, self.number)
+    }
+}
+
+impl FromStr for Job {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed {
+            wanted: "job id",
+            text: text.to_owned(),
+        };
+        let mut parts = text.rsplitn(3, '.');
+        let number = parts.next().and_then(|part| part.parse().ok());
+        let epoch = parts.next().and_then(|part| part.parse().ok());
+        let shard = parts.next().and_then(|part| part.parse().ok());
+        match (shard, epoch, number) {
+            (Some(shard), Some(epoch), Some(number)) => Ok(Self {
+                shard,
+                epoch: Epoch(epoch),
+                number,
+            }),
+            _ => Err(malformed()),
+        }
+    }
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Task {
+    /// The job that the task belongs to.
+    pub job: Job,
+    /// The number of the task in its job, from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl FromStr for Task {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed {
+            wanted: "task id",
+            text: text.to_owned(),
+        };
+        let (job, index) = text.rsplit_once('/').ok_or_else(malformed)?;
+        Ok(Self {
+            job: job.parse().map_err(|_| malformed())?,
+            index: index.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
+macro_rules! as_string {
+    ($($id:ty),*) => {$(
+        impl From<$id> for String {
+            fn from(id: $id) -> Self {
+                id.to_string()
+            }
+        }
+
+        impl TryFrom<String> for $id {
+            type Error = Malformed;
+
+            fn try_from(text: String) -> Result<Self, Malformed> {
+                text.parse()
+            }
+        }
+    )*};
+}
+
+as_string!(Shard, Job, Task);
--- /dev/null
+++ b/crates/common/src/lib.rs
@@ -0,0 +1,11 @@
+//! Names, units, error kinds and the timer service that every package shares.
+//!
+//! This package does no I/O. See `docs/ARCHITECTURE.md` for its place among the others.
+
+pub mod call;
+pub mod error;
+pub mod id;
+pub mod job;
+pub mod timer;
+pub mod unit;
+pub mod worker;
--- /dev/null
+++ b/crates/peers/src/convert.rs
@@ -0,0 +1,89 @@
+//! Conversions between our types and the generated ones.
+
+use std::time::Duration;
+
+use basilbridge_common::{
+    call,
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    job::Status,
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use crate::generated::{
+    Call,
+    Reply,
+    call::Verb,
+    reply::Outcome, //
+};
+
+pub(crate) fn call_to_wire(call: &call::Call) -> Result<Call> {
+    let verb = match &call.verb {
+        call::Verb::Submit(_, request) => Verb::Submit(write(request)?),
+        call::Verb::Status(job) => Verb::Status(job.to_string()),
+        call::Verb::Wait(job) => Verb::Wait(job.to_string()),
+        call::Verb::Cancel(job) => Verb::Cancel(job.to_string()),
+    };
+    Ok(Call {
+        request_id: call.request_id.to_string(),
+        shard: call.verb.shard().to_string(),
+        team: call.team.to_string(),
+        remaining_ms: call.remaining.as_millis() as u64,
+        verb: Some(verb),
+    })
+}
+
+pub(crate) fn call_from_wire(call: Call) -> Result<call::Call> {
+    let verb = match call.verb {
+        Some(Verb::Submit(request)) => {
+            call::Verb::Submit(parse(&call.shard)?, Box::new(read(&request)?))
+        }
+        Some(Verb::Status(job)) => call::Verb::Status(parse(&job)?),
+        Some(Verb::Wait(job)) => call::Verb::Wait(parse(&job)?),
+        Some(Verb::Cancel(job)) => call::Verb::Cancel(parse(&job)?),
+        None => return Err(Error::new(Kind::Malformed, "the call has no verb")),
+    };
+    Ok(call::Call {
+        request_id: call.request_id.into(),
+        team: call.team.into(),
+        remaining: Duration::from_millis(call.remaining_ms),
+        verb,
+    })
+}
+
+pub(crate) fn reply_to_wire(result: &Result<Status>) -> Result<Reply> {
+    let outcome = match result {
+        Ok(status) => Outcome::Status(write(status)?),
+        Err(error) => Outcome::Error(write(error)?),
+    };
+    Ok(Reply {
+        outcome: Some(outcome),
+    })
+}
+
+pub(crate) fn reply_from_wire(reply: Reply) -> Result<Status> {
+    match reply.outcome {
+        Some(Outcome::Status(status)) => read(&status),
+        Some(Outcome::Error(error)) => Err(read(&error)?),
+        None => Err(Error::new(Kind::Truncated, "the reply has no outcome")),
+    }
+}
+
+fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T> {
+    text.parse()
+        .map_err(|error| Error::new(Kind::Malformed, format!("{error}")))
+}
+
+fn write<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|error| Error::new(Kind::Internal, error.to_string()))
+}
+
+fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|error| Error::new(Kind::Truncated, error.to_string()))
+}
--- /dev/null
+++ b/crates/peers/src/server.rs
@@ -0,0 +1,111 @@
+//! Answers to other entry VMs.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use basilbridge_common::{
+    call::Call,
+    error::Result,
+    job::Status, //
+};
+use futures_util::future::BoxFuture;
+use tokio::{
+    net::TcpListener,
+    sync::oneshot,
+    task::JoinHandle, //
+};
+use tonic::{
+    Request,
+    Response,
+    transport::server::TcpIncoming, //
+};
+
+use crate::{
+    convert,
+    generated::{
+        self, News, Reply,
+        peer_server::{
+            Peer,
+            PeerServer, //
+        },
+    },
+};
+
+type Forward = Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Status>> + Send + Sync>;
+type Exchange = Arc<dyn Fn(News) -> News + Send + Sync>;
+
+/// What stands behind the protocol.
+#[derive(Clone)]
+pub struct App {
+    /// Handles a call for a shard that this VM owns.
+    pub forward: Forward,
+    /// Takes the news of a peer and returns our own.
+    pub exchange: Exchange,
+}
+
+#[tonic::async_trait]
+impl Peer for App {
+    async fn forward(
+        &self,
+        request: Request<generated::Call>,
+    ) -> std::result::Result<Response<Reply>, tonic::Status> {
+        let result = match convert::call_from_wire(request.into_inner()) {
+            Ok(call) => (self.forward)(call).await,
+            Err(error) => Err(error),
+        };
+        convert::reply_to_wire(&result)
+            .map(Response::new)
+            .map_err(|error| tonic::Status::internal(error.message))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<News>,
+    ) -> std::result::Result<Response<News>, tonic::Status> {
+        Ok(Response::new((self.exchange)(request.into_inner())))
+    }
+}
+
+/// A server that runs in the background.
+#[derive(Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds `address` and serves `app` there.
+    pub async fn start(address: SocketAddr, app: App) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let server = tonic::transport::Server::builder()
+            .add_service(PeerServer::new(app))
+            .serve_with_incoming_shutdown(
+                TcpIncoming::from(listener).with_nodelay(Some(true)),
+                async {
+                    let _ = stopped.await;
+                },
+            );
+        let task = tokio::spawn(async {
+            // The only failure is that of the listener, and then peers see a closed port.
+            let _ = server.await;
+        });
+        Ok(Self {
+            address,
+            stop,
+            task,
+        })
+    }
+
+    /// Takes no new calls and waits until those in flight are answered.
+    pub async fn stop(self) {
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,364 @@
+//! A stand-in for the platform's table service, object store and VM list.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::{
+        Name,
+        Version, //
+    },
+    timer,
+    unit::Millis,
+};
+use basilbridge_derives::data;
+use basilbridge_platform::{
+    Platform, object,
+    table::{
+        Outcome,
+        Query,
+        Row,
+        Service,
+        Transaction, //
+    },
+    vm::Vm,
+};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use serde_with::DurationMilliSeconds;
+
+/// The writes that the service takes in a second, as in the brief.
+pub const WRITES_PER_SECOND: u32 = 300;
+
+/// The reads that the service takes in a second, as in the brief.
+pub const READS_PER_SECOND: u32 = 2000;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// What a test does to the service.
+#[data]
+#[serde(default)]
+pub struct Switches {
+    /// Refuses all calls.
+    pub down: bool,
+    /// Waits before each call.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "delay_ms")]
+    pub delay: Duration,
+    /// Loses the answers to so many of the next writes after they took effect.
+    pub lose_answers: u32,
+    /// The writes that the service takes in a second.
+    pub writes_per_second: u32,
+    /// The reads that the service takes in a second.
+    pub reads_per_second: u32,
+}
+
+impl Default for Switches {
+    fn default() -> Self {
+        Self {
+            down: false,
+            delay: Duration::ZERO,
+            lose_answers: 0,
+            writes_per_second: WRITES_PER_SECOND,
+            reads_per_second: READS_PER_SECOND,
+        }
+    }
+}
+
+/// What the service has counted.
+#[data]
+#[derive(Copy, Eq, Default)]
+pub struct Counts {
+    /// Transactions that came in, refused ones included.
+    pub writes: u64,
+    /// Scans that came in, refused ones included.
+    pub reads: u64,
+    /// Calls that were over the cap of their second.
+    pub over_cap: u64,
+    /// Rows that are kept.
+    pub rows: u64,
+    /// Bytes of keys and values that are kept.
+    pub bytes: u64,
+}
+
+#[derive(Default)]
+struct Window {
+    start: Millis,
+    calls: u32,
+}
+
+impl Window {
+    fn admit(&mut self, now: Millis, cap: u32) -> bool {
+        if now.since(self.start) >= SECOND {
+            *self = Self {
+                start: now,
+                calls: 0,
+            };
+        }
+        self.calls += 1;
+        self.calls <= cap
+    }
+}
+
+struct Stored {
+    version: Version,
+    value: String,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<(Name, String), Stored>,
+    last_version: u64,
+    outcomes: HashMap<String, Outcome>,
+    objects: HashMap<String, Bytes>,
+    vms: Vec<Vm>,
+    switches: Switches,
+    counts: Counts,
+    writes: Window,
+    reads: Window,
+}
+
+/// The platform's service, kept in memory; clones share one service.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    timer: timer::Service,
+}
+
+impl Store {
+    /// Makes an empty service.
+    pub fn new(timer: timer::Service) -> Self {
+        Self {
+            state: Arc::default(),
+            timer,
+        }
+    }
+
+    /// Sets what the service does wrong.
+    pub fn set(&self, switches: Switches) {
+        self.lock().switches = switches;
+    }
+
+    /// Returns what the service does wrong.
+    pub fn switches(&self) -> Switches {
+        self.lock().switches.clone()
+    }
+
+    /// Returns what the service has counted.
+    pub fn counts(&self) -> Counts {
+        let state = self.lock();
+        let mut counts = state.counts;
+        counts.rows = state.rows.len() as u64;
+        counts.bytes = state
+            .rows
+            .iter()
+            .map(|((_, key), stored)| (key.len() + stored.value.len()) as u64)
+            .sum();
+        counts
+    }
+
+    /// Sets the list of VMs.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.lock().vms = vms;
+    }
+
+    /// Returns the list of VMs.
+    pub async fn vms(&self) -> Result<Vec<Vm>> {
+        self.delay().await;
+        let state = self.lock();
+        if state.switches.down {
+            return Err(unavailable());
+        }
+        Ok(state.vms.clone())
+    }
+
+    /// Applies a transaction.
+    pub async fn transact(&self, transaction: Transaction) -> Result<Outcome> {
+        self.delay().await;
+        let now = self.timer.now();
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        if state.switches.down {
+            return Err(unavailable());
+        }
+        let cap = state.switches.writes_per_second;
+        if !state.writes.admit(now, cap) {
+            state.counts.over_cap += 1;
+            return Err(unavailable().retry_after(SECOND));
+        }
+        let outcome = state.apply(transaction);
+        if state.switches.lose_answers > 0 {
+            state.switches.lose_answers -= 1;
+            return Err(Error::new(Kind::WriteUnknown, "the answer was lost"));
+        }
+        Ok(outcome)
+    }
+
+    /// Reads rows.
+    pub async fn scan(&self, query: Query) -> Result<Vec<Row>> {
+        self.delay().await;
+        let now = self.timer.now();
+        let mut state = self.lock();
+        state.counts.reads += 1;
+        if state.switches.down {
+            return Err(unavailable());
+        }
+        let cap = state.switches.reads_per_second;
+        if !state.reads.admit(now, cap) {
+            state.counts.over_cap += 1;
+            return Err(unavailable().retry_after(SECOND));
+        }
+        Ok(state.scan(&query))
+    }
+
+    /// Keeps an object.
+    pub async fn put(&self, key: String, body: Bytes) -> Result<()> {
+        self.delay().await;
+        let mut state = self.lock();
+        if state.switches.down {
+            return Err(unavailable());
+        }
+        state.objects.insert(key, body);
+        Ok(())
+    }
+
+    /// Returns an object.
+    pub async fn get(&self, key: String) -> Result<Option<Bytes>> {
+        self.delay().await;
+        let state = self.lock();
+        if state.switches.down {
+            return Err(unavailable());
+        }
+        Ok(state.objects.get(&key).cloned())
+    }
+
+    /// Returns a client that calls this service in the same process.
+    pub fn platform(&self) -> Platform {
+        let (writer, reader) = (self.clone(), self.clone());
+        let (putter, getter) = (self.clone(), self.clone());
+        let lister = self.clone();
+        Platform {
+            tables: Service::new(
+                Arc::new(move |transaction| {
+                    let store = writer.clone();
+                    async move { store.transact(transaction).await }.boxed()
+                }),
+                Arc::new(move |query| {
+                    let store = reader.clone();
+                    async move { store.scan(query).await }.boxed()
+                }),
+            ),
+            objects: object::Store::new(
+                Arc::new(move |key, body| {
+                    let store = putter.clone();
+                    async move { store.put(key, body).await }.boxed()
+                }),
+                Arc::new(move |key| {
+                    let store = getter.clone();
+                    async move { store.get(key).await }.boxed()
+                }),
+            ),
+            vms: Arc::new(move || {
+                let store = lister.clone();
+                async move { store.vms().await }.boxed()
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn delay(&self) {
+        let delay = self.lock().switches.delay;
+        if !delay.is_zero() {
+            self.timer.sleep(delay).await;
+        }
+    }
+}
+
+impl State {
+    fn apply(&mut self, transaction: Transaction) -> Outcome {
+        if let Some(outcome) = self.outcomes.get(&transaction.write_id) {
+            return outcome.clone();
+        }
+        let outcome = self.decide(&transaction);
+        self.outcomes.insert(transaction.write_id, outcome.clone());
+        outcome
+    }
+
+    fn decide(&mut self, transaction: &Transaction) -> Outcome {
+        let conflicts: Vec<Row> = transaction
+            .checks
+            .iter()
+            .map(|check| (self.row(&check.table, &check.key), check.version))
+            .filter(|(row, expected)| row.version != *expected)
+            .map(|(row, _)| row)
+            .collect();
+        if !conflicts.is_empty() {
+            return Outcome::Conflict(conflicts);
+        }
+        self.last_version += 1;
+        let version = Version(self.last_version);
+        for put in &transaction.puts {
+            let key = (put.table.clone(), put.key.clone());
+            match &put.value {
+                Some(value) => {
+                    let value = value.clone();
+                    self.rows.insert(key, Stored { version, value });
+                }
+                None => {
+                    self.rows.remove(&key);
+                }
+            }
+        }
+        Outcome::Committed(version)
+    }
+
+    fn row(&self, table: &Name, key: &str) -> Row {
+        let stored = self.rows.get(&(table.clone(), key.to_owned()));
+        Row {
+            table: table.clone(),
+            key: key.to_owned(),
+            version: stored.map_or(Version(0), |stored| stored.version),
+            value: stored.map(|stored| stored.value.clone()),
+        }
+    }
+
+    fn scan(&self, query: &Query) -> Vec<Row> {
+        let after = query.after.as_deref().unwrap_or_default();
+        let first = query.prefix.as_str().max(after).to_owned();
+        self.rows
+            .range((query.table.clone(), first)..)
+            .take_while(|((table, key), _)| *table == query.table && key.starts_with(&query.prefix))
+            .filter(|((_, key), _)| query.after.as_ref().is_none_or(|after| key > after))
+            .take(query.limit as usize)
+            .map(|((table, key), stored)| Row {
+                table: table.clone(),
+                key: key.clone(),
+                version: stored.version,
+                value: Some(stored.value.clone()),
+            })
+            .collect()
+    }
+}
+
+fn unavailable() -> Error {
+    Error::new(Kind::StoreUnavailable, "the platform's service is down")
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,458 @@
+//! Stand-ins for workers.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::{
+        Boot,
+        Epoch,
+        Name,
+        Task, //
+    },
+    timer,
+    unit::{
+        Millis,
+        Resources, //
+    },
+    worker,
+};
+use basilbridge_derives::data;
+use basilbridge_endpoints::{
+    Client,
+    command::{
+        Answer,
+        Command,
+        Phase,
+        Report,
+        Run,
+        Verb, //
+    },
+};
+use futures_util::FutureExt;
+use tokio::sync::watch;
+
+use crate::program::Program;
+
+/// What a test does to a worker.
+#[data]
+#[derive(Default)]
+#[serde(default)]
+pub struct Switches {
+    /// Fails every task that it starts.
+    pub fail_all: bool,
+    /// Answers nothing and carries out nothing.
+    pub silent: bool,
+    /// Carries out so many of the next commands without an answer.
+    pub lose_answers: u32,
+}
+
+/// What must never happen, as the workers saw it.
+#[data]
+#[derive(Copy, Eq, Default)]
+pub struct Violations {
+    /// Starts that went over the worker's size or slots.
+    pub over_capacity: u64,
+    /// Starts of a task that ran in another place at that time.
+    pub double_runs: u64,
+    /// Second starts of a task that must not be repeated.
+    pub repeated: u64,
+}
+
+/// What the workers have counted.
+#[data]
+#[derive(Copy, Eq, Default)]
+pub struct Counts {
+    /// Tasks that were started.
+    pub starts: u64,
+    /// Commands that were refused for their epoch or boot.
+    pub stale: u64,
+    /// Commands that came in.
+    pub commands: u64,
+}
+
+/// What all workers of a process saw together.
+#[derive(Default)]
+struct Ledger {
+    running: HashMap<Task, u32>,
+    started_once: HashSet<Task>,
+    violations: Violations,
+    counts: Counts,
+}
+
+struct Running {
+    report: Report,
+    lease_until: Millis,
+    done: watch::Sender<bool>,
+}
+
+struct Machine {
+    worker: worker::Worker,
+    boot: Boot,
+    epoch: Epoch,
+    tasks: HashMap<Task, Running>,
+    switches: Switches,
+}
+
+/// Stand-in workers that share one ledger; clones share one fleet.
+#[derive(Clone)]
+pub struct Fleet {
+    machines: Arc<Mutex<HashMap<Name, Machine>>>,
+    ledger: Arc<Mutex<Ledger>>,
+    timer: timer::Service,
+}
+
+impl Fleet {
+    /// Makes a fleet of these workers.
+    pub fn new(timer: timer::Service, workers: impl IntoIterator<Item = worker::Worker>) -> Self {
+        let machines = workers
+            .into_iter()
+            .map(|worker| (worker.name.clone(), Machine::new(worker, Boot(1))))
+            .collect();
+        Self {
+            machines: Arc::new(Mutex::new(machines)),
+            ledger: Arc::default(),
+            timer,
+        }
+    }
+
+    /// Returns a client that calls these workers in the same process.
+    pub fn client(&self) -> Client {
+        let fleet = self.clone();
+        Client::new(Arc::new(move |worker, command| {
+            let fleet = fleet.clone();
+            async move { fleet.handle(&worker.name, command).await }.boxed()
+        }))
+    }
+
+    /// Returns what must never happen.
+    pub fn violations(&self) -> Violations {
+        lock(&self.ledger).violations
+    }
+
+    /// Returns what the workers have counted.
+    pub fn counts(&self) -> Counts {
+        lock(&self.ledger).counts
+    }
+
+    /// Sets what a worker does wrong.
+    pub fn set(&self, name: &Name, switches: Switches) {
+        if let Some(machine) = lock(&self.machines).get_mut(name) {
+            machine.switches = switches;
+        }
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> Vec<worker::Worker> {
+        let machines = lock(&self.machines);
+        let mut workers: Vec<_> = machines
+            .values()
+            .map(|machine| machine.worker.clone())
+            .collect();
+        workers.sort_by(|a, b| a.name.cmp(&b.name));
+        workers
+    }
+
+    /// Says whether a worker's connections have gone silent.
+    pub fn swallows_answers(&self, name: &Name) -> bool {
+        lock(&self.machines)
+            .get(name)
+            .is_some_and(|machine| machine.switches.silent)
+    }
+
+    /// Boots a worker anew: all that it ran is gone.
+    pub fn reboot(&self, name: &Name) {
+        let mut machines = lock(&self.machines);
+        let Some(machine) = machines.get_mut(name) else {
+            return;
+        };
+        let boot = Boot(machine.boot.0 + 1);
+        let fresh = Machine::new(machine.worker.clone(), boot);
+        let old = std::mem::replace(machine, fresh);
+        let mut ledger = lock(&self.ledger);
+        for (task, running) in old.tasks {
+            if running.report.phase == Phase::Running {
+                ledger.leave(&task);
+            }
+        }
+    }
+
+    /// Carries out a command on the worker of this name.
+    pub async fn handle(&self, name: &Name, command: Command) -> Result<Answer> {
+        let (result, lost) = {
+            let mut machines = lock(&self.machines);
+            let machine = machines
+                .get_mut(name)
+                .ok_or_else(|| Error::new(Kind::Unreachable, format!("no worker {name}")))?;
+            lock(&self.ledger).counts.commands += 1;
+            if machine.switches.silent {
+                (None, true)
+            } else {
+                let lost = machine.switches.lose_answers > 0;
+                machine.switches.lose_answers -= u32::from(lost);
+                (Some(self.carry_out(machine, &command)), lost)
+            }
+        };
+        if lost {
+            return Err(Error::new(Kind::OutcomeUnknown, "the answer was lost"));
+        }
+        let Some(result) = result else {
+            return Err(Error::new(Kind::OutcomeUnknown, "the worker is silent"));
+        };
+        let answer = result?;
+        match &command.verb {
+            Verb::Run(run) if run.wait => self.wait(name, &run.task).await,
+            _ => Ok(answer),
+        }
+    }
+
+    fn carry_out(&self, machine: &mut Machine, command: &Command) -> Result<Answer> {
+        if command.epoch < machine.epoch {
+            lock(&self.ledger).counts.stale += 1;
+            let message = format!("the worker has seen epoch {}", machine.epoch.0);
+            return Err(Error::new(Kind::StaleEpoch, message));
+        }
+        machine.epoch = command.epoch;
+        let now = self.timer.now();
+        match &command.verb {
+            Verb::Claim(lease) => {
+                machine.extend_leases(now.after(lease.lease));
+                Ok(machine.answer())
+            }
+            Verb::Run(run) => self.start(machine, command.epoch, run),
+            Verb::Renew(renew) => {
+                machine.extend_leases(now.after(renew.lease.lease));
+                machine.forget(&renew.acknowledged);
+                Ok(machine.answer())
+            }
+            Verb::Checkpoint(task) => machine.answer_one(task),
+            Verb::Throttle(throttle) => machine.answer_one(&throttle.task),
+            Verb::Stop(task) => {
+                machine.refuse_later_start(task, command.epoch);
+                self.end(machine, task, Phase::Stopped, String::new());
+                machine.answer_one(task)
+            }
+        }
+    }
+
+    fn start(&self, machine: &mut Machine, epoch: Epoch, run: &Run) -> Result<Answer> {
+        let mut ledger = lock(&self.ledger);
+        if run.boot != machine.boot {
+            ledger.counts.stale += 1;
+            return Err(Error::new(Kind::StaleEpoch, "the worker has booted since"));
+        }
+        if machine.tasks.contains_key(&run.task) {
+            // The same command came twice; the task is started once.
+            return machine.answer_one(&run.task);
+        }
+        ledger.counts.starts += 1;
+        ledger.check_start(machine, run);
+        drop(ledger);
+        let program = Program::parse(&run.payload);
+        let running = Running {
+            report: Report {
+                task: run.task.clone(),
+                phase: Phase::Running,
+                resources: run.resources,
+                usage: Resources::default(),
+                output: String::new(),
+                epoch,
+            },
+            lease_until: self.timer.now().after(run.lease),
+            done: watch::Sender::new(false),
+        };
+        machine.tasks.insert(run.task.clone(), running);
+        let fail = program.fail || machine.switches.fail_all;
+        tokio::spawn(self.clone().play(
+            machine.worker.name.clone(),
+            machine.boot,
+            run.task.clone(),
+            Program { fail, ..program },
+        ));
+        machine.answer_one(&run.task)
+    }
+
+    /// Ends a task when its program ends or its lease lapses, whichever is first.
+    async fn play(self, name: Name, boot: Boot, task: Task, program: Program) {
+        let ends = program.run.map(|run| self.timer.now().after(run));
+        loop {
+            let now = self.timer.now();
+            let wait = {
+                let mut machines = lock(&self.machines);
+                let Some(machine) = machines.get_mut(&name) else {
+                    return;
+                };
+                let Some(running) = machine.tasks.get(&task) else {
+                    return;
+                };
+                if machine.boot != boot || running.report.phase != Phase::Running {
+                    return;
+                }
+                if ends.is_some_and(|ends| ends <= now) {
+                    let phase = if program.fail {
+                        Phase::Failed
+                    } else {
+                        Phase::Succeeded
+                    };
+                    self.end(machine, &task, phase, program.output);
+                    return;
+                }
+                if running.lease_until <= now {
+                    self.end(machine, &task, Phase::Lapsed, String::new());
+                    return;
+                }
+                let until = ends.unwrap_or(running.lease_until).min(running.lease_until);
+                until.since(now)
+            };
+            self.timer.sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+
+    fn end(&self, machine: &mut Machine, task: &Task, phase: Phase, output: String) {
+        let Some(running) = machine.tasks.get_mut(task) else {
+            return;
+        };
+        if running.report.phase != Phase::Running {
+            return;
+        }
+        running.report.phase = phase;
+        running.report.output = output;
+        running.done.send_replace(true);
+        lock(&self.ledger).leave(task);
+    }
+
+    async fn wait(&self, name: &Name, task: &Task) -> Result<Answer> {
+        let gone = || Error::new(Kind::OutcomeUnknown, "the worker has booted since");
+        let mut done = lock(&self.machines)
+            .get(name)
+            .and_then(|machine| machine.tasks.get(task))
+            .map(|running| running.done.subscribe())
+            .ok_or_else(gone)?;
+        done.wait_for(|done| *done).await.map_err(|_| gone())?;
+        lock(&self.machines)
+            .get(name)
+            .ok_or_else(gone)?
+            .answer_one(task)
+    }
+}
+
+impl Machine {
+    fn new(worker: worker::Worker, boot: Boot) -> Self {
+        Self {
+            worker,
+            boot,
+            epoch: Epoch(0),
+            tasks: HashMap::new(),
+            switches: Switches::default(),
+        }
+    }
+
+    fn extend_leases(&mut self, until: Millis) {
+        for running in self.tasks.values_mut() {
+            running.lease_until = running.lease_until.max(until);
+        }
+    }
+
+    /// Notes a task that never started, so that a start still under way is not carried out.
+    fn refuse_later_start(&mut self, task: &Task, epoch: Epoch) {
+        self.tasks.entry(task.clone()).or_insert_with(|| Running {
+            report: Report {
+                task: task.clone(),
+                phase: Phase::NeverStarted,
+                resources: Resources::default(),
+                usage: Resources::default(),
+                output: String::new(),
+                epoch,
+            },
+            lease_until: Millis::default(),
+            done: watch::Sender::new(true),
+        });
+    }
+
+    fn forget(&mut self, tasks: &[Task]) {
+        for task in tasks {
+            let ended = self
+                .tasks
+                .get(task)
+                .is_some_and(|running| running.report.phase != Phase::Running);
+            if ended {
+                self.tasks.remove(task);
+            }
+        }
+    }
+
+    fn answer(&self) -> Answer {
+        Answer {
+            boot: self.boot,
+            tasks: self
+                .tasks
+                .values()
+                .map(|running| running.report.clone())
+                .collect(),
+        }
+    }
+
+    fn answer_one(&self, task: &Task) -> Result<Answer> {
+        let running = self
+            .tasks
+            .get(task)
+            .ok_or_else(|| Error::new(Kind::NotFound, format!("no task {task}")))?;
+        Ok(Answer {
+            boot: self.boot,
+            tasks: vec![running.report.clone()],
+        })
+    }
+}
+
+impl Ledger {
+    fn check_start(&mut self, machine: &Machine, run: &Run) {
+        let running = machine
+            .tasks
+            .values()
+            .filter(|running| running.report.phase == Phase::Running);
+        let (count, used) = running.fold((0, run.resources), |(count, used), running| {
+            (count + 1, used.plus(&running.report.resources))
+        });
+        if count >= machine.worker.slots || !used.fits(&machine.worker.capacity) {
+            self.violations.over_capacity += 1;
+        }
+        let places = self.running.entry(run.task.clone()).or_default();
+        *places += 1;
+        if *places > 1 {
+            self.violations.double_runs += 1;
+        }
+        let first = self.started_once.insert(run.task.clone());
+        if !first && !run.repeatable {
+            self.violations.repeated += 1;
+        }
+    }
+
+    fn leave(&mut self, task: &Task) {
+        if let Some(places) = self.running.get_mut(task) {
+            *places -= 1;
+            if *places == 0 {
+                self.running.remove(task);
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/bin/basilbridge-standins/main.rs
@@ -0,0 +1,24 @@
+//! The platform and the workers as stand-ins in a process of their own.
+
+mod app;
+mod clap_app;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::clap_app::Arguments;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    match runtime.and_then(|runtime| runtime.block_on(app::run(&arguments))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("basilbridge-standins: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,145 @@
+//! A client of the HTTP interfaces, for the command line.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::Job,
+    job::{
+        Request,
+        Status, //
+    },
+    worker::Worker,
+};
+use basilbridge_operators::configuration::Configuration;
+use bytes::Bytes;
+use http::{
+    Method,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper_util::{
+    client::legacy::Client as HttpClient,
+    rt::TokioExecutor, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+/// A client of one address with one key.
+#[derive(Debug, Clone)]
+pub struct Client {
+    address: SocketAddr,
+    key: Option<String>,
+}
+
+impl Client {
+    /// Makes a client of the interface at `address`.
+    pub fn new(address: SocketAddr, key: Option<String>) -> Self {
+        Self { address, key }
+    }
+
+    /// Submits work; the answer comes within `timeout`.
+    pub async fn submit(&self, request: &Request, timeout: Duration) -> Result<Status> {
+        self.send(Method::POST, "/v1/jobs", Some(request), Some(timeout))
+            .await
+    }
+
+    /// Tells where a job stands.
+    pub async fn status(&self, job: &Job) -> Result<Status> {
+        let path = format!("/v1/jobs/{job}");
+        self.send(Method::GET, &path, None::<&()>, None).await
+    }
+
+    /// Waits until a job changes no more, for at most `timeout`.
+    pub async fn wait(&self, job: &Job, timeout: Duration) -> Result<Status> {
+        let path = format!("/v1/jobs/{job}/wait");
+        self.send(Method::GET, &path, None::<&()>, Some(timeout))
+            .await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: &Job) -> Result<Status> {
+        let path = format!("/v1/jobs/{job}");
+        self.send(Method::DELETE, &path, None::<&()>, None).await
+    }
+
+    /// Returns the workers that the VM knows.
+    pub async fn workers(&self) -> Result<Vec<Worker>> {
+        self.send(Method::GET, "/v1/workers", None::<&()>, None)
+            .await
+    }
+
+    /// Returns the configuration that the VM acts on.
+    pub async fn configuration(&self) -> Result<Configuration> {
+        self.send(Method::GET, "/v1/configuration", None::<&()>, None)
+            .await
+    }
+
+    /// Replaces the configuration if it still has the version of `next`.
+    pub async fn replace(&self, next: &Configuration) -> Result<Configuration> {
+        self.send(Method::PUT, "/v1/configuration", Some(next), None)
+            .await
+    }
+
+    async fn send<B: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+        timeout: Option<Duration>,
+    ) -> Result<A> {
+        let internal = |error: String| Error::new(Kind::Internal, error);
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        if let Some(key) = &self.key {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if let Some(timeout) = timeout {
+            let name = basilbridge_callers::route::TIMEOUT_HEADER;
+            request = request.header(name, timeout.as_millis().to_string());
+        }
+        let body = match body {
+            Some(body) => serde_json::to_vec(body).map_err(|error| internal(error.to_string()))?,
+            None => Vec::new(),
+        };
+        let request = request
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| internal(error.to_string()))?;
+        let client: HttpClient<_, Full<Bytes>> =
+            HttpClient::builder(TokioExecutor::new()).build_http();
+        let response = client.request(request).await.map_err(|error| {
+            let kind = if error.is_connect() {
+                Kind::Unreachable
+            } else {
+                Kind::OutcomeUnknown
+            };
+            Error::new(kind, format!("{}: {error}", self.address))
+        })?;
+        let status = response.status();
+        let answer = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| Error::new(Kind::Truncated, error.to_string()))?
+            .to_bytes();
+        if status.is_success() {
+            return serde_json::from_slice(&answer)
+                .map_err(|error| Error::new(Kind::Truncated, error.to_string()));
+        }
+        Err(serde_json::from_slice(&answer)
+            .unwrap_or_else(|_| Error::new(Kind::Internal, format!("the VM answered {status}"))))
+    }
+}
--- /dev/null
+++ b/src/embedded.rs
@@ -0,0 +1,121 @@
+//! One entry VM, its platform and its workers in one process, for a first try.
+
+use std::{
+    io,
+    net::SocketAddr, //
+};
+
+use basilbridge_common::{
+    error::Result,
+    id::{
+        Name,
+        Version, //
+    },
+    timer,
+    unit::Resources,
+    worker::Worker,
+};
+use basilbridge_operators::{
+    configuration::{
+        Configuration,
+        Queue,
+        Team, //
+    },
+    key::Hash,
+};
+use basilbridge_platform::vm::Vm;
+use basilbridge_standins::{
+    store::Store,
+    worker::Fleet, //
+};
+use slog::Logger;
+
+use crate::{
+    config::Config,
+    node::{
+        Node,
+        Running, //
+    },
+    settings::Settings,
+};
+
+/// The key of the team that a first try uses.
+pub const TEAM_KEY: &str = "try-basilbridge";
+
+/// The key of the operator that a first try uses.
+pub const OPERATOR_KEY: &str = "operate-basilbridge";
+
+/// A first try that runs.
+pub struct Embedded {
+    /// The entry VM.
+    pub running: Running,
+    /// The platform's stand-in.
+    pub store: Store,
+    /// The workers' stand-ins.
+    pub fleet: Fleet,
+}
+
+/// Starts an entry VM with `workers` stand-in workers.
+pub async fn start(config: Config, workers: u32, log: Logger) -> io::Result<Embedded> {
+    let timer = timer::Service::start();
+    let store = Store::new(timer.clone());
+    let workers = stand_in_workers(&config.data_centre, workers);
+    store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
+    let fleet = Fleet::new(timer.clone(), workers);
+    configure(&store).await.map_err(io::Error::other)?;
+    let node = Node::new(config, timer, store.platform(), fleet.client(), log);
+    let running = node.start().await?;
+    Ok(Embedded {
+        running,
+        store,
+        fleet,
+    })
+}
+
+/// Makes workers of the size of Spine & Leaf's, eight to a rack.
+pub fn stand_in_workers(data_centre: &Name, count: u32) -> Vec<Worker> {
+    const WORKERS_PER_RACK: u32 = 8;
+    (0..count)
+        .map(|number| Worker {
+            name: format!("{data_centre}-worker-{number}").into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            data_centre: data_centre.clone(),
+            rack: number / WORKERS_PER_RACK,
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mib: 131_072,
+                accelerators: u64::from(number % WORKERS_PER_RACK == 0),
+            },
+            slots: 8,
+            leaving: false,
+        })
+        .collect()
+}
+
+/// Returns the configuration of a first try.
+pub fn first_configuration() -> Configuration {
+    let queue = |name: &str| Queue {
+        name: name.into(),
+        open_for: None,
+    };
+    Configuration {
+        version: Version(0),
+        teams: vec![Team {
+            name: "workshop".into(),
+            share: 1,
+            limit: None,
+            keys: vec![Hash::of(TEAM_KEY)],
+        }],
+        queues: vec![queue("checks"), queue("plans"), queue("collections")],
+        operator_keys: vec![Hash::of(OPERATOR_KEY)],
+    }
+}
+
+async fn configure(store: &Store) -> Result<()> {
+    let settings = Settings::new(None);
+    let tables = store.platform().tables;
+    settings
+        .replace(&tables, "first".to_owned(), first_configuration())
+        .await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,44 @@
+//! Structured logs.
+
+use slog::{
+    Drain,
+    Logger,
+    o, //
+};
+
+/// How logs are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Format {
+    /// Lines for people.
+    Text,
+    /// One JSON document a line, for programs.
+    Json,
+}
+
+/// Makes a logger that writes to the standard error stream.
+pub fn logger(format: Format, level: slog::Level) -> Logger {
+    match format {
+        Format::Text => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            root(drain, level)
+        }
+        Format::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            root(drain, level)
+        }
+    }
+}
+
+/// Makes a logger that writes nothing.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn root<D>(drain: D, level: slog::Level) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let drain = slog_async::Async::new(drain).build().fuse();
+    Logger::root(drain.filter_level(level).fuse(), o!())
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,367 @@
+//! One entry VM.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{
+        Arc,
+        PoisonError,
+        RwLock, //
+    },
+};
+
+use basilbridge_callers as callers;
+use basilbridge_common::{
+    call::Call,
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::{
+        Session,
+        Shard,
+        Version, //
+    },
+    job::Status,
+    timer,
+};
+use basilbridge_endpoints::Client;
+use basilbridge_operators as operators;
+use basilbridge_peers::{
+    News,
+    client::Pool,
+    server, //
+};
+use basilbridge_platform::Platform;
+use basilbridge_server::{
+    gate::Gate,
+    listener::Server, //
+};
+use futures_util::FutureExt;
+use slog::Logger;
+use tokio::task::JoinSet;
+
+use crate::{
+    config::Config,
+    directory::{
+        self,
+        Directory, //
+    },
+    dispatch,
+    fleet::Fleet,
+    journal::{
+        Journal,
+        Title, //
+    },
+    owner::{
+        Owner,
+        Tools, //
+    },
+    renewal, router,
+    session::{
+        self,
+        Observer,
+        Record,
+        View, //
+    },
+    settings::Settings,
+    takeover,
+};
+
+/// An owner and the tasks that work for it.
+struct Held {
+    owner: Arc<Owner>,
+    _tasks: JoinSet<()>,
+}
+
+/// One entry VM.
+pub struct Node {
+    /// The settings of the VM.
+    pub config: Config,
+    /// The timer service.
+    pub timer: timer::Service,
+    /// The configuration that operators have set.
+    pub settings: Settings,
+    /// The workers.
+    pub fleet: Fleet,
+    /// The owners of shards.
+    pub directory: Directory,
+    /// The connections to other entry VMs.
+    pub pool: Pool,
+    /// The requests in flight.
+    pub gate: Gate,
+    session: Session,
+    platform: Platform,
+    endpoints: Client,
+    log: Logger,
+    held: RwLock<HashMap<Shard, Held>>,
+}
+
+/// The servers of an entry VM and what keeps it going.
+pub struct Running {
+    /// The VM.
+    pub node: Arc<Node>,
+    /// The interface for callers.
+    pub callers: Server,
+    /// The interface for operators.
+    pub operators: Server,
+    /// The interface for other entry VMs.
+    pub peers: server::Server,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Makes an entry VM that does nothing yet.
+    pub fn new(
+        config: Config,
+        timer: timer::Service,
+        platform: Platform,
+        endpoints: Client,
+        log: Logger,
+    ) -> Arc<Self> {
+        let log = log.new(slog::o!("vm" => config.name.to_string()));
+        Arc::new(Self {
+            settings: Settings::new(config.bootstrap_key.clone()),
+            fleet: Fleet::new(config.racks_per_shard),
+            directory: Directory::default(),
+            pool: Pool::new(timer.clone()),
+            gate: Gate::default(),
+            session: Session(rand::random()),
+            platform,
+            endpoints,
+            log,
+            held: RwLock::default(),
+            timer,
+            config,
+        })
+    }
+
+    /// Starts to serve and to claim shards.
+    pub async fn start(self: &Arc<Self>) -> io::Result<Running> {
+        let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
+        let caller_router = callers::route::router(self.caller_app());
+        let callers = Server::start(self.config.callers, caller_router).await?;
+        let operator_router = operators::route::router(self.operator_app());
+        let operators = Server::start(self.config.operators, operator_router).await?;
+        let record = Record {
+            session: self.session,
+            name: self.config.name.clone(),
+            address: peers.address,
+            data_centre: self.config.data_centre.clone(),
+            renewals: 0,
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Arc::clone(self).keep_session(record));
+        Ok(Running {
+            node: Arc::clone(self),
+            callers,
+            operators,
+            peers,
+            tasks,
+        })
+    }
+
+    /// Returns the owner of a shard, if it is this VM.
+    pub fn owner(&self, shard: &Shard) -> Option<Arc<Owner>> {
+        let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
+        held.get(shard).map(|held| Arc::clone(&held.owner))
+    }
+
+    /// Returns the owners of all shards that this VM holds.
+    pub fn owners(&self) -> Vec<Arc<Owner>> {
+        let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
+        held.values().map(|held| Arc::clone(&held.owner)).collect()
+    }
+
+    /// Says whether this VM takes requests.
+    pub fn is_ready(&self) -> bool {
+        let started = self.settings.current().version > Version(0);
+        started && !self.gate.is_draining() && !self.directory.shards().is_empty()
+    }
+
+    async fn keep_session(self: Arc<Self>, mut record: Record) {
+        let mut version = Version(0);
+        let mut observer = Observer::default();
+        loop {
+            record.renewals += 1;
+            match session::renew(&self.platform.tables, &record, version).await {
+                Ok(next) => version = next,
+                Err(error) => slog::warn!(self.log, "session not renewed"; "error" => %error),
+            }
+            if let Err(error) = self.round(&mut observer).await {
+                slog::warn!(self.log, "round failed"; "error" => %error);
+            }
+            self.timer.sleep(self.config.poll_interval).await;
+        }
+    }
+
+    /// Reads what has changed and claims the shards that fall to this VM.
+    async fn round(self: &Arc<Self>, observer: &mut Observer) -> Result<()> {
+        let tables = &self.platform.tables;
+        self.settings.refresh(tables).await?;
+        self.fleet.set((self.platform.vms)().await?);
+        let now = self.timer.now();
+        let view = observer
+            .observe(tables, now, self.config.session_lease)
+            .await?;
+        self.learn(&view);
+        for (shard, workers) in self.fleet.shards() {
+            if let Some(owner) = self.owner(&shard) {
+                owner.set_workers(workers);
+            } else if !view.is_owned(&shard) && view.preferred(&shard) == Some(self.session) {
+                let known = view.claims.get(&shard);
+                if let Some(title) = session::claim(tables, self.session, &shard, known).await? {
+                    self.hold(title, workers);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn learn(&self, view: &View) {
+        for (shard, (claim, _)) in &view.claims {
+            let owner = view
+                .live
+                .iter()
+                .find(|record| record.session == claim.session);
+            if let Some(owner) = owner {
+                let entry = directory::Entry {
+                    address: owner.address,
+                    epoch: claim.epoch,
+                };
+                self.directory.learn(shard.clone(), entry);
+            }
+            self.release_if_lost(shard, claim);
+        }
+    }
+
+    fn release_if_lost(&self, shard: &Shard, claim: &session::Claim) {
+        let mut held = self.held.write().unwrap_or_else(PoisonError::into_inner);
+        let lost = held
+            .get(shard)
+            .is_some_and(|held| held.owner.title.epoch < claim.epoch);
+        if lost {
+            slog::warn!(self.log, "shard lost"; "shard" => %shard, "epoch" => claim.epoch.0);
+            held.remove(shard);
+        }
+    }
+
+    fn hold(self: &Arc<Self>, title: Title, workers: Vec<basilbridge_common::worker::Worker>) {
+        let shard = title.shard.clone();
+        let log = self.log.new(slog::o!(
+            "shard" => shard.to_string(),
+            "epoch" => title.epoch.0,
+        ));
+        slog::info!(log, "shard claimed"; "workers" => workers.len());
+        let (journal, writer) = Journal::new(
+            self.platform.tables.clone(),
+            self.timer.clone(),
+            title.clone(),
+        );
+        let tools = Tools {
+            timer: self.timer.clone(),
+            endpoints: self.endpoints.clone(),
+            journal,
+            log,
+            task_lease: self.config.task_lease,
+        };
+        let owner = Owner::new(title, tools, workers);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(writer);
+        tasks.spawn(work(
+            Arc::clone(self),
+            Arc::clone(&owner),
+            self.platform.clone(),
+        ));
+        let mut held = self.held.write().unwrap_or_else(PoisonError::into_inner);
+        held.insert(
+            shard,
+            Held {
+                owner,
+                _tasks: tasks,
+            },
+        );
+    }
+
+    fn caller_app(self: &Arc<Self>) -> callers::App {
+        let node = Arc::clone(self);
+        let ready = Arc::clone(self);
+        callers::App {
+            handle: Arc::new(move |request| {
+                let node = Arc::clone(&node);
+                async move { router::route(&node, request).await }.boxed()
+            }),
+            ready: Arc::new(move || ready.is_ready()),
+            gate: self.gate.clone(),
+        }
+    }
+
+    fn peer_app(self: &Arc<Self>) -> server::App {
+        let node = Arc::clone(self);
+        let news = Arc::clone(self);
+        server::App {
+            forward: Arc::new(move |call| {
+                let node = Arc::clone(&node);
+                async move { node.handle_forwarded(call).await }.boxed()
+            }),
+            exchange: Arc::new(move |_| News {
+                session: news.session.0,
+                configuration: news.settings.current().version.0,
+                shards: Vec::new(),
+            }),
+        }
+    }
+
+    fn operator_app(self: &Arc<Self>) -> operators::App {
+        let (authorizer, reader) = (Arc::clone(self), Arc::clone(self));
+        let (writer, lister) = (Arc::clone(self), Arc::clone(self));
+        operators::App {
+            authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
+            configuration: Arc::new(move || (*reader.settings.current()).clone()),
+            replace: Arc::new(move |next| {
+                let node = Arc::clone(&writer);
+                async move {
+                    let write_id = format!("configuration/{}", rand::random::<u128>());
+                    let tables = &node.platform.tables;
+                    node.settings.replace(tables, write_id, next).await
+                }
+                .boxed()
+            }),
+            workers: Arc::new(move || lister.fleet.workers()),
+            gate: self.gate.clone(),
+        }
+    }
+
+    /// Handles a call from a peer; it is never handed on, so that calls can't circle.
+    async fn handle_forwarded(&self, call: Call) -> Result<Status> {
+        let shard = call.verb.shard();
+        match self.owner(shard) {
+            Some(owner) => owner.handle(call).await,
+            None => {
+                let message = format!("this VM does not own shard {shard}");
+                Err(Error::new(Kind::NotOwner, message))
+            }
+        }
+    }
+}
+
+async fn work(node: Arc<Node>, owner: Arc<Owner>, platform: Platform) {
+    while let Err(error) = takeover::run(Arc::clone(&owner), platform.tables.clone()).await {
+        slog::warn!(owner.tools.log, "takeover failed"; "error" => %error);
+        node.timer.sleep(node.config.poll_interval).await;
+    }
+    tokio::join!(dispatch::run(Arc::clone(&owner)), renewal::run(owner));
+}
+
+impl Running {
+    /// Stops taking requests, waits for those in flight and ends.
+    pub async fn drain(mut self) {
+        self.node.gate.drain();
+        self.callers.stop_accepting();
+        self.operators.stop_accepting();
+        self.node.gate.idle().await;
+        self.peers.stop().await;
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/tests/util/mod.rs
@@ -0,0 +1,82 @@
+//! Fixtures of the tests at the HTTP ports.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use basilbridge::{
+    client::Client,
+    config::Config,
+    embedded::{
+        self,
+        Embedded, //
+    },
+    log,
+    node::{
+        Node,
+        Running, //
+    },
+};
+use basilbridge_common::{
+    job::{
+        Kind,
+        Request, //
+    },
+    timer,
+    unit::Resources,
+};
+
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) async fn one_vm() -> Embedded {
+    embedded::start(Config::local("entry-0", "local"), 16, log::silent())
+        .await
+        .unwrap()
+}
+
+/// Starts further entry VMs on the platform and workers of `first`.
+pub(crate) async fn further_vm(first: &Embedded, name: &str, data_centre: &str) -> Running {
+    let node = Node::new(
+        Config::local(name, data_centre),
+        timer::Service::start(),
+        first.store.platform(),
+        first.fleet.client(),
+        log::silent(),
+    );
+    node.start().await.unwrap()
+}
+
+pub(crate) fn caller(address: SocketAddr) -> Client {
+    Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
+}
+
+pub(crate) fn request(queue: &str, kind: Kind, payload: &str) -> Request {
+    Request {
+        queue: queue.into(),
+        kind,
+        resources: Resources {
+            cpu_millis: 1000,
+            memory_mib: 256,
+            accelerators: 0,
+        },
+        count: 1,
+        repeatable: true,
+        idempotency_key: None,
+        family: None,
+        run_time: None,
+        deadline: None,
+        payload: payload.to_owned(),
+    }
+}
+
+/// Waits until the VM has taken in the configuration and found an owner for a shard.
+pub(crate) async fn ready(running: &Running) {
+    for _ in 0..1000 {
+        if running.node.is_ready() {
+            return;
+        }
+        running.node.timer.sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the VM never became ready");
+}
--- /dev/null
+++ b/tools/codegen/tests/generated_code.rs
@@ -0,0 +1,19 @@
+//! The committed code is what the generator writes today.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+#[test]
+fn the_committed_code_is_what_the_protocol_files_give() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let out = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    basilbridge_codegen::generate(&root, out).unwrap();
+
+    let name = "basilbridge.peer.v1.rs";
+    let fresh = fs::read_to_string(out.join(name)).unwrap();
+    let committed = fs::read_to_string(root.join("crates/peers/src/generated").join(name)).unwrap();
+    assert_eq!(fresh, committed, "run `cargo run -p basilbridge-codegen`");
+}
