--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -55,7 +55,7 @@
     pub handle: Handle,
     /// Says whether this VM takes requests, which the platform's balancer asks.
     pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
-    /// Counts the requests in flight.
+    /// Says when this VM is about to end.
     pub gate: basilbridge_server::gate::Gate,
 }
 
--- a/crates/callers/src/route.rs
+++ b/crates/callers/src/route.rs
@@ -16,7 +16,8 @@
 };
 use basilbridge_server::{
     body,
-    gate::Pass, //
+    edge::REQUEST_ID_HEADER,
+    gate::Phase, //
 };
 use gotham::{
     handler::HandlerResult,
@@ -50,8 +51,8 @@
 /// The header that carries the time until the caller gives up, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "x-timeout-ms";
 
-/// The header that names a request in the logs of all who handle it.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The longest time that a caller may state, in milliseconds.
+pub const MAX_TIMEOUT_MS: u64 = 24 * 60 * 60 * 1000;
 
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
@@ -130,31 +131,14 @@
     body::answer(state, StatusCode::OK, result)
 }
 
-/// A request that is counted as in flight.
-struct Prepared {
-    app: App,
-    pass: Pass,
-    request: Request,
-}
-
 /// Takes what a request needs out of the state, which can't be held while waiting.
-fn prepare(state: &State, verb: Verb) -> Result<Prepared> {
-    let app = App::borrow_from(state).clone();
-    let pass = app.gate.enter();
-    if app.gate.is_draining() {
-        let error = Error::new(Kind::Draining, "this VM is stopping");
-        return Err(error.retry_after(Duration::from_secs(1)));
-    }
+fn prepare(state: &State, verb: Verb) -> Result<(App, Request)> {
     let headers = HeaderMap::borrow_from(state);
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let given_id = text(REQUEST_ID_HEADER).filter(|id| id.len() <= MAX_REQUEST_ID_BYTES);
-    let remaining = match text(TIMEOUT_HEADER).map(str::parse) {
+    let remaining = match headers.get(TIMEOUT_HEADER) {
         None => None,
-        Some(Ok(millis)) => Some(Duration::from_millis(millis)),
-        Some(Err(_)) => {
-            let message = format!("{TIMEOUT_HEADER} is not a count of milliseconds");
-            return Err(Error::new(Kind::Malformed, message));
-        }
+        Some(_) => Some(timeout(text(TIMEOUT_HEADER))?),
     };
     let request = Request {
         request_id: given_id.unwrap_or_else(|| request_id(state)).into(),
@@ -162,12 +146,33 @@
         remaining,
         verb,
     };
-    Ok(Prepared { app, pass, request })
+    Ok((App::borrow_from(state).clone(), request))
 }
 
-async fn handle(prepared: Result<Prepared>) -> Result<Status> {
-    let Prepared { app, pass, request } = prepared?;
-    let result = (app.handle)(request).await;
-    drop(pass);
-    result
+fn timeout(text: Option<&str>) -> Result<Duration> {
+    text.and_then(|text| text.parse().ok())
+        .filter(|millis| *millis <= MAX_TIMEOUT_MS)
+        .map(Duration::from_millis)
+        .ok_or_else(|| {
+            let message =
+                format!("{TIMEOUT_HEADER} is not a count of milliseconds up to {MAX_TIMEOUT_MS}");
+            Error::new(Kind::Malformed, message)
+        })
+}
+
+async fn handle(prepared: Result<(App, Request)>) -> Result<Status> {
+    let (app, request) = prepared?;
+    let Verb::Wait(job) = &request.verb else {
+        return (app.handle)(request).await;
+    };
+    let now = Request {
+        verb: Verb::Status(job.clone()),
+        ..request.clone()
+    };
+    // A long wait would hold up the end of this VM; its caller can go on waiting at another.
+    tokio::select! {
+        biased;
+        result = (app.handle)(request) => result,
+        () = app.gate.reached(Phase::Leaving) => (app.handle)(now).await,
+    }
 }
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -74,7 +74,7 @@
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
-    stop: oneshot::Sender<()>,
+    stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
 
@@ -98,14 +98,15 @@
         });
         Ok(Self {
             address,
-            stop,
+            stop: Some(stop),
             task,
         })
     }
 
     /// Takes no new calls and waits until those in flight are answered.
-    pub async fn stop(self) {
-        let _ = self.stop.send(());
-        let _ = self.task.await;
+    pub async fn stop(&mut self) {
+        // Both fail only when the server has ended before.
+        let _ = self.stop.take().map(|stop| stop.send(()));
+        let _ = (&mut self.task).await;
     }
 }
--- a/crates/server/src/body.rs
+++ b/crates/server/src/body.rs
@@ -33,13 +33,22 @@
     de::DeserializeOwned, //
 };
 
+use crate::edge::BodyTime;
+
 /// The longest request body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Reads the whole body of a request, up to `limit` bytes.
 pub async fn read(state: &mut State, limit: usize) -> Result<Bytes> {
-    let body = Body::take_from(state);
-    match Limited::new(body, limit).collect().await {
+    let body = Limited::new(Body::take_from(state), limit).collect();
+    let collected = match state.try_take::<BodyTime>() {
+        None => body.await,
+        Some(time) => match time.timer.timeout(time.limit, body).await {
+            Some(collected) => collected,
+            None => return Err(Error::new(Kind::SlowRequest, "the body came in too slowly")),
+        },
+    };
+    match collected {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
             let message = format!("the body is longer than {limit} bytes");
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -3,18 +3,32 @@
 use std::sync::{
     Arc,
     atomic::{
-        AtomicBool,
         AtomicUsize,
         Ordering, //
     },
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
+
+/// How far the end of a VM has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum Phase {
+    /// Requests are taken.
+    #[default]
+    Open,
+    /// Requests are answered, and callers are told to go elsewhere with the next one.
+    Leaving,
+    /// No connection is taken, and those without a request are closed.
+    Closing,
+}
 
 #[derive(Debug, Default)]
 struct Shared {
     in_flight: AtomicUsize,
-    draining: AtomicBool,
+    phase: watch::Sender<Phase>,
     idle: Notify,
 }
 
@@ -39,21 +53,40 @@
         }
     }
 
-    /// Takes no new requests from now on.
-    pub fn drain(&self) {
-        self.shared.draining.store(true, Ordering::SeqCst);
+    /// Returns how many requests are in flight.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Moves the end of the VM on; it never goes back.
+    pub fn advance(&self, phase: Phase) {
+        self.shared
+            .phase
+            .send_if_modified(|current| (phase > *current).then(|| *current = phase).is_some());
+    }
+
+    /// Returns how far the end of the VM has come.
+    pub fn phase(&self) -> Phase {
+        *self.shared.phase.borrow()
     }
 
     /// Says whether the drain has begun.
     pub fn is_draining(&self) -> bool {
-        self.shared.draining.load(Ordering::SeqCst)
+        self.phase() >= Phase::Leaving
+    }
+
+    /// Waits until the end of the VM has come as far as `phase`.
+    pub async fn reached(&self, phase: Phase) {
+        let mut receiver = self.shared.phase.subscribe();
+        // The sender lives as long as the gate that is borrowed here.
+        let _ = receiver.wait_for(|current| *current >= phase).await;
     }
 
     /// Waits until no request is in flight.
     pub async fn idle(&self) {
         loop {
             let notified = self.shared.idle.notified();
-            if self.shared.in_flight.load(Ordering::SeqCst) == 0 {
+            if self.in_flight() == 0 {
                 return;
             }
             notified.await;
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -21,7 +21,11 @@
 };
 use basilbridge_server::{
     body,
-    listener::Server, //
+    gate::Gate,
+    listener::{
+        Server,
+        Settings, //
+    },
 };
 use bytes::Bytes;
 use gotham::{
@@ -81,12 +85,19 @@
 
 /// Serves the platform's service at `address`.
 pub async fn serve_store(address: SocketAddr, store: Store) -> io::Result<Server> {
-    Server::start(address, store_router(store)).await
+    let settings = Settings::new(store.timer(), Gate::default());
+    Server::start(address, store_router(store), settings).await
 }
 
 /// Serves one worker of a fleet at `address`.
 pub async fn serve_worker(address: SocketAddr, fleet: Fleet, name: Name) -> io::Result<Server> {
-    Server::start(address, worker_router(WorkerState { fleet, name })).await
+    let settings = Settings::new(fleet.timer(), Gate::default());
+    Server::start(
+        address,
+        worker_router(WorkerState { fleet, name }),
+        settings,
+    )
+    .await
 }
 
 fn store_router(store: Store) -> Router {
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Returns the timer service that the service runs by.
+    pub fn timer(&self) -> timer::Service {
+        self.timer.clone()
+    }
+
     /// Sets what the service does wrong.
     pub fn set(&self, switches: Switches) {
         self.lock().switches = switches;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns the timer service that the workers run by.
+    pub fn timer(&self) -> timer::Service {
+        self.timer.clone()
+    }
+
     /// Returns a client that calls these workers in the same process.
     pub fn client(&self) -> Client {
         let fleet = self.clone();
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -106,13 +106,22 @@
     println!("  basilbridge --operator-key {operator} workers");
 }
 
+/// Drains the VM when the process is told to stop; a second signal ends it at once.
 async fn until_stopped(running: Running) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut signalled = async || {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    signalled().await;
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        answered = running.drain() => match answered {
+            true => Ok(()),
+            false => Err(miette!("the drain was over before all requests were answered")),
+        },
+        () = signalled() => Err(miette!("a second signal cut the drain short")),
     }
-    running.drain().await;
-    Ok(())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -31,6 +31,10 @@
     pub racks_per_shard: u32,
     /// How long a caller that states no deadline waits for an answer.
     pub default_wait: Duration,
+    /// How long requests are still taken after the platform's balancer was told of the end.
+    pub drain_grace: Duration,
+    /// How long the end of the VM takes at most, the grace included.
+    pub drain_limit: Duration,
     /// The key of the first operator, before the configuration names any.
     pub bootstrap_key: Option<Hash>,
 }
@@ -50,6 +54,8 @@
             poll_interval: Duration::from_millis(500),
             racks_per_shard: basilbridge_common::worker::RACKS_PER_SHARD,
             default_wait: Duration::from_secs(10),
+            drain_grace: Duration::from_secs(2),
+            drain_limit: Duration::from_secs(30),
             bootstrap_key: None,
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,10 @@
 
 use basilbridge_callers as callers;
 use basilbridge_common::{
-    call::Call,
+    call::{
+        Call,
+        Verb, //
+    },
     error::{
         Error,
         Kind,
@@ -35,8 +38,14 @@
 };
 use basilbridge_platform::Platform;
 use basilbridge_server::{
-    gate::Gate,
-    listener::Server, //
+    gate::{
+        Gate,
+        Phase, //
+    },
+    listener::{
+        self,
+        Server, //
+    },
 };
 use futures_util::FutureExt;
 use slog::Logger;
@@ -141,9 +150,10 @@
     pub async fn start(self: &Arc<Self>) -> io::Result<Running> {
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
-        let callers = Server::start(self.config.callers, caller_router).await?;
+        let settings = listener::Settings::new(self.timer.clone(), self.gate.clone());
+        let callers = Server::start(self.config.callers, caller_router, settings.clone()).await?;
         let operator_router = operators::route::router(self.operator_app());
-        let operators = Server::start(self.config.operators, operator_router).await?;
+        let operators = Server::start(self.config.operators, operator_router, settings).await?;
         let record = Record {
             session: self.session,
             name: self.config.name.clone(),
@@ -209,7 +219,10 @@
         for (shard, workers) in self.fleet.shards() {
             if let Some(owner) = self.owner(&shard) {
                 owner.set_workers(workers);
-            } else if !view.is_owned(&shard) && view.preferred(&shard) == Some(self.session) {
+            } else if !self.gate.is_draining()
+                && !view.is_owned(&shard)
+                && view.preferred(&shard) == Some(self.session)
+            {
                 let known = view.claims.get(&shard);
                 if let Some(title) = session::claim(tables, self.session, &shard, known).await? {
                     self.hold(title, workers);
@@ -335,13 +348,19 @@
 
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
     async fn handle_forwarded(&self, call: Call) -> Result<Status> {
-        let shard = call.verb.shard();
-        match self.owner(shard) {
-            Some(owner) => owner.handle(call).await,
-            None => {
-                let message = format!("this VM does not own shard {shard}");
-                Err(Error::new(Kind::NotOwner, message))
-            }
+        let shard = call.verb.shard().clone();
+        let moved = || {
+            let message = format!("this VM does not own shard {shard}");
+            Err(Error::new(Kind::NotOwner, message))
+        };
+        let Some(owner) = self.owner(&shard) else {
+            return moved();
+        };
+        let waits = matches!(call.verb, Verb::Wait(_));
+        tokio::select! {
+            biased;
+            result = owner.handle(call) => result,
+            () = self.gate.reached(Phase::Closing), if waits => moved(),
         }
     }
 }
@@ -355,13 +374,28 @@
 }
 
 impl Running {
-    /// Stops taking requests, waits for those in flight and ends.
-    pub async fn drain(mut self) {
-        self.node.gate.drain();
-        self.callers.stop_accepting();
-        self.operators.stop_accepting();
-        self.node.gate.idle().await;
-        self.peers.stop().await;
+    /// Ends the VM without cutting off a request; says whether all were answered in time.
+    ///
+    /// `docs/design/drain.md` has the order of the steps.
+    pub async fn drain(mut self) -> bool {
+        let (timer, limit) = (self.node.timer.clone(), self.node.config.drain_limit);
+        let answered = timer.timeout(limit, self.leave()).await.is_some();
         self.tasks.shutdown().await;
+        answered
+    }
+
+    async fn leave(&mut self) {
+        let node = Arc::clone(&self.node);
+        slog::info!(node.log, "drain begins");
+        node.gate.advance(Phase::Leaving);
+        node.timer.sleep(node.config.drain_grace).await;
+        node.gate.advance(Phase::Closing);
+        self.callers.close();
+        self.operators.close();
+        node.gate.idle().await;
+        self.callers.closed().await;
+        self.operators.closed().await;
+        self.peers.stop().await;
+        slog::info!(node.log, "drain ends");
     }
 }
