--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This package does no I/O. See `docs/ARCHITECTURE.md` for its place among the others.
 
+pub mod backoff;
 pub mod call;
 pub mod error;
 pub mod id;
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -6,12 +6,14 @@
     sync::{
         Arc,
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration,
 };
 
 use basilbridge_common::{
+    backoff::Backoff,
     call::Call,
     error::{
         Error,
@@ -22,7 +24,7 @@
     timer,
 };
 use tonic::{
-    Request,
+    ConnectError, Request,
     transport::{
         Channel,
         Endpoint, //
@@ -46,10 +48,21 @@
 /// How long a peer may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long to wait before a peer that refused a connection is dialled again.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+
+/// The longest such wait.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
+
+struct Peer {
+    channel: Channel,
+    backoff: Backoff,
+}
+
 /// One connection to each peer; clones share them.
 #[derive(Clone)]
 pub struct Pool {
-    channels: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
+    peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
     timer: timer::Service,
 }
 
@@ -57,7 +70,7 @@
     /// Makes a pool without connections.
     pub fn new(timer: timer::Service) -> Self {
         Self {
-            channels: Arc::default(),
+            peers: Arc::default(),
             timer,
         }
     }
@@ -68,7 +81,10 @@
         let mut client = PeerClient::new(self.channel(address)?);
         let exchange = client.forward(Request::new(wire));
         match self.timer.timeout(call.remaining, exchange).await {
-            Some(Ok(reply)) => convert::reply_from_wire(reply.into_inner()),
+            Some(Ok(reply)) => {
+                self.note_answer(address);
+                convert::reply_from_wire(reply.into_inner())
+            }
             Some(Err(status)) => Err(self.failed(address, &status)),
             None => Err(Error::new(
                 Kind::OutcomeUnknown,
@@ -82,16 +98,38 @@
         let mut client = PeerClient::new(self.channel(address)?);
         let exchange = client.exchange(Request::new(news));
         match self.timer.timeout(PING_TIMEOUT, exchange).await {
-            Some(Ok(news)) => Ok(news.into_inner()),
+            Some(Ok(news)) => {
+                self.note_answer(address);
+                Ok(news.into_inner())
+            }
             Some(Err(status)) => Err(self.failed(address, &status)),
             None => Err(Error::new(Kind::Unreachable, "no news in time")),
         }
     }
 
+    /// Drops the connections to all peers but these.
+    pub fn retain(&self, addresses: &[SocketAddr]) {
+        self.lock().retain(|address, _| addresses.contains(address));
+    }
+
+    /// Returns how many peers have a connection.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Says whether no peer has a connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
-        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(channel) = channels.get(&address) {
-            return Ok(channel.clone());
+        let mut peers = self.lock();
+        if let Some(peer) = peers.get(&address) {
+            if let Some(wait) = peer.backoff.remaining(self.timer.now()) {
+                let message = format!("the peer at {address} takes no connections");
+                return Err(Error::new(Kind::Unreachable, message).retry_after(wait));
+            }
+            return Ok(peer.channel.clone());
         }
         let channel = Endpoint::from_shared(format!("http://{address}"))
             .map_err(|error| Error::new(Kind::Internal, error.to_string()))?
@@ -101,16 +139,34 @@
             .keep_alive_while_idle(true)
             .tcp_nodelay(true)
             .connect_lazy();
-        channels.insert(address, channel.clone());
+        let peer = Peer {
+            channel: channel.clone(),
+            backoff: Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF),
+        };
+        peers.insert(address, peer);
         Ok(channel)
     }
 
+    fn note_refusal(&self, address: SocketAddr) {
+        if let Some(peer) = self.lock().get_mut(&address) {
+            peer.backoff.fail(self.timer.now(), rand::random());
+        }
+    }
+
+    fn note_answer(&self, address: SocketAddr) {
+        if let Some(peer) = self.lock().get_mut(&address) {
+            peer.backoff.succeed();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells a call that was never sent from one whose outcome is not known.
     fn failed(&self, address: SocketAddr, status: &tonic::Status) -> Error {
-        let refused = std::error::Error::source(status)
-            .and_then(|error| error.downcast_ref::<tonic::transport::Error>())
-            .is_some_and(|error| format!("{error:?}").contains("ConnectError"));
-        let kind = if refused {
+        let kind = if is_unsent(status) {
+            self.note_refusal(address);
             Kind::Unreachable
         } else {
             Kind::OutcomeUnknown
@@ -118,3 +174,9 @@
         Error::new(kind, format!("the peer at {address}: {}", status.message()))
     }
 }
+
+/// Says whether a call failed because no connection could be made for it.
+fn is_unsent(status: &tonic::Status) -> bool {
+    let first = std::error::Error::source(status);
+    std::iter::successors(first, |error| error.source()).any(|error| error.is::<ConnectError>())
+}
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -77,10 +77,7 @@
             (None, Some(platform)) => {
                 let timer = timer::Service::start();
                 let platform = platform::platform(platform, timer.clone(), PLATFORM_TIMEOUT);
-                let settings = endpoints::Settings {
-                    timeout: WORKER_TIMEOUT,
-                    longest_wait: LONGEST_WAIT,
-                };
+                let settings = endpoints::Settings::new(WORKER_TIMEOUT, LONGEST_WAIT);
                 let workers = endpoints::client(timer.clone(), settings);
                 let node = Node::new(self.config, timer, platform, workers, self.log);
                 let running = node
