Keep upper limits of teams as allotments of shards

Cause: a team's upper limit was in the configuration and nothing held it. Change: scheduler::limit holds Pool (what is granted of a limit) and Book (what a shard runs and may run); Shard asks the Book before it starts a task. Before: no limit was kept.

--- a/crates/common/src/unit.rs
+++ b/crates/common/src/unit.rs
@@ -63,6 +63,12 @@
         self.zip(other, u64::max)
     }
 
+    /// Returns the smaller of both in each dimension.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        self.zip(other, u64::min)
+    }
+
     /// Multiplies each dimension by `count`.
     #[must_use]
     pub fn times(&self, count: u64) -> Self {
@@ -84,7 +90,9 @@
             .max(part(self.accelerators, whole.accelerators))
     }
 
-    fn zip(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
+    /// Combines both in each dimension.
+    #[must_use]
+    pub fn zip(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
         Self {
             cpu_millis: combine(self.cpu_millis, other.cpu_millis),
             memory_mib: combine(self.memory_mib, other.memory_mib),
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    limit::Book,
     placement::{
         Index,
         Key, //
@@ -73,6 +74,8 @@
     workers: Index,
     queue: Queue,
     tasks: HashMap<id::Task, Entry>,
+    /// What the teams run here and may run here.
+    pub limits: Book,
 }
 
 impl Shard {
@@ -120,6 +123,7 @@
             return;
         };
         self.workers.take(key, &task.resources);
+        self.limits.find(&task.team, &task.resources);
         let entry = Entry {
             task,
             on: Some(key),
@@ -135,7 +139,10 @@
     pub fn remove(&mut self, id: &id::Task) -> Option<Task> {
         let entry = self.tasks.remove(id)?;
         match entry.on {
-            Some(key) => self.workers.give_back(key, &entry.task.resources),
+            Some(key) => {
+                self.workers.give_back(key, &entry.task.resources);
+                self.limits.end(&entry.task.team, &entry.task.resources);
+            }
             None => {
                 self.queue.remove(entry.task.kind, id);
             }
@@ -147,6 +154,7 @@
     pub fn decide(&mut self, now: Millis) -> Vec<Action> {
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         let mut actions = Vec::new();
+        self.limits.begin_pass();
         for id in waiting {
             let Some(entry) = self.tasks.get_mut(&id) else {
                 continue;
@@ -159,6 +167,10 @@
             let Some(key) = self.workers.choose(&entry.task.resources) else {
                 continue;
             };
+            if !self.limits.admits(&entry.task.team, &entry.task.resources) {
+                continue;
+            }
+            self.limits.start(&entry.task.team, &entry.task.resources);
             self.workers.take(key, &entry.task.resources);
             self.queue.remove(entry.task.kind, &id);
             entry.on = Some(key);
