--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    limit::Book,
+    allotment::Book,
     placement::{
         Index,
         Key, //
--- a/crates/scheduler/tests/limit.rs
+++ b/crates/scheduler/tests/limit.rs
@@ -1,6 +1,9 @@
 //! Upper limits against a model that adds everything up.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use basilbridge_common::{
     id::{
@@ -12,12 +15,16 @@
         Resources, //
     },
 };
-use basilbridge_scheduler::limit::{
-    Book,
-    Change,
-    IDLE_WINDOW,
-    Pool,
-    STOP_GRACE, //
+use basilbridge_scheduler::{
+    allotment::{
+        Book,
+        IDLE_WINDOW,
+        STOP_GRACE, //
+    },
+    limit::{
+        Change,
+        Pool, //
+    },
 };
 use quickcheck::{
     Gen,
@@ -46,7 +53,7 @@
 
 fn limited_book() -> Book {
     let mut book = Book::default();
-    book.set_limited([&team()]);
+    book.set_limited(&Arc::new([team()].into()));
     book.settle();
     book
 }
@@ -163,7 +170,7 @@
     let held = seat.book.held(&team());
     seat.not_found.append(&mut seat.running);
     seat.book = Book::default();
-    seat.book.set_limited([&team()]);
+    seat.book.set_limited(&Arc::new([team()].into()));
     seat.book.load([(team(), held)]);
 }
 
