--- a/crates/scheduler/tests/limit.rs
+++ b/crates/scheduler/tests/limit.rs
@@ -61,16 +61,11 @@
 /// Carries out what a book asks for, as one transaction each.
 fn exchange(book: &mut Book, pool: &mut Pool, now: Millis) {
     for (team, change) in book.changes(now) {
-        match change {
-            Change::Raise { wanted, least } => {
-                let granted = pool.grant(&wanted, &least);
-                book.add(&team, &granted);
-            }
-            Change::Cover(wanted) => {
-                let granted = pool.cover(&wanted);
-                book.add(&team, &granted);
-            }
-            Change::Lower(amount) => pool.give_back(&book.take_unused(&team, &amount)),
+        if let Change::Lower(amount) = change {
+            pool.give_back(&book.take_unused(&team, &amount));
+        } else {
+            let granted = pool.carry_out(&change);
+            book.add(&team, &granted);
         }
         book.note(&team, pool);
     }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
+        Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
@@ -15,6 +16,8 @@
     Shard, //
 };
 
+use crate::session::Record;
+
 /// The owner of a shard, as the table service last told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Entry {
@@ -27,6 +30,7 @@
 /// The owners of all shards; it may lag, so an owner has the last word.
 #[derive(Debug, Default)]
 pub struct Directory {
+    members: Mutex<Arc<Vec<Record>>>,
     entries: Mutex<HashMap<Shard, Entry>>,
 }
 
@@ -40,6 +44,18 @@
         }
     }
 
+    /// Takes note of the sessions that live.
+    pub fn set_members(&self, members: Vec<Record>) {
+        let mut current = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(members);
+    }
+
+    /// Returns the sessions that live, this VM's own included.
+    pub fn members(&self) -> Arc<Vec<Record>> {
+        let current = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&current)
+    }
+
     /// Returns the owner of a shard.
     pub fn find(&self, shard: &Shard) -> Option<Entry> {
         self.lock().get(shard).copied()
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -50,6 +50,9 @@
         owner.wake.notified().await;
         let now = owner.tools.timer.now();
         let actions = owner.lock().decide(now);
+        if owner.lock().scheduler.limits.is_waiting() {
+            owner.tools.allotments.notify_one();
+        }
         for action in actions {
             match action {
                 Action::Start { task, worker } => {
@@ -205,7 +208,7 @@
     }
 
     /// Asks a worker to stop a task until it says what became of it.
-    async fn settle(&self, task: &id::Task, worker: &Worker) {
+    pub(crate) async fn settle(&self, task: &id::Task, worker: &Worker) {
         loop {
             let command = Command {
                 epoch: self.title.epoch,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,18 +3,22 @@
 //! Each entry VM runs one [`node::Node`]. Nodes own shards of workers under epochs that they take
 //! through the platform's table service. `docs/ARCHITECTURE.md` shows the way of one request.
 
+pub mod allotment;
+pub mod budget;
 pub mod client;
 pub mod config;
 pub mod directory;
 pub mod dispatch;
 pub mod embedded;
 pub mod fleet;
+pub mod grant;
 pub mod journal;
 pub mod log;
 pub mod node;
 pub mod owner;
 pub mod renewal;
 pub mod router;
+pub mod seat;
 pub mod session;
 pub mod settings;
 pub mod takeover;
--- a/src/node.rs
+++ b/src/node.rs
@@ -40,7 +40,10 @@
 };
 use futures_util::FutureExt;
 use slog::Logger;
-use tokio::task::JoinSet;
+use tokio::{
+    sync::Notify,
+    task::JoinSet, //
+};
 
 use crate::{
     config::Config,
@@ -58,7 +61,7 @@
         Owner,
         Tools, //
     },
-    renewal, router,
+    renewal, router, seat,
     session::{
         self,
         Observer,
@@ -91,8 +94,10 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
-    session: Session,
-    platform: Platform,
+    /// Tells that work waits for an allotment of its team.
+    pub(crate) allotments: Arc<Notify>,
+    pub(crate) session: Session,
+    pub(crate) platform: Platform,
     endpoints: Client,
     log: Logger,
     held: RwLock<HashMap<Shard, Held>>,
@@ -127,6 +132,7 @@
             directory: Directory::default(),
             pool: Pool::new(timer.clone()),
             gate: Gate::default(),
+            allotments: Arc::default(),
             session: Session(rand::random()),
             platform,
             endpoints,
@@ -153,6 +159,7 @@
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).keep_session(record));
+        tasks.spawn(seat::run(Arc::clone(self)));
         Ok(Running {
             node: Arc::clone(self),
             callers,
@@ -220,6 +227,7 @@
     }
 
     fn learn(&self, view: &View) {
+        self.directory.set_members(view.live.clone());
         for (shard, (claim, _)) in &view.claims {
             let owner = view
                 .live
@@ -265,6 +273,7 @@
             journal,
             log,
             task_lease: self.config.task_lease,
+            allotments: Arc::clone(&self.allotments),
         };
         let owner = Owner::new(title, tools, workers);
         let mut tasks = JoinSet::new();
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -65,6 +65,8 @@
     pub log: Logger,
     /// How long a task goes on without word from its owner.
     pub task_lease: std::time::Duration,
+    /// Tells that work waits for an allotment of its team.
+    pub allotments: Arc<Notify>,
 }
 
 /// A job of the shard.
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -111,6 +111,7 @@
             started.remove(task);
         }
     }
+    inner.scheduler.limits.settle();
     for task in started.into_keys() {
         inner.end_task(&task, State::Unknown, String::new());
     }
