Move allotments of team limits by conditional writes

Cause: the pure allotments had no rows, so a limit did not hold over several VMs. Change: allotment::Desk moves allotments between pool rows (one a team) and allotment rows (one a shard and team) in one transaction that checks the shards' claims; seat joins it to owners and stops what runs over a lowered limit; a shard that waits is noted in the pool and the others concede a quarter; calls to the store come out of a budget that the VMs share.

--- a/crates/scheduler/src/allotment.rs
+++ b/crates/scheduler/src/allotment.rs
@@ -13,7 +13,10 @@
 };
 
 use basilbridge_common::{
-    id::Name,
+    id::{
+        Name,
+        Version, //
+    },
     unit::{
         Millis,
         Resources, //
@@ -24,6 +27,7 @@
     Change,
     NOTHING,
     Pool,
+    concession,
     headroom,
     proportion, //
 };
@@ -31,6 +35,9 @@
 /// How long an allotment stays unused before it is given back.
 pub const IDLE_WINDOW: Duration = Duration::from_secs(10);
 
+/// How long it stays unused while the limit is nearly all granted.
+pub const SCARCE_WINDOW: Duration = Duration::from_secs(1);
+
 /// How long work that runs over a limit goes on before it is stopped.
 ///
 /// Meanwhile all owners give back what they do not use, and that often is enough.
@@ -45,6 +52,10 @@
     unseen: Resources,
     /// The part of `held` that is to be given back by stopping tasks.
     stopping: Resources,
+    /// The part of `held` that is given back as tasks end, since another shard waits.
+    conceded: Resources,
+    /// The state of the pool that this was last decided for.
+    conceded_at: Version,
     /// What waits for want of allotment, from the last pass over the queue.
     waiting: Resources,
     /// The first task that waits.
@@ -61,7 +72,8 @@
 impl Account {
     /// Returns what may be in use.
     fn cap(&self) -> Resources {
-        self.held.minus(&self.unseen).minus(&self.stopping)
+        let held = self.held.minus(&self.unseen);
+        held.minus(&self.stopping.max(&self.conceded))
     }
 
     fn over(&self, used: &Resources) -> Resources {
@@ -73,7 +85,11 @@
 
     /// Starts a new window if the present one is over, and says whether it did.
     fn roll(&mut self, used: &Resources, now: Millis) -> bool {
-        if now.since(self.window_start) < IDLE_WINDOW {
+        let window = match self.scarce {
+            true => SCARCE_WINDOW,
+            false => IDLE_WINDOW,
+        };
+        if now.since(self.window_start) < window {
             return false;
         }
         self.window_start = now;
@@ -125,6 +141,7 @@
         let taken = unused.min(amount);
         self.held = self.held.minus(&taken);
         self.stopping = self.stopping.minus(&taken);
+        self.conceded = self.conceded.minus(&taken);
         taken
     }
 }
@@ -285,11 +302,20 @@
         account.held = account.held.plus(granted);
     }
 
-    /// Takes note of how the pool of a team stands.
-    pub fn note(&mut self, team: &Name, pool: &Pool) {
-        if let Some(account) = self.accounts.get_mut(team) {
-            account.scarce = pool.is_scarce();
+    /// Takes note of how the pool of a team stands at a version of its row, and returns what is to
+    /// be given back for the shards that wait.
+    pub fn note(&mut self, team: &Name, pool: &Pool, version: Version) -> Resources {
+        let Some(account) = self.accounts.get_mut(team) else {
+            return NOTHING;
+        };
+        account.scarce = pool.is_scarce();
+        if pool.waiting.is_empty() {
+            account.conceded = NOTHING;
+        } else if account.conceded_at != version {
+            account.conceded = concession(&account.held);
+            account.conceded_at = version;
         }
+        account.conceded
     }
 
     /// Sets how much of the allotment is to come free by stopping tasks: this shard's part of what
--- a/crates/scheduler/src/limit.rs
+++ b/crates/scheduler/src/limit.rs
@@ -3,8 +3,13 @@
 //! The sum of a team's allotments is never granted over its limit, so an owner that starts work
 //! within its shard's allotment asks nobody. See `docs/design/limits.md`.
 
+use std::collections::BTreeSet;
+
 use basilbridge_common::{
-    id::Version,
+    id::{
+        Shard,
+        Version, //
+    },
     unit::Resources, //
 };
 use basilbridge_derives::data;
@@ -32,6 +37,9 @@
     pub version: Version,
     /// The sum of all allotments.
     pub granted: Resources,
+    /// The shards that want some and found nothing left, so that the others give a part back.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub waiting: BTreeSet<Shard>,
 }
 
 /// What a shard asks of a pool.
@@ -131,6 +139,12 @@
     amount.zip(amount, |amount, _| amount / HEADROOM_DIVISOR)
 }
 
+/// Returns the part of an allotment that a shard gives back when another one waits, rounded up so
+/// that the smallest allotment goes round too.
+pub(crate) fn concession(held: &Resources) -> Resources {
+    held.zip(held, |held, _| held.div_ceil(HEADROOM_DIVISOR))
+}
+
 /// Returns the part of `excess` that falls to a shard that holds `held` of `granted`, rounded up.
 pub(crate) fn proportion(excess: &Resources, held: &Resources, granted: &Resources) -> Resources {
     let product = excess.zip(held, |excess, held| excess.saturating_mul(held));
--- a/crates/scheduler/tests/limit.rs
+++ b/crates/scheduler/tests/limit.rs
@@ -67,7 +67,7 @@
             let granted = pool.carry_out(&change);
             book.add(&team, &granted);
         }
-        book.note(&team, pool);
+        book.note(&team, pool, Version(1));
     }
 }
 
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -85,6 +85,8 @@
     pub stale: u64,
     /// Commands that came in.
     pub commands: u64,
+    /// The most that tasks had at once, on all workers together.
+    pub peak: Resources,
 }
 
 /// What all workers of a process saw together.
@@ -94,6 +96,7 @@
     started_once: HashSet<Task>,
     violations: Violations,
     counts: Counts,
+    used: Resources,
 }
 
 struct Running {
@@ -151,6 +154,11 @@
         lock(&self.ledger).counts
     }
 
+    /// Returns what tasks have now, on all workers together.
+    pub fn used(&self) -> Resources {
+        lock(&self.ledger).used
+    }
+
     /// Sets what a worker does wrong.
     pub fn set(&self, name: &Name, switches: Switches) {
         if let Some(machine) = lock(&self.machines).get_mut(name) {
@@ -188,7 +196,7 @@
         let mut ledger = lock(&self.ledger);
         for (task, running) in old.tasks {
             if running.report.phase == Phase::Running {
-                ledger.leave(&task);
+                ledger.leave(&task, &running.report.resources);
             }
         }
     }
@@ -334,7 +342,8 @@
         running.report.phase = phase;
         running.report.output = output;
         running.done.send_replace(true);
-        lock(&self.ledger).leave(task);
+        let need = running.report.resources;
+        lock(&self.ledger).leave(task, &need);
     }
 
     async fn wait(&self, name: &Name, task: &Task) -> Result<Answer> {
@@ -432,6 +441,8 @@
         if count >= machine.worker.slots || !used.fits(&machine.worker.capacity) {
             self.violations.over_capacity += 1;
         }
+        self.used = self.used.plus(&run.resources);
+        self.counts.peak = self.counts.peak.max(&self.used);
         let places = self.running.entry(run.task.clone()).or_default();
         *places += 1;
         if *places > 1 {
@@ -443,7 +454,8 @@
         }
     }
 
-    fn leave(&mut self, task: &Task) {
+    fn leave(&mut self, task: &Task, need: &Resources) {
+        self.used = self.used.minus(need);
         if let Some(places) = self.running.get_mut(task) {
             *places -= 1;
             if *places == 0 {
--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -5,6 +5,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         HashSet, //
     },
     time::Duration, //
@@ -88,6 +89,8 @@
     loaded: HashSet<Tenure>,
     lost: HashSet<Tenure>,
     teams: BTreeMap<Name, Team>,
+    /// The teams that have an allotment on this VM.
+    holders: BTreeSet<Name>,
     /// What was taken from a book and is not written back to its pool yet.
     owed: BTreeMap<(Name, Shard), (Epoch, Resources)>,
     last_write: u64,
@@ -105,6 +108,7 @@
             loaded: HashSet::new(),
             lost: HashSet::new(),
             teams: BTreeMap::new(),
+            holders: BTreeSet::new(),
             owed: BTreeMap::new(),
             last_write: 0,
         }
@@ -154,6 +158,7 @@
     /// Takes back what the shards do not use and returns what they want.
     fn collect(&mut self, now: Millis, limits: &Limits, seats: &[Seat]) -> Wishes {
         let mut wishes = Wishes::new();
+        self.holders.clear();
         for (index, seat) in seats.iter().enumerate() {
             let tenure = seat.tenure();
             let active = self.loaded.contains(&tenure) && !self.lost.contains(&tenure);
@@ -195,6 +200,7 @@
         wishes: &mut Wishes,
     ) {
         for team in book.holders() {
+            self.holders.insert(team.clone());
             let known = self.teams.entry(team.clone()).or_default();
             let pool = limits.apply(&team, known.row.clone());
             let is_known = known.read.is_some();
@@ -202,8 +208,9 @@
                 wishes.entry(team.clone()).or_default();
             }
             if is_known {
-                self.take(seat, book, &team, &pool.excess());
-                book.note(&team, &pool);
+                let conceded = book.note(&team, &pool, known.version);
+                let surplus = pool.excess().max(&conceded);
+                self.take(seat, book, &team, &surplus);
             }
         }
     }
@@ -225,26 +232,35 @@
         owed.1 = owed.1.plus(amount);
     }
 
-    /// Reads the pools that are not known, and again those that had too little.
+    /// Reads the pools that are not known, and again those of which someone wants more.
     async fn refresh(&mut self, now: Millis, limits: &Limits, wishes: &Wishes) {
-        let mut stale = Vec::new();
-        for (name, changes) in wishes {
-            let team = self.teams.entry(name.clone()).or_default();
-            let pool = limits.apply(name, team.row.clone());
-            let short = changes.iter().any(|(_, change)| !pool.satisfies(change));
-            if team.is_stale(now, short, READ_INTERVAL) && self.reads.take() {
-                stale.push(name.clone());
-            }
+        let holders = &self.holders;
+        self.teams.retain(|name, team| {
+            team.in_doubt.is_some() || wishes.contains_key(name) || holders.contains(name)
+        });
+        for name in wishes.keys() {
+            self.teams.entry(name.clone()).or_default();
         }
-        for (name, team) in &self.teams {
-            let waits = team.excess_since.is_some() && !wishes.contains_key(name);
-            if waits && team.is_stale(now, true, READ_INTERVAL) && self.reads.take() {
-                stale.push(name.clone());
-            }
+        for (name, team) in &mut self.teams {
+            let pool = limits.apply(name, team.row.clone());
+            let changes = wishes.get(name).into_iter().flatten();
+            let short = changes
+                .into_iter()
+                .any(|(_, change)| !pool.satisfies(change));
+            team.short_since = short.then(|| team.short_since.unwrap_or(now));
         }
-        let reads = stale.iter().map(|name| self.tables.get(POOLS_TABLE, name));
+        let teams = self.teams.iter();
+        let stale = teams.filter(|(_, team)| team.is_stale(now, READ_INTERVAL));
+        let mut stale: Vec<_> = stale
+            .map(|(name, team)| (team.read, name.clone()))
+            .collect();
+        stale.sort();
+        stale.retain(|_| self.reads.take());
+        let reads = stale
+            .iter()
+            .map(|(_, name)| self.tables.get(POOLS_TABLE, name));
         let rows = future::join_all(reads).await;
-        for (name, row) in stale.iter().zip(rows) {
+        for ((_, name), row) in stale.iter().zip(rows) {
             if let (Some(team), Ok(row)) = (self.teams.get_mut(name), row) {
                 let _ = team.learn(&row, now);
             }
@@ -266,7 +282,7 @@
             if waits || !team.may_write(now) {
                 continue;
             }
-            if let Some(draft) = self.draft(limits, seats, name, changes) {
+            if let Some(draft) = self.draft(now, limits, seats, name, changes) {
                 drafts.push(draft);
             }
         }
@@ -285,6 +301,7 @@
 
     fn draft(
         &mut self,
+        now: Millis,
         limits: &Limits,
         seats: &[Seat],
         name: &Name,
@@ -292,6 +309,7 @@
     ) -> Option<Draft> {
         let team = self.teams.get(name)?;
         let mut pool = limits.apply(name, team.row.clone());
+        let waits = team.is_short(now, READ_INTERVAL);
         let mut parts = Vec::new();
         for (index, seat) in seats.iter().enumerate() {
             let mut held = None;
@@ -304,6 +322,12 @@
             pool.give_back(&returned);
             let wanted = changes.iter().find(|(wanting, _)| *wanting == index);
             let granted = wanted.map_or(Resources::default(), |(_, change)| pool.carry_out(change));
+            let in_vain = wanted.is_some() && granted == Resources::default();
+            if !in_vain {
+                pool.waiting.remove(&seat.title.shard);
+            } else if waits {
+                pool.waiting.insert(seat.title.shard.clone());
+            }
             parts.push(Part {
                 title: seat.title.clone(),
                 held: held.plus(&granted),
@@ -312,7 +336,8 @@
             });
         }
         parts.retain(|part| !part.is_empty());
-        let changed = !parts.is_empty() || pool.limit != team.row.limit;
+        let row = &team.row;
+        let changed = !parts.is_empty() || pool.limit != row.limit || pool.waiting != row.waiting;
         if !changed || !self.writes.take() {
             return None;
         }
@@ -370,7 +395,7 @@
             };
             (seat.book)(&mut |book| {
                 book.add(&draft.team, &part.granted);
-                book.note(&draft.team, &draft.pool);
+                book.note(&draft.team, &draft.pool, version);
             });
             (seat.granted)();
         }
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -143,6 +143,8 @@
     pub(crate) read: Option<Millis>,
     pub(crate) in_doubt: Option<Draft>,
     pub(crate) excess_since: Option<Millis>,
+    /// Since when the pool has had too little for this VM.
+    pub(crate) short_since: Option<Millis>,
     not_before: Millis,
     failures: u32,
 }
@@ -164,14 +166,22 @@
         self.failures = 0;
     }
 
-    /// Says whether the row is to be read, as it is not known or had too little a while ago.
-    pub(crate) fn is_stale(&self, now: Millis, short: bool, interval: Duration) -> bool {
+    /// Says whether the row is to be read, as it is not known or may have changed to matter.
+    pub(crate) fn is_stale(&self, now: Millis, interval: Duration) -> bool {
+        let matters =
+            self.short_since.is_some() || self.excess_since.is_some() || self.row.is_scarce();
         match self.read {
-            Some(read) => short && now.since(read) >= interval,
+            Some(read) => matters && now.since(read) >= interval,
             None => true,
         }
     }
 
+    /// Says whether the pool has had too little for a while.
+    pub(crate) fn is_short(&self, now: Millis, least: Duration) -> bool {
+        self.short_since
+            .is_some_and(|since| now.since(since) >= least)
+    }
+
     pub(crate) fn may_write(&self, now: Millis) -> bool {
         self.read.is_some() && self.not_before <= now
     }
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -51,6 +51,9 @@
 /// Calls a function with the book of a shard, under the lock of the shard.
 pub type Access = Arc<dyn Fn(&mut dyn FnMut(&mut Book)) + Send + Sync>;
 
+/// Stops work of a team until so much has come free.
+pub type Stop = Arc<dyn Fn(&Name, &Resources) + Send + Sync>;
+
 /// A shard that this VM owns.
 #[derive(Clone)]
 pub struct Seat {
@@ -61,7 +64,7 @@
     /// Tells the owner that a team may start more.
     pub granted: Arc<dyn Fn() + Send + Sync>,
     /// Stops work of a team until so much has come free.
-    pub stop: Arc<dyn Fn(&Name, &Resources) + Send + Sync>,
+    pub stop: Stop,
 }
 
 impl Seat {
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -112,6 +112,7 @@
     /// The position in `limits` that each VM knows.
     known: [usize; VMS],
     stopped: usize,
+    last: Pool,
 }
 
 type Shared = Arc<Mutex<World>>;
@@ -141,6 +142,7 @@
         limits: vec![(Version(1), cores(24))],
         known: [0; VMS],
         stopped: 0,
+        last: Pool::default(),
     }))
 }
 
@@ -313,11 +315,18 @@
     let held = rows.iter().fold(Resources::default(), |sum, row| {
         sum.plus(&serde_json::from_str(row.value.as_deref().unwrap()).unwrap())
     });
-    let world = lock(world);
+    let mut world = lock(world);
+    let last = std::mem::replace(&mut world.last, pool.clone());
+    let grows = !pool.granted.fits(&last.granted);
+    let overdrawn = last.version == pool.version && pool.excess() != Resources::default();
     let highest = world.limits.iter().map(|(_, limit)| limit);
     let highest = highest.fold(Resources::default(), |most, limit| most.max(limit));
     let running = world.running();
-    let sound = held == pool.granted && held.fits(&highest) && running.fits(&held);
+    let sound = held == pool.granted
+        && held.fits(&highest)
+        && running.fits(&held)
+        && pool.version >= last.version
+        && !(overdrawn && grows);
     match sound {
         true => Ok(()),
         false => Err(format!("{running:?} run, {held:?} held, {pool:?}")),
@@ -413,3 +422,78 @@
         assert_eq!(result, Ok(()), "seed {seed}");
     }
 }
+
+/// Two VMs with a shard each, under one limit.
+async fn pair(limit: Resources) -> (Shared, Vec<Desk>) {
+    let world = world(0);
+    lock(&world).limits = vec![(Version(1), limit)];
+    let tables = lock(&world).store.platform().tables;
+    for vm in 0..2 {
+        claim(&world, &tables, vm, vm).await;
+        (0..WORKERS).for_each(|worker| lock(&world).fence(vm, worker));
+    }
+    let desk = |vm| Desk::new(tables.clone(), Session(vm), vm);
+    (Arc::clone(&world), (0..2).map(desk).collect())
+}
+
+/// Starts as many tasks of one core as the book admits, and says how many run.
+fn start_all(world: &Shared, number: usize, most: usize) -> usize {
+    let place = &mut lock(world).places[number];
+    let owner = &place.owners[0];
+    let mut book = lock(&owner.book);
+    book.begin_pass();
+    while place.running.len() < most && book.admits(&team(), &cores(1)) {
+        book.start(&team(), &cores(1));
+        let need = cores(1);
+        place.running.push(Task { need, worker: 0 });
+    }
+    place.running.len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_shard_that_waits_gets_a_part_although_another_one_has_work_for_the_whole_limit() {
+    let (world, mut desks) = pair(cores(8)).await;
+    for _ in 0..20 {
+        start_all(&world, 0, 100);
+        rounds(&world, &mut desks).await;
+    }
+    assert_eq!(start_all(&world, 0, 100), 8);
+
+    let mut got = 0;
+    for _ in 0..60 {
+        lock(&world).places[0].end_one(0);
+        start_all(&world, 0, 100);
+        got = start_all(&world, 1, 100);
+        rounds(&world, &mut desks).await;
+    }
+
+    assert!(got >= 2, "{got}");
+    assert_eq!(check(&world).await, Ok(()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn while_the_store_is_down_work_goes_on_within_the_allotment_and_no_further() {
+    let (world, mut desks) = pair(cores(8)).await;
+    for _ in 0..4 {
+        start_all(&world, 0, 2);
+        rounds(&world, &mut desks).await;
+    }
+    let before = start_all(&world, 0, 2);
+    let held = lock(&lock(&world).places[0].owners[0].book).held(&team());
+    let store = lock(&world).store.clone();
+    let down = Switches {
+        down: true,
+        ..store.switches()
+    };
+    store.set(down);
+
+    for _ in 0..20 {
+        lock(&world).places[0].end_one(0);
+        start_all(&world, 0, 100);
+        rounds(&world, &mut desks).await;
+    }
+
+    assert_eq!(before, 2);
+    let running = start_all(&world, 0, 100) as u64;
+    assert_eq!(running, held.cpu_millis / 1000);
+}
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,164 @@
+//! Upper limits of teams over several entry VMs and shards.
+
+mod util;
+
+use std::time::Duration;
+
+use basilbridge::{
+    client::Client,
+    config::Config,
+    embedded, log,
+    node::{
+        Node,
+        Running, //
+    },
+    settings::Settings,
+};
+use basilbridge_common::{
+    job::{
+        Kind,
+        Request,
+        State, //
+    },
+    timer,
+    unit::Resources,
+};
+use basilbridge_platform::vm::Vm;
+use basilbridge_standins::{
+    store::{
+        Store,
+        Switches, //
+    },
+    worker::Fleet, //
+};
+use futures_util::future;
+use util::{
+    PATIENCE,
+    caller,
+    ready,
+    request, //
+};
+
+const fn cores(count: u64) -> Resources {
+    Resources {
+        cpu_millis: count * 1000,
+        memory_mib: count * 256,
+        accelerators: 0,
+    }
+}
+
+struct Cell {
+    store: Store,
+    fleet: Fleet,
+    vms: Vec<Running>,
+}
+
+/// Starts three entry VMs with four shards of eight workers, where the one team has a limit.
+async fn cell(limit: Resources) -> Cell {
+    let timer = timer::Service::start();
+    let store = Store::new(timer.clone());
+    let workers = embedded::stand_in_workers(&"local".into(), 32);
+    store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
+    let fleet = Fleet::new(timer, workers);
+    set_limit(&store, limit).await;
+    // The VMs all write their sessions before any of them claims, so that each gets shards.
+    store.set(Switches {
+        delay: Duration::from_millis(20),
+        ..Switches::default()
+    });
+    let starts = (0..3).map(|number| start(&store, &fleet, number));
+    let vms = future::join_all(starts).await;
+    for vm in &vms {
+        ready(vm).await;
+    }
+    store.set(Switches::default());
+    Cell { store, fleet, vms }
+}
+
+async fn start(store: &Store, fleet: &Fleet, number: u32) -> Running {
+    let config = Config {
+        racks_per_shard: 1,
+        // The ends of batch tasks are heard with the renewals, ten in each lease.
+        task_lease: Duration::from_secs(2),
+        ..Config::local(&format!("entry-{number}"), "local")
+    };
+    let timer = timer::Service::start();
+    let (platform, workers) = (store.platform(), fleet.client());
+    let node = Node::new(config, timer, platform, workers, log::silent());
+    node.start().await.unwrap()
+}
+
+async fn set_limit(store: &Store, limit: Resources) {
+    let tables = store.platform().tables;
+    let settings = Settings::new(None);
+    settings.refresh(&tables).await.unwrap();
+    let mut next = embedded::first_configuration();
+    next.version = settings.current().version;
+    next.teams[0].limit = Some(limit);
+    let write_id = format!("limit/{}", next.version.0);
+    settings.replace(&tables, write_id, next).await.unwrap();
+}
+
+fn job(count: u32, run_ms: u32) -> Request {
+    let payload = format!(r#"{{"run_ms":{run_ms},"output":"done"}}"#);
+    Request {
+        count,
+        ..request("plans", Kind::Batch, &payload)
+    }
+}
+
+fn clients(cell: &Cell) -> Vec<Client> {
+    let vms = cell.vms.iter();
+    vms.map(|vm| caller(vm.callers.address)).collect()
+}
+
+/// Waits until what runs satisfies a condition, and says whether it did in time.
+async fn runs(cell: &Cell, condition: impl Fn(&Resources) -> bool) -> bool {
+    for _ in 0..1000 {
+        if condition(&cell.fleet.used()) {
+            return true;
+        }
+        let timer = &cell.vms[0].node.timer;
+        timer.sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn more_work_than_a_limit_allows_runs_within_it_and_ends() {
+    let cell = cell(cores(12)).await;
+    let clients = clients(&cell);
+
+    let ended = clients.iter().map(|client| async {
+        let accepted = client.submit(&job(60, 30), PATIENCE).await.unwrap();
+        client.wait(&accepted.id, PATIENCE).await.unwrap().state
+    });
+    let ended = future::join_all(ended).await;
+
+    assert!(
+        cell.vms
+            .iter()
+            .filter(|vm| !vm.node.owners().is_empty())
+            .count()
+            > 1
+    );
+    assert_eq!(ended, [State::Succeeded; 3]);
+    let counts = cell.fleet.counts();
+    assert!(counts.peak.fits(&cores(12)), "{:?}", counts.peak);
+    assert_eq!(cell.fleet.violations(), Default::default());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_runs_over_a_lowered_limit_is_stopped_and_waits() {
+    let cell = cell(cores(12)).await;
+    for client in clients(&cell) {
+        client.submit(&job(12, 60_000), PATIENCE).await.unwrap();
+    }
+    assert!(runs(&cell, |used| *used == cores(12)).await);
+
+    set_limit(&cell.store, cores(5)).await;
+    let lowered = runs(&cell, |used| used.fits(&cores(5))).await;
+
+    assert!(lowered, "{:?} runs", cell.fleet.used());
+    assert_eq!(cell.fleet.violations(), Default::default());
+}
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -7,46 +7,19 @@
 
 use basilbridge::{
     client::Client,
-    config::Config,
-    embedded::{
-        self,
-        Embedded, //
-    },
-    log,
-    node::{
-        Node,
-        Running, //
-    },
+    embedded,
+    node::Running, //
 };
 use basilbridge_common::{
     job::{
         Kind,
         Request, //
     },
-    timer,
     unit::Resources,
 };
 
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
-pub(crate) async fn one_vm() -> Embedded {
-    embedded::start(Config::local("entry-0", "local"), 16, log::silent())
-        .await
-        .unwrap()
-}
-
-/// Starts further entry VMs on the platform and workers of `first`.
-pub(crate) async fn further_vm(first: &Embedded, name: &str, data_centre: &str) -> Running {
-    let node = Node::new(
-        Config::local(name, data_centre),
-        timer::Service::start(),
-        first.store.platform(),
-        first.fleet.client(),
-        log::silent(),
-    );
-    node.start().await.unwrap()
-}
-
 pub(crate) fn caller(address: SocketAddr) -> Client {
     Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -2,22 +2,51 @@
 
 mod util;
 
+use basilbridge::{
+    config::Config,
+    embedded::{
+        self,
+        Embedded, //
+    },
+    log,
+    node::{
+        Node,
+        Running, //
+    },
+};
 use basilbridge_common::{
     error::Kind as ErrorKind,
     job::{
         Kind,
         State, //
     },
+    timer,
 };
 use util::{
     PATIENCE,
     caller,
-    further_vm,
-    one_vm,
     ready,
     request, //
 };
 
+async fn one_vm() -> Embedded {
+    embedded::start(Config::local("entry-0", "local"), 16, log::silent())
+        .await
+        .unwrap()
+}
+
+/// Starts further entry VMs on the platform and workers of `first`.
+async fn further_vm(first: &Embedded, name: &str, data_centre: &str) -> Running {
+    let node = Node::new(
+        Config::local(name, data_centre),
+        timer::Service::start(),
+        first.store.platform(),
+        first.fleet.client(),
+        log::silent(),
+    );
+    node.start().await.unwrap()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_check_is_answered_on_the_same_request() {
     let vm = one_vm().await;
