Check settings, print tables, send metrics, and show the error table

Cause: flags were taken unchecked, every answer was printed as JSON, no metric was sent, and nothing compared documents with the code.

Ruled out: checks inside clap's value parsers alone (a contradiction of two flags is seen by none of them, and only the first fault is told).

Conclusion: the product's frame stands; packing, waiting time and share distance are named but not sent until the decisions report them.

--- a/crates/common/src/job.rs
+++ b/crates/common/src/job.rs
@@ -1,6 +1,9 @@
 //! What a caller asks for and what becomes of it.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    time::Duration, //
+};
 
 use basilbridge_derives::{
     data,
@@ -35,6 +38,13 @@
     true
 }
 
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // A unit variant serialises as its name in snake case.
+        serde::Serialize::serialize(self, f)
+    }
+}
+
 /// A request to run work.
 #[data]
 pub struct Request {
@@ -101,6 +111,13 @@
     }
 }
 
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // A unit variant serialises as its name in snake case.
+        serde::Serialize::serialize(self, f)
+    }
+}
+
 /// What is told to a caller about a job.
 #[data]
 pub struct Status {
--- a/scripts/three-vms.sh
+++ b/scripts/three-vms.sh
@@ -45,7 +45,7 @@
         sleep 0.2
     done
 done
-job=$(cli --callers "127.0.0.1:$first" submit --queue plans --kind batch --count 4 '{"run_ms":50,"output":"rebound"}' |
+job=$(cli --json --callers "127.0.0.1:$first" submit --queue plans --kind batch --count 4 '{"run_ms":50,"output":"rebound"}' |
     sed -n 's/^  "id": "\(.*\)",$/\1/p')
 echo "job $job, waited for through another VM:"
 cli --callers "127.0.0.1:$((first + 10))" wait "$job"
--- a/src/bin/basilbridge/app.rs
+++ b/src/bin/basilbridge/app.rs
@@ -3,7 +3,10 @@
 use std::{
     fs,
     path::Path,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use basilbridge::client::Client;
@@ -13,32 +16,73 @@
         Kind,
         Result, //
     },
-    job::Request,
+    id::Job,
+    job::{
+        Request,
+        Status, //
+    },
     unit::Resources,
 };
 use serde::Serialize;
 
-use crate::clap_app::{
-    Arguments,
-    Command,
-    Submit, //
+use crate::{
+    clap_app::{
+        Arguments,
+        Command,
+        Submit, //
+    },
+    printer,
 };
 
+const MIB_BYTES: u64 = 1024 * 1024;
+
+/// How often a long wait tells how far the job has come.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Carries out the command that the arguments name.
 pub(crate) async fn run(arguments: &Arguments) -> Result<()> {
     let caller = Client::new(arguments.callers, arguments.key.clone());
     let operator = Client::new(arguments.operators, arguments.operator_key.clone());
-    let timeout = Duration::from_millis(arguments.timeout_ms);
+    let timeout = arguments.timeout;
+    let json = arguments.json;
+    let show = |status: Status| printer::print(&status, json, printer::status);
     match &arguments.command {
-        Command::Submit(submit) => print(&caller.submit(&request(submit), timeout).await?),
-        Command::Status { job } => print(&caller.status(job).await?),
-        Command::Wait { job } => print(&caller.wait(job, timeout).await?),
-        Command::Cancel { job } => print(&caller.cancel(job).await?),
-        Command::Workers => print(&operator.workers().await?),
-        Command::Configuration { file: None } => print(&operator.configuration().await?),
+        Command::Submit(submit) => {
+            let status = caller.submit(&request(submit), timeout).await?;
+            if submit.wait && !status.state.is_final() {
+                return show(wait(&caller, &status.id, timeout).await?);
+            }
+            show(status)
+        }
+        Command::Status { job } => show(caller.status(job).await?),
+        Command::Wait { job } => show(wait(&caller, job, timeout).await?),
+        Command::Cancel { job } => show(caller.cancel(job).await?),
+        Command::Workers => printer::print(&*operator.workers().await?, json, printer::workers),
+        Command::Configuration { file: None } => document(&operator.configuration().await?),
         Command::Configuration { file: Some(file) } => {
-            print(&operator.replace(&read(file)?).await?)
+            document(&operator.replace(&read(file)?).await?)
+        }
+    }
+}
+
+/// Waits for a job, and says each while how far it has come.
+async fn wait(caller: &Client, job: &Job, timeout: Duration) -> Result<Status> {
+    let deadline = Instant::now() + timeout;
+    loop {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let status = caller.wait(job, remaining.min(PROGRESS_INTERVAL)).await?;
+        if status.state.is_final() {
+            return Ok(status);
+        }
+        if remaining.is_zero() {
+            let message = format!(
+                "job {job} is {}, not ended, after {timeout:?}",
+                status.state
+            );
+            return Err(Error::new(Kind::OutcomeUnknown, message));
         }
+        let ended = status.outputs.len();
+        eprintln!("{job}: {}, {ended} tasks ended", status.state);
     }
 }
 
@@ -47,16 +91,16 @@
         queue: submit.queue.as_str().into(),
         kind: submit.kind,
         resources: Resources {
-            cpu_millis: submit.cpu_millis,
-            memory_mib: submit.memory_mib,
+            cpu_millis: submit.cores,
+            memory_mib: submit.memory.as_u64().div_ceil(MIB_BYTES),
             accelerators: submit.accelerators,
         },
         count: submit.count,
         repeatable: !submit.once,
         idempotency_key: submit.idempotency_key.as_deref().map(Into::into),
-        family: None,
-        run_time: None,
-        deadline: None,
+        family: submit.family.as_deref().map(Into::into),
+        run_time: submit.run_time,
+        deadline: submit.deadline,
         payload: submit.payload.clone(),
     }
 }
@@ -70,9 +114,7 @@
     serde_json::from_str(&text).map_err(|error| malformed(error.to_string()))
 }
 
-fn print<T: Serialize>(value: &T) -> Result<()> {
-    let text = serde_json::to_string_pretty(value)
-        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
-    println!("{text}");
-    Ok(())
+/// Prints a value that has no shorter form than its document.
+fn document<T: Serialize>(value: &T) -> Result<()> {
+    printer::print(value, true, |_| String::new())
 }
--- a/src/bin/basilbridge/clap_app.rs
+++ b/src/bin/basilbridge/clap_app.rs
@@ -2,13 +2,15 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf, //
+    path::PathBuf,
+    time::Duration, //
 };
 
 use basilbridge_common::{
     id::Job,
     job::Kind, //
 };
+use bytesize::ByteSize;
 use clap::{
     Parser,
     Subcommand,
@@ -16,6 +18,9 @@
 };
 
 /// Submits work to basilbridge and operates it.
+///
+/// Exit codes: 0 if the answer is a success, 2 if the command can't be read, else the code of the
+/// error's kind as `docs/ERRORS.md` lists them.
 #[derive(Debug, Parser)]
 #[command(name = "basilbridge", version)]
 pub(crate) struct Arguments {
@@ -35,9 +40,13 @@
     #[arg(long, env = "BASILBRIDGE_OPERATOR_KEY", hide_env_values = true)]
     pub(crate) operator_key: Option<String>,
 
-    /// How long to wait for an answer, in milliseconds.
-    #[arg(long, default_value_t = 10_000)]
-    pub(crate) timeout_ms: u64,
+    /// How long to wait for an answer, such as 10s.
+    #[arg(long, global = true, value_parser = humantime::parse_duration, default_value = "10s")]
+    pub(crate) timeout: Duration,
+
+    /// Print JSON documents in place of tables.
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
 
     /// What to do.
     #[command(subcommand)]
@@ -88,13 +97,13 @@
     #[arg(long, default_value_t = 1)]
     pub(crate) count: u32,
 
-    /// Processor time of a task, in thousandths of a core.
-    #[arg(long, default_value_t = 1000)]
-    pub(crate) cpu_millis: u64,
+    /// Processors of a task, in cores such as 2 or 0.5.
+    #[arg(long, default_value = "1", value_parser = ValueParser::new(cores))]
+    pub(crate) cores: u64,
 
-    /// Memory of a task, in mebibytes.
-    #[arg(long, default_value_t = 256)]
-    pub(crate) memory_mib: u64,
+    /// Memory of a task, such as 256MiB; it is rounded up to whole mebibytes.
+    #[arg(long, default_value = "256MiB")]
+    pub(crate) memory: ByteSize,
 
     /// Accelerators of a task.
     #[arg(long, default_value_t = 0)]
@@ -108,10 +117,38 @@
     #[arg(long)]
     pub(crate) idempotency_key: Option<String>,
 
+    /// Jobs of one family are alike in size and run time.
+    #[arg(long)]
+    pub(crate) family: Option<String>,
+
+    /// The expected run time of a task, such as 5m.
+    #[arg(long, value_parser = humantime::parse_duration)]
+    pub(crate) run_time: Option<Duration>,
+
+    /// The time after which the work has no more use, such as 1h.
+    #[arg(long, value_parser = humantime::parse_duration)]
+    pub(crate) deadline: Option<Duration>,
+
+    /// Wait until the job changes no more.
+    #[arg(long)]
+    pub(crate) wait: bool,
+
     /// What the program gets.
     pub(crate) payload: String,
 }
 
+/// Reads a count of cores as thousandths of a core.
+fn cores(text: &str) -> Result<u64, String> {
+    const MOST_CORES: f64 = 1_000_000.0;
+    let cores: f64 = text
+        .parse()
+        .map_err(|_| "use a number of cores".to_owned())?;
+    if !(0.001..=MOST_CORES).contains(&cores) {
+        return Err(format!("use 0.001 to {MOST_CORES} cores"));
+    }
+    Ok((cores * 1000.0).round() as u64)
+}
+
 fn kind(text: &str) -> Result<Kind, String> {
     match text {
         "interactive" => Ok(Kind::Interactive),
--- a/src/bin/basilbridge/main.rs
+++ b/src/bin/basilbridge/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod clap_app;
+mod printer;
 
 use std::process::ExitCode;
 
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -1,10 +1,18 @@
 //! Turns the flags into one configuration and runs the daemon.
 
-use std::time::Duration;
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use basilbridge::{
-    config::Config,
+    config::{
+        Config,
+        Faults, //
+    },
     embedded, log,
+    metrics::Metrics,
     node::{
         Node,
         Running, //
@@ -17,8 +25,7 @@
 use miette::{
     IntoDiagnostic,
     Result,
-    WrapErr,
-    miette, //
+    WrapErr, //
 };
 use slog::Logger;
 use tokio::signal::unix::{
@@ -28,70 +35,78 @@
 
 use crate::clap_app::Arguments;
 
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
-const WORKER_TIMEOUT: Duration = Duration::from_secs(2);
-const LONGEST_WAIT: Duration = Duration::from_secs(300);
+/// How long a worker may take to run a task whose caller states no deadline.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
 /// The daemon, ready to run.
-pub(crate) struct App {
+pub(crate) struct App<'a> {
+    arguments: &'a Arguments,
     config: Config,
-    embedded_workers: Option<u32>,
-    platform: Option<std::net::SocketAddr>,
-    log: Logger,
 }
 
-impl App {
+impl<'a> App<'a> {
     /// Checks the flags.
-    pub(crate) fn new(arguments: &Arguments) -> Result<Self> {
-        let mut config = Config::local(&arguments.name, &arguments.data_centre);
-        config.callers = arguments.callers;
-        config.operators = arguments.operators;
-        config.peers = arguments.peers;
-        config.bootstrap_key = arguments.bootstrap_key.as_deref().map(Hash::of);
-        if config.data_centre.contains(['-', '.', '/']) {
-            return Err(miette!(
-                help = "use letters, digits and underscores",
-                "--data-centre `{}` holds a dash, dot or slash",
-                config.data_centre
-            ));
-        }
-        Ok(Self {
-            config,
-            embedded_workers: arguments.embedded.then_some(arguments.embedded_workers),
-            platform: arguments.platform,
-            log: log::logger(arguments.log_format, slog::Level::Info),
-        })
+    pub(crate) fn new(arguments: &'a Arguments) -> Result<Self, Faults> {
+        let config = Config {
+            name: arguments.name.as_str().into(),
+            data_centre: arguments.data_centre.as_str().into(),
+            callers: arguments.callers,
+            operators: arguments.operators,
+            peers: arguments.peers,
+            task_lease: arguments.task_lease,
+            session_lease: arguments.session_lease,
+            poll_interval: arguments.poll_interval,
+            racks_per_shard: arguments.racks_per_shard,
+            default_wait: arguments.default_wait,
+            bootstrap_key: arguments.bootstrap_key.as_deref().map(Hash::of),
+        };
+        config.check()?;
+        Ok(Self { arguments, config })
     }
 
     /// Runs until the process is told to stop.
     pub(crate) async fn run(self) -> Result<()> {
-        match (self.embedded_workers, self.platform) {
-            (Some(workers), _) => {
-                let embedded = embedded::start(self.config, workers, self.log)
-                    .await
-                    .into_diagnostic()
-                    .wrap_err("the daemon could not start")?;
-                greet(&embedded.running);
-                until_stopped(embedded.running).await
-            }
-            (None, Some(platform)) => {
-                let timer = timer::Service::start();
-                let platform = platform::platform(platform, timer.clone(), PLATFORM_TIMEOUT);
-                let settings = endpoints::Settings {
-                    timeout: WORKER_TIMEOUT,
-                    longest_wait: LONGEST_WAIT,
-                };
-                let workers = endpoints::client(timer.clone(), settings);
-                let node = Node::new(self.config, timer, platform, workers, self.log);
-                let running = node
-                    .start()
-                    .await
-                    .into_diagnostic()
-                    .wrap_err("the daemon could not start")?;
-                until_stopped(running).await
-            }
-            (None, None) => Err(miette!("--platform is missing")),
-        }
+        let arguments = self.arguments;
+        let log = log::logger(arguments.log_format, arguments.log_level);
+        let metrics = match arguments.statsd {
+            Some(server) => Metrics::udp(server)
+                .into_diagnostic()
+                .wrap_err("metrics can't be sent")?,
+            None => Metrics::none(),
+        };
+        let running = match arguments.platform {
+            Some(platform) => self.start(platform, log, metrics).await,
+            None => self.start_embedded(log, metrics).await,
+        };
+        let running = running
+            .into_diagnostic()
+            .wrap_err("the daemon could not start")?;
+        until_stopped(running).await
+    }
+
+    async fn start(
+        self,
+        platform: SocketAddr,
+        log: Logger,
+        metrics: Metrics,
+    ) -> io::Result<Running> {
+        let timer = timer::Service::start();
+        let timeout = self.arguments.platform_timeout;
+        let platform = platform::platform(platform, timer.clone(), timeout);
+        let settings = endpoints::Settings {
+            timeout: self.arguments.worker_timeout,
+            longest_wait: LONGEST_WAIT,
+        };
+        let workers = endpoints::client(timer.clone(), settings);
+        let node = Node::new(self.config, timer, platform, workers, log, metrics);
+        node.start().await
+    }
+
+    async fn start_embedded(self, log: Logger, metrics: Metrics) -> io::Result<Running> {
+        let workers = self.arguments.embedded_workers;
+        let embedded = embedded::start(self.config, workers, log, metrics).await?;
+        greet(&embedded.running);
+        Ok(embedded.running)
     }
 }
 
--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -1,11 +1,20 @@
 //! The flags and environment variables of the daemon.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
-use basilbridge::log::Format;
+use basilbridge::log::{
+    Format,
+    Level, //
+};
 use clap::Parser;
 
 /// Schedules services, batch work and all-at-once jobs in one cell.
+///
+/// Exit codes: 0 after a stop in order, 1 if the daemon could not start, 2 if a flag can't be read,
+/// 78 if the settings contradict one another or are out of range.
 #[derive(Debug, Parser)]
 #[command(name = "basilbridged", version)]
 pub(crate) struct Arguments {
@@ -14,9 +23,13 @@
     pub(crate) embedded: bool,
 
     /// The stand-in workers of an embedded run.
-    #[arg(long, default_value_t = 50)]
+    #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u32).range(1..=3000))]
     pub(crate) embedded_workers: u32,
 
+    /// Check the settings and exit.
+    #[arg(long)]
+    pub(crate) check: bool,
+
     /// The name of this VM.
     #[arg(long, env = "BASILBRIDGE_NAME", default_value = "entry-0")]
     pub(crate) name: String,
@@ -41,15 +54,52 @@
     #[arg(
         long,
         env = "BASILBRIDGE_PLATFORM",
-        required_unless_present = "embedded"
+        required_unless_present = "embedded",
+        conflicts_with = "embedded"
     )]
     pub(crate) platform: Option<SocketAddr>,
 
+    /// How long the platform's service may take to answer, such as 2s.
+    #[arg(long, env = "BASILBRIDGE_PLATFORM_TIMEOUT", value_parser = humantime::parse_duration, default_value = "2s")]
+    pub(crate) platform_timeout: Duration,
+
+    /// How long a worker may take to answer a command, such as 2s.
+    #[arg(long, env = "BASILBRIDGE_WORKER_TIMEOUT", value_parser = humantime::parse_duration, default_value = "2s")]
+    pub(crate) worker_timeout: Duration,
+
+    /// How long a task goes on without word from its owner, from 1s to 10m.
+    #[arg(long, env = "BASILBRIDGE_TASK_LEASE", value_parser = humantime::parse_duration, default_value = "15s")]
+    pub(crate) task_lease: Duration,
+
+    /// How long a session lives without being renewed, from 500ms to 1m.
+    #[arg(long, env = "BASILBRIDGE_SESSION_LEASE", value_parser = humantime::parse_duration, default_value = "3s")]
+    pub(crate) session_lease: Duration,
+
+    /// How often the table service is asked for changes, from 50ms to 10s.
+    #[arg(long, env = "BASILBRIDGE_POLL_INTERVAL", value_parser = humantime::parse_duration, default_value = "500ms")]
+    pub(crate) poll_interval: Duration,
+
+    /// How many racks of one data centre make a shard; all VMs must agree.
+    #[arg(long, env = "BASILBRIDGE_RACKS_PER_SHARD", default_value_t = 8)]
+    pub(crate) racks_per_shard: u32,
+
+    /// How long a caller that states no deadline waits, from 100ms to 10m.
+    #[arg(long, env = "BASILBRIDGE_DEFAULT_WAIT", value_parser = humantime::parse_duration, default_value = "10s")]
+    pub(crate) default_wait: Duration,
+
     /// The key of the first operator, before the configuration names any.
     #[arg(long, env = "BASILBRIDGE_BOOTSTRAP_KEY", hide_env_values = true)]
     pub(crate) bootstrap_key: Option<String>,
 
+    /// Where metrics are sent as statsd datagrams; nothing is sent without it.
+    #[arg(long, env = "BASILBRIDGE_STATSD")]
+    pub(crate) statsd: Option<SocketAddr>,
+
     /// How logs are written.
     #[arg(long, env = "BASILBRIDGE_LOG_FORMAT", value_enum, default_value_t = Format::Text)]
     pub(crate) log_format: Format,
+
+    /// The least level that is logged.
+    #[arg(long, env = "BASILBRIDGE_LOG_LEVEL", value_enum, default_value_t = Level::Info)]
+    pub(crate) log_level: Level,
 }
--- a/src/bin/basilbridged/main.rs
+++ b/src/bin/basilbridged/main.rs
@@ -17,9 +17,23 @@
     clap_app::Arguments, //
 };
 
+/// The exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 78;
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    match run(&arguments) {
+    let app = match App::new(&arguments) {
+        Ok(app) => app,
+        Err(faults) => {
+            eprintln!("{:?}", miette::Report::new(faults));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    match run(app) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
@@ -28,8 +42,7 @@
     }
 }
 
-fn run(arguments: &Arguments) -> Result<()> {
-    let app = App::new(arguments)?;
+fn run(app: App<'_>) -> Result<()> {
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,14 +1,18 @@
 //! The settings of an entry VM.
 
 use std::{
+    fmt::Display,
     net::SocketAddr,
+    ops::RangeInclusive,
     time::Duration, //
 };
 
 use basilbridge_common::id::Name;
 use basilbridge_operators::key::Hash;
+use miette::Diagnostic;
+use thiserror::Error;
 
-/// The settings of an entry VM, checked.
+/// The settings of an entry VM.
 #[derive(Debug, Clone)]
 pub struct Config {
     /// The name of the VM.
@@ -35,6 +39,52 @@
     pub bootstrap_key: Option<Hash>,
 }
 
+/// A setting that is out of its range or contradicts another.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
+#[error("{flag} is `{value}`")]
+#[diagnostic(help("{allowed}"))]
+pub struct Fault {
+    /// The flag.
+    pub flag: &'static str,
+    /// The value given.
+    pub value: String,
+    /// What is allowed, in a sentence.
+    pub allowed: String,
+}
+
+/// All faults of the settings, so that they can be mended at once.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
+#[error("{} of the settings can't be used", faults.len())]
+#[diagnostic(code(basilbridge::settings))]
+pub struct Faults {
+    /// The faults, in the order of the flags.
+    #[related]
+    pub faults: Vec<Fault>,
+}
+
+/// The shortest and the longest lease of a task.
+pub const TASK_LEASE: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(600);
+
+/// The shortest and the longest lease of a session.
+pub const SESSION_LEASE: RangeInclusive<Duration> =
+    Duration::from_millis(500)..=Duration::from_secs(60);
+
+/// The shortest and the longest time between two polls.
+pub const POLL_INTERVAL: RangeInclusive<Duration> =
+    Duration::from_millis(50)..=Duration::from_secs(10);
+
+/// The shortest and the longest wait of a caller that states no deadline.
+pub const DEFAULT_WAIT: RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_secs(600);
+
+/// The fewest and the most racks of a shard.
+pub const RACKS_PER_SHARD: RangeInclusive<u32> = 1..=1000;
+
+/// A session lease holds at least so many polls, so that one lost write ends no session.
+pub const POLLS_PER_SESSION_LEASE: u32 = 3;
+
+const MAX_NAME_BYTES: usize = 63;
+
 impl Config {
     /// Returns the settings for a VM on this machine, with ports that the system chooses.
     pub fn local(name: &str, data_centre: &str) -> Self {
@@ -53,4 +103,124 @@
             bootstrap_key: None,
         }
     }
+
+    /// Checks all settings and returns every fault.
+    pub fn check(&self) -> Result<(), Faults> {
+        let mut faults = Vec::new();
+        faults.extend(check_name("--name", &self.name));
+        faults.extend(check_name("--data-centre", &self.data_centre));
+        faults.extend(self.check_ports());
+        faults.extend(check_time("--task-lease", self.task_lease, &TASK_LEASE));
+        faults.extend(check_time(
+            "--session-lease",
+            self.session_lease,
+            &SESSION_LEASE,
+        ));
+        faults.extend(check_time(
+            "--poll-interval",
+            self.poll_interval,
+            &POLL_INTERVAL,
+        ));
+        faults.extend(self.check_polls());
+        faults.extend(self.check_leases());
+        faults.extend(check_range(
+            "--racks-per-shard",
+            self.racks_per_shard,
+            &RACKS_PER_SHARD,
+        ));
+        faults.extend(check_time(
+            "--default-wait",
+            self.default_wait,
+            &DEFAULT_WAIT,
+        ));
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Faults { faults })
+        }
+    }
+
+    fn check_ports(&self) -> Option<Fault> {
+        let same = |a: SocketAddr, b: SocketAddr| a == b && a.port() != 0;
+        let clash = same(self.callers, self.operators)
+            || same(self.callers, self.peers)
+            || same(self.operators, self.peers);
+        clash.then(|| Fault {
+            flag: "--callers, --operators, --peers",
+            value: format!("{}, {}, {}", self.callers, self.operators, self.peers),
+            allowed: "the three addresses must differ".to_owned(),
+        })
+    }
+
+    fn check_polls(&self) -> Option<Fault> {
+        let least = self.poll_interval * POLLS_PER_SESSION_LEASE;
+        (self.session_lease < least).then(|| Fault {
+            flag: "--session-lease",
+            value: show(self.session_lease),
+            allowed: format!(
+                "it must hold {POLLS_PER_SESSION_LEASE} polls, so at least {} with --poll-interval {}",
+                show(least),
+                show(self.poll_interval)
+            ),
+        })
+    }
+
+    fn check_leases(&self) -> Option<Fault> {
+        (self.task_lease <= self.session_lease).then(|| Fault {
+            flag: "--task-lease",
+            value: show(self.task_lease),
+            allowed: format!(
+                "it must be longer than --session-lease {}, or tasks stop before a new owner comes",
+                show(self.session_lease)
+            ),
+        })
+    }
+}
+
+fn check_name(flag: &'static str, name: &Name) -> Option<Fault> {
+    let valid = !name.is_empty()
+        && name.len() <= MAX_NAME_BYTES
+        && name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || c == '_' || (c == '-' && flag == "--name"));
+    let dashes = if flag == "--name" { ", dashes" } else { "" };
+    (!valid).then(|| Fault {
+        flag,
+        value: name.to_string(),
+        allowed: format!(
+            "1 to {MAX_NAME_BYTES} letters, digits{dashes} and underscores are allowed"
+        ),
+    })
+}
+
+fn check_time(
+    flag: &'static str,
+    value: Duration,
+    allowed: &RangeInclusive<Duration>,
+) -> Option<Fault> {
+    (!allowed.contains(&value)).then(|| Fault {
+        flag,
+        value: show(value),
+        allowed: format!(
+            "{} to {} is allowed",
+            show(*allowed.start()),
+            show(*allowed.end())
+        ),
+    })
+}
+
+fn check_range<T: PartialOrd + Display>(
+    flag: &'static str,
+    value: T,
+    allowed: &RangeInclusive<T>,
+) -> Option<Fault> {
+    (!allowed.contains(&value)).then(|| Fault {
+        flag,
+        value: value.to_string(),
+        allowed: format!("{} to {} is allowed", allowed.start(), allowed.end()),
+    })
+}
+
+fn show(duration: Duration) -> String {
+    humantime::format_duration(duration).to_string()
 }
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     config::Config,
+    metrics::Metrics,
     node::{
         Node,
         Running, //
@@ -56,14 +57,26 @@
 }
 
 /// Starts an entry VM with `workers` stand-in workers.
-pub async fn start(config: Config, workers: u32, log: Logger) -> io::Result<Embedded> {
+pub async fn start(
+    config: Config,
+    workers: u32,
+    log: Logger,
+    metrics: Metrics,
+) -> io::Result<Embedded> {
     let timer = timer::Service::start();
     let store = Store::new(timer.clone());
     let workers = stand_in_workers(&config.data_centre, workers);
     store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
     let fleet = Fleet::new(timer.clone(), workers);
     configure(&store).await.map_err(io::Error::other)?;
-    let node = Node::new(config, timer, store.platform(), fleet.client(), log);
+    let node = Node::new(
+        config,
+        timer,
+        store.platform(),
+        fleet.client(),
+        log,
+        metrics,
+    );
     let running = node.start().await?;
     Ok(Embedded {
         running,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod journal;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod renewal;
--- a/src/log.rs
+++ b/src/log.rs
@@ -15,17 +15,41 @@
     Json,
 }
 
+/// The least level that is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Level {
+    /// What must be looked at.
+    Error,
+    /// What may have to be looked at.
+    Warning,
+    /// Changes of state and refusals.
+    Info,
+    /// Each request.
+    Debug,
+}
+
+impl From<Level> for slog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Error => Self::Error,
+            Level::Warning => Self::Warning,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+        }
+    }
+}
+
 /// Makes a logger that writes to the standard error stream.
-pub fn logger(format: Format, level: slog::Level) -> Logger {
+pub fn logger(format: Format, level: Level) -> Logger {
     match format {
         Format::Text => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            root(drain, level)
+            root(drain, level.into())
         }
         Format::Json => {
             let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            root(drain, level)
+            root(drain, level.into())
         }
     }
 }
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,184 @@
+//! The metrics of an entry VM.
+//!
+//! `docs/METRICS.md` lists the names, and a test compares the list with this module.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use basilbridge_common::{
+    error,
+    job::Kind, //
+};
+use cadence::{
+    CountedExt,
+    Gauged,
+    MetricSink,
+    NopMetricSink,
+    QueuingMetricSink,
+    StatsdClient,
+    Timed,
+    UdpMetricSink, //
+};
+
+/// What all names begin with.
+pub const PREFIX: &str = "basilbridge";
+
+/// How often gauges are sent.
+pub const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The name of a metric and what it tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Metric {
+    /// The name, without the prefix.
+    pub name: &'static str,
+    /// The type as statsd names it.
+    pub class: &'static str,
+    /// What it tells, with its unit.
+    pub meaning: &'static str,
+}
+
+macro_rules! metrics {
+    ($($(#[$doc:meta])* $constant:ident = $name:literal, $class:literal, $meaning:literal;)*) => {
+        $($(#[$doc])* pub const $constant: &str = $name;)*
+
+        /// All metrics, in the order of `docs/METRICS.md`.
+        pub const ALL: &[Metric] = &[$(Metric {
+            name: $name,
+            class: $class,
+            meaning: $meaning,
+        },)*];
+    };
+}
+
+metrics! {
+    /// The time from the arrival of a request to its answer.
+    REQUEST_TIME = "request.time", "timer", "Milliseconds from the arrival of a request to its answer.";
+    /// Requests that were answered with work.
+    REQUESTS_ANSWERED = "request.answered", "counter", "Requests that were answered without an error.";
+    /// Requests that were refused, by kind.
+    REQUESTS_REFUSED = "request.refused", "counter", "Requests that were refused; the tag `kind` is the error kind.";
+    /// The time from acceptance to the start of a task.
+    WAITING_TIME = "task.waiting", "timer", "Milliseconds from the acceptance of a task to its start; the tag `kind` is the kind of work.";
+    /// Tasks that wait in the shards of this VM.
+    TASKS_QUEUED = "task.queued", "gauge", "Tasks that wait in the shards that this VM owns.";
+    /// Tasks that run in the shards of this VM.
+    TASKS_RUNNING = "task.running", "gauge", "Tasks that run in the shards that this VM owns.";
+    /// How full the workers of this VM's shards are.
+    PACKING = "shard.packing", "gauge", "Per mille of processors given to tasks in the shards that this VM owns.";
+    /// The shards that this VM owns.
+    SHARDS_OWNED = "shard.owned", "gauge", "Shards that this VM owns.";
+    /// How far the team that is farthest from its share is from it.
+    SHARE_DISTANCE = "team.share_distance", "gauge", "Per mille of the fleet between a team's use and its share, for the team with demand that is farthest below.";
+    /// The processor time of this process.
+    CONTROL_CPU = "control.cpu", "gauge", "Processor time of this process since its start, in milliseconds.";
+    /// The memory of this process.
+    CONTROL_MEMORY = "control.memory", "gauge", "Resident memory of this process, in bytes.";
+}
+
+/// Sends metrics; clones share one socket.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Sends nothing.
+    pub fn none() -> Self {
+        Self::with_sink(NopMetricSink)
+    }
+
+    /// Sends to a statsd server, from a thread of its own so that no request waits for it.
+    pub fn udp(server: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(server, socket).map_err(io::Error::other)?;
+        Ok(Self::with_sink(QueuingMetricSink::from(sink)))
+    }
+
+    /// Sends to this sink.
+    pub fn with_sink(
+        sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static,
+    ) -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, sink)),
+        }
+    }
+
+    /// Tells of a request's answer.
+    pub fn answered(&self, time: Duration, refused: Option<error::Kind>) {
+        let _ = self.client.time(REQUEST_TIME, time);
+        match refused {
+            None => {
+                let _ = self.client.incr(REQUESTS_ANSWERED);
+            }
+            Some(kind) => {
+                let kind = kind.to_string();
+                self.client
+                    .incr_with_tags(REQUESTS_REFUSED)
+                    .with_tag("kind", &kind)
+                    .send();
+            }
+        }
+    }
+
+    /// Tells of a task's start.
+    pub fn started(&self, kind: Kind, waited: Duration) {
+        let kind = kind.to_string();
+        self.client
+            .time_with_tags(WAITING_TIME, waited)
+            .with_tag("kind", &kind)
+            .send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Sets the gauges that tell what this process itself costs.
+    pub fn control(&self) {
+        if let Some(time) = cost::processor_time() {
+            self.gauge(CONTROL_CPU, time.as_millis() as u64);
+        }
+        if let Some(bytes) = cost::resident_bytes() {
+            self.gauge(CONTROL_MEMORY, bytes);
+        }
+    }
+}
+
+/// What this process costs, as the kernel tells in `/proc`.
+pub mod cost {
+    use std::{
+        fs,
+        time::Duration, //
+    };
+
+    const TICKS_PER_SECOND: u64 = 100;
+    const PAGE_BYTES: u64 = 4096;
+
+    /// Returns the processor time of this process, or nothing where there is no `/proc`.
+    pub fn processor_time() -> Option<Duration> {
+        let stat = fs::read_to_string("/proc/self/stat").ok()?;
+        // The second field may hold spaces, so fields are counted from its closing bracket.
+        let (_, fields) = stat.rsplit_once(')')?;
+        let mut times = fields.split_whitespace().skip(11);
+        let user: u64 = times.next()?.parse().ok()?;
+        let system: u64 = times.next()?.parse().ok()?;
+        let millis = (user + system) * 1000 / TICKS_PER_SECOND;
+        Some(Duration::from_millis(millis))
+    }
+
+    /// Returns the resident memory of this process, or nothing where there is no `/proc`.
+    pub fn resident_bytes() -> Option<u64> {
+        let statm = fs::read_to_string("/proc/self/statm").ok()?;
+        let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+        Some(pages * PAGE_BYTES)
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -54,6 +54,10 @@
         Journal,
         Title, //
     },
+    metrics::{
+        self,
+        Metrics, //
+    },
     owner::{
         Owner,
         Tools, //
@@ -91,6 +95,8 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     session: Session,
     platform: Platform,
     endpoints: Client,
@@ -119,6 +125,7 @@
         platform: Platform,
         endpoints: Client,
         log: Logger,
+        metrics: Metrics,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         Arc::new(Self {
@@ -127,6 +134,7 @@
             directory: Directory::default(),
             pool: Pool::new(timer.clone()),
             gate: Gate::default(),
+            metrics,
             session: Session(rand::random()),
             platform,
             endpoints,
@@ -153,6 +161,7 @@
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).keep_session(record));
+        tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
             callers,
@@ -290,7 +299,7 @@
         callers::App {
             handle: Arc::new(move |request| {
                 let node = Arc::clone(&node);
-                async move { router::route(&node, request).await }.boxed()
+                async move { node.handle_request(request).await }.boxed()
             }),
             ready: Arc::new(move || ready.is_ready()),
             gate: self.gate.clone(),
@@ -333,6 +342,38 @@
         }
     }
 
+    async fn handle_request(&self, request: callers::Request) -> Result<Status> {
+        let start = self.timer.now();
+        let request_id = request.request_id.clone();
+        let result = router::route(self, request).await;
+        let time = self.timer.now().since(start);
+        let refused = result.as_ref().err();
+        self.metrics.answered(time, refused.map(|error| error.kind));
+        match refused {
+            None => slog::debug!(self.log, "answered"; "request_id" => %request_id),
+            Some(error) => {
+                slog::info!(self.log, "refused"; "request_id" => %request_id, "error" => %error);
+            }
+        }
+        result
+    }
+
+    /// Sends the gauges until the VM stops.
+    async fn report(self: Arc<Self>) {
+        loop {
+            let owners = self.owners();
+            let loads: Vec<_> = owners.iter().map(|owner| owner.load()).collect();
+            let queued = loads.iter().map(|(queued, _)| *queued as u64).sum();
+            let running = loads.iter().map(|(_, running)| *running as u64).sum();
+            self.metrics.gauge(metrics::TASKS_QUEUED, queued);
+            self.metrics.gauge(metrics::TASKS_RUNNING, running);
+            self.metrics
+                .gauge(metrics::SHARDS_OWNED, owners.len() as u64);
+            self.metrics.control();
+            self.timer.sleep(metrics::GAUGE_INTERVAL).await;
+        }
+    }
+
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
     async fn handle_forwarded(&self, call: Call) -> Result<Status> {
         let shard = call.verb.shard();
--- /dev/null
+++ b/tests/settings_check.rs
@@ -0,0 +1,66 @@
+//! Faults of the settings are all told at once, with the flag, the value and what is allowed.
+
+use std::time::Duration;
+
+use basilbridge::config::Config;
+
+#[test]
+fn the_settings_of_a_local_vm_can_be_used() {
+    assert_eq!(Config::local("entry-0", "local").check(), Ok(()));
+}
+
+#[test]
+fn every_fault_is_told_at_once() {
+    let mut config = Config::local("", "a-b");
+    config.racks_per_shard = 0;
+    config.default_wait = Duration::ZERO;
+
+    let faults = config.check().unwrap_err().faults;
+
+    let flags: Vec<_> = faults.iter().map(|fault| fault.flag).collect();
+    let expected = [
+        "--name",
+        "--data-centre",
+        "--racks-per-shard",
+        "--default-wait",
+    ];
+    assert_eq!(flags, expected);
+}
+
+#[test]
+fn a_session_lease_too_short_for_its_polls_is_a_contradiction() {
+    let mut config = Config::local("entry-0", "local");
+    config.session_lease = Duration::from_secs(1);
+    config.poll_interval = Duration::from_millis(400);
+
+    let faults = config.check().unwrap_err().faults;
+
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].value, "1s");
+    assert!(
+        faults[0].allowed.contains("1s 200ms"),
+        "{}",
+        faults[0].allowed
+    );
+}
+
+#[test]
+fn a_task_lease_no_longer_than_the_session_lease_is_a_contradiction() {
+    let mut config = Config::local("entry-0", "local");
+    config.task_lease = config.session_lease;
+
+    let faults = config.check().unwrap_err().faults;
+
+    assert_eq!(faults[0].flag, "--task-lease");
+}
+
+#[test]
+fn two_interfaces_on_one_address_are_a_contradiction() {
+    let mut config = Config::local("entry-0", "local");
+    config.callers = "127.0.0.1:7400".parse().unwrap();
+    config.peers = config.callers;
+
+    let faults = config.check().unwrap_err().faults;
+
+    assert_eq!(faults[0].flag, "--callers, --operators, --peers");
+}
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -13,6 +13,7 @@
         Embedded, //
     },
     log,
+    metrics::Metrics,
     node::{
         Node,
         Running, //
@@ -30,7 +31,8 @@
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 pub(crate) async fn one_vm() -> Embedded {
-    embedded::start(Config::local("entry-0", "local"), 16, log::silent())
+    let config = Config::local("entry-0", "local");
+    embedded::start(config, 16, log::silent(), Metrics::none())
         .await
         .unwrap()
 }
@@ -43,6 +45,7 @@
         first.store.platform(),
         first.fleet.client(),
         log::silent(),
+        Metrics::none(),
     );
     node.start().await.unwrap()
 }
