Measure the slopes of one entry VM on a paused clock

Cause: docs/CAPACITY.md must stand on measured slopes, and nothing measured them.

Ruled out: timing real processes (figures that differ on every run) and a model of the cell (a simulator, and it would measure the model).

--- /dev/null
+++ b/examples/capacity/slopes.rs
@@ -0,0 +1,330 @@
+//! Runs one entry VM on a paused clock and counts what it sends.
+//!
+//! The platform's service and the workers are the stand-ins behind closures that count. Everything
+//! that is counted here repeats to the last byte, so a test compares it with `docs/CAPACITY.md`.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use basilbridge::{
+    config::Config,
+    embedded,
+    log,
+    metrics::Metrics,
+    node::Node,
+    settings::Settings, //
+};
+use basilbridge_common::{
+    call::{
+        Call,
+        Verb, //
+    },
+    job::{
+        Kind,
+        Request, //
+    },
+    timer,
+    unit::Resources,
+};
+use basilbridge_endpoints::Client;
+use basilbridge_operators::{
+    configuration::{
+        Configuration,
+        Team, //
+    },
+    key::Hash,
+};
+use basilbridge_platform::{
+    Platform,
+    table,
+    vm::Vm, //
+};
+use basilbridge_standins::{
+    store::{
+        Store,
+        Switches, //
+    },
+    worker::Fleet,
+};
+use futures_util::FutureExt;
+use serde::Serialize;
+
+/// How long a cell runs before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(10);
+
+/// How long a cell is counted.
+pub(crate) const MEASURED: Duration = Duration::from_secs(60);
+
+/// What is varied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Load {
+    /// Workers.
+    pub(crate) workers: u32,
+    /// Services that run all the time.
+    pub(crate) running: u32,
+    /// Batch jobs that wait without room.
+    pub(crate) waiting: u32,
+    /// Batch jobs of one short task each that are submitted in a second.
+    pub(crate) jobs: u32,
+    /// Teams in the configuration.
+    pub(crate) teams: u32,
+}
+
+/// The cell from which one amount at a time is varied.
+pub(crate) const BASE: Load = Load {
+    workers: 64,
+    running: 64,
+    waiting: 0,
+    jobs: 0,
+    teams: 10,
+};
+
+/// What one entry VM sent and received while it was counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Sent {
+    /// Transactions.
+    pub(crate) table_writes: u64,
+    /// Bytes of transactions and their outcomes.
+    pub(crate) write_bytes: u64,
+    /// Scans.
+    pub(crate) table_reads: u64,
+    /// Bytes of scans and the rows they returned.
+    pub(crate) read_bytes: u64,
+    /// Commands to workers.
+    pub(crate) commands: u64,
+    /// Bytes of commands and answers.
+    pub(crate) command_bytes: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    table_writes: AtomicU64,
+    write_bytes: AtomicU64,
+    table_reads: AtomicU64,
+    read_bytes: AtomicU64,
+    commands: AtomicU64,
+    command_bytes: AtomicU64,
+}
+
+impl Counters {
+    fn read(&self) -> Sent {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Sent {
+            table_writes: get(&self.table_writes),
+            write_bytes: get(&self.write_bytes),
+            table_reads: get(&self.table_reads),
+            read_bytes: get(&self.read_bytes),
+            commands: get(&self.commands),
+            command_bytes: get(&self.command_bytes),
+        }
+    }
+}
+
+impl Sent {
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            table_writes: self.table_writes - earlier.table_writes,
+            write_bytes: self.write_bytes - earlier.write_bytes,
+            table_reads: self.table_reads - earlier.table_reads,
+            read_bytes: self.read_bytes - earlier.read_bytes,
+            commands: self.commands - earlier.commands,
+            command_bytes: self.command_bytes - earlier.command_bytes,
+        }
+    }
+}
+
+fn add(counter: &AtomicU64, amount: u64) {
+    counter.fetch_add(amount, Ordering::Relaxed);
+}
+
+fn length(value: &impl Serialize) -> u64 {
+    serde_json::to_vec(value).map_or(0, |text| text.len() as u64)
+}
+
+fn counted_platform(store: &Store, counters: &Arc<Counters>) -> Platform {
+    let platform = store.platform();
+    let (inner_writer, inner_reader) = (platform.tables.clone(), platform.tables.clone());
+    let (writes, reads) = (Arc::clone(counters), Arc::clone(counters));
+    let tables = table::Service::new(
+        Arc::new(move |transaction| {
+            let (tables, counters) = (inner_writer.clone(), Arc::clone(&writes));
+            async move {
+                add(&counters.table_writes, 1);
+                add(&counters.write_bytes, length(&transaction));
+                let outcome = tables.transact(transaction).await?;
+                add(&counters.write_bytes, length(&outcome));
+                Ok(outcome)
+            }
+            .boxed()
+        }),
+        Arc::new(move |query| {
+            let (tables, counters) = (inner_reader.clone(), Arc::clone(&reads));
+            async move {
+                add(&counters.table_reads, 1);
+                add(&counters.read_bytes, length(&query));
+                let rows = tables.scan(query).await?;
+                add(&counters.read_bytes, length(&rows));
+                Ok(rows)
+            }
+            .boxed()
+        }),
+    );
+    Platform { tables, ..platform }
+}
+
+fn counted_workers(fleet: &Fleet, counters: &Arc<Counters>) -> Client {
+    let (client, counters) = (fleet.client(), Arc::clone(counters));
+    Client::new(Arc::new(move |worker, command| {
+        let (client, counters) = (client.clone(), Arc::clone(&counters));
+        async move {
+            add(&counters.commands, 1);
+            add(&counters.command_bytes, length(&command));
+            let answer = client.send(&worker, command).await?;
+            add(&counters.command_bytes, length(&answer));
+            Ok(answer)
+        }
+        .boxed()
+    }))
+}
+
+/// One entry VM under a load.
+pub(crate) struct Cell {
+    node: Arc<Node>,
+    timer: timer::Service,
+    counters: Arc<Counters>,
+    load: Load,
+    _running: basilbridge::node::Running,
+}
+
+impl Cell {
+    /// Starts an entry VM and brings it to `load`.
+    pub(crate) async fn start(load: Load) -> Self {
+        let timer = timer::Service::start();
+        let store = Store::new(timer.clone());
+        // The cap would hide how much a single VM asks for.
+        store.set(Switches {
+            writes_per_second: u32::MAX,
+            reads_per_second: u32::MAX,
+            ..Switches::default()
+        });
+        let workers = embedded::stand_in_workers(&"local".into(), load.workers);
+        store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
+        let fleet = Fleet::new(timer.clone(), workers);
+        let counters = Arc::new(Counters::default());
+        Settings::new(None)
+            .replace(
+                &store.platform().tables,
+                "first".to_owned(),
+                configuration(load.teams),
+            )
+            .await
+            .expect("the stand-in takes the first configuration");
+        let node = Node::new(
+            Config::local("entry-0", "local"),
+            timer.clone(),
+            counted_platform(&store, &counters),
+            counted_workers(&fleet, &counters),
+            log::silent(),
+            Metrics::none(),
+        );
+        let running = node.start().await.expect("loopback ports can be bound");
+        timer.sleep(WARM_UP).await;
+        let cell = Self {
+            node,
+            timer,
+            counters,
+            load,
+            _running: running,
+        };
+        cell.fill().await;
+        cell
+    }
+
+    /// Runs the load for [`MEASURED`] and returns what was sent.
+    pub(crate) async fn measure(&self) -> Sent {
+        const SECOND: Duration = Duration::from_secs(1);
+        let before = self.counters.read();
+        for _ in 0..MEASURED.as_secs() {
+            for _ in 0..self.load.jobs {
+                self.submit(Kind::Batch, SMALL, r#"{"run_ms":500,"output":"done"}"#)
+                    .await;
+            }
+            self.timer.sleep(SECOND).await;
+        }
+        self.counters.read().since(before)
+    }
+
+    async fn fill(&self) {
+        for _ in 0..self.load.running {
+            self.submit(Kind::Service, SMALL, r#"{"run_ms":null}"#)
+                .await;
+        }
+        self.timer.sleep(WARM_UP).await;
+        for _ in 0..self.load.waiting {
+            self.submit(Kind::Batch, WHOLE_WORKER, r#"{"run_ms":500}"#)
+                .await;
+        }
+        self.timer.sleep(WARM_UP).await;
+    }
+
+    async fn submit(&self, kind: Kind, resources: Resources, payload: &str) {
+        let owners = self.node.owners();
+        let owner = owners
+            .iter()
+            .min_by_key(|owner| (owner.load(), owner.title.shard.clone()))
+            .expect("the VM owns a shard");
+        let request = Request {
+            queue: "work".into(),
+            kind,
+            resources,
+            count: 1,
+            repeatable: true,
+            idempotency_key: None,
+            family: None,
+            run_time: None,
+            deadline: None,
+            payload: payload.to_owned(),
+        };
+        let call = Call {
+            request_id: "capacity".into(),
+            team: "team-0".into(),
+            remaining: Duration::from_secs(10),
+            verb: Verb::Submit(owner.title.shard.clone(), Box::new(request)),
+        };
+        owner.handle(call).await.expect("the shard takes the job");
+    }
+}
+
+const SMALL: Resources = Resources {
+    cpu_millis: 1000,
+    memory_mib: 1024,
+    accelerators: 0,
+};
+
+const WHOLE_WORKER: Resources = Resources {
+    cpu_millis: 64_000,
+    memory_mib: 131_072,
+    accelerators: 0,
+};
+
+/// Returns a configuration of so many teams with one key each.
+pub(crate) fn configuration(teams: u32) -> Configuration {
+    let team = |number: u32| Team {
+        name: format!("team-{number}").into(),
+        share: 1,
+        limit: None,
+        keys: vec![Hash::of(&format!("key-{number}"))],
+    };
+    Configuration {
+        teams: (0..teams).map(team).collect(),
+        ..Configuration::default()
+    }
+}
