--- a/src/node.rs
+++ b/src/node.rs
@@ -40,7 +40,10 @@
 };
 use futures_util::FutureExt;
 use slog::Logger;
-use tokio::task::JoinSet;
+use tokio::{
+    sync::watch,
+    task::JoinSet, //
+};
 
 use crate::{
     config::Config,
@@ -102,6 +105,7 @@
     endpoints: Client,
     log: Logger,
     held: RwLock<HashMap<Shard, Held>>,
+    rounds: watch::Sender<u64>,
 }
 
 /// The servers of an entry VM and what keeps it going.
@@ -140,6 +144,7 @@
             endpoints,
             log,
             held: RwLock::default(),
+            rounds: watch::Sender::new(0),
             timer,
             config,
         })
@@ -189,6 +194,16 @@
         started && !self.gate.is_draining() && !self.directory.shards().is_empty()
     }
 
+    /// Waits until this VM takes requests.
+    pub async fn until_ready(&self) {
+        let mut rounds = self.rounds.subscribe();
+        while !self.is_ready() {
+            if rounds.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     async fn keep_session(self: Arc<Self>, mut record: Record) {
         let mut version = Version(0);
         let mut observer = Observer::default();
@@ -201,6 +216,7 @@
             if let Err(error) = self.round(&mut observer).await {
                 slog::warn!(self.log, "round failed"; "error" => %error);
             }
+            self.rounds.send_modify(|rounds| *rounds += 1);
             self.timer.sleep(self.config.poll_interval).await;
         }
     }
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -75,11 +75,7 @@
 
 /// Waits until the VM has taken in the configuration and found an owner for a shard.
 pub(crate) async fn ready(running: &Running) {
-    for _ in 0..1000 {
-        if running.node.is_ready() {
-            return;
-        }
-        running.node.timer.sleep(Duration::from_millis(10)).await;
-    }
-    panic!("the VM never became ready");
+    let ready = running.node.until_ready();
+    let in_time = running.node.timer.timeout(PATIENCE, ready).await;
+    assert!(in_time.is_some(), "the VM never became ready");
 }
