--- a/tests/settings_page.rs
+++ b/tests/settings_page.rs
@@ -1,6 +1,5 @@
 //! The daemon's flags and the page that lists them.
 
-#[expect(dead_code, reason = "only the definitions of the flags are looked at")]
 #[path = "../src/bin/basilbridged/clap_app.rs"]
 mod clap_app;
 
