Greet when the first try is ready, with commands that run as they stand

Cause: a stranger has no basilbridge on the path, and the lines came before the daemon took requests. Ruled out: installing the programs. Change: the commands begin with cargo run, after until_ready. Before: /ready answered 0.45 s after start with the lines long printed. After: lines come once ready.

--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -105,20 +105,21 @@
     async fn start_embedded(self, log: Logger, metrics: Metrics) -> io::Result<Running> {
         let workers = self.arguments.embedded_workers;
         let embedded = embedded::start(self.config, workers, log, metrics).await?;
+        embedded.running.node.until_ready().await;
         greet(&embedded.running);
         Ok(embedded.running)
     }
 }
 
 fn greet(running: &Running) {
-    let callers = running.callers.address;
-    let operators = running.operators.address;
-    println!("callers reach basilbridge at http://{callers}, operators at http://{operators}");
-    println!("try next:");
+    const CLIENT: &str = "cargo run --release --bin basilbridge --";
+    let (callers, operators) = (running.callers.address, running.operators.address);
     let (team, operator) = (embedded::TEAM_KEY, embedded::OPERATOR_KEY);
-    println!("  basilbridge --key {team} submit --queue checks --kind interactive glue");
-    println!("  basilbridge --key {team} submit --queue plans --kind batch --count 3 rebind");
-    println!("  basilbridge --operator-key {operator} workers");
+    println!("callers reach basilbridge at http://{callers}, operators at http://{operators}");
+    println!("try next, in another terminal:");
+    println!("  {CLIENT} --key {team} submit --queue checks --kind interactive glue");
+    println!("  {CLIENT} --key {team} submit --queue plans --kind batch --count 3 --wait rebind");
+    println!("  {CLIENT} --operator-key {operator} workers");
 }
 
 async fn until_stopped(running: Running) -> Result<()> {
