--- a/crates/common/src/timer.rs
+++ b/crates/common/src/timer.rs
@@ -192,6 +192,7 @@
     while let Some(shared) = shared.upgrade() {
         let wait = shared.wake_due().unwrap_or(IDLE_CHECK).min(IDLE_CHECK);
         tokio::select! {
+            biased;
             () = shared.changed.notified() => {}
             () = tokio::time::sleep(wait) => {}
         }
--- a/crates/endpoints/src/command.rs
+++ b/crates/endpoints/src/command.rs
@@ -16,6 +16,21 @@
 };
 use serde_with::DurationMilliSeconds;
 
+/// One attempt to run a task; a later one has the higher epoch, or the higher number in it.
+///
+/// Answers and commands that were long under way name the attempt that they mean, so that they
+/// never hit a later one of the same task.
+#[data]
+#[derive(Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    /// The task.
+    pub task: Task,
+    /// The epoch of the owner that made the attempt.
+    pub epoch: Epoch,
+    /// The number of the attempt among all of this owner.
+    pub number: u64,
+}
+
 /// A command to a worker.
 #[data]
 pub struct Command {
@@ -38,8 +53,8 @@
     Checkpoint(Task),
     /// Hold a task to a part of its processor time.
     Throttle(Throttle),
-    /// Stop a task, and start it no more if the command to start it is still under way.
-    Stop(Task),
+    /// Stop an attempt, and start it no more if the command to start it is still under way.
+    Stop(Attempt),
 }
 
 /// How long tasks go on without word from the owner.
@@ -56,6 +71,8 @@
 pub struct Run {
     /// The task.
     pub task: Task,
+    /// The number of the attempt; the worker carries out each one at most once.
+    pub attempt: u64,
     /// The boot on which the task may start; another boot refuses it.
     pub boot: Boot,
     /// What the task may use.
@@ -85,8 +102,10 @@
 pub struct Renew {
     /// The new lease.
     pub lease: Lease,
-    /// Ended tasks whose end the owner has noted, so that the worker may forget them.
-    pub acknowledged: Vec<Task>,
+    /// Attempts whose end the owner has noted, so that the worker may forget them.
+    ///
+    /// An attempt that never started is not among them: its note must outlive the command.
+    pub acknowledged: Vec<Attempt>,
 }
 
 /// A limit on a task's processor time.
@@ -124,6 +143,19 @@
     pub output: String,
     /// The epoch of the command that started it.
     pub epoch: Epoch,
+    /// The number of the attempt.
+    pub attempt: u64,
+}
+
+impl Report {
+    /// Returns the attempt that the report is about.
+    pub fn attempt(&self) -> Attempt {
+        Attempt {
+            task: self.task.clone(),
+            epoch: self.epoch,
+            number: self.attempt,
+        }
+    }
 }
 
 /// Where a task on a worker stands.
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Forgets a worker on which nothing runs any more.
+    pub fn remove_worker(&mut self, name: &Name) {
+        if let Some(key) = self.workers.find(name) {
+            self.workers.remove(key);
+        }
+    }
+
     /// Returns the workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|(_, slot)| &slot.worker)
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -38,6 +39,7 @@
     Client,
     command::{
         Answer,
+        Attempt,
         Command,
         Phase,
         Report,
@@ -92,6 +94,8 @@
 struct Ledger {
     running: HashMap<Task, u32>,
     started_once: HashSet<Task>,
+    /// When tasks were started, by their payloads.
+    starts: HashMap<String, Vec<Millis>>,
     violations: Violations,
     counts: Counts,
 }
@@ -106,7 +110,7 @@
     worker: worker::Worker,
     boot: Boot,
     epoch: Epoch,
-    tasks: HashMap<Task, Running>,
+    tasks: BTreeMap<Task, Running>,
     switches: Switches,
 }
 
@@ -151,6 +155,19 @@
         lock(&self.ledger).counts
     }
 
+    /// Returns when tasks with this payload were started.
+    pub fn starts(&self, payload: &str) -> Vec<Millis> {
+        let ledger = lock(&self.ledger);
+        ledger.starts.get(payload).cloned().unwrap_or_default()
+    }
+
+    /// Returns the tasks that run, in the order of their names.
+    pub fn running(&self) -> Vec<Task> {
+        let mut tasks: Vec<_> = lock(&self.ledger).running.keys().cloned().collect();
+        tasks.sort();
+        tasks
+    }
+
     /// Sets what a worker does wrong.
     pub fn set(&self, name: &Name, switches: Switches) {
         if let Some(machine) = lock(&self.machines).get_mut(name) {
@@ -228,7 +245,10 @@
             let message = format!("the worker has seen epoch {}", machine.epoch.0);
             return Err(Error::new(Kind::StaleEpoch, message));
         }
-        machine.epoch = command.epoch;
+        if machine.epoch < command.epoch {
+            machine.epoch = command.epoch;
+            machine.forget_never_started();
+        }
         let now = self.timer.now();
         match &command.verb {
             Verb::Claim(lease) => {
@@ -243,10 +263,12 @@
             }
             Verb::Checkpoint(task) => machine.answer_one(task),
             Verb::Throttle(throttle) => machine.answer_one(&throttle.task),
-            Verb::Stop(task) => {
-                machine.refuse_later_start(task, command.epoch);
-                self.end(machine, task, Phase::Stopped, String::new());
-                machine.answer_one(task)
+            Verb::Stop(attempt) => {
+                machine.refuse_later_start(attempt);
+                if machine.is_latest(attempt) {
+                    self.end(machine, &attempt.task, Phase::Stopped, String::new());
+                }
+                machine.answer_one(&attempt.task)
             }
         }
     }
@@ -257,12 +279,19 @@
             ledger.counts.stale += 1;
             return Err(Error::new(Kind::StaleEpoch, "the worker has booted since"));
         }
-        if machine.tasks.contains_key(&run.task) {
-            // The same command came twice; the task is started once.
+        let attempt = Attempt {
+            task: run.task.clone(),
+            epoch,
+            number: run.attempt,
+        };
+        if machine.has_seen(&attempt) {
+            // The same command came twice or was stopped before it came.
             return machine.answer_one(&run.task);
         }
         ledger.counts.starts += 1;
         ledger.check_start(machine, run);
+        let starts = ledger.starts.entry(run.payload.clone()).or_default();
+        starts.push(self.timer.now());
         drop(ledger);
         let program = Program::parse(&run.payload);
         let running = Running {
@@ -273,6 +302,7 @@
                 usage: Resources::default(),
                 output: String::new(),
                 epoch,
+                attempt: run.attempt,
             },
             lease_until: self.timer.now().after(run.lease),
             done: watch::Sender::new(false),
@@ -358,7 +388,7 @@
             worker,
             boot,
             epoch: Epoch(0),
-            tasks: HashMap::new(),
+            tasks: BTreeMap::new(),
             switches: Switches::default(),
         }
     }
@@ -369,30 +399,55 @@
         }
     }
 
-    /// Notes a task that never started, so that a start still under way is not carried out.
-    fn refuse_later_start(&mut self, task: &Task, epoch: Epoch) {
-        self.tasks.entry(task.clone()).or_insert_with(|| Running {
+    /// Notes an attempt that never started, so that a start still under way is not carried out.
+    fn refuse_later_start(&mut self, attempt: &Attempt) {
+        if self.has_seen(attempt) || self.runs(&attempt.task) {
+            return;
+        }
+        let never_started = Running {
             report: Report {
-                task: task.clone(),
+                task: attempt.task.clone(),
                 phase: Phase::NeverStarted,
                 resources: Resources::default(),
                 usage: Resources::default(),
                 output: String::new(),
-                epoch,
+                epoch: attempt.epoch,
+                attempt: attempt.number,
             },
             lease_until: Millis::default(),
             done: watch::Sender::new(true),
-        });
+        };
+        self.tasks.insert(attempt.task.clone(), never_started);
     }
 
-    fn forget(&mut self, tasks: &[Task]) {
-        for task in tasks {
-            let ended = self
-                .tasks
-                .get(task)
-                .is_some_and(|running| running.report.phase != Phase::Running);
-            if ended {
-                self.tasks.remove(task);
+    /// Drops the notes of attempts that the epoch alone now keeps from starting.
+    fn forget_never_started(&mut self) {
+        self.tasks
+            .retain(|_, running| running.report.phase != Phase::NeverStarted);
+    }
+
+    fn has_seen(&self, attempt: &Attempt) -> bool {
+        self.tasks
+            .get(&attempt.task)
+            .is_some_and(|running| running.report.attempt() >= *attempt)
+    }
+
+    fn is_latest(&self, attempt: &Attempt) -> bool {
+        self.tasks
+            .get(&attempt.task)
+            .is_some_and(|running| running.report.attempt() <= *attempt)
+    }
+
+    fn runs(&self, task: &Task) -> bool {
+        self.tasks
+            .get(task)
+            .is_some_and(|running| running.report.phase == Phase::Running)
+    }
+
+    fn forget(&mut self, attempts: &[Attempt]) {
+        for attempt in attempts {
+            if self.is_latest(attempt) && !self.runs(&attempt.task) {
+                self.tasks.remove(&attempt.task);
             }
         }
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -21,6 +21,7 @@
     worker::Worker,
 };
 use basilbridge_endpoints::command::{
+    Attempt,
     Command,
     Phase,
     Report,
@@ -28,6 +29,7 @@
     Verb, //
 };
 use basilbridge_scheduler::shard::Action;
+use tokio::task::JoinSet;
 
 use crate::{
     journal::{
@@ -36,7 +38,9 @@
         Started, //
     },
     owner::{
+        Inner,
         Owner,
+        Placed,
         is_durable, //
     },
 };
@@ -44,85 +48,180 @@
 /// How long to wait before a worker that did not answer is asked again.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a task waits before it is placed again after a worker has not taken it.
+const RETRY_BACK_OFF: Duration = Duration::from_millis(200);
+
+/// How long to wait before a record that the store refused is written again.
+const RECORD_BACK_OFF: Duration = Duration::from_secs(1);
+
 /// Decides and carries out until the owner is dropped.
 pub async fn run(owner: Arc<Owner>) {
+    let mut starts = JoinSet::new();
     loop {
         owner.wake.notified().await;
+        while starts.try_join_next().is_some() {}
         let now = owner.tools.timer.now();
-        let actions = owner.lock().decide(now);
-        for action in actions {
-            match action {
-                Action::Start { task, worker } => {
-                    tokio::spawn(start(Arc::clone(&owner), task, worker));
-                }
-                Action::Expire { task } => owner.expire(&task),
-            }
+        let (placed, expired) = owner.lock().decide(now, owner.title.epoch);
+        for placed in placed {
+            starts.spawn(start(Arc::clone(&owner), placed));
+        }
+        for task in expired {
+            starts.spawn(expire(Arc::clone(&owner), task));
         }
     }
 }
 
-async fn start(owner: Arc<Owner>, task: id::Task, worker: Worker) {
-    let Some(run) = owner.run_of(&task, &worker) else {
-        owner.lock().requeue(&task);
+async fn start(owner: Arc<Owner>, placed: Placed) {
+    let Placed {
+        worker, attempt, ..
+    } = placed;
+    let Some(run) = owner.run_of(&attempt, &worker) else {
+        owner.retry(&attempt).await;
         return;
     };
     if !run.repeatable {
         let started = Started {
-            task: task.clone(),
+            task: attempt.task.clone(),
             worker: worker.name.clone(),
             boot: run.boot,
         };
         if let Err(error) = owner.tools.journal.append(Record::Started(started)).await {
-            slog::warn!(owner.tools.log, "start not kept"; "task" => %task, "error" => %error);
-            owner.lock().requeue(&task);
+            slog::warn!(owner.tools.log, "start not kept";
+                "task" => %attempt.task, "error" => %error);
+            owner.retry(&attempt).await;
             return;
         }
     }
+    if !owner.lock().note_sent(&attempt) {
+        owner.retry(&attempt).await;
+        return;
+    }
+    let boot = run.boot;
     let command = Command {
-        epoch: owner.title.epoch,
+        epoch: attempt.epoch,
         verb: Verb::Run(run),
     };
     let result = owner.tools.endpoints.send(&worker, command).await;
-    let result = result.and_then(|answer| report_of(answer.tasks, &task));
+    let result = result.and_then(|answer| report_of(answer.tasks, &attempt));
     match result {
-        Ok(report) => owner.report(report).await,
+        Ok(report) => owner.report(&worker, report).await,
         Err(error) if error.kind.answer().ran == Ran::No => {
-            owner.lock().requeue(&task);
+            owner.lock().note_refused(&attempt);
+            owner.retry(&attempt).await;
         }
         Err(error) => {
-            slog::warn!(owner.tools.log, "start in doubt"; "task" => %task, "error" => %error);
-            owner.settle(&task, &worker).await;
+            slog::warn!(owner.tools.log, "start in doubt";
+                "task" => %attempt.task, "error" => %error);
+            owner.settle(&attempt, &worker, boot).await;
+        }
+    }
+}
+
+/// Gives up a job one of whose tasks got no room before its deadline.
+async fn expire(owner: Arc<Owner>, task: id::Task) {
+    let now = owner.tools.timer.now();
+    let (durable, sent) = {
+        let inner = owner.lock();
+        let Some(job) = inner.jobs.get(&task.job) else {
+            return;
+        };
+        (is_durable(&job.request), job.sent > 0)
+    };
+    let (state, error) = if sent {
+        let message = "an earlier attempt has no known outcome";
+        (State::Unknown, Error::new(Kind::OutcomeUnknown, message))
+    } else {
+        let message = "no room came free before the deadline";
+        (State::Failed, Error::new(Kind::Expired, message))
+    };
+    if durable && !close_for_good(&owner, &task.job, state, &error).await {
+        return;
+    }
+    owner.lock().finish_job(&task.job, state, Some(error), now);
+}
+
+/// Makes the end of a job durable, however long the store is down; says whether it is.
+async fn close_for_good(owner: &Owner, job: &id::Job, state: State, error: &Error) -> bool {
+    loop {
+        match owner.close(job, state, Some(error)).await {
+            Ok(()) => return true,
+            Err(error) if error.kind == Kind::StoreUnavailable => {
+                owner.tools.timer.sleep(RECORD_BACK_OFF).await;
+            }
+            Err(_) => return false,
         }
     }
 }
 
-fn report_of(reports: Vec<Report>, task: &id::Task) -> Result<Report> {
+fn report_of(reports: Vec<Report>, attempt: &Attempt) -> Result<Report> {
     reports
         .into_iter()
-        .find(|report| report.task == *task)
+        .find(|report| report.task == attempt.task)
         .ok_or_else(|| Error::new(Kind::Truncated, "the answer lacks the task"))
 }
 
-impl crate::owner::Inner {
-    fn decide(&mut self, now: Millis) -> Vec<Action> {
-        let actions = self.scheduler.decide(now);
-        for action in &actions {
-            if let Action::Start { task, worker } = action {
-                self.placed.insert(task.clone(), worker.clone());
+impl Inner {
+    /// Decides what to start and what is too late.
+    fn decide(&mut self, now: Millis, epoch: id::Epoch) -> (Vec<Placed>, Vec<id::Task>) {
+        let mut starts = Vec::new();
+        let mut expired = Vec::new();
+        for action in self.scheduler.decide(now) {
+            match action {
+                Action::Start { task, worker } => {
+                    self.attempts += 1;
+                    let placed = Placed {
+                        worker,
+                        attempt: Attempt {
+                            task: task.clone(),
+                            epoch,
+                            number: self.attempts,
+                        },
+                        ending: false,
+                    };
+                    self.placed.insert(task, placed.clone());
+                    starts.push(placed);
+                }
+                Action::Expire { task } => expired.push(task),
             }
         }
-        actions
+        (starts, expired)
+    }
+
+    /// Takes note that an attempt is about to be sent; says whether it still should be.
+    fn note_sent(&mut self, attempt: &Attempt) -> bool {
+        let open = self.placed.get(&attempt.task).is_some_and(|placed| {
+            let contact = self.contacts.get(&placed.worker.name);
+            placed.attempt == *attempt && contact.is_some_and(|contact| contact.boot.is_some())
+        });
+        if !open || !self.is_wanted(&attempt.task.job) {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&attempt.task.job) {
+            job.sent += 1;
+        }
+        true
+    }
+
+    /// Takes note that an attempt that was sent did not run.
+    fn note_refused(&mut self, attempt: &Attempt) {
+        if let Some(job) = self.jobs.get_mut(&attempt.task.job) {
+            job.sent = job.sent.saturating_sub(1);
+        }
     }
 }
 
 impl Owner {
-    fn run_of(&self, task: &id::Task, worker: &Worker) -> Option<Run> {
+    fn run_of(&self, attempt: &Attempt, worker: &Worker) -> Option<Run> {
         let inner = self.lock();
-        let job = inner.jobs.get(&task.job)?;
+        if !inner.is_placed(attempt) {
+            return None;
+        }
+        let job = inner.jobs.get(&attempt.task.job)?;
         let boot = inner.contacts.get(&worker.name)?.boot?;
         let since = self.tools.timer.now().since(job.accepted);
         Some(Run {
-            task: task.clone(),
+            task: attempt.task.clone(),
+            attempt: attempt.number,
             boot,
             resources: job.request.resources,
             repeatable: job.request.repeatable,
@@ -136,105 +235,156 @@
         })
     }
 
-    fn expire(&self, task: &id::Task) {
-        let error = Error::new(Kind::Expired, "no room came free before the deadline");
-        let mut inner = self.lock();
-        inner.finish_job(&task.job, State::Failed, Some(error));
+    /// Takes note of what a worker tells about an attempt that has room on it.
+    pub(crate) async fn report(&self, worker: &Worker, report: Report) {
+        let attempt = report.attempt();
+        let (placed, wanted) = {
+            let inner = self.lock();
+            (
+                inner.is_placed(&attempt),
+                inner.is_wanted(&attempt.task.job),
+            )
+        };
+        if !placed {
+            return;
+        }
+        match report.phase {
+            Phase::Running if wanted => self.lock().mark_running(&attempt.task),
+            // The stop that followed the job's end was lost.
+            Phase::Running => self.stop(&attempt, worker).await,
+            Phase::Succeeded => self.end(&attempt, State::Succeeded, report.output).await,
+            Phase::Failed => self.end(&attempt, State::Failed, report.output).await,
+            Phase::Stopped if !wanted => {
+                self.end(&attempt, State::Cancelled, report.output).await;
+            }
+            Phase::Stopped | Phase::Lapsed => self.lost(&attempt).await,
+            Phase::NeverStarted => {
+                self.lock().note_refused(&attempt);
+                self.retry(&attempt).await;
+            }
+        }
     }
 
-    /// Takes note of what a worker tells about a task.
-    pub(crate) async fn report(&self, report: Report) {
-        let state = match report.phase {
-            Phase::Running => {
-                self.lock().mark_running(&report.task);
+    /// Keeps the end of a task and lets the worker forget it.
+    pub(crate) async fn end(&self, attempt: &Attempt, state: State, output: String) {
+        let task = &attempt.task;
+        let durable = {
+            let mut inner = self.lock();
+            let wanted = inner.is_wanted(&task.job);
+            let Some(placed) = inner.placed.get_mut(task) else {
                 return;
-            }
-            Phase::Succeeded => State::Succeeded,
-            Phase::Failed => State::Failed,
-            Phase::Stopped => State::Cancelled,
-            Phase::Lapsed | Phase::NeverStarted => {
-                self.lost(&report.task, report.phase == Phase::NeverStarted);
+            };
+            if placed.attempt != *attempt || std::mem::replace(&mut placed.ending, true) {
                 return;
             }
+            let job = inner.jobs.get(&task.job);
+            wanted && job.is_some_and(|job| is_durable(&job.request))
         };
-        self.end(&report.task, state, report.output).await;
-    }
-
-    async fn end(&self, task: &id::Task, state: State, output: String) {
-        let durable = match self.lock().jobs.get(&task.job) {
-            Some(job) => is_durable(&job.request),
-            None => return,
-        };
+        let now = self.tools.timer.now();
         if durable {
             let record = Record::Ended(Ended {
                 task: task.clone(),
                 state,
                 output: output.clone(),
+                at: now,
             });
             if let Err(error) = self.tools.journal.append(record).await {
                 // The worker keeps the report until it is acknowledged, so it comes again.
                 slog::warn!(self.tools.log, "end not kept"; "task" => %task, "error" => %error);
+                if let Some(placed) = self.lock().placed.get_mut(task) {
+                    placed.ending = false;
+                }
                 return;
             }
         }
         let mut inner = self.lock();
-        if let Some(worker) = inner.placed.get(task).cloned()
-            && let Some(contact) = inner.contacts.get_mut(&worker.name)
+        if let Some(placed) = inner.placed.get(task).cloned()
+            && let Some(contact) = inner.contacts.get_mut(&placed.worker.name)
         {
-            contact.acknowledged.push(task.clone());
+            contact.acknowledged.push(attempt.clone());
         }
-        inner.end_task(task, state, output);
+        inner.end_task(task, state, output, now);
         drop(inner);
         self.wake.notify_one();
     }
 
-    /// Takes note of a task that runs no more and has no outcome.
-    pub(crate) fn lost(&self, task: &id::Task, never_started: bool) {
-        let mut inner = self.lock();
-        let repeatable = inner
-            .jobs
-            .get(&task.job)
-            .is_some_and(|job| job.request.repeatable);
-        if repeatable || never_started {
-            inner.requeue(task);
-        } else {
-            inner.end_task(task, State::Unknown, String::new());
+    /// Takes note of an attempt that runs no more and has no outcome.
+    pub(crate) async fn lost(&self, attempt: &Attempt) {
+        let repeatable = {
+            let inner = self.lock();
+            let job = inner.jobs.get(&attempt.task.job);
+            job.is_some_and(|job| job.request.repeatable)
+        };
+        if repeatable {
+            self.retry(attempt).await;
+            return;
         }
-        drop(inner);
+        while self.lock().is_placed(attempt) && !self.is_released() {
+            self.end(attempt, State::Unknown, String::new()).await;
+            if self.lock().is_placed(attempt) {
+                self.tools.timer.sleep(RECORD_BACK_OFF).await;
+            }
+        }
+    }
+
+    /// Places a task again after a while, if this attempt is still the latest.
+    pub(crate) async fn retry(&self, attempt: &Attempt) {
+        let task = {
+            let mut inner = self.lock();
+            if !inner.is_placed(attempt) {
+                return;
+            }
+            inner.displace(&attempt.task)
+        };
+        self.wake.notify_one();
+        let Some(task) = task else {
+            return;
+        };
+        self.tools.timer.sleep(RETRY_BACK_OFF).await;
+        self.lock().requeue(task);
         self.wake.notify_one();
     }
 
-    /// Asks a worker to stop a task until it says what became of it.
-    async fn settle(&self, task: &id::Task, worker: &Worker) {
-        loop {
+    /// Asks a worker to stop an attempt until it says what became of it.
+    ///
+    /// Only the boot that the attempt was sent to can tell that it never started.
+    async fn settle(&self, attempt: &Attempt, worker: &Worker, boot: id::Boot) {
+        while self.lock().is_placed(attempt) {
             let command = Command {
                 epoch: self.title.epoch,
-                verb: Verb::Stop(task.clone()),
+                verb: Verb::Stop(attempt.clone()),
             };
-            let result = self.tools.endpoints.send(worker, command).await;
-            match result.and_then(|answer| report_of(answer.tasks, task)) {
-                Ok(report) if report.phase == Phase::Stopped => {
-                    self.lost(task, false);
-                    return;
+            let answer = match self.tools.endpoints.send(worker, command).await {
+                Ok(answer) => answer,
+                Err(error) if error.kind == Kind::StaleEpoch => return,
+                Err(_) => {
+                    self.tools.timer.sleep(SETTLE_INTERVAL).await;
+                    continue;
                 }
-                Ok(report) => {
-                    self.report(report).await;
+            };
+            if answer.boot != boot {
+                self.lost(attempt).await;
+                return;
+            }
+            match report_of(answer.tasks, attempt) {
+                Ok(report) if report.attempt() == *attempt => {
+                    self.report(worker, report).await;
                     return;
                 }
-                Err(error) if error.kind == Kind::StaleEpoch => return,
-                Err(_) => self.tools.timer.sleep(SETTLE_INTERVAL).await,
+                _ => self.tools.timer.sleep(SETTLE_INTERVAL).await,
             }
         }
     }
 
-    /// Tells a worker to stop a task; a lost command is made up for by the next renewal.
-    pub(crate) async fn stop(&self, task: &id::Task, worker: &Worker) {
+    /// Tells a worker to stop an attempt; a lost command is made up for by the next renewal.
+    pub(crate) async fn stop(&self, attempt: &Attempt, worker: &Worker) {
         let command = Command {
             epoch: self.title.epoch,
-            verb: Verb::Stop(task.clone()),
+            verb: Verb::Stop(attempt.clone()),
         };
         if let Err(error) = self.tools.endpoints.send(worker, command).await {
-            slog::warn!(self.tools.log, "stop not sent"; "task" => %task, "error" => %error);
+            slog::warn!(self.tools.log, "stop not sent";
+                "task" => %attempt.task, "error" => %error);
         }
     }
 }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -1,9 +1,24 @@
-//! The journal of a shard.
+//! The journal of the shards that a VM owns.
 //!
-//! Records that come in while a write is under way ride together in the next one, so that the
-//! count of writes does not grow with the count of records. See `docs/design/journal.md`.
+//! One writer serves all shards of a VM: records that come in while a write is under way ride
+//! together in the next one, whatever their shard, and writes keep to the VM's part of a budget
+//! that the whole fleet shares. See `docs/design/journal.md`.
 
-use std::time::Duration;
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicU32,
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
 
 use basilbridge_common::{
     error::{
@@ -12,35 +27,43 @@
         Result, //
     },
     id::{
-        Boot,
         Epoch,
         Job,
-        Name,
         Shard,
-        Task,
         Version, //
     },
-    job::{
-        Request,
-        State, //
-    },
     timer,
     unit::Millis,
 };
 use basilbridge_derives::data;
-use basilbridge_platform::table::{
-    Check,
-    Outcome,
-    Put,
-    Query,
-    Service,
-    Transaction, //
+use basilbridge_platform::{
+    Platform,
+    table::{
+        Check,
+        Outcome,
+        Put,
+        Row,
+        Transaction, //
+    },
+};
+use sha2::{
+    Digest,
+    Sha256, //
 };
 use tokio::sync::{
     mpsc,
     oneshot, //
 };
 
+pub use crate::record::{
+    Accepted,
+    Closed,
+    Ended,
+    Record,
+    Started, //
+};
+use crate::snapshot;
+
 /// The table of journal rows.
 pub const TABLE: &str = "journal";
 
@@ -50,112 +73,125 @@
 /// The most records that one write carries.
 pub const MAX_RECORDS_PER_WRITE: usize = 256;
 
+/// The journal writes of all VMs together in a second; the rest is for sessions and operators.
+pub const WRITES_PER_SECOND: u32 = 180;
+
 /// How long to wait before a write whose outcome is not known is sent again.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 
 const QUEUE_LENGTH: usize = 4096;
 
-const ROWS_PER_READ: u32 = 1000;
-
-/// What is kept about the jobs of a shard.
-#[data]
-pub enum Record {
-    /// A job was accepted.
-    Accepted(Box<Accepted>),
-    /// A task that must not be repeated is about to be sent to a worker.
-    Started(Started),
-    /// A task has ended.
-    Ended(Ended),
-    /// A job was cancelled.
-    Cancelled(Job),
-}
-
-/// A job that was accepted.
-#[data]
-pub struct Accepted {
-    /// The job.
-    pub job: Job,
-    /// The team that submitted it.
-    pub team: Name,
-    /// When it was accepted.
-    pub at: Millis,
-    /// What was asked for.
-    pub request: Request,
-}
-
-/// A task that is about to be sent to a worker.
-#[data]
-pub struct Started {
-    /// The task.
-    pub task: Task,
-    /// The worker.
-    pub worker: Name,
-    /// The boot of the worker.
-    pub boot: Boot,
+/// Which shard a journal is for and what proves that it is still ours.
+#[derive(Debug, Clone)]
+pub struct Title {
+    /// The shard.
+    pub shard: Shard,
+    /// The epoch of the owner.
+    pub epoch: Epoch,
+    /// The version of the shard's row when it was claimed.
+    pub version: Version,
 }
 
-/// A task that has ended.
+/// The value of an idempotency row.
 #[data]
-pub struct Ended {
-    /// The task.
-    pub task: Task,
-    /// How it ended.
-    pub state: State,
-    /// What the program returned.
-    pub output: String,
+struct Unique {
+    job: Job,
+    /// Tells a repeated request from another one with the same key.
+    digest: String,
 }
 
 struct Append {
+    journal: Journal,
     record: Record,
     /// The row that makes an idempotency key unique for its team.
-    unique: Option<String>,
-    done: oneshot::Sender<Result<()>>,
+    unique: Option<(String, Unique)>,
+    done: oneshot::Sender<Result<Option<Job>>>,
 }
 
-/// The journal of a shard under one owner; clones share it.
+/// The journal of one shard under one owner; clones share it.
 #[derive(Clone)]
 pub struct Journal {
     appends: mpsc::Sender<Append>,
+    title: Arc<Title>,
+    sequence: Arc<AtomicU64>,
+    rows: Arc<AtomicU32>,
 }
 
-/// Which shard a journal is for and what proves that it is still ours.
-#[derive(Debug, Clone)]
-pub struct Title {
-    /// The shard.
-    pub shard: Shard,
-    /// The epoch of the owner.
-    pub epoch: Epoch,
-    /// The version of the shard's row when it was claimed.
-    pub version: Version,
+/// All journals of a VM.
+#[derive(Clone)]
+pub struct Log {
+    appends: mpsc::Sender<Append>,
+    vms: Arc<AtomicU32>,
 }
 
-impl Journal {
-    /// Makes a journal and the future that writes it; the future ends with the last clone.
-    pub fn new(
-        tables: Service,
-        timer: timer::Service,
-        title: Title,
-    ) -> (Self, impl Future<Output = ()> + Send) {
+/// Writes the journals of a VM.
+pub struct Writer {
+    platform: Platform,
+    timer: timer::Service,
+    queue: mpsc::Receiver<Append>,
+    vms: Arc<AtomicU32>,
+    next_write: Millis,
+}
+
+impl Log {
+    /// Makes the journals of a VM and their writer.
+    pub fn new(platform: Platform, timer: timer::Service) -> (Self, Writer) {
         let (appends, queue) = mpsc::channel(QUEUE_LENGTH);
+        let vms = Arc::new(AtomicU32::new(1));
         let writer = Writer {
-            tables,
+            platform,
             timer,
-            title,
-            sequence: 0,
+            queue,
+            vms: Arc::clone(&vms),
+            next_write: Millis::default(),
         };
-        (Self { appends }, writer.run(queue))
+        (Self { appends, vms }, writer)
+    }
+
+    /// Opens the journal of a shard that was just claimed.
+    pub fn open(&self, title: Title) -> Journal {
+        Journal {
+            appends: self.appends.clone(),
+            title: Arc::new(title),
+            sequence: Arc::default(),
+            rows: Arc::default(),
+        }
     }
 
+    /// Takes note of how many VMs share the budget of writes.
+    pub fn set_vms(&self, vms: usize) {
+        self.vms.store(vms.max(1) as u32, Ordering::Relaxed);
+    }
+}
+
+impl Journal {
     /// Keeps a record; returns when it is durable.
     pub async fn append(&self, record: Record) -> Result<()> {
-        self.append_unique(record, None).await
+        self.send(record, None).await.map(|_| ())
     }
 
-    /// Keeps a record, if no other holds the idempotency row `unique`.
-    pub async fn append_unique(&self, record: Record, unique: Option<String>) -> Result<()> {
-        let stopped = || Error::new(Kind::WriteUnknown, "the journal has stopped");
+    /// Keeps an accepted job, unless its idempotency key is another job's, which is returned.
+    pub async fn accept(&self, accepted: Accepted) -> Result<Option<Job>> {
+        let unique = accepted.request.idempotency_key.as_ref().map(|key| {
+            let unique = Unique {
+                job: accepted.job.clone(),
+                digest: digest(&accepted),
+            };
+            (unique_row(&accepted.team, key), unique)
+        });
+        self.send(Record::Accepted(Box::new(accepted)), unique)
+            .await
+    }
+
+    /// Takes note of how many rows the last owner left.
+    pub fn set_rows(&self, rows: usize) {
+        self.rows.fetch_add(rows as u32, Ordering::Relaxed);
+    }
+
+    async fn send(&self, record: Record, unique: Option<(String, Unique)>) -> Result<Option<Job>> {
         let (done, outcome) = oneshot::channel();
         let append = Append {
+            journal: self.clone(),
             record,
             unique,
             done,
@@ -164,65 +200,70 @@
             .send(append)
             .await
             .map_err(|_| Error::new(Kind::NotOwner, "the journal has stopped"))?;
-        outcome.await.map_err(|_| stopped())?
+        outcome
+            .await
+            .map_err(|_| Error::new(Kind::WriteUnknown, "the journal has stopped"))?
     }
 }
 
-struct Writer {
-    tables: Service,
-    timer: timer::Service,
-    title: Title,
-    sequence: u64,
-}
+/// The shards that a write concerns, with the records of each.
+type Groups<'a> = BTreeMap<(Shard, Epoch), (&'a Journal, Vec<&'a Record>)>;
 
 impl Writer {
-    async fn run(mut self, mut queue: mpsc::Receiver<Append>) {
+    /// Writes until the VM ends.
+    pub async fn run(mut self) {
         let mut batch = Vec::new();
-        while queue.recv_many(&mut batch, MAX_RECORDS_PER_WRITE).await > 0 {
+        while self
+            .queue
+            .recv_many(&mut batch, MAX_RECORDS_PER_WRITE)
+            .await
+            > 0
+        {
+            self.pace().await;
+            let room = MAX_RECORDS_PER_WRITE - batch.len();
+            for _ in 0..room {
+                let Ok(append) = self.queue.try_recv() else {
+                    break;
+                };
+                batch.push(append);
+            }
             self.flush(std::mem::take(&mut batch)).await;
         }
     }
 
+    /// Waits until this VM's part of the budget allows a write.
+    async fn pace(&mut self) {
+        let vms = self.vms.load(Ordering::Relaxed);
+        let interval = Duration::from_secs(1) * vms / WRITES_PER_SECOND;
+        let now = self.timer.now();
+        let wait = self.next_write.since(now);
+        if !wait.is_zero() {
+            self.timer.sleep(wait).await;
+        }
+        self.next_write = self.next_write.max(now).after(interval);
+    }
+
     async fn flush(&mut self, mut batch: Vec<Append>) {
         while !batch.is_empty() {
-            self.sequence += 1;
-            let transaction = self.transaction(&batch);
-            match self.settled(transaction).await {
+            let (first, repeated) = split_repeated(batch);
+            batch = first;
+            let journals: Vec<_> = batch.iter().map(|append| append.journal.clone()).collect();
+            match self.settled(transaction(&batch)).await {
                 Ok(Outcome::Committed(_)) => {
-                    for append in batch.drain(..) {
-                        let _ = append.done.send(Ok(()));
-                    }
-                }
-                Ok(Outcome::Conflict(rows)) => {
-                    let held: Vec<_> = rows
-                        .into_iter()
-                        .filter(|row| &*row.table == IDEMPOTENCY_TABLE)
-                        .collect();
-                    if held.is_empty() {
-                        refuse(
-                            &mut batch,
-                            &Error::new(Kind::NotOwner, "the shard has moved"),
-                        );
-                        return;
-                    }
-                    let (refused, kept) = batch.into_iter().partition(|append| {
-                        held.iter()
-                            .any(|row| append.unique.as_ref() == Some(&row.key))
-                    });
-                    batch = kept;
-                    for append in refused {
-                        let row = held
-                            .iter()
-                            .find(|row| append.unique.as_ref() == Some(&row.key));
-                        let job = row.and_then(|row| row.value.clone()).unwrap_or_default();
-                        let _ = append.done.send(Err(Error::new(Kind::Conflict, job)));
-                    }
+                    answer(batch, &Ok(None));
+                    batch = Vec::new();
                 }
+                Ok(Outcome::Conflict(rows)) => batch = refuse_conflicts(batch, &rows),
                 Err(error) => {
-                    refuse(&mut batch, &error);
-                    return;
+                    answer(batch, &Err(error));
+                    batch = Vec::new();
                 }
             }
+            batch.extend(repeated);
+            self.cut(&journals).await;
+            if !batch.is_empty() {
+                self.pace().await;
+            }
         }
     }
 
@@ -230,7 +271,7 @@
     async fn settled(&self, transaction: Transaction) -> Result<Outcome> {
         let mut in_doubt = false;
         loop {
-            match self.tables.transact(transaction.clone()).await {
+            match self.platform.tables.transact(transaction.clone()).await {
                 Err(error) if error.kind == Kind::WriteUnknown => in_doubt = true,
                 Err(_) if in_doubt => {}
                 result => return result,
@@ -239,81 +280,154 @@
         }
     }
 
-    fn transaction(&self, batch: &[Append]) -> Transaction {
-        let Title {
-            shard,
-            epoch,
-            version,
-        } = &self.title;
-        let key = format!("{shard}/{:010}/{:010}", epoch.0, self.sequence);
-        let mut checks = vec![Check {
+    /// Cuts the journals that have grown long.
+    async fn cut(&self, journals: &[Journal]) {
+        for journal in journals {
+            let rows = journal.rows.load(Ordering::Relaxed);
+            if rows < snapshot::ROWS_PER_SNAPSHOT {
+                continue;
+            }
+            journal.rows.store(0, Ordering::Relaxed);
+            let now = self.timer.now();
+            if snapshot::cut(&self.platform, &journal.title, now)
+                .await
+                .is_err()
+            {
+                // The journal stays longer for now; after half as many rows it is tried again.
+                let rows = snapshot::ROWS_PER_SNAPSHOT / 2;
+                journal.rows.store(rows, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Puts aside the appends whose idempotency key an earlier one of the same batch has.
+fn split_repeated(batch: Vec<Append>) -> (Vec<Append>, Vec<Append>) {
+    let mut keys = BTreeSet::new();
+    batch.into_iter().partition(|append| match &append.unique {
+        Some((key, _)) => keys.insert(key.clone()),
+        None => true,
+    })
+}
+
+fn transaction(batch: &[Append]) -> Transaction {
+    let mut groups = Groups::new();
+    for append in batch {
+        let title = &append.journal.title;
+        let group = groups
+            .entry((title.shard.clone(), title.epoch))
+            .or_insert((&append.journal, Vec::new()));
+        group.1.push(&append.record);
+    }
+    let mut checks = Vec::new();
+    let mut puts = Vec::new();
+    let mut write_id = String::new();
+    for ((shard, epoch), (journal, records)) in groups {
+        let sequence = journal.sequence.fetch_add(1, Ordering::Relaxed);
+        journal.rows.fetch_add(1, Ordering::Relaxed);
+        let key = format!("{shard}/{:010}/{sequence:010}", epoch.0);
+        if write_id.is_empty() {
+            write_id.clone_from(&key);
+        }
+        checks.push(Check {
             table: crate::session::SHARDS_TABLE.into(),
             key: shard.to_string(),
-            version: *version,
-        }];
-        let records: Vec<_> = batch.iter().map(|append| &append.record).collect();
-        let mut puts = vec![Put {
+            version: journal.title.version,
+        });
+        puts.push(Put {
             table: TABLE.into(),
-            key: key.clone(),
+            key,
             value: serde_json::to_string(&records).ok(),
-        }];
-        for append in batch {
-            let (Some(unique), Record::Accepted(accepted)) = (&append.unique, &append.record)
-            else {
+        });
+    }
+    for (key, unique) in batch.iter().filter_map(|append| append.unique.as_ref()) {
+        checks.push(Check {
+            table: IDEMPOTENCY_TABLE.into(),
+            key: key.clone(),
+            version: Version(0),
+        });
+        puts.push(Put {
+            table: IDEMPOTENCY_TABLE.into(),
+            key: key.clone(),
+            value: serde_json::to_string(unique).ok(),
+        });
+    }
+    Transaction {
+        write_id,
+        checks,
+        puts,
+    }
+}
+
+/// Answers the appends that a conflict concerns and returns the others.
+fn refuse_conflicts(batch: Vec<Append>, rows: &[Row]) -> Vec<Append> {
+    let mut kept = Vec::new();
+    for append in batch {
+        let shard = append.journal.title.shard.to_string();
+        let moved = rows
+            .iter()
+            .any(|row| &*row.table == crate::session::SHARDS_TABLE && row.key == shard);
+        let held = append.unique.as_ref().and_then(|(key, unique)| {
+            let row = rows
+                .iter()
+                .find(|row| &*row.table == IDEMPOTENCY_TABLE && row.key == *key)?;
+            Some(held(row, unique))
+        });
+        let result = match held {
+            _ if moved => Err(Error::new(Kind::NotOwner, "the shard has moved")),
+            Some(result) => result,
+            None => {
+                kept.push(append);
                 continue;
-            };
-            checks.push(Check {
-                table: IDEMPOTENCY_TABLE.into(),
-                key: unique.clone(),
-                version: Version(0),
-            });
-            puts.push(Put {
-                table: IDEMPOTENCY_TABLE.into(),
-                key: unique.clone(),
-                value: Some(accepted.job.to_string()),
-            });
-        }
-        Transaction {
-            write_id: key,
-            checks,
-            puts,
-        }
+            }
+        };
+        let _ = append.done.send(result);
     }
+    kept
 }
 
-fn refuse(batch: &mut Vec<Append>, error: &Error) {
-    for append in batch.drain(..) {
-        let _ = append.done.send(Err(error.clone()));
+fn held(row: &Row, wanted: &Unique) -> Result<Option<Job>> {
+    let text = row.value.as_deref().unwrap_or_default();
+    let unique: Unique = serde_json::from_str(text)
+        .map_err(|error| Error::new(Kind::Internal, format!("{}: {error}", row.key)))?;
+    if unique.digest != wanted.digest {
+        let message = "the idempotency key was used for another request";
+        return Err(Error::new(Kind::Conflict, message));
     }
+    Ok(Some(unique.job))
 }
 
-/// Reads all records of a shard, the oldest first.
-pub async fn replay(tables: &Service, shard: &Shard) -> Result<Vec<Record>> {
-    let mut records = Vec::new();
-    let mut after = None;
-    loop {
-        let rows = tables
-            .scan(Query {
-                table: TABLE.into(),
-                prefix: format!("{shard}/"),
-                after: after.clone(),
-                limit: ROWS_PER_READ,
-            })
-            .await?;
-        for row in &rows {
-            let text = row.value.as_deref().unwrap_or("[]");
-            let mut batch: Vec<Record> = serde_json::from_str(text)
-                .map_err(|error| Error::new(Kind::Internal, format!("{}: {error}", row.key)))?;
-            records.append(&mut batch);
-        }
-        if rows.len() < ROWS_PER_READ as usize {
-            return Ok(records);
-        }
-        after = rows.last().map(|row| row.key.clone());
+fn answer(batch: Vec<Append>, result: &Result<Option<Job>>) {
+    for append in batch {
+        let _ = append.done.send(result.clone());
     }
 }
 
+fn digest(accepted: &Accepted) -> String {
+    let text = serde_json::to_string(&accepted.request).unwrap_or_default();
+    let hash = Sha256::digest(text.as_bytes());
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// Returns the idempotency row of a team's key.
 pub fn unique_row(team: &str, key: &str) -> String {
     format!("{team}/{key}")
 }
+
+/// The writer of a VM's journals until it is started.
+pub struct Unstarted(Mutex<Option<Writer>>);
+
+impl Unstarted {
+    /// Keeps a writer.
+    pub fn new(writer: Writer) -> Self {
+        Self(Mutex::new(Some(writer)))
+    }
+
+    /// Runs the writer, if it has not been started before.
+    pub async fn run(&self) {
+        let writer = self.0.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(writer) = writer {
+            writer.run().await;
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! One entry VM.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     io,
     sync::{
         Arc,
@@ -43,38 +43,10 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    config::Config,
-    directory::{
-        self,
-        Directory, //
-    },
-    dispatch,
-    fleet::Fleet,
-    journal::{
-        Journal,
-        Title, //
-    },
-    owner::{
-        Owner,
-        Tools, //
-    },
-    renewal, router,
-    session::{
-        self,
-        Observer,
-        Record,
-        View, //
-    },
-    settings::Settings,
-    takeover,
+    config::Config, directory::Directory, fleet::Fleet, journal, membership::Held, owner::Owner,
+    router, settings::Settings,
 };
 
-/// An owner and the tasks that work for it.
-struct Held {
-    owner: Arc<Owner>,
-    _tasks: JoinSet<()>,
-}
-
 /// One entry VM.
 pub struct Node {
     /// The settings of the VM.
@@ -91,11 +63,13 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
-    session: Session,
-    platform: Platform,
-    endpoints: Client,
-    log: Logger,
-    held: RwLock<HashMap<Shard, Held>>,
+    pub(crate) session: Session,
+    pub(crate) platform: Platform,
+    pub(crate) endpoints: Client,
+    pub(crate) log: Logger,
+    pub(crate) journals: journal::Log,
+    pub(crate) writer: journal::Unstarted,
+    pub(crate) held: RwLock<BTreeMap<Shard, Held>>,
 }
 
 /// The servers of an entry VM and what keeps it going.
@@ -119,18 +93,34 @@
         platform: Platform,
         endpoints: Client,
         log: Logger,
+    ) -> Arc<Self> {
+        let session = Session(rand::random());
+        Self::with_session(session, config, timer, platform, endpoints, log)
+    }
+
+    /// Makes an entry VM with a session that the caller has drawn, so that a run can be repeated.
+    pub fn with_session(
+        session: Session,
+        config: Config,
+        timer: timer::Service,
+        platform: Platform,
+        endpoints: Client,
+        log: Logger,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
+        let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
         Arc::new(Self {
             settings: Settings::new(config.bootstrap_key.clone()),
             fleet: Fleet::new(config.racks_per_shard),
             directory: Directory::default(),
             pool: Pool::new(timer.clone()),
             gate: Gate::default(),
-            session: Session(rand::random()),
+            session,
             platform,
             endpoints,
             log,
+            journals,
+            writer: journal::Unstarted::new(writer),
             held: RwLock::default(),
             timer,
             config,
@@ -144,15 +134,8 @@
         let callers = Server::start(self.config.callers, caller_router).await?;
         let operator_router = operators::route::router(self.operator_app());
         let operators = Server::start(self.config.operators, operator_router).await?;
-        let record = Record {
-            session: self.session,
-            name: self.config.name.clone(),
-            address: peers.address,
-            data_centre: self.config.data_centre.clone(),
-            renewals: 0,
-        };
         let mut tasks = JoinSet::new();
-        tasks.spawn(Arc::clone(self).keep_session(record));
+        tasks.spawn(Arc::clone(self).keep_session(peers.address));
         Ok(Running {
             node: Arc::clone(self),
             callers,
@@ -180,110 +163,6 @@
         started && !self.gate.is_draining() && !self.directory.shards().is_empty()
     }
 
-    async fn keep_session(self: Arc<Self>, mut record: Record) {
-        let mut version = Version(0);
-        let mut observer = Observer::default();
-        loop {
-            record.renewals += 1;
-            match session::renew(&self.platform.tables, &record, version).await {
-                Ok(next) => version = next,
-                Err(error) => slog::warn!(self.log, "session not renewed"; "error" => %error),
-            }
-            if let Err(error) = self.round(&mut observer).await {
-                slog::warn!(self.log, "round failed"; "error" => %error);
-            }
-            self.timer.sleep(self.config.poll_interval).await;
-        }
-    }
-
-    /// Reads what has changed and claims the shards that fall to this VM.
-    async fn round(self: &Arc<Self>, observer: &mut Observer) -> Result<()> {
-        let tables = &self.platform.tables;
-        self.settings.refresh(tables).await?;
-        self.fleet.set((self.platform.vms)().await?);
-        let now = self.timer.now();
-        let view = observer
-            .observe(tables, now, self.config.session_lease)
-            .await?;
-        self.learn(&view);
-        for (shard, workers) in self.fleet.shards() {
-            if let Some(owner) = self.owner(&shard) {
-                owner.set_workers(workers);
-            } else if !view.is_owned(&shard) && view.preferred(&shard) == Some(self.session) {
-                let known = view.claims.get(&shard);
-                if let Some(title) = session::claim(tables, self.session, &shard, known).await? {
-                    self.hold(title, workers);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn learn(&self, view: &View) {
-        for (shard, (claim, _)) in &view.claims {
-            let owner = view
-                .live
-                .iter()
-                .find(|record| record.session == claim.session);
-            if let Some(owner) = owner {
-                let entry = directory::Entry {
-                    address: owner.address,
-                    epoch: claim.epoch,
-                };
-                self.directory.learn(shard.clone(), entry);
-            }
-            self.release_if_lost(shard, claim);
-        }
-    }
-
-    fn release_if_lost(&self, shard: &Shard, claim: &session::Claim) {
-        let mut held = self.held.write().unwrap_or_else(PoisonError::into_inner);
-        let lost = held
-            .get(shard)
-            .is_some_and(|held| held.owner.title.epoch < claim.epoch);
-        if lost {
-            slog::warn!(self.log, "shard lost"; "shard" => %shard, "epoch" => claim.epoch.0);
-            held.remove(shard);
-        }
-    }
-
-    fn hold(self: &Arc<Self>, title: Title, workers: Vec<basilbridge_common::worker::Worker>) {
-        let shard = title.shard.clone();
-        let log = self.log.new(slog::o!(
-            "shard" => shard.to_string(),
-            "epoch" => title.epoch.0,
-        ));
-        slog::info!(log, "shard claimed"; "workers" => workers.len());
-        let (journal, writer) = Journal::new(
-            self.platform.tables.clone(),
-            self.timer.clone(),
-            title.clone(),
-        );
-        let tools = Tools {
-            timer: self.timer.clone(),
-            endpoints: self.endpoints.clone(),
-            journal,
-            log,
-            task_lease: self.config.task_lease,
-        };
-        let owner = Owner::new(title, tools, workers);
-        let mut tasks = JoinSet::new();
-        tasks.spawn(writer);
-        tasks.spawn(work(
-            Arc::clone(self),
-            Arc::clone(&owner),
-            self.platform.clone(),
-        ));
-        let mut held = self.held.write().unwrap_or_else(PoisonError::into_inner);
-        held.insert(
-            shard,
-            Held {
-                owner,
-                _tasks: tasks,
-            },
-        );
-    }
-
     fn caller_app(self: &Arc<Self>) -> callers::App {
         let node = Arc::clone(self);
         let ready = Arc::clone(self);
@@ -334,7 +213,7 @@
     }
 
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
-    async fn handle_forwarded(&self, call: Call) -> Result<Status> {
+    pub async fn handle_forwarded(&self, call: Call) -> Result<Status> {
         let shard = call.verb.shard();
         match self.owner(shard) {
             Some(owner) => owner.handle(call).await,
@@ -346,14 +225,6 @@
     }
 }
 
-async fn work(node: Arc<Node>, owner: Arc<Owner>, platform: Platform) {
-    while let Err(error) = takeover::run(Arc::clone(&owner), platform.tables.clone()).await {
-        slog::warn!(owner.tools.log, "takeover failed"; "error" => %error);
-        node.timer.sleep(node.config.poll_interval).await;
-    }
-    tokio::join!(dispatch::run(Arc::clone(&owner)), renewal::run(owner));
-}
-
 impl Running {
     /// Stops taking requests, waits for those in flight and ends.
     pub async fn drain(mut self) {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -1,13 +1,18 @@
 //! The owner of one shard.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        HashMap,
+        VecDeque, //
+    },
     sync::{
         Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
     },
+    time::Duration,
 };
 
 use basilbridge_common::{
@@ -27,7 +32,6 @@
     },
     job::{
         self,
-        Output,
         Request,
         State,
         Status, //
@@ -36,7 +40,11 @@
     unit::Millis,
     worker::Worker,
 };
-use basilbridge_endpoints::Client;
+use basilbridge_endpoints::{
+    Client,
+    command::Attempt, //
+};
+use basilbridge_platform::table::Service;
 use basilbridge_scheduler::shard;
 use slog::Logger;
 use tokio::sync::{
@@ -44,14 +52,27 @@
     watch, //
 };
 
-use crate::journal::{
-    self,
-    Accepted,
-    Journal,
-    Record,
-    Title, //
+use crate::{
+    journal::{
+        Accepted,
+        Closed,
+        Journal,
+        Record,
+        Started,
+        Title, //
+    },
+    title::Check,
 };
 
+/// The longest time that a message may be under way before it arrives.
+///
+/// It counts only where a worker's leases are judged to have lapsed without a word from it. See
+/// `docs/design/clocks.md`.
+pub const MESSAGE_LIFE: Duration = Duration::from_secs(10);
+
+/// How much two clocks may drift apart over a lease, as a part of it.
+pub const DRIFT_PARTS: u32 = 100;
+
 /// What an owner works with.
 #[derive(Clone)]
 pub struct Tools {
@@ -61,10 +82,12 @@
     pub endpoints: Client,
     /// The journal of the shard.
     pub journal: Journal,
+    /// The table service, which has the last word on who owns the shard.
+    pub tables: Service,
     /// Where to log.
     pub log: Logger,
     /// How long a task goes on without word from its owner.
-    pub task_lease: std::time::Duration,
+    pub task_lease: Duration,
 }
 
 /// A job of the shard.
@@ -73,18 +96,46 @@
     pub(crate) team: Name,
     pub(crate) accepted: Millis,
     pub(crate) request: Request,
-    /// Whether each task has ended, by the number of the task.
+    /// How each task has ended, by the number of the task.
     pub(crate) ended: Vec<Option<State>>,
+    /// How many attempts were sent and are not known to have been refused.
+    pub(crate) sent: u32,
     pub(crate) status: watch::Sender<Status>,
 }
 
+/// A task that was given room on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Placed {
+    pub(crate) worker: Worker,
+    pub(crate) attempt: Attempt,
+    /// Whether its end is being written to the journal.
+    pub(crate) ending: bool,
+}
+
 /// A worker as the owner knows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Contact {
-    /// The boot that answered the claim; nothing is sent before.
+    pub(crate) worker: Worker,
+    /// The boot on which the worker takes new work; nothing is started while there is none.
     pub(crate) boot: Option<Boot>,
-    /// Ended tasks that the worker may forget.
-    pub(crate) acknowledged: Vec<id::Task>,
+    /// Whether the worker has told what it runs and refuses earlier owners.
+    pub(crate) claimed: bool,
+    /// Whether the platform lists the worker, and since when not.
+    pub(crate) unlisted: Option<Millis>,
+    /// Attempts that ended and that the worker may forget.
+    pub(crate) acknowledged: Vec<Attempt>,
+}
+
+/// How far a take-over has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Phase {
+    /// The journal is being read; nothing is known of earlier jobs.
+    #[default]
+    Replaying,
+    /// Workers are being claimed; what no worker has told of may still run on the others.
+    Inheriting,
+    /// All workers have been claimed or are gone.
+    Settled,
 }
 
 /// What changes under the lock of the shard.
@@ -92,8 +143,16 @@
 pub(crate) struct Inner {
     pub(crate) scheduler: shard::Shard,
     pub(crate) jobs: HashMap<id::Job, Job>,
-    pub(crate) placed: HashMap<id::Task, Worker>,
-    pub(crate) contacts: HashMap<Name, Contact>,
+    pub(crate) placed: BTreeMap<id::Task, Placed>,
+    pub(crate) contacts: BTreeMap<Name, Contact>,
+    pub(crate) phase: Phase,
+    /// Accepted work of earlier owners that has not ended and has not been found running.
+    pub(crate) inherited: BTreeMap<id::Task, shard::Task>,
+    /// Starts of earlier owners whose outcome is open.
+    pub(crate) started: BTreeMap<id::Task, Started>,
+    /// Jobs that have ended, the oldest first.
+    pub(crate) finished: VecDeque<(Millis, id::Job)>,
+    pub(crate) attempts: u64,
     next_job: u64,
 }
 
@@ -104,6 +163,15 @@
     pub(crate) tools: Tools,
     inner: Mutex<Inner>,
     pub(crate) wake: Notify,
+    /// Whether new work is refused because the shard is about to be handed over.
+    closing: watch::Sender<bool>,
+    /// Whether another VM owns the shard by now.
+    released: watch::Sender<bool>,
+    /// How many calls that change something are being answered.
+    in_flight: watch::Sender<usize>,
+    pub(crate) title_check: Check,
+    /// Tells the take-over which workers the platform lists.
+    pub(crate) listed: watch::Sender<u64>,
 }
 
 impl Owner {
@@ -114,6 +182,11 @@
             tools,
             inner: Mutex::default(),
             wake: Notify::new(),
+            closing: watch::Sender::new(false),
+            released: watch::Sender::new(false),
+            in_flight: watch::Sender::new(0),
+            title_check: Check::default(),
+            listed: watch::Sender::new(0),
         };
         owner.set_workers(workers);
         Arc::new(owner)
@@ -121,26 +194,50 @@
 
     /// Takes note of the workers on the platform's list.
     pub fn set_workers(&self, workers: Vec<Worker>) {
+        let now = self.tools.timer.now();
         let mut inner = self.lock();
+        for contact in inner.contacts.values_mut() {
+            contact.unlisted.get_or_insert(now);
+        }
         for worker in workers {
-            inner.contacts.entry(worker.name.clone()).or_default();
-            inner.scheduler.set_worker(worker);
+            inner.list(worker);
         }
+        drop(inner);
+        self.listed.send_modify(|changes| *changes += 1);
     }
 
     /// Returns how many tasks wait and how many run.
     pub fn load(&self) -> (usize, usize) {
         let inner = self.lock();
-        (inner.scheduler.queued(), inner.scheduler.running())
+        let queued = inner.scheduler.queued() + inner.inherited.len();
+        (queued, inner.scheduler.running())
     }
 
     /// Says whether the shard could ever run a task of this size.
     pub fn possible(&self, request: &Request) -> bool {
-        self.lock().scheduler.possible(&request.resources)
+        let inner = self.lock();
+        let mut contacts = inner.contacts.values();
+        contacts.any(|contact| request.resources.fits(&contact.worker.capacity))
+    }
+
+    /// Says whether all that earlier owners left has been found or may be started anew.
+    pub fn is_settled(&self) -> bool {
+        self.lock().phase == Phase::Settled
     }
 
     /// Handles a call.
     pub async fn handle(&self, call: Call) -> Result<Status> {
+        let mut released = self.released.subscribe();
+        let changes = matches!(call.verb, Verb::Submit(..) | Verb::Cancel(_));
+        let _in_flight = changes.then(|| InFlight::new(&self.in_flight));
+        tokio::select! {
+            biased;
+            result = self.answer(call) => result,
+            _ = released.wait_for(|released| *released) => Err(self.moved(changes)),
+        }
+    }
+
+    async fn answer(&self, call: Call) -> Result<Status> {
         match call.verb {
             Verb::Submit(_, ref request) => self.submit(&call, request).await,
             Verb::Status(ref job) => Ok(self.watch(&call.team, job)?.borrow().clone()),
@@ -149,7 +246,7 @@
                 let last = self.final_status(&mut status, call.remaining).await;
                 Ok(last.unwrap_or_else(|| status.borrow().clone()))
             }
-            Verb::Cancel(ref job) => self.cancel(&call.team, job).await,
+            Verb::Cancel(ref job) => self.cancel(&call, job).await,
         }
     }
 
@@ -161,47 +258,98 @@
             let message = "no worker is large enough for a task of this size";
             return Err(Error::new(Kind::Impossible, message));
         }
-        let accepted = Accepted {
-            job: self.next_job(),
-            team: call.team.clone(),
-            at: self.tools.timer.now(),
-            request: request.clone(),
-        };
+        if *self.closing.borrow() {
+            return Err(Error::new(Kind::NotOwner, "the shard is being handed over"));
+        }
+        let accepted = self.accepted(call, request);
         let id = accepted.job.clone();
         if is_durable(request) {
-            let unique = request
-                .idempotency_key
-                .as_ref()
-                .map(|key| journal::unique_row(&call.team, key));
-            let record = Record::Accepted(Box::new(accepted.clone()));
-            self.tools.journal.append_unique(record, unique).await?;
+            let kept = self.tools.journal.accept(accepted.clone());
+            let kept = self.tools.timer.timeout(call.remaining, kept).await;
+            let in_doubt = || Error::new(Kind::WriteUnknown, "the journal is slow");
+            if let Some(held) = kept.ok_or_else(in_doubt)?? {
+                return self.repeat(call, request, &held).await;
+            }
         }
-        let deadline = deadline(request, &accepted, call);
-        let mut status = self.admit(accepted, deadline);
+        let mut status = self.admit(accepted);
         self.wake.notify_one();
         if request.kind != job::Kind::Interactive {
             return Ok(status.borrow().clone());
         }
+        match self.final_status(&mut status, call.remaining).await {
+            Some(status) => outcome(status),
+            None => Err(self.give_up(&id).await),
+        }
+    }
+
+    /// Answers a repeated submission with the first one's job.
+    async fn repeat(&self, call: &Call, request: &Request, held: &id::Job) -> Result<Status> {
+        if held.shard != self.title.shard {
+            // The router asks the job's own shard.
+            return Ok(queued(held.clone(), call.team.clone()));
+        }
+        let mut status = self.watch(&call.team, held)?;
+        if request.kind != job::Kind::Interactive {
+            return Ok(status.borrow().clone());
+        }
         let last = self.final_status(&mut status, call.remaining).await;
-        last.ok_or_else(|| self.give_up(&id))
-            .and_then(|status| match status.error.clone() {
-                Some(error) => Err(error),
-                None => Ok(status),
-            })
+        let late = || Error::new(Kind::OutcomeUnknown, "the first submission has not ended");
+        outcome(last.ok_or_else(late)?)
     }
 
     /// Ends the wait of an interactive caller, and says whether the work ran.
-    fn give_up(&self, id: &id::Job) -> Error {
-        let mut inner = self.lock();
-        let started = inner.placed.keys().any(|task| task.job == *id);
-        if started {
-            return Error::new(Kind::OutcomeUnknown, "the work has started, not ended");
-        }
+    async fn give_up(&self, id: &id::Job) -> Error {
         let expired = Error::new(Kind::Expired, "no room came free before the deadline");
-        inner.finish_job(id, State::Failed, Some(expired.clone()));
+        let unknown = Error::new(Kind::OutcomeUnknown, "the work has started, not ended");
+        let durable = {
+            let mut inner = self.lock();
+            let Some(job) = inner.jobs.get(id) else {
+                return unknown;
+            };
+            let durable = is_durable(&job.request);
+            if job.sent > 0 {
+                return unknown;
+            }
+            let error = Some(expired.clone());
+            inner.finish_job(id, State::Failed, error, self.tools.timer.now());
+            durable
+        };
+        if durable && self.close(id, State::Failed, Some(&expired)).await.is_err() {
+            // A later owner may find the job accepted and run it.
+            return unknown;
+        }
         expired
     }
 
+    /// Makes it durable that a job changes no more.
+    pub(crate) async fn close(
+        &self,
+        id: &id::Job,
+        state: State,
+        error: Option<&Error>,
+    ) -> Result<()> {
+        let closed = Closed {
+            job: id.clone(),
+            state,
+            error: error.cloned(),
+            at: self.tools.timer.now(),
+        };
+        self.tools.journal.append(Record::Closed(closed)).await
+    }
+
+    fn accepted(&self, call: &Call, request: &Request) -> Accepted {
+        let at = self.tools.timer.now();
+        let stated = request.deadline.map(|wait| at.after(wait));
+        let patience = (request.kind == job::Kind::Interactive).then(|| at.after(call.remaining));
+        Accepted {
+            job: self.next_job(),
+            team: call.team.clone(),
+            at,
+            deadline: stated.into_iter().chain(patience).min(),
+            request: request.clone(),
+        }
+    }
+
     fn next_job(&self) -> id::Job {
         let mut inner = self.lock();
         inner.next_job += 1;
@@ -213,180 +361,138 @@
     }
 
     /// Queues the tasks of a job that was accepted.
-    pub(crate) fn admit(
-        &self,
-        accepted: Accepted,
-        deadline: Option<Millis>,
-    ) -> watch::Receiver<Status> {
+    fn admit(&self, accepted: Accepted) -> watch::Receiver<Status> {
         let mut inner = self.lock();
-        let (status, receiver) = watch::channel(Status {
-            id: accepted.job.clone(),
-            team: accepted.team.clone(),
-            state: State::Queued,
-            outputs: Vec::new(),
-            error: None,
-        });
-        for index in 0..accepted.request.count {
-            let task = task(&accepted, index, deadline);
+        for task in tasks(&accepted) {
             inner.scheduler.submit(task);
         }
-        let job = Job {
-            team: accepted.team,
-            accepted: accepted.at,
-            ended: vec![None; accepted.request.count as usize],
-            request: accepted.request,
-            status,
-        };
-        inner.jobs.insert(accepted.job, job);
-        receiver
+        inner.add_job(accepted)
     }
 
     fn watch(&self, team: &Name, id: &id::Job) -> Result<watch::Receiver<Status>> {
         let inner = self.lock();
-        let job = inner
-            .jobs
-            .get(id)
-            .ok_or_else(|| Error::new(Kind::NotFound, format!("there is no job {id}")))?;
+        let Some(job) = inner.jobs.get(id) else {
+            return Err(self.missing(&inner, id));
+        };
         if job.team != *team {
             return Err(Error::new(Kind::Forbidden, "the job is another team's"));
         }
         Ok(job.status.subscribe())
     }
 
+    fn missing(&self, inner: &Inner, id: &id::Job) -> Error {
+        if inner.phase == Phase::Replaying && id.epoch < self.title.epoch {
+            return Error::new(Kind::Unreachable, "the shard is being taken over");
+        }
+        Error::new(Kind::NotFound, format!("there is no job {id}"))
+    }
+
     async fn final_status(
         &self,
         status: &mut watch::Receiver<Status>,
-        limit: std::time::Duration,
+        limit: Duration,
     ) -> Option<Status> {
         let wait = status.wait_for(|status| status.state.is_final());
         let last = self.tools.timer.timeout(limit, wait).await?;
         last.ok().map(|status| status.clone())
     }
 
-    async fn cancel(&self, team: &Name, id: &id::Job) -> Result<Status> {
-        let status = self.watch(team, id)?;
+    async fn cancel(&self, call: &Call, id: &id::Job) -> Result<Status> {
+        let status = self.watch(&call.team, id)?;
         if status.borrow().state.is_final() {
             return Ok(status.borrow().clone());
         }
-        self.tools
-            .journal
-            .append(Record::Cancelled(id.clone()))
-            .await?;
-        let stops = self.lock().cancel(id);
-        for (task, worker) in stops {
-            self.stop(&task, &worker).await;
+        let kept = self.close(id, State::Cancelled, None);
+        let kept = self.tools.timer.timeout(call.remaining, kept).await;
+        let in_doubt = || Error::new(Kind::WriteUnknown, "the journal is slow");
+        kept.ok_or_else(in_doubt)??;
+        let now = self.tools.timer.now();
+        let stops = self.lock().cancel(id, now);
+        for placed in stops {
+            self.stop(&placed.attempt, &placed.worker).await;
         }
         self.wake.notify_one();
         let last = status.borrow().clone();
         Ok(last)
     }
 
-    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Refuses new work from now on and waits at most `limit` until no caller is being answered.
+    pub async fn drain(&self, limit: Duration) {
+        self.closing.send_replace(true);
+        let mut in_flight = self.in_flight.subscribe();
+        let idle = in_flight.wait_for(|calls| *calls == 0);
+        let _ = self.tools.timer.timeout(limit, idle).await;
     }
-}
 
-impl Inner {
-    /// Cancels a job and returns its tasks that run, which are to be stopped.
-    pub(crate) fn cancel(&mut self, id: &id::Job) -> Vec<(id::Task, Worker)> {
-        let stops: Vec<_> = self
-            .placed
-            .iter()
-            .filter(|(task, _)| task.job == *id)
-            .map(|(task, worker)| (task.clone(), worker.clone()))
-            .collect();
-        self.finish_job(id, State::Cancelled, None);
-        stops
+    /// Takes new work again, because the shard was not handed over.
+    pub fn reopen(&self) {
+        self.closing.send_replace(false);
     }
 
-    /// Ends a job; its tasks that wait are forgotten, those that run keep their room.
-    pub(crate) fn finish_job(&mut self, id: &id::Job, state: State, error: Option<Error>) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let count = job.ended.len() as u32;
-        job.status.send_modify(|status| {
-            if !status.state.is_final() {
-                status.state = state;
-                status.error = error;
-            }
-        });
-        for index in 0..count {
-            let task = id::Task {
-                job: id.clone(),
-                index,
-            };
-            if !self.placed.contains_key(&task) {
-                self.scheduler.remove(&task);
-            }
-        }
+    /// Tells all callers that wait here to ask the next owner.
+    pub fn release(&self) {
+        self.closing.send_replace(true);
+        self.released.send_replace(true);
     }
 
-    /// Takes note of the end of a task.
-    pub(crate) fn end_task(&mut self, task: &id::Task, state: State, output: String) {
-        self.placed.remove(task);
-        self.scheduler.remove(task);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(ended) = job.ended.get_mut(task.index as usize) else {
-            return;
-        };
-        if ended.is_some() {
-            return;
-        }
-        *ended = Some(state);
-        let all = job.ended.iter().all(Option::is_some);
-        let worst = job.ended.iter().flatten().copied().max();
-        job.status.send_modify(|status| {
-            status.outputs.push(Output {
-                index: task.index,
-                text: output,
-            });
-            if all && !status.state.is_final() {
-                let state = worst.unwrap_or(State::Succeeded);
-                status.state = state;
-                status.error = error_of(state);
-            }
-        });
+    /// Says whether the shard is about to be handed over.
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
     }
 
-    /// Takes note that a task runs.
-    pub(crate) fn mark_running(&mut self, task: &id::Task) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        job.status.send_modify(|status| {
-            if status.state == State::Queued {
-                status.state = State::Running;
-            }
-        });
+    /// Says whether another VM owns the shard by now.
+    pub(crate) fn is_released(&self) -> bool {
+        *self.released.borrow()
     }
 
-    /// Puts a task that does not run back into the queue, if its job still wants it.
-    pub(crate) fn requeue(&mut self, task: &id::Task) {
-        self.placed.remove(task);
-        let Some(removed) = self.scheduler.remove(task) else {
-            return;
+    /// Whoever only asks may ask the next owner; other work may have run here.
+    fn moved(&self, changes: bool) -> Error {
+        let message = format!("shard {} has moved to another VM", self.title.shard);
+        let kind = if changes {
+            Kind::OutcomeUnknown
+        } else {
+            Kind::NotOwner
         };
-        let wanted = self
-            .jobs
-            .get(&task.job)
-            .is_some_and(|job| !job.status.borrow().state.is_final());
-        if wanted {
-            self.scheduler.submit(removed);
-        }
+        Error::new(kind, message)
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a call while it is being answered.
+struct InFlight<'a>(&'a watch::Sender<usize>);
+
+impl<'a> InFlight<'a> {
+    fn new(calls: &'a watch::Sender<usize>) -> Self {
+        calls.send_modify(|calls| *calls += 1);
+        Self(calls)
     }
 }
 
-fn error_of(state: State) -> Option<Error> {
-    match state {
-        State::Failed => Some(Error::new(Kind::TaskFailed, "the task failed")),
-        State::Unknown => Some(Error::new(
-            Kind::OutcomeUnknown,
-            "the task must not be repeated, and whether it ended is not known",
-        )),
-        _ => None,
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|calls| *calls -= 1);
+    }
+}
+
+/// Answers an interactive caller.
+fn outcome(status: Status) -> Result<Status> {
+    match status.error.clone() {
+        Some(error) => Err(error),
+        None => Ok(status),
+    }
+}
+
+/// Returns the status of a job that has just been accepted.
+pub(crate) fn queued(id: id::Job, team: Name) -> Status {
+    Status {
+        id,
+        team,
+        state: State::Queued,
+        outputs: Vec::new(),
+        error: None,
     }
 }
 
@@ -397,17 +503,9 @@
         || request.idempotency_key.is_some()
 }
 
-fn deadline(request: &Request, accepted: &Accepted, call: &Call) -> Option<Millis> {
-    let stated = request.deadline.map(|wait| accepted.at.after(wait));
-    if request.kind != job::Kind::Interactive {
-        return stated;
-    }
-    let patience = accepted.at.after(call.remaining);
-    Some(stated.map_or(patience, |stated| stated.min(patience)))
-}
-
-fn task(accepted: &Accepted, index: u32, deadline: Option<Millis>) -> shard::Task {
-    shard::Task {
+/// Returns the tasks of a job.
+pub(crate) fn tasks(accepted: &Accepted) -> impl Iterator<Item = shard::Task> {
+    (0..accepted.request.count).map(|index| shard::Task {
         id: id::Task {
             job: accepted.job.clone(),
             index,
@@ -418,6 +516,6 @@
         repeatable: accepted.request.repeatable,
         family: accepted.request.family.clone(),
         accepted: accepted.at,
-        deadline,
-    }
+        deadline: accepted.deadline,
+    })
 }
--- /dev/null
+++ b/src/record.rs
@@ -0,0 +1,84 @@
+//! What the journal keeps.
+
+use basilbridge_common::{
+    error::Error,
+    id::{
+        Boot,
+        Job,
+        Name,
+        Task, //
+    },
+    job::{
+        Request,
+        State, //
+    },
+    unit::Millis,
+};
+use basilbridge_derives::data;
+
+/// What is kept about the jobs of a shard.
+#[data]
+pub enum Record {
+    /// A job was accepted.
+    Accepted(Box<Accepted>),
+    /// A task that must not be repeated is about to be sent to a worker.
+    Started(Started),
+    /// A task has ended.
+    Ended(Ended),
+    /// A job changes no more, whatever its tasks do.
+    Closed(Closed),
+}
+
+/// A job that was accepted.
+#[data]
+pub struct Accepted {
+    /// The job.
+    pub job: Job,
+    /// The team that submitted it.
+    pub team: Name,
+    /// When it was accepted.
+    pub at: Millis,
+    /// When the work has no more use.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline: Option<Millis>,
+    /// What was asked for.
+    pub request: Request,
+}
+
+/// A task that is about to be sent to a worker.
+#[data]
+pub struct Started {
+    /// The task.
+    pub task: Task,
+    /// The worker.
+    pub worker: Name,
+    /// The boot of the worker.
+    pub boot: Boot,
+}
+
+/// A task that has ended.
+#[data]
+pub struct Ended {
+    /// The task.
+    pub task: Task,
+    /// How it ended.
+    pub state: State,
+    /// What the program returned.
+    pub output: String,
+    /// When it ended.
+    pub at: Millis,
+}
+
+/// A job that was cancelled or given up.
+#[data]
+pub struct Closed {
+    /// The job.
+    pub job: Job,
+    /// How it ended.
+    pub state: State,
+    /// Why it failed, where it did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub error: Option<Error>,
+    /// When it ended.
+    pub at: Millis,
+}
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -1,13 +1,24 @@
-//! Keeps the leases of a shard's tasks and hears what has ended.
+//! Claims the workers of a shard, keeps the leases of their tasks and hears what has ended.
+//!
+//! Each worker is followed on its own, so that a silent one holds up no other. See
+//! `docs/design/claim-barrier.md`.
 
-use std::sync::Arc;
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
+};
 
 use basilbridge_common::{
-    id,
+    id::{
+        Boot,
+        Name, //
+    },
     worker::Worker, //
 };
 use basilbridge_endpoints::command::{
     Answer,
+    Attempt,
     Command,
     Lease,
     Phase,
@@ -16,100 +27,272 @@
     Verb, //
 };
 use futures_util::future;
+use tokio::task::JoinSet;
 
-use crate::owner::{
-    Contact,
-    Owner, //
+use crate::{
+    owner::{
+        DRIFT_PARTS,
+        MESSAGE_LIFE,
+        Owner, //
+    },
+    takeover, title,
 };
 
 /// A lease is renewed so many times before it would lapse.
 const RENEWALS_PER_LEASE: u32 = 10;
 
-/// Renews until the owner is dropped.
+/// A worker that is silent for this part of a lease has its leases extended no more.
+const SILENT_PARTS: u32 = 3;
+
+/// How long to wait before a worker that did not answer is claimed again.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Follows all workers until the owner is dropped.
 pub async fn run(owner: Arc<Owner>) {
+    let mut listed = owner.listed.subscribe();
+    let mut followed = JoinSet::new();
+    let mut names = BTreeSet::new();
+    let interval = owner.tools.task_lease / RENEWALS_PER_LEASE;
     loop {
-        let workers: Vec<_> = owner.lock().scheduler.workers().cloned().collect();
-        future::join_all(workers.iter().map(|worker| renew(&owner, worker))).await;
+        let known: Vec<_> = owner.lock().contacts.keys().cloned().collect();
+        for name in known {
+            if names.insert(name.clone()) {
+                followed.spawn(follow(Arc::clone(&owner), name));
+            }
+        }
+        tokio::select! {
+            biased;
+            Some(Ok(name)) = followed.join_next() => {
+                names.remove(&name);
+            }
+            _ = listed.changed() => {}
+            () = owner.tools.timer.sleep(interval) => {}
+        }
+        let now = owner.tools.timer.now();
+        owner.lock().forget(now);
         owner.wake.notify_one();
-        let interval = owner.tools.task_lease / RENEWALS_PER_LEASE;
+    }
+}
+
+/// Follows one worker until it is gone, and returns its name.
+async fn follow(owner: Arc<Owner>, name: Name) -> Name {
+    while let Some(worker) = contact(&owner, &name) {
+        if claim(&owner, &worker).await {
+            keep(&owner, &worker).await;
+        } else {
+            slog::warn!(owner.tools.log, "worker gone"; "worker" => &*name);
+            forget(&owner, &name);
+        }
+    }
+    name
+}
+
+fn contact(owner: &Owner, name: &Name) -> Option<Worker> {
+    let inner = owner.lock();
+    inner
+        .contacts
+        .get(name)
+        .map(|contact| contact.worker.clone())
+}
+
+/// Claims a worker and adopts what it runs; returns false if the worker is gone.
+async fn claim(owner: &Arc<Owner>, worker: &Worker) -> bool {
+    loop {
+        if is_gone(owner, &worker.name) {
+            return false;
+        }
+        let command = Command {
+            epoch: owner.title.epoch,
+            verb: Verb::Claim(Lease {
+                lease: owner.tools.task_lease,
+            }),
+        };
+        if let Ok(answer) = owner.tools.endpoints.send(worker, command).await {
+            let boot = answer.boot;
+            let foreign = takeover::take_in(owner, worker, answer);
+            if stop_all(owner, worker, &foreign).await && title::is_current(owner).await {
+                open(owner, worker, boot);
+                return true;
+            }
+        }
+        owner.tools.timer.sleep(CLAIM_INTERVAL).await;
+    }
+}
+
+/// Says whether a worker has been off the platform's list for so long that nothing runs there.
+fn is_gone(owner: &Owner, name: &Name) -> bool {
+    let now = owner.tools.timer.now();
+    let inner = owner.lock();
+    let unlisted = inner
+        .contacts
+        .get(name)
+        .and_then(|contact| contact.unlisted);
+    unlisted.is_some_and(|since| now.since(since) >= lapse(owner))
+}
+
+/// Returns how long after its last extension a lease has lapsed for certain.
+fn lapse(owner: &Owner) -> Duration {
+    let lease = owner.tools.task_lease;
+    lease + lease / DRIFT_PARTS + MESSAGE_LIFE
+}
+
+/// Stops what nobody waits for any more; its room counts as taken until then.
+async fn stop_all(owner: &Owner, worker: &Worker, foreign: &[Attempt]) -> bool {
+    let stops = foreign.iter().map(|attempt| {
+        let command = Command {
+            epoch: owner.title.epoch,
+            verb: Verb::Stop(attempt.clone()),
+        };
+        owner.tools.endpoints.send(worker, command)
+    });
+    let answers = future::join_all(stops).await;
+    answers.iter().all(Result::is_ok)
+}
+
+/// Lets a worker that was claimed take new tasks.
+fn open(owner: &Owner, worker: &Worker, boot: Boot) {
+    let mut inner = owner.lock();
+    if let Some(contact) = inner.contacts.get_mut(&worker.name) {
+        contact.boot = Some(boot);
+        contact.claimed = true;
+        let worker = contact.worker.clone();
+        inner.scheduler.set_worker(worker);
+    }
+    inner.settle_inheritance();
+    drop(inner);
+    owner.wake.notify_one();
+}
+
+/// Lets a worker take no new tasks until it answers again.
+fn close(owner: &Owner, worker: &Worker) {
+    let mut inner = owner.lock();
+    if let Some(contact) = inner.contacts.get_mut(&worker.name) {
+        contact.boot = None;
+    }
+    inner.scheduler.set_worker(Worker {
+        leaving: true,
+        ..worker.clone()
+    });
+}
+
+fn forget(owner: &Arc<Owner>, name: &Name) {
+    let mut inner = owner.lock();
+    inner.contacts.remove(name);
+    inner.scheduler.remove_worker(name);
+    let lost: Vec<_> = inner
+        .started
+        .values()
+        .filter(|started| started.worker == *name)
+        .map(|started| started.task.clone())
+        .collect();
+    for task in lost {
+        inner.inherited.remove(&task);
+        tokio::spawn(takeover::end_unknown(Arc::clone(owner), task));
+    }
+    inner.settle_inheritance();
+    drop(inner);
+    owner.wake.notify_one();
+}
+
+/// Renews until the worker has booted anew or its leases have lapsed.
+async fn keep(owner: &Arc<Owner>, worker: &Worker) {
+    let interval = owner.tools.task_lease / RENEWALS_PER_LEASE;
+    let mut heard = owner.tools.timer.now();
+    let mut extended = heard;
+    let mut open_on = contact_boot(owner, worker);
+    loop {
         owner.tools.timer.sleep(interval).await;
+        let now = owner.tools.timer.now();
+        let extend = now.since(heard) < owner.tools.task_lease / SILENT_PARTS;
+        if extend {
+            extended = now;
+        }
+        match renew(owner, worker, extend).await {
+            Some(answer) if open_on.is_some_and(|boot| boot != answer.boot) => {
+                break;
+            }
+            Some(answer) => {
+                heard = now;
+                if contact_boot(owner, worker).is_none() {
+                    open(owner, worker, answer.boot);
+                }
+                open_on = Some(answer.boot);
+                hear_all(owner, worker, answer);
+            }
+            None => {
+                close(owner, worker);
+                if owner.tools.timer.now().since(extended) >= lapse(owner) {
+                    break;
+                }
+            }
+        }
     }
+    close(owner, worker);
+    lose_all(owner, &worker.name);
 }
 
-async fn renew(owner: &Arc<Owner>, worker: &Worker) {
-    let (boot, acknowledged) = match owner.lock().contacts.get(&worker.name) {
-        Some(contact) => (contact.boot, contact.acknowledged.clone()),
-        None => return,
-    };
-    let lease = Lease {
-        lease: owner.tools.task_lease,
+fn contact_boot(owner: &Owner, worker: &Worker) -> Option<Boot> {
+    owner.lock().contacts.get(&worker.name)?.boot
+}
+
+/// Asks a worker what has ended; a lease is only ever made longer by this.
+async fn renew(owner: &Owner, worker: &Worker, extend: bool) -> Option<Answer> {
+    let acknowledged = {
+        let inner = owner.lock();
+        inner.contacts.get(&worker.name)?.acknowledged.clone()
     };
-    let verb = match boot {
-        None => Verb::Claim(lease),
-        Some(_) => Verb::Renew(Renew {
-            lease,
-            acknowledged: acknowledged.clone(),
-        }),
+    let lease = if extend {
+        owner.tools.task_lease
+    } else {
+        Duration::ZERO
     };
     let command = Command {
         epoch: owner.title.epoch,
-        verb,
-    };
-    let Ok(answer) = owner.tools.endpoints.send(worker, command).await else {
-        return;
+        verb: Verb::Renew(Renew {
+            lease: Lease { lease },
+            acknowledged: acknowledged.clone(),
+        }),
     };
-    let gone = take_note(owner, worker, &answer, &acknowledged);
-    for task in gone {
-        owner.lost(&task, false);
-    }
+    let answer = owner.tools.endpoints.send(worker, command).await.ok()?;
+    let mut inner = owner.lock();
+    let contact = inner.contacts.get_mut(&worker.name)?;
+    contact
+        .acknowledged
+        .retain(|attempt| !acknowledged.contains(attempt));
+    Some(answer)
+}
+
+fn hear_all(owner: &Arc<Owner>, worker: &Worker, answer: Answer) {
     for report in answer.tasks {
-        hear(owner, worker, report).await;
+        hear(owner, worker, report);
     }
 }
 
-/// Takes note of the worker's boot and returns the tasks that a new boot has lost.
-fn take_note(
-    owner: &Owner,
-    worker: &Worker,
-    answer: &Answer,
-    acknowledged: &[id::Task],
-) -> Vec<id::Task> {
+fn hear(owner: &Arc<Owner>, worker: &Worker, report: Report) {
+    let attempt = report.attempt();
     let mut inner = owner.lock();
-    let contact = inner.contacts.entry(worker.name.clone()).or_default();
-    let before = contact.boot.replace(answer.boot);
-    contact
-        .acknowledged
-        .retain(|task| !acknowledged.contains(task));
-    if before.is_none_or(|before| before == answer.boot) {
-        return Vec::new();
-    }
-    *contact = Contact {
-        boot: Some(answer.boot),
-        acknowledged: Vec::new(),
-    };
-    let lost = inner
-        .placed
-        .iter()
-        .filter(|(_, placed)| placed.name == worker.name);
-    lost.map(|(task, _)| task.clone()).collect()
-}
-
-async fn hear(owner: &Arc<Owner>, worker: &Worker, report: Report) {
-    let placed_here = owner
-        .lock()
-        .placed
-        .get(&report.task)
-        .is_some_and(|placed| placed.name == worker.name);
-    if placed_here {
-        owner.report(report).await;
-        return;
-    }
-    if report.phase == Phase::Running {
-        // Nobody waits for it any more: its job ended, or its caller was lost with an owner.
-        owner.stop(&report.task, worker).await;
-    } else if let Some(contact) = owner.lock().contacts.get_mut(&worker.name)
-        && !contact.acknowledged.contains(&report.task)
+    if inner.is_placed(&attempt) {
+        let (owner, worker) = (Arc::clone(owner), worker.clone());
+        // A slow journal must not hold up the renewal of leases.
+        tokio::spawn(async move { owner.report(&worker, report).await });
+    } else if report.phase == Phase::Running {
+        // Nobody waits for it any more.
+        let (owner, worker) = (Arc::clone(owner), worker.clone());
+        tokio::spawn(async move { owner.stop(&attempt, &worker).await });
+    } else if report.phase != Phase::NeverStarted
+        && let Some(contact) = inner.contacts.get_mut(&worker.name)
+        && !contact.acknowledged.contains(&attempt)
     {
-        contact.acknowledged.push(report.task);
+        contact.acknowledged.push(attempt);
+    }
+}
+
+/// Takes note that nothing runs on a worker any more.
+fn lose_all(owner: &Arc<Owner>, name: &Name) {
+    let inner = owner.lock();
+    let lost = inner.placed.values();
+    for placed in lost.filter(|placed| placed.worker.name == *name) {
+        let (owner, attempt) = (Arc::clone(owner), placed.attempt.clone());
+        tokio::spawn(async move { owner.lost(&attempt).await });
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,8 +9,8 @@
         Verb, //
     },
     error::{
+        self,
         Error,
-        Kind,
         Ran,
         Result, //
     },
@@ -19,6 +19,7 @@
         Shard, //
     },
     job::{
+        Kind,
         Request,
         Status, //
     },
@@ -47,7 +48,26 @@
         remaining: request.remaining.unwrap_or(node.config.default_wait),
         verb,
     };
-    forward(node, call).await
+    let status = forward(node, call.clone()).await?;
+    match first_of(&call, &status) {
+        Some(verb) => forward(node, Call { verb, ..call }).await,
+        None => Ok(status),
+    }
+}
+
+/// Returns how to ask for a job of another shard that a repeated submission has found.
+fn first_of(call: &Call, status: &Status) -> Option<Verb> {
+    let Verb::Submit(shard, request) = &call.verb else {
+        return None;
+    };
+    if status.id.shard == *shard {
+        return None;
+    }
+    let job = status.id.clone();
+    Some(match request.kind {
+        Kind::Interactive => Verb::Wait(job),
+        _ => Verb::Status(job),
+    })
 }
 
 fn authorize(node: &Node, request: &callers::Request) -> Result<Name> {
@@ -76,11 +96,11 @@
         return Ok(shard.clone());
     }
     if shards.is_empty() {
-        let error = Error::new(Kind::Unreachable, "no workers are known yet");
+        let error = Error::new(error::Kind::Unreachable, "no workers are known yet");
         return Err(error.retry_after(node.config.poll_interval));
     }
     let message = "no worker of the fleet is large enough for a task of this size";
-    Err(Error::new(Kind::Impossible, message))
+    Err(Error::new(error::Kind::Impossible, message))
 }
 
 /// Hands a call to the owner of its shard, and looks the owner up again if it has moved.
@@ -104,7 +124,8 @@
 }
 
 fn may_have_moved(error: &Error) -> bool {
-    matches!(error.kind, Kind::NotOwner | Kind::Unreachable) && error.kind.answer().ran == Ran::No
+    matches!(error.kind, error::Kind::NotOwner | error::Kind::Unreachable)
+        && error.kind.answer().ran == Ran::No
 }
 
 async fn send(node: &Node, call: Call) -> Result<Status> {
@@ -112,9 +133,11 @@
         return owner.handle(call).await;
     }
     let shard = call.verb.shard();
-    let entry = node
-        .directory
-        .find(shard)
-        .ok_or_else(|| Error::new(Kind::Unreachable, format!("shard {shard} has no owner yet")))?;
+    let entry = node.directory.find(shard).ok_or_else(|| {
+        Error::new(
+            error::Kind::Unreachable,
+            format!("shard {shard} has no owner yet"),
+        )
+    })?;
     node.pool.forward(entry.address, &call).await
 }
--- a/src/session.rs
+++ b/src/session.rs
@@ -6,7 +6,9 @@
 
 use std::{
     collections::{
+        BTreeMap,
         HashMap,
+        HashSet,
         hash_map::DefaultHasher, //
     },
     hash::{
@@ -46,6 +48,11 @@
     Serialize,
     de::DeserializeOwned, //
 };
+use serde_with::DurationMilliSeconds;
+use sha2::{
+    Digest,
+    Sha256, //
+};
 
 use crate::journal::Title;
 
@@ -55,6 +62,12 @@
 /// The table of shards.
 pub const SHARDS_TABLE: &str = "shards";
 
+/// How many leases the row of a dead session stays.
+const LEASES_UNTIL_REMOVAL: u32 = 20;
+
+/// The most shards that one transaction claims or gives up.
+pub const SHARDS_PER_WRITE: usize = 64;
+
 const ROWS_PER_READ: u32 = 1000;
 
 /// A session's row.
@@ -70,13 +83,17 @@
     pub data_centre: Name,
     /// Grows with each renewal.
     pub renewals: u64,
+    /// How long the session lives without being renewed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "lease_ms")]
+    pub lease: Duration,
 }
 
 /// A shard's row.
 #[data]
 pub struct Claim {
-    /// The session of the owner.
-    pub session: Session,
+    /// The session of the owner, or nothing after a hand-over.
+    pub session: Option<Session>,
     /// The epoch of the owner.
     pub epoch: Epoch,
 }
@@ -87,43 +104,87 @@
     /// The sessions that live, by this VM's judgement.
     pub live: Vec<Record>,
     /// The shards that were ever claimed, with the versions of their rows.
-    pub claims: HashMap<Shard, (Claim, Version)>,
+    pub claims: BTreeMap<Shard, (Claim, Version)>,
+    /// The sessions that have lived for at least a lease.
+    pub steady: HashSet<Session>,
+    /// The sessions that ended so long ago that their rows may go.
+    pub dead: Vec<(Record, Version)>,
+}
+
+/// When a session's row was last seen to change.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    version: Version,
+    first: Millis,
+    changed: Millis,
 }
 
 /// Judges which sessions live.
 #[derive(Debug, Default)]
 pub struct Observer {
-    seen: HashMap<Session, (Version, Millis)>,
+    seen: HashMap<Session, Seen>,
+    last: Millis,
 }
 
 impl Observer {
     /// Reads all sessions and shards.
+    ///
+    /// `longest_gap` is the longest time between two readings that still lets the first be
+    /// counted: after a longer one, such as an outage of the store, all sessions are given their
+    /// whole lease again, because none of them could renew.
     pub async fn observe(
         &mut self,
         tables: &Service,
         now: Millis,
-        lease: Duration,
+        longest_gap: Duration,
     ) -> Result<View> {
         let sessions: Vec<(Record, Version)> = read(tables, SESSIONS_TABLE).await?;
-        let mut live = Vec::new();
-        for (record, version) in sessions {
-            let entry = self.seen.entry(record.session).or_insert((version, now));
-            if entry.0 != version {
-                *entry = (version, now);
+        if now.since(self.last) > longest_gap {
+            for seen in self.seen.values_mut() {
+                seen.changed = now;
             }
-            if now.since(entry.1) < lease {
-                live.push(record);
+        }
+        self.last = now;
+        let mut view = View::default();
+        let mut seen = HashMap::new();
+        for (record, version) in sessions {
+            let entry = self.look(&record, version, now);
+            seen.insert(record.session, entry);
+            let silence = now.since(entry.changed);
+            if silence < record.lease {
+                if now.since(entry.first) >= record.lease {
+                    view.steady.insert(record.session);
+                }
+                view.live.push(record);
+            } else if silence >= record.lease * LEASES_UNTIL_REMOVAL {
+                view.dead.push((record, version));
             }
         }
-        let mut claims = HashMap::new();
+        self.seen = seen;
         for row in scan(tables, SHARDS_TABLE).await? {
             let shard = row
                 .key
                 .parse()
                 .map_err(|error| Error::new(Kind::Internal, format!("{error}")))?;
-            claims.insert(shard, (parse(&row)?, row.version));
+            view.claims.insert(shard, (parse(&row)?, row.version));
+        }
+        Ok(view)
+    }
+
+    fn look(&self, record: &Record, version: Version, now: Millis) -> Seen {
+        match self.seen.get(&record.session) {
+            Some(seen) if seen.version == version => *seen,
+            Some(seen) => Seen {
+                version,
+                changed: now,
+                ..*seen
+            },
+            None => Seen {
+                version,
+                first: now,
+                changed: now,
+            },
         }
-        Ok(View { live, claims })
     }
 }
 
@@ -145,7 +206,7 @@
         self.claims.get(shard).is_some_and(|(claim, _)| {
             self.live
                 .iter()
-                .any(|record| record.session == claim.session)
+                .any(|record| Some(record.session) == claim.session)
         })
     }
 }
@@ -178,49 +239,125 @@
     }
 }
 
-/// Claims a shard whose row has not changed since it was read.
-pub async fn claim(
-    tables: &Service,
-    session: Session,
-    shard: &Shard,
-    known: Option<&(Claim, Version)>,
-) -> Result<Option<Title>> {
-    let (epoch, version) = known.map_or((Epoch(0), Version(0)), |(claim, version)| {
-        (claim.epoch, *version)
-    });
-    let epoch = epoch.next();
+/// Deletes the row of a session that ended long ago.
+pub async fn remove(tables: &Service, record: &Record, version: Version) -> Result<()> {
+    let key = format!("{:020}", record.session.0);
     let transaction = Transaction {
-        write_id: format!("claim/{shard}/{}/{}", session.0, epoch.0),
+        write_id: format!("session/{key}/removed/{}", version.0),
         checks: vec![Check {
-            table: SHARDS_TABLE.into(),
-            key: shard.to_string(),
+            table: SESSIONS_TABLE.into(),
+            key: key.clone(),
             version,
         }],
         puts: vec![Put {
-            table: SHARDS_TABLE.into(),
-            key: shard.to_string(),
-            value: Some(write(&Claim { session, epoch })?),
+            table: SESSIONS_TABLE.into(),
+            key,
+            value: None,
         }],
     };
-    match tables.transact(transaction).await? {
-        Outcome::Committed(version) => Ok(Some(Title {
+    tables.transact(transaction).await.map(|_| ())
+}
+
+/// Claims shards whose rows have not changed since they were read, all or none.
+pub async fn claim(
+    tables: &Service,
+    session: Session,
+    shards: &[(Shard, Option<(Claim, Version)>)],
+) -> Result<Vec<Title>> {
+    let mut titles: Vec<_> = shards
+        .iter()
+        .map(|(shard, known)| Title {
             shard: shard.clone(),
-            epoch,
-            version,
-        })),
-        Outcome::Conflict(_) => Ok(None),
+            epoch: known
+                .as_ref()
+                .map_or(Epoch(0), |(claim, _)| claim.epoch)
+                .next(),
+            version: known.as_ref().map_or(Version(0), |(_, version)| *version),
+        })
+        .collect();
+    if titles.is_empty() {
+        return Ok(titles);
+    }
+    let write_id = format!("claim/{}/{}", session.0, fingerprint(&titles));
+    match write_claims(tables, write_id, &titles, Some(session)).await? {
+        Outcome::Committed(version) => {
+            for title in &mut titles {
+                title.version = version;
+            }
+            Ok(titles)
+        }
+        Outcome::Conflict(_) => Ok(Vec::new()),
+    }
+}
+
+/// Gives up shards, so that others may claim them at once; all or none.
+pub async fn release(tables: &Service, titles: &[Title]) -> Result<bool> {
+    if titles.is_empty() {
+        return Ok(true);
+    }
+    let write_id = format!("release/{}", fingerprint(titles));
+    let outcome = write_claims(tables, write_id, titles, None).await?;
+    Ok(matches!(outcome, Outcome::Committed(_)))
+}
+
+/// Names the shards and versions that a write is about.
+fn fingerprint(titles: &[Title]) -> String {
+    let mut hasher = Sha256::new();
+    for title in titles {
+        hasher.update(format!("{}@{};", title.shard, title.version.0));
     }
+    let hash = hasher.finalize();
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+async fn write_claims(
+    tables: &Service,
+    write_id: String,
+    titles: &[Title],
+    session: Option<Session>,
+) -> Result<Outcome> {
+    let checks = titles.iter().map(|title| Check {
+        table: SHARDS_TABLE.into(),
+        key: title.shard.to_string(),
+        version: title.version,
+    });
+    let mut puts = Vec::new();
+    for title in titles {
+        let claim = Claim {
+            session,
+            epoch: title.epoch,
+        };
+        puts.push(Put {
+            table: SHARDS_TABLE.into(),
+            key: title.shard.to_string(),
+            value: Some(write(&claim)?),
+        });
+    }
+    let transaction = Transaction {
+        write_id,
+        checks: checks.collect(),
+        puts,
+    };
+    tables.transact(transaction).await
 }
 
 async fn scan(tables: &Service, table: &str) -> Result<Vec<Row>> {
-    tables
-        .scan(Query {
-            table: table.into(),
-            prefix: String::new(),
-            after: None,
-            limit: ROWS_PER_READ,
-        })
-        .await
+    let mut all: Vec<Row> = Vec::new();
+    loop {
+        let mut rows = tables
+            .scan(Query {
+                table: table.into(),
+                prefix: String::new(),
+                after: all.last().map(|row| row.key.clone()),
+                limit: ROWS_PER_READ,
+            })
+            .await?;
+        let last = rows.len() < ROWS_PER_READ as usize;
+        all.append(&mut rows);
+        if last {
+            return Ok(all);
+        }
+    }
 }
 
 async fn read<T: DeserializeOwned>(tables: &Service, table: &str) -> Result<Vec<(T, Version)>> {
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,230 @@
+//! What an owner keeps in memory about its jobs and workers.
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind, //
+    },
+    id,
+    job::{
+        Output,
+        State,
+        Status, //
+    },
+    unit::Millis,
+    worker::Worker,
+};
+use basilbridge_scheduler::shard;
+use tokio::sync::watch;
+
+use crate::{
+    journal::Accepted,
+    owner::{
+        Contact,
+        Inner,
+        Job,
+        Phase,
+        Placed,
+        queued, //
+    },
+    snapshot::{
+        MAX_ENDED_JOBS,
+        RETENTION, //
+    },
+};
+
+impl Inner {
+    /// Takes note of a worker that the platform lists.
+    pub(crate) fn list(&mut self, worker: Worker) {
+        let contact = self
+            .contacts
+            .entry(worker.name.clone())
+            .or_insert_with(|| Contact {
+                worker: worker.clone(),
+                boot: None,
+                claimed: false,
+                unlisted: None,
+                acknowledged: Vec::new(),
+            });
+        contact.worker = worker.clone();
+        contact.unlisted = None;
+        if contact.boot.is_some() {
+            self.scheduler.set_worker(worker);
+        }
+    }
+
+    /// Adds a job without its tasks.
+    pub(crate) fn add_job(&mut self, accepted: Accepted) -> watch::Receiver<Status> {
+        let id = accepted.job.clone();
+        let status = queued(id.clone(), accepted.team.clone());
+        let (status, receiver) = watch::channel(status);
+        let job = Job {
+            team: accepted.team,
+            accepted: accepted.at,
+            ended: vec![None; accepted.request.count as usize],
+            request: accepted.request,
+            sent: 0,
+            status,
+        };
+        self.jobs.insert(id, job);
+        receiver
+    }
+
+    /// Says whether a job still wants its tasks to run.
+    pub(crate) fn is_wanted(&self, id: &id::Job) -> bool {
+        self.jobs
+            .get(id)
+            .is_some_and(|job| !job.status.borrow().state.is_final())
+    }
+
+    /// Returns the attempt that has room for a task.
+    pub(crate) fn is_placed(&self, attempt: &basilbridge_endpoints::command::Attempt) -> bool {
+        self.placed
+            .get(&attempt.task)
+            .is_some_and(|placed| placed.attempt == *attempt)
+    }
+
+    /// Cancels a job and returns its tasks that run, which are to be stopped.
+    pub(crate) fn cancel(&mut self, id: &id::Job, now: Millis) -> Vec<Placed> {
+        let stops = self.placed.values();
+        let stops = stops.filter(|placed| placed.attempt.task.job == *id);
+        let stops = stops.cloned().collect();
+        self.finish_job(id, State::Cancelled, None, now);
+        stops
+    }
+
+    /// Ends a job; its tasks that wait are forgotten, those that run keep their room.
+    pub(crate) fn finish_job(
+        &mut self,
+        id: &id::Job,
+        state: State,
+        error: Option<Error>,
+        now: Millis,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let count = job.ended.len() as u32;
+        let changed = job.status.send_if_modified(|status| {
+            let changed = !status.state.is_final();
+            if changed {
+                status.state = state;
+                status.error = error;
+            }
+            changed
+        });
+        if changed {
+            self.finished.push_back((now, id.clone()));
+        }
+        for index in 0..count {
+            let task = id::Task {
+                job: id.clone(),
+                index,
+            };
+            self.inherited.remove(&task);
+            if !self.placed.contains_key(&task) {
+                self.scheduler.remove(&task);
+            }
+        }
+    }
+
+    /// Takes note of the end of a task.
+    pub(crate) fn end_task(&mut self, task: &id::Task, state: State, output: String, now: Millis) {
+        self.placed.remove(task);
+        self.inherited.remove(task);
+        self.started.remove(task);
+        self.scheduler.remove(task);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(ended) = job.ended.get_mut(task.index as usize) else {
+            return;
+        };
+        if ended.is_some() {
+            return;
+        }
+        *ended = Some(state);
+        let all = job.ended.iter().all(Option::is_some);
+        let worst = job.ended.iter().flatten().copied().max();
+        let mut finished = false;
+        job.status.send_modify(|status| {
+            status.outputs.push(Output {
+                index: task.index,
+                text: output,
+            });
+            if all && !status.state.is_final() {
+                let state = worst.unwrap_or(State::Succeeded);
+                status.state = state;
+                status.error = error_of(state);
+                finished = true;
+            }
+        });
+        if finished {
+            self.finished.push_back((now, task.job.clone()));
+        }
+    }
+
+    /// Takes note that a task runs.
+    pub(crate) fn mark_running(&mut self, task: &id::Task) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        job.status.send_if_modified(|status| {
+            let changed = status.state == State::Queued;
+            if changed {
+                status.state = State::Running;
+            }
+            changed
+        });
+    }
+
+    /// Takes back the room of a task that does not run, and returns the task if it is wanted.
+    pub(crate) fn displace(&mut self, task: &id::Task) -> Option<shard::Task> {
+        self.placed.remove(task);
+        let removed = self.scheduler.remove(task)?;
+        self.is_wanted(&task.job).then_some(removed)
+    }
+
+    /// Queues a task again, if its job still wants it.
+    pub(crate) fn requeue(&mut self, task: shard::Task) {
+        if self.is_wanted(&task.id.job) {
+            self.scheduler.submit(task);
+        }
+    }
+
+    /// Lets inherited work start once no worker is left that may run it.
+    pub(crate) fn settle_inheritance(&mut self) {
+        let unclaimed = self.contacts.values().any(|contact| !contact.claimed);
+        if self.phase != Phase::Inheriting || unclaimed {
+            return;
+        }
+        self.phase = Phase::Settled;
+        for task in std::mem::take(&mut self.inherited).into_values() {
+            self.requeue(task);
+        }
+    }
+
+    /// Forgets jobs that ended long ago.
+    pub(crate) fn forget(&mut self, now: Millis) {
+        while let Some((ended, _)) = self.finished.front() {
+            let surplus = self.finished.len() > MAX_ENDED_JOBS;
+            if !surplus && now.since(*ended) < RETENTION {
+                return;
+            }
+            if let Some((_, job)) = self.finished.pop_front() {
+                self.jobs.remove(&job);
+            }
+        }
+    }
+}
+
+fn error_of(state: State) -> Option<Error> {
+    match state {
+        State::Failed => Some(Error::new(Kind::TaskFailed, "the task failed")),
+        State::Unknown => Some(Error::new(
+            Kind::OutcomeUnknown,
+            "the task must not be repeated, and whether it ended is not known",
+        )),
+        _ => None,
+    }
+}
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -1,133 +1,194 @@
 //! Brings a shard that was just claimed back to where its last owner left it.
 
 use std::{
-    collections::HashMap,
     sync::Arc,
     time::Duration, //
 };
 
 use basilbridge_common::{
-    error::Result,
+    error::{
+        Kind,
+        Result, //
+    },
     id,
     job::State,
     worker::Worker, //
 };
 use basilbridge_endpoints::command::{
     Answer,
-    Command,
-    Lease,
+    Attempt,
     Phase,
-    Report,
-    Verb, //
+    Report, //
 };
-use basilbridge_platform::table::Service;
-use futures_util::future;
+use basilbridge_platform::Platform;
 
 use crate::{
     journal::{
-        self,
+        Accepted,
         Ended,
-        Record,
-        Started, //
+        Record, //
     },
-    owner::Owner,
+    owner::{
+        self,
+        Inner,
+        Owner, //
+    },
+    snapshot,
 };
 
-/// How long to wait before a worker that did not answer is claimed again.
-const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+/// How long to wait before a record that the store refused is written again.
+const RECORD_BACK_OFF: Duration = Duration::from_secs(1);
 
-/// Replays the journal, claims all workers and adopts what runs.
+/// Replays the journal; the workers are claimed afterwards.
 ///
-/// Nothing of the last owner's starts before each worker of the shard has answered, because a
-/// worker that has not may still run it.
-pub async fn run(owner: Arc<Owner>, tables: Service) -> Result<()> {
-    let records = journal::replay(&tables, &owner.title.shard).await?;
-    let workers: Vec<_> = owner.lock().scheduler.workers().cloned().collect();
-    let claims = workers.iter().map(|worker| claim(&owner, worker));
-    let answers = future::join_all(claims).await;
-    let running = adopted(&workers, answers);
-    restore(&owner, records, &running);
+/// Nothing of the last owner's starts before each worker of the shard has been claimed or is
+/// gone, because one that is neither may still run it.
+pub async fn replay(owner: &Owner, platform: &Platform) -> Result<()> {
+    let kept = snapshot::read(platform, &owner.title.shard).await?;
+    owner.tools.journal.set_rows(kept.rows.len());
+    let mut inner = owner.lock();
+    for record in kept.records {
+        inner.restore(record);
+    }
+    inner.phase = owner::Phase::Inheriting;
+    inner.settle_inheritance();
+    drop(inner);
     owner.wake.notify_one();
     Ok(())
 }
 
-async fn claim(owner: &Owner, worker: &Worker) -> Answer {
-    loop {
-        let command = Command {
-            epoch: owner.title.epoch,
-            verb: Verb::Claim(Lease {
-                lease: owner.tools.task_lease,
-            }),
-        };
-        if let Ok(answer) = owner.tools.endpoints.send(worker, command).await {
-            let mut inner = owner.lock();
-            let contact = inner.contacts.entry(worker.name.clone()).or_default();
-            contact.boot = Some(answer.boot);
-            return answer;
+impl Inner {
+    fn restore(&mut self, record: Record) {
+        match record {
+            Record::Accepted(accepted) => self.restore_job(*accepted),
+            Record::Started(started) => {
+                if let Some(job) = self.jobs.get_mut(&started.task.job) {
+                    job.sent += 1;
+                }
+                self.started.insert(started.task.clone(), started);
+            }
+            Record::Ended(ended) => {
+                self.end_task(&ended.task, ended.state, ended.output, ended.at);
+            }
+            Record::Closed(closed) => {
+                self.finish_job(&closed.job, closed.state, closed.error, closed.at);
+            }
         }
-        owner.tools.timer.sleep(CLAIM_INTERVAL).await;
     }
-}
 
-fn adopted(workers: &[Worker], answers: Vec<Answer>) -> HashMap<id::Task, (Worker, Report)> {
-    let mut running = HashMap::new();
-    for (worker, answer) in workers.iter().zip(answers) {
-        for report in answer.tasks {
-            if report.phase != Phase::NeverStarted && report.phase != Phase::Lapsed {
-                running.insert(report.task.clone(), (worker.clone(), report));
-            }
+    fn restore_job(&mut self, accepted: Accepted) {
+        for task in owner::tasks(&accepted) {
+            self.inherited.insert(task.id.clone(), task);
+        }
+        let id = accepted.job.clone();
+        // Starts of work that may be repeated leave no record.
+        let sent = u32::from(accepted.request.repeatable);
+        let _ = self.add_job(accepted);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.sent = sent;
         }
     }
-    running
-}
 
-fn restore(owner: &Owner, records: Vec<Record>, running: &HashMap<id::Task, (Worker, Report)>) {
-    let mut started: HashMap<id::Task, Started> = HashMap::new();
-    let mut ended: Vec<Ended> = Vec::new();
-    let mut cancelled = Vec::new();
-    for record in records {
-        match record {
-            Record::Accepted(accepted) => {
-                let deadline = accepted
-                    .request
-                    .deadline
-                    .map(|wait| accepted.at.after(wait));
-                owner.admit(*accepted, deadline);
-            }
-            Record::Started(start) => {
-                started.insert(start.task.clone(), start);
-            }
-            Record::Ended(end) => ended.push(end),
-            Record::Cancelled(job) => cancelled.push(job),
-        }
+    /// Gives inherited work its room on the worker that runs it, or has ended it.
+    fn adopt(&mut self, worker: &Worker, attempt: Attempt) {
+        let Some(task) = self.inherited.remove(&attempt.task) else {
+            return;
+        };
+        self.started.remove(&attempt.task);
+        self.scheduler.adopt(task, &worker.name);
+        let placed = owner::Placed {
+            worker: worker.clone(),
+            attempt: attempt.clone(),
+            ending: false,
+        };
+        self.placed.insert(attempt.task, placed);
     }
-    let mut inner = owner.lock();
-    for end in ended {
-        started.remove(&end.task);
-        inner.end_task(&end.task, end.state, end.output);
+
+    /// Says whether a worker's report decides what became of an inherited task.
+    ///
+    /// A stop or a lapse does not where the task may be repeated: a later attempt may run on
+    /// another worker.
+    fn is_decisive(&self, report: &Report) -> bool {
+        let Some(task) = self.inherited.get(&report.task) else {
+            return false;
+        };
+        match report.phase {
+            Phase::Running | Phase::Succeeded | Phase::Failed => true,
+            Phase::Stopped | Phase::Lapsed => !task.repeatable,
+            Phase::NeverStarted => false,
+        }
     }
-    for (task, (worker, _)) in running {
-        if inner.adopt(task, worker) {
-            started.remove(task);
+
+    /// Takes away the starts on a worker that a reboot has made unknowable.
+    ///
+    /// A start that the worker does not tell of under the same boot never came to it: what has
+    /// ended is told until its end is in the journal.
+    fn take_lost_starts(&mut self, worker: &Worker, answer: &Answer) -> Vec<id::Task> {
+        let lost: Vec<_> = self
+            .started
+            .values()
+            .filter(|started| started.worker == worker.name && started.boot != answer.boot)
+            .map(|started| started.task.clone())
+            .collect();
+        for task in &lost {
+            self.started.remove(task);
+            self.inherited.remove(task);
         }
+        lost
     }
-    for task in started.into_keys() {
-        inner.end_task(&task, State::Unknown, String::new());
+}
+
+/// Takes in what a claimed worker tells; returns what is to be stopped before it takes new work.
+pub(crate) fn take_in(owner: &Arc<Owner>, worker: &Worker, answer: Answer) -> Vec<Attempt> {
+    let mut inner = owner.lock();
+    inner.scheduler.set_worker(Worker {
+        leaving: true,
+        ..worker.clone()
+    });
+    for task in inner.take_lost_starts(worker, &answer) {
+        tokio::spawn(end_unknown(Arc::clone(owner), task));
     }
-    for job in cancelled {
-        inner.finish_job(&job, State::Cancelled, None);
+    let mut foreign = Vec::new();
+    for report in answer.tasks {
+        let attempt = report.attempt();
+        if inner.is_decisive(&report) {
+            inner.adopt(worker, attempt.clone());
+        }
+        if inner.is_placed(&attempt) {
+            let (owner, worker) = (Arc::clone(owner), worker.clone());
+            tokio::spawn(async move { owner.report(&worker, report).await });
+        } else if report.phase == Phase::Running {
+            foreign.push(attempt);
+        } else if report.phase != Phase::NeverStarted
+            && let Some(contact) = inner.contacts.get_mut(&worker.name)
+        {
+            contact.acknowledged.push(attempt);
+        }
     }
+    foreign
 }
 
-impl crate::owner::Inner {
-    /// Counts a task that a worker runs, or has ended without our note; says whether we know it.
-    fn adopt(&mut self, task: &id::Task, worker: &Worker) -> bool {
-        let Some(removed) = self.scheduler.remove(task) else {
-            return false;
-        };
-        self.scheduler.adopt(removed, &worker.name);
-        self.placed.insert(task.clone(), worker.clone());
-        self.mark_running(task);
-        true
+/// Ends a task that must not be repeated and of which nobody can tell any more.
+pub(crate) async fn end_unknown(owner: Arc<Owner>, task: id::Task) {
+    loop {
+        let at = owner.tools.timer.now();
+        let record = Record::Ended(Ended {
+            task: task.clone(),
+            state: State::Unknown,
+            output: String::new(),
+            at,
+        });
+        match owner.tools.journal.append(record).await {
+            Ok(()) => {
+                owner
+                    .lock()
+                    .end_task(&task, State::Unknown, String::new(), at);
+                return;
+            }
+            Err(error) if error.kind == Kind::StoreUnavailable => {
+                owner.tools.timer.sleep(RECORD_BACK_OFF).await;
+            }
+            Err(_) => return,
+        }
     }
 }
--- /dev/null
+++ b/tests/cell/mod.rs
@@ -0,0 +1,362 @@
+//! Several entry VMs, a platform and workers in one process, with faults by seed.
+//!
+//! All of it runs on one thread and on tokio's paused clock. Each VM has a clock of its own, so
+//! that a paused VM sees no time pass until it goes on. Each message travels in a task of its
+//! own, so that it arrives even when its sender has died.
+
+pub(crate) mod fault;
+pub(crate) mod work;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge::{
+    config::Config,
+    embedded,
+    log,
+    node::Node,
+    settings::Settings, //
+};
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::{
+        Name,
+        Session, //
+    },
+    timer,
+    unit::Resources,
+    worker::Worker,
+};
+use basilbridge_endpoints::Client;
+use basilbridge_platform::{
+    Platform,
+    object,
+    table::Service,
+    vm::Vm, //
+};
+use basilbridge_standins::{
+    store::Store,
+    worker::Fleet, //
+};
+use futures_util::{
+    FutureExt,
+    future::BoxFuture, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::{
+    sync::{
+        oneshot,
+        watch, //
+    },
+    task::JoinSet,
+};
+
+const STEP: Duration = Duration::from_millis(5);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const LONGEST_DELAY_MS: u64 = 4000;
+
+/// How messages fare, in thousandths of all messages.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Weather {
+    pub(crate) lost: u32,
+    pub(crate) late: u32,
+}
+
+/// One entry VM.
+pub(crate) struct Machine {
+    pub(crate) node: Arc<Node>,
+    clock: timer::Service,
+    paused: watch::Sender<bool>,
+    _tasks: JoinSet<()>,
+}
+
+/// The whole cell; clones share it.
+#[derive(Clone)]
+pub(crate) struct Cell {
+    pub(crate) timer: timer::Service,
+    pub(crate) store: Store,
+    pub(crate) fleet: Fleet,
+    shared: Arc<Mutex<Shared>>,
+}
+
+struct Shared {
+    random: SmallRng,
+    weather: Weather,
+    machines: BTreeMap<SocketAddr, Machine>,
+    next_port: u16,
+}
+
+impl Cell {
+    /// Makes a cell of `workers` workers, two to a rack and a shard, without entry VMs.
+    pub(crate) async fn new(seed: u64, workers: u32) -> Self {
+        let timer = timer::Service::start();
+        let store = Store::new(timer.clone());
+        let workers = self::workers(workers);
+        store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
+        let tables = store.platform().tables;
+        Settings::new(None)
+            .replace(&tables, "first".to_owned(), embedded::first_configuration())
+            .await
+            .unwrap();
+        let cell = Self {
+            fleet: Fleet::new(timer.clone(), workers),
+            store,
+            timer,
+            shared: Arc::new(Mutex::new(Shared {
+                random: SmallRng::seed_from_u64(seed),
+                weather: Weather::default(),
+                machines: BTreeMap::new(),
+                next_port: 1,
+            })),
+        };
+        tokio::spawn(cell.clone().advance_clocks());
+        cell
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_weather(&self, weather: Weather) {
+        self.lock().weather = weather;
+    }
+
+    /// Draws a number below `bound`.
+    pub(crate) fn draw(&self, bound: u64) -> u64 {
+        self.lock().random.random_range(0..bound)
+    }
+
+    /// Starts a new entry VM and returns its address.
+    pub(crate) fn start(&self) -> SocketAddr {
+        let (port, session) = {
+            let mut shared = self.lock();
+            shared.next_port += 1;
+            (shared.next_port, Session(shared.random.random()))
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let clock = timer::Service::manual();
+        clock.advance(Duration::from_millis(self.timer.now().0));
+        let paused = watch::Sender::new(false);
+        let config = Config {
+            racks_per_shard: 1,
+            ..Config::local(&format!("entry-{port}"), "local")
+        };
+        let node = Node::with_session(
+            session,
+            config,
+            clock.clone(),
+            self.platform(&paused),
+            self.endpoints(&paused),
+            log::silent(),
+        );
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Arc::clone(&node).keep_session(address));
+        let machine = Machine {
+            node,
+            clock,
+            paused,
+            _tasks: tasks,
+        };
+        self.lock().machines.insert(address, machine);
+        address
+    }
+
+    /// Ends an entry VM as if its power had gone.
+    pub(crate) fn kill(&self, address: SocketAddr) {
+        let machine = self.lock().machines.remove(&address);
+        if let Some(machine) = machine {
+            machine.node.abandon();
+        }
+    }
+
+    pub(crate) fn set_paused(&self, address: SocketAddr, paused: bool) {
+        if let Some(machine) = self.lock().machines.get(&address) {
+            machine.paused.send_replace(paused);
+        }
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().machines.keys().copied().collect()
+    }
+
+    pub(crate) fn node(&self, address: SocketAddr) -> Option<Arc<Node>> {
+        let shared = self.lock();
+        let machine = shared.machines.get(&address)?;
+        (!*machine.paused.borrow()).then(|| Arc::clone(&machine.node))
+    }
+
+    /// Moves the clocks of all VMs that are not paused up to the common time.
+    async fn advance_clocks(self) {
+        loop {
+            self.timer.sleep(STEP).await;
+            let now = self.timer.now();
+            let clocks: Vec<_> = {
+                let shared = self.lock();
+                let awake = shared.machines.values().filter(|vm| !*vm.paused.borrow());
+                awake.map(|vm| vm.clock.clone()).collect()
+            };
+            for clock in clocks {
+                clock.advance(now.since(clock.now()));
+            }
+        }
+    }
+
+    fn platform(&self, paused: &watch::Sender<bool>) -> Platform {
+        let store = self.store.platform();
+        let (writer, reader) = (store.tables.clone(), store.tables.clone());
+        let (putter, getter) = (store.objects.clone(), store.objects.clone());
+        let lister = store.vms;
+        let unknown = |kind| move || Error::new(kind, "no answer came");
+        let write = unknown(Kind::WriteUnknown);
+        let read = unknown(Kind::StoreUnavailable);
+        Platform {
+            tables: Service::new(
+                self.link(paused, write, move |transaction| {
+                    let tables = writer.clone();
+                    async move { tables.transact(transaction).await }.boxed()
+                }),
+                self.link(paused, read, move |query| {
+                    let tables = reader.clone();
+                    async move { tables.scan(query).await }.boxed()
+                }),
+            ),
+            objects: object::Store::new(
+                {
+                    let put = self.link(paused, write, move |(key, body)| {
+                        let objects = putter.clone();
+                        async move { objects.put(key, body).await }.boxed()
+                    });
+                    Arc::new(move |key, body| put((key, body)))
+                },
+                self.link(paused, read, move |key| {
+                    let objects = getter.clone();
+                    async move { objects.get(key).await }.boxed()
+                }),
+            ),
+            vms: {
+                let list = self.link(paused, read, move |()| lister());
+                Arc::new(move || list(()))
+            },
+        }
+    }
+
+    fn endpoints(&self, paused: &watch::Sender<bool>) -> Client {
+        let fleet = self.fleet.client();
+        let silent = || Error::new(Kind::OutcomeUnknown, "no answer came");
+        let link = self.link(paused, silent, move |(worker, command)| {
+            let fleet = fleet.clone();
+            async move { fleet.send(&worker, command).await }.boxed()
+        });
+        Client::new(Arc::new(move |worker, command| link((worker, command))))
+    }
+
+    /// Carries calls over a network that delays and loses, from a VM that may be paused.
+    fn link<I: Send + 'static, O: Send + 'static>(
+        &self,
+        paused: &watch::Sender<bool>,
+        unknown: impl Fn() -> Error + Copy + Send + Sync + 'static,
+        serve: impl Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync + 'static,
+    ) -> Arc<dyn Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync> {
+        let cell = self.clone();
+        let paused = paused.clone();
+        Arc::new(move |input| {
+            let trip = cell.trip();
+            let served = serve(input);
+            let timer = cell.timer.clone();
+            let mut awake = paused.subscribe();
+            async move {
+                let _ = awake.wait_for(|paused| !paused).await;
+                let answer = send(timer.clone(), trip, served);
+                let result = timer.timeout(CALL_TIMEOUT, answer).await.flatten();
+                let _ = awake.wait_for(|paused| !paused).await;
+                result.unwrap_or_else(|| Err(unknown()))
+            }
+            .boxed()
+        })
+    }
+
+    fn trip(&self) -> Trip {
+        let mut shared = self.lock();
+        let Weather { lost, late } = shared.weather;
+        let mut delay = || {
+            let longest = if shared.random.random_range(0..1000) < late {
+                LONGEST_DELAY_MS
+            } else {
+                3
+            };
+            Duration::from_millis(shared.random.random_range(1..=longest))
+        };
+        let (out, back) = (delay(), delay());
+        Trip {
+            out,
+            back,
+            lost_out: shared.random.random_range(0..1000) < lost,
+            lost_back: shared.random.random_range(0..1000) < lost,
+        }
+    }
+}
+
+struct Trip {
+    out: Duration,
+    back: Duration,
+    lost_out: bool,
+    lost_back: bool,
+}
+
+async fn send<O: Send + 'static>(
+    timer: timer::Service,
+    trip: Trip,
+    served: BoxFuture<'static, Result<O>>,
+) -> Option<Result<O>> {
+    let (answer, answered) = oneshot::channel();
+    tokio::spawn(async move {
+        timer.sleep(trip.out).await;
+        if trip.lost_out {
+            return silence(&timer).await;
+        }
+        let result = served.await;
+        timer.sleep(trip.back).await;
+        if trip.lost_back {
+            return silence(&timer).await;
+        }
+        let _ = answer.send(result);
+    });
+    answered.await.ok()
+}
+
+/// Lets a sender wait as long as it likes.
+async fn silence(timer: &timer::Service) {
+    timer.sleep(CALL_TIMEOUT).await;
+}
+
+fn workers(count: u32) -> Vec<Worker> {
+    let name = Name::from("local");
+    let mut workers = embedded::stand_in_workers(&name, count);
+    for (number, worker) in workers.iter_mut().enumerate() {
+        worker.rack = number as u32 / 2;
+        worker.slots = 3;
+        worker.capacity = Resources {
+            cpu_millis: 3000,
+            memory_mib: 3072,
+            accelerators: 0,
+        };
+    }
+    workers
+}
