--- a/src/owner.rs
+++ b/src/owner.rs
@@ -47,9 +47,12 @@
 use basilbridge_platform::table::Service;
 use basilbridge_scheduler::shard;
 use slog::Logger;
-use tokio::sync::{
-    Notify,
-    watch, //
+use tokio::{
+    sync::{
+        Notify,
+        watch, //
+    },
+    task::JoinError,
 };
 
 use crate::{
@@ -226,7 +229,7 @@
     }
 
     /// Handles a call.
-    pub async fn handle(&self, call: Call) -> Result<Status> {
+    pub async fn handle(self: &Arc<Self>, call: Call) -> Result<Status> {
         let mut released = self.released.subscribe();
         let changes = matches!(call.verb, Verb::Submit(..) | Verb::Cancel(_));
         let _in_flight = changes.then(|| InFlight::new(&self.in_flight));
@@ -237,7 +240,7 @@
         }
     }
 
-    async fn answer(&self, call: Call) -> Result<Status> {
+    async fn answer(self: &Arc<Self>, call: Call) -> Result<Status> {
         match call.verb {
             Verb::Submit(_, ref request) => self.submit(&call, request).await,
             Verb::Status(ref job) => Ok(self.watch(&call.team, job)?.borrow().clone()),
@@ -250,7 +253,7 @@
         }
     }
 
-    async fn submit(&self, call: &Call, request: &Request) -> Result<Status> {
+    async fn submit(self: &Arc<Self>, call: &Call, request: &Request) -> Result<Status> {
         if request.count == 0 {
             return Err(Error::new(Kind::Malformed, "a job has at least one task"));
         }
@@ -263,16 +266,13 @@
         }
         let accepted = self.accepted(call, request);
         let id = accepted.job.clone();
-        if is_durable(request) {
-            let kept = self.tools.journal.accept(accepted.clone());
-            let kept = self.tools.timer.timeout(call.remaining, kept).await;
-            let in_doubt = || Error::new(Kind::WriteUnknown, "the journal is slow");
-            if let Some(held) = kept.ok_or_else(in_doubt)?? {
-                return self.repeat(call, request, &held).await;
-            }
-        }
-        let mut status = self.admit(accepted);
-        self.wake.notify_one();
+        // A caller that goes away must not leave a job that is kept and not queued.
+        let kept = tokio::spawn(Arc::clone(self).accept(accepted));
+        let kept = self.tools.timer.timeout(call.remaining, kept).await;
+        let mut status = match kept.ok_or_else(in_doubt)?.map_err(ended)?? {
+            Accept::New(status) => status,
+            Accept::Held(held) => return self.repeat(call, request, &held).await,
+        };
         if request.kind != job::Kind::Interactive {
             return Ok(status.borrow().clone());
         }
@@ -282,13 +282,28 @@
         }
     }
 
+    /// Keeps and queues a job, unless its idempotency key is another job's.
+    async fn accept(self: Arc<Self>, accepted: Accepted) -> Result<Accept> {
+        if is_durable(&accepted.request)
+            && let Some(held) = self.tools.journal.accept(accepted.clone()).await?
+        {
+            return Ok(Accept::Held(held));
+        }
+        let status = self.admit(accepted);
+        self.wake.notify_one();
+        Ok(Accept::New(status))
+    }
+
     /// Answers a repeated submission with the first one's job.
     async fn repeat(&self, call: &Call, request: &Request, held: &id::Job) -> Result<Status> {
         if held.shard != self.title.shard {
             // The router asks the job's own shard.
             return Ok(queued(held.clone(), call.team.clone()));
         }
-        let mut status = self.watch(&call.team, held)?;
+        let mut status = self.watch(&call.team, held).map_err(|error| {
+            // The first submission is kept and not queued yet.
+            Error::new(Kind::Unreachable, error.message)
+        })?;
         if request.kind != job::Kind::Interactive {
             return Ok(status.borrow().clone());
         }
@@ -397,23 +412,27 @@
         last.ok().map(|status| status.clone())
     }
 
-    async fn cancel(&self, call: &Call, id: &id::Job) -> Result<Status> {
+    async fn cancel(self: &Arc<Self>, call: &Call, id: &id::Job) -> Result<Status> {
         let status = self.watch(&call.team, id)?;
-        if status.borrow().state.is_final() {
-            return Ok(status.borrow().clone());
+        if !status.borrow().state.is_final() {
+            let kept = tokio::spawn(Arc::clone(self).close_cancelled(id.clone()));
+            let kept = self.tools.timer.timeout(call.remaining, kept).await;
+            kept.ok_or_else(in_doubt)?.map_err(ended)??;
         }
-        let kept = self.close(id, State::Cancelled, None);
-        let kept = self.tools.timer.timeout(call.remaining, kept).await;
-        let in_doubt = || Error::new(Kind::WriteUnknown, "the journal is slow");
-        kept.ok_or_else(in_doubt)??;
+        let last = status.borrow().clone();
+        Ok(last)
+    }
+
+    async fn close_cancelled(self: Arc<Self>, id: id::Job) -> Result<()> {
+        self.close(&id, State::Cancelled, None).await?;
         let now = self.tools.timer.now();
-        let stops = self.lock().cancel(id, now);
+        let stops = self.lock().cancel(&id, now);
+        self.wake.notify_one();
         for placed in stops {
-            self.stop(&placed.attempt, &placed.worker).await;
+            let owner = Arc::clone(&self);
+            tokio::spawn(async move { owner.stop(&placed.attempt, &placed.worker).await });
         }
-        self.wake.notify_one();
-        let last = status.borrow().clone();
-        Ok(last)
+        Ok(())
     }
 
     /// Refuses new work from now on and waits at most `limit` until no caller is being answered.
@@ -461,6 +480,22 @@
     }
 }
 
+/// What became of a submission.
+enum Accept {
+    /// The job was queued.
+    New(watch::Receiver<Status>),
+    /// An earlier submission with the same idempotency key has made this job.
+    Held(id::Job),
+}
+
+fn in_doubt() -> Error {
+    Error::new(Kind::WriteUnknown, "the journal is slow")
+}
+
+fn ended(error: JoinError) -> Error {
+    Error::new(Kind::Internal, error.to_string())
+}
+
 /// Counts a call while it is being answered.
 struct InFlight<'a>(&'a watch::Sender<usize>);
 
