--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod log;
 pub mod membership;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod record;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -134,6 +134,7 @@
             if let Err(error) = self.round(&mut keeper).await {
                 slog::warn!(self.log, "round failed"; "error" => %error);
             }
+            self.rounds.send_modify(|rounds| *rounds += 1);
             self.timer.sleep(keeper.pace.poll).await;
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -40,11 +40,24 @@
 };
 use futures_util::FutureExt;
 use slog::Logger;
-use tokio::task::JoinSet;
+use tokio::{
+    sync::watch,
+    task::JoinSet, //
+};
 
 use crate::{
-    config::Config, directory::Directory, fleet::Fleet, journal, membership::Held, owner::Owner,
-    router, settings::Settings,
+    config::Config,
+    directory::Directory,
+    fleet::Fleet,
+    journal,
+    membership::Held,
+    metrics::{
+        self,
+        Metrics, //
+    },
+    owner::Owner,
+    router,
+    settings::Settings,
 };
 
 /// One entry VM.
@@ -63,6 +76,8 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     pub(crate) session: Session,
     pub(crate) platform: Platform,
     pub(crate) endpoints: Client,
@@ -70,6 +85,7 @@
     pub(crate) journals: journal::Log,
     pub(crate) writer: journal::Unstarted,
     pub(crate) held: RwLock<BTreeMap<Shard, Held>>,
+    pub(crate) rounds: watch::Sender<u64>,
 }
 
 /// The servers of an entry VM and what keeps it going.
@@ -93,9 +109,10 @@
         platform: Platform,
         endpoints: Client,
         log: Logger,
+        metrics: Metrics,
     ) -> Arc<Self> {
         let session = Session(rand::random());
-        Self::with_session(session, config, timer, platform, endpoints, log)
+        Self::with_session(session, config, timer, platform, endpoints, log, metrics)
     }
 
     /// Makes an entry VM with a session that the caller has drawn, so that a run can be repeated.
@@ -106,6 +123,7 @@
         platform: Platform,
         endpoints: Client,
         log: Logger,
+        metrics: Metrics,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
@@ -115,6 +133,7 @@
             directory: Directory::default(),
             pool: Pool::new(timer.clone()),
             gate: Gate::default(),
+            metrics,
             session,
             platform,
             endpoints,
@@ -122,6 +141,7 @@
             journals,
             writer: journal::Unstarted::new(writer),
             held: RwLock::default(),
+            rounds: watch::Sender::new(0),
             timer,
             config,
         })
@@ -136,6 +156,7 @@
         let operators = Server::start(self.config.operators, operator_router).await?;
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).keep_session(peers.address));
+        tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
             callers,
@@ -163,13 +184,23 @@
         started && !self.gate.is_draining() && !self.directory.shards().is_empty()
     }
 
+    /// Waits until this VM takes requests.
+    pub async fn until_ready(&self) {
+        let mut rounds = self.rounds.subscribe();
+        while !self.is_ready() {
+            if rounds.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn caller_app(self: &Arc<Self>) -> callers::App {
         let node = Arc::clone(self);
         let ready = Arc::clone(self);
         callers::App {
             handle: Arc::new(move |request| {
                 let node = Arc::clone(&node);
-                async move { router::route(&node, request).await }.boxed()
+                async move { node.handle_request(request).await }.boxed()
             }),
             ready: Arc::new(move || ready.is_ready()),
             gate: self.gate.clone(),
@@ -212,6 +243,38 @@
         }
     }
 
+    async fn handle_request(&self, request: callers::Request) -> Result<Status> {
+        let start = self.timer.now();
+        let request_id = request.request_id.clone();
+        let result = router::route(self, request).await;
+        let time = self.timer.now().since(start);
+        let refused = result.as_ref().err();
+        self.metrics.answered(time, refused.map(|error| error.kind));
+        match refused {
+            None => slog::debug!(self.log, "answered"; "request_id" => %request_id),
+            Some(error) => {
+                slog::info!(self.log, "refused"; "request_id" => %request_id, "error" => %error);
+            }
+        }
+        result
+    }
+
+    /// Sends the gauges until the VM stops.
+    async fn report(self: Arc<Self>) {
+        loop {
+            let owners = self.owners();
+            let loads: Vec<_> = owners.iter().map(|owner| owner.load()).collect();
+            let queued = loads.iter().map(|(queued, _)| *queued as u64).sum();
+            let running = loads.iter().map(|(_, running)| *running as u64).sum();
+            self.metrics.gauge(metrics::TASKS_QUEUED, queued);
+            self.metrics.gauge(metrics::TASKS_RUNNING, running);
+            self.metrics
+                .gauge(metrics::SHARDS_OWNED, owners.len() as u64);
+            self.metrics.control();
+            self.timer.sleep(metrics::GAUGE_INTERVAL).await;
+        }
+    }
+
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
     pub async fn handle_forwarded(&self, call: Call) -> Result<Status> {
         let shard = call.verb.shard();
--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -23,6 +23,7 @@
     config::Config,
     embedded,
     log,
+    metrics::Metrics,
     node::Node,
     settings::Settings, //
 };
@@ -165,6 +166,7 @@
             self.platform(&paused),
             self.endpoints(&paused),
             log::silent(),
+            Metrics::none(),
         );
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&node).keep_session(address));
