--- a/src/seat.rs
+++ b/src/seat.rs
@@ -25,7 +25,6 @@
         Millis,
         Resources, //
     },
-    worker::Worker,
 };
 use basilbridge_operators::configuration::Configuration;
 use basilbridge_scheduler::{
@@ -41,7 +40,8 @@
     node::Node,
     owner::{
         Inner,
-        Owner, //
+        Owner,
+        Placed, //
     },
 };
 
@@ -187,15 +187,17 @@
         self.running
             .retain(|task, _| inner.placed.contains_key(task));
         let mut freed = Resources::default();
-        for (task, worker, need) in inner.stoppable(team) {
+        for (placed, boot, need) in inner.stoppable(team) {
             if over.fits(&freed) {
                 break;
             }
             freed = freed.plus(&need);
-            if self.running.insert(task.clone(), need).is_none() {
+            let task = placed.attempt.task.clone();
+            if self.running.insert(task, need).is_none() {
                 let owner = Arc::clone(owner);
-                self.tasks
-                    .spawn(async move { owner.settle(&task, &worker).await });
+                self.tasks.spawn(async move {
+                    owner.settle(&placed.attempt, &placed.worker, boot).await;
+                });
             }
         }
     }
@@ -205,11 +207,11 @@
     /// Returns the running tasks of a team that may be stopped, the first to be stopped first.
     ///
     /// Work that must not be repeated is never stopped; it goes on until it ends.
-    fn stoppable(&self, team: &Name) -> Vec<(id::Task, Worker, Resources)> {
+    fn stoppable(&self, team: &Name) -> Vec<(Placed, id::Boot, Resources)> {
         let mut tasks: Vec<_> = self
             .placed
             .iter()
-            .filter_map(|(task, worker)| Some((task, worker, self.jobs.get(&task.job)?)))
+            .filter_map(|(task, placed)| Some((task, placed, self.jobs.get(&task.job)?)))
             .filter(|(_, _, job)| job.team == *team && job.request.repeatable)
             .collect();
         tasks.sort_by_key(|(task, _, job)| {
@@ -221,7 +223,10 @@
         });
         tasks
             .into_iter()
-            .map(|(task, worker, job)| (task.clone(), worker.clone(), job.request.resources))
+            .filter_map(|(_, placed, job)| {
+                let boot = self.contacts.get(&placed.worker.name)?.boot?;
+                Some((placed.clone(), boot, job.request.resources))
+            })
             .collect()
     }
 }
