--- a/crates/endpoints/src/http.rs
+++ b/crates/endpoints/src/http.rs
@@ -214,9 +214,14 @@
         .map_err(|error| internal(error.to_string()))
 }
 
-/// Tells a command that was never sent from one whose outcome is not known.
+/// Tells a command that was never sent from one whose outcome is not known; one that the
+/// connection cancelled still waited for its turn on it.
 fn unsent_or_unknown(worker: &Worker, error: &HttpError) -> Error {
-    let kind = if error.is_connect() {
+    let first = std::error::Error::source(error);
+    let canceled = std::iter::successors(first, |error| error.source())
+        .filter_map(|error| error.downcast_ref::<hyper::Error>())
+        .any(hyper::Error::is_canceled);
+    let kind = if error.is_connect() || canceled {
         Kind::Unreachable
     } else {
         Kind::OutcomeUnknown
@@ -239,7 +244,8 @@
 fn check(worker: &Worker, command: &Command, answer: &Answer) -> Result<()> {
     let (task, boot) = match &command.verb {
         Verb::Run(run) => (&run.task, Some(run.boot)),
-        Verb::Checkpoint(task) | Verb::Stop(task) => (task, None),
+        Verb::Checkpoint(task) => (task, None),
+        Verb::Stop(attempt) => (&attempt.task, None),
         Verb::Throttle(throttle) => (&throttle.task, None),
         Verb::Claim(_) | Verb::Renew(_) => return Ok(()),
     };
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -175,8 +175,14 @@
     }
 }
 
-/// Says whether a call failed because no connection could be made for it.
+/// Says whether a call failed before it was sent: no connection could be made for it, or the
+/// connection ended while the call still waited for its turn on it.
 fn is_unsent(status: &tonic::Status) -> bool {
     let first = std::error::Error::source(status);
-    std::iter::successors(first, |error| error.source()).any(|error| error.is::<ConnectError>())
+    std::iter::successors(first, |error| error.source()).any(|error| {
+        let canceled = error
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(hyper::Error::is_canceled);
+        canceled || error.is::<ConnectError>()
+    })
 }
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    allotment::Book,
     placement::{
         Index,
         Key, //
@@ -73,6 +74,8 @@
     workers: Index,
     queue: Queue,
     tasks: HashMap<id::Task, Entry>,
+    /// What the teams run here and may run here.
+    pub limits: Book,
 }
 
 impl Shard {
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Forgets a worker on which nothing runs any more.
+    pub fn remove_worker(&mut self, name: &Name) {
+        if let Some(key) = self.workers.find(name) {
+            self.workers.remove(key);
+        }
+    }
+
     /// Returns the workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|(_, slot)| &slot.worker)
@@ -120,6 +130,7 @@
             return;
         };
         self.workers.take(key, &task.resources);
+        self.limits.find(&task.team, &task.resources);
         let entry = Entry {
             task,
             on: Some(key),
@@ -135,7 +146,10 @@
     pub fn remove(&mut self, id: &id::Task) -> Option<Task> {
         let entry = self.tasks.remove(id)?;
         match entry.on {
-            Some(key) => self.workers.give_back(key, &entry.task.resources),
+            Some(key) => {
+                self.workers.give_back(key, &entry.task.resources);
+                self.limits.end(&entry.task.team, &entry.task.resources);
+            }
             None => {
                 self.queue.remove(entry.task.kind, id);
             }
@@ -147,6 +161,7 @@
     pub fn decide(&mut self, now: Millis) -> Vec<Action> {
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         let mut actions = Vec::new();
+        self.limits.begin_pass();
         for id in waiting {
             let Some(entry) = self.tasks.get_mut(&id) else {
                 continue;
@@ -159,6 +174,10 @@
             let Some(key) = self.workers.choose(&entry.task.resources) else {
                 continue;
             };
+            if !self.limits.admits(&entry.task.team, &entry.task.resources) {
+                continue;
+            }
+            self.limits.start(&entry.task.team, &entry.task.resources);
             self.workers.take(key, &entry.task.resources);
             self.queue.remove(entry.task.kind, &id);
             entry.on = Some(key);
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -17,15 +17,8 @@
 
 use basilbridge::{
     config::Config,
-    embedded::{
-        self,
-        Embedded, //
-    },
-    log,
-    node::{
-        Node,
-        Running, //
-    },
+    embedded::Embedded,
+    node::Running, //
 };
 use basilbridge_common::{
     error::Error,
@@ -33,12 +26,13 @@
         Kind,
         State, //
     },
-    timer,
 };
 use basilbridge_server::gate::Phase;
 use util::{
     PATIENCE,
     caller,
+    first_vm,
+    further_vm,
     one_vm,
     ready,
     request, //
@@ -57,17 +51,8 @@
     config
 }
 
-async fn first_vm(name: &str) -> Embedded {
-    embedded::start(config(name), 16, log::silent())
-        .await
-        .unwrap()
-}
-
 async fn next_vm(first: &Embedded, name: &str) -> Running {
-    let (platform, workers) = (first.store.platform(), first.fleet.client());
-    let timer = timer::Service::start();
-    let node = Node::new(config(name), timer, platform, workers, log::silent());
-    let running = node.start().await.unwrap();
+    let running = further_vm(first, config(name)).await;
     ready(&running).await;
     running
 }
@@ -94,7 +79,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_replacement_of_all_vms_under_load_cuts_off_no_request() {
-    let mut first = first_vm("entry-0").await;
+    let mut first = first_vm(config("entry-0")).await;
     ready(&first.running).await;
     let mut old = vec![
         next_vm(&first, "entry-1").await,
@@ -139,7 +124,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_waits_for_long_work_is_told_where_it_stands_when_the_vm_ends() {
-    let vm = first_vm("entry-0").await;
+    let vm = first_vm(config("entry-0")).await;
     ready(&vm.running).await;
     let client = caller(vm.running.callers.address);
     let job = request("plans", Kind::Batch, r#"{"run_ms":3600000}"#);
@@ -159,7 +144,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_check_in_flight_is_answered_before_the_vm_ends() {
-    let vm = first_vm("entry-0").await;
+    let vm = one_vm().await;
     ready(&vm.running).await;
     let client = caller(vm.running.callers.address);
     let node = Arc::clone(&vm.running.node);
@@ -182,19 +167,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_ends_at_its_limit_and_says_that_a_request_was_left() {
-    let mut vm = one_vm().await;
-    ready(&vm.running).await;
-    let mut config = config("entry-1");
+    let mut config = config("entry-0");
     config.drain_limit = Duration::from_millis(300);
-    let node = Node::new(
-        config,
-        timer::Service::start(),
-        vm.store.platform(),
-        vm.fleet.client(),
-        log::silent(),
-    );
-    vm.running = node.start().await.unwrap();
+    let vm = first_vm(config).await;
     ready(&vm.running).await;
+    let node = Arc::clone(&vm.running.node);
     let client = caller(vm.running.callers.address);
     let check = request("checks", Kind::Interactive, r#"{"run_ms":3600000}"#);
     let waiting = tokio::spawn(async move { client.submit(&check, PATIENCE * 100).await });
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -13,6 +13,7 @@
         Embedded, //
     },
     log,
+    metrics::Metrics,
     node::{
         Node,
         Running, //
@@ -30,19 +31,25 @@
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 pub(crate) async fn one_vm() -> Embedded {
-    embedded::start(Config::local("entry-0", "local"), 16, log::silent())
+    first_vm(Config::local("entry-0", "local")).await
+}
+
+/// Starts an entry VM with a platform and workers.
+pub(crate) async fn first_vm(config: Config) -> Embedded {
+    embedded::start(config, 16, log::silent(), Metrics::none())
         .await
         .unwrap()
 }
 
 /// Starts further entry VMs on the platform and workers of `first`.
-pub(crate) async fn further_vm(first: &Embedded, name: &str, data_centre: &str) -> Running {
+pub(crate) async fn further_vm(first: &Embedded, config: Config) -> Running {
     let node = Node::new(
-        Config::local(name, data_centre),
+        config,
         timer::Service::start(),
         first.store.platform(),
         first.fleet.client(),
         log::silent(),
+        Metrics::none(),
     );
     node.start().await.unwrap()
 }
@@ -72,11 +79,7 @@
 
 /// Waits until the VM has taken in the configuration and found an owner for a shard.
 pub(crate) async fn ready(running: &Running) {
-    for _ in 0..1000 {
-        if running.node.is_ready() {
-            return;
-        }
-        running.node.timer.sleep(Duration::from_millis(10)).await;
-    }
-    panic!("the VM never became ready");
+    let ready = running.node.until_ready();
+    let in_time = running.node.timer.timeout(PATIENCE, ready).await;
+    assert!(in_time.is_some(), "the VM never became ready");
 }
