--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/API.md` lists the paths.
 
+pub mod check;
 pub mod route;
 
 use std::{
--- a/crates/callers/src/route.rs
+++ b/crates/callers/src/route.rs
@@ -45,7 +45,8 @@
 use crate::{
     App,
     Request,
-    Verb, //
+    Verb,
+    check, //
 };
 
 /// The header that carries the time until the caller gives up, in milliseconds.
@@ -93,7 +94,9 @@
 }
 
 async fn submit(mut state: State) -> HandlerResult {
-    let result = match body::read_json::<job::Request>(&mut state).await {
+    let read = body::read_json::<job::Request>(&mut state).await;
+    let checked = read.and_then(|request| check::check(&request).map(|()| request));
+    let result = match checked {
         Ok(request) => {
             let prepared = prepare(&state, Verb::Submit(Box::new(request)));
             handle(prepared).await
--- a/crates/endpoints/src/command.rs
+++ b/crates/endpoints/src/command.rs
@@ -6,6 +6,7 @@
     id::{
         Boot,
         Epoch,
+        Name,
         Task, //
     },
     unit::Resources,
@@ -95,6 +96,9 @@
     pub deadline: Option<Duration>,
     /// Whether the worker answers when the task has ended, not when it has started.
     pub wait: bool,
+    /// Names the request in the logs of all who handle it.
+    #[serde(default)]
+    pub request_id: Name,
 }
 
 /// An extension of all leases.
--- a/crates/endpoints/tests/http.rs
+++ b/crates/endpoints/tests/http.rs
@@ -122,6 +122,7 @@
             lease: LONG,
             deadline: None,
             wait: true,
+            request_id: "request-1".into(),
         }),
     }
 }
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -61,6 +61,7 @@
             default_wait: arguments.default_wait,
             drain_grace: arguments.drain_grace,
             drain_limit: arguments.drain_limit,
+            max_requests: arguments.max_requests,
             bootstrap_key: arguments.bootstrap_key.as_deref().map(Hash::of),
         };
         config.check()?;
--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -95,6 +95,10 @@
     #[arg(long, env = "BASILBRIDGE_DRAIN_LIMIT", value_parser = humantime::parse_duration, default_value = "30s")]
     pub(crate) drain_limit: Duration,
 
+    /// How many submissions, and waits apart from them, the VM works on at once.
+    #[arg(long, env = "BASILBRIDGE_MAX_REQUESTS", default_value_t = 2048)]
+    pub(crate) max_requests: usize,
+
     /// The key of the first operator, before the configuration names any.
     #[arg(long, env = "BASILBRIDGE_BOOTSTRAP_KEY", hide_env_values = true)]
     pub(crate) bootstrap_key: Option<String>,
--- a/src/config.rs
+++ b/src/config.rs
@@ -39,6 +39,8 @@
     pub drain_grace: Duration,
     /// How long the end of the VM takes at most, the grace included.
     pub drain_limit: Duration,
+    /// How many submissions the VM works on at once, and how many callers may wait for jobs.
+    pub max_requests: usize,
     /// The key of the first operator, before the configuration names any.
     pub bootstrap_key: Option<Hash>,
 }
@@ -88,6 +90,9 @@
 pub const DRAIN_LIMIT: RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(3600);
 
+/// The fewest and the most requests that a VM works on at once.
+pub const MAX_REQUESTS: RangeInclusive<usize> = 2..=100_000;
+
 /// The fewest and the most racks of a shard.
 pub const RACKS_PER_SHARD: RangeInclusive<u32> = 1..=1000;
 
@@ -113,6 +118,7 @@
             default_wait: Duration::from_secs(10),
             drain_grace: Duration::from_secs(2),
             drain_limit: Duration::from_secs(30),
+            max_requests: 2048,
             bootstrap_key: None,
         }
     }
@@ -148,6 +154,11 @@
         ));
         faults.extend(check_time("--drain-grace", self.drain_grace, &DRAIN_GRACE));
         faults.extend(check_time("--drain-limit", self.drain_limit, &DRAIN_LIMIT));
+        faults.extend(check_range(
+            "--max-requests",
+            self.max_requests,
+            &MAX_REQUESTS,
+        ));
         if faults.is_empty() {
             Ok(())
         } else {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -221,7 +221,7 @@
         }
         let job = inner.jobs.get(&attempt.task.job)?;
         let boot = inner.contacts.get(&worker.name)?.boot?;
-        let since = self.tools.timer.now().since(job.accepted);
+        let now = self.tools.timer.now();
         Some(Run {
             task: attempt.task.clone(),
             attempt: attempt.number,
@@ -230,11 +230,9 @@
             repeatable: job.request.repeatable,
             payload: job.request.payload.clone(),
             lease: self.tools.task_lease,
-            deadline: job
-                .request
-                .deadline
-                .map(|deadline| deadline.saturating_sub(since)),
+            deadline: job.deadline.map(|deadline| deadline.since(now)),
             wait: job.request.kind == job::Kind::Interactive,
+            request_id: job.request_id.clone(),
         })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each entry VM runs one [`node::Node`]. Nodes own shards of workers under epochs that they take
 //! through the platform's table service. `docs/ARCHITECTURE.md` shows the way of one request.
 
+pub mod admission;
 pub mod allotment;
 pub mod budget;
 pub mod client;
@@ -20,6 +21,7 @@
 pub mod owner;
 pub mod record;
 pub mod renewal;
+pub mod retry;
 pub mod router;
 pub mod seat;
 pub mod session;
--- a/src/node.rs
+++ b/src/node.rs
@@ -55,6 +55,7 @@
 };
 
 use crate::{
+    admission::Admission,
     config::Config,
     directory::Directory,
     fleet::Fleet,
@@ -65,6 +66,7 @@
         Metrics, //
     },
     owner::Owner,
+    retry::Budget,
     router, seat,
     settings::Settings,
 };
@@ -85,6 +87,12 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    /// The submissions that this VM works on.
+    pub submissions: Admission,
+    /// The calls to other VMs that may be sent again.
+    pub retries: Budget,
+    /// The callers that wait for jobs here.
+    pub waits: Admission,
     /// Where metrics are sent.
     pub metrics: Metrics,
     /// Tells that work waits for an allotment of its team.
@@ -144,6 +152,9 @@
             directory: Directory::default(),
             pool: Pool::new(timer.clone()),
             gate: Gate::default(),
+            submissions: Admission::new(config.max_requests),
+            waits: Admission::new(config.max_requests),
+            retries: Budget::default(),
             allotments: Arc::default(),
             metrics,
             session,
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -100,6 +100,8 @@
 pub(crate) struct Job {
     pub(crate) team: Name,
     pub(crate) accepted: Millis,
+    pub(crate) request_id: Name,
+    pub(crate) deadline: Option<Millis>,
     pub(crate) request: Request,
     /// How each task has ended, by the number of the task.
     pub(crate) ended: Vec<Option<State>>,
@@ -362,6 +364,7 @@
             job: self.next_job(),
             team: call.team.clone(),
             at,
+            request_id: call.request_id.clone(),
             deadline: stated.into_iter().chain(patience).min(),
             request: request.clone(),
         }
--- a/src/record.rs
+++ b/src/record.rs
@@ -38,6 +38,9 @@
     pub team: Name,
     /// When it was accepted.
     pub at: Millis,
+    /// Names the request in the logs of all who handle it.
+    #[serde(default)]
+    pub request_id: Name,
     /// When the work has no more use.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<Millis>,
--- a/src/router.rs
+++ b/src/router.rs
@@ -4,6 +4,7 @@
 
 use basilbridge_callers as callers;
 use basilbridge_common::{
+    backoff::Backoff,
     call::{
         Call,
         Verb, //
@@ -15,6 +16,7 @@
         Result, //
     },
     id::{
+        Epoch,
         Name,
         Shard, //
     },
@@ -25,14 +27,25 @@
     },
 };
 
-use crate::node::Node;
+use crate::{
+    admission::Ticket,
+    directory,
+    node::Node, //
+};
 
 /// How long to wait before the owner of a shard is looked up again.
-const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
+const LOOKUP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long to wait before the same owner is asked again.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+
+/// The longest such wait.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
 
 /// Handles a request that came from a caller.
 pub async fn route(node: &Node, request: callers::Request) -> Result<Status> {
     let team = authorize(node, &request)?;
+    let _ticket = admit(node, &request, &team)?;
     let verb = match request.verb {
         callers::Verb::Submit(job) => {
             let shard = choose(node, &job)?;
@@ -78,6 +91,25 @@
     }
 }
 
+/// Counts a request for as long as it is worked on; the short ones are not bounded.
+fn admit(node: &Node, request: &callers::Request, team: &Name) -> Result<Option<Ticket>> {
+    let configuration = node.settings.current();
+    let share = configuration.team(team).map_or(1, |team| team.share);
+    match &request.verb {
+        callers::Verb::Submit(job) if request.key.is_none() => {
+            // What comes without a key must not take the room of the team that it counts for.
+            let queue: Name = format!("open queue {}", job.queue).into();
+            node.submissions.admit(&queue, 1, job.kind).map(Some)
+        }
+        callers::Verb::Submit(job) => node.submissions.admit(team, share, job.kind).map(Some),
+        callers::Verb::Wait(_) => {
+            let ticket = node.waits.admit(team, share, Kind::Interactive);
+            ticket.map(Some)
+        }
+        callers::Verb::Status(_) | callers::Verb::Cancel(_) => Ok(None),
+    }
+}
+
 /// Chooses a shard for new work: one of our own that could run it, else any that could.
 fn choose(node: &Node, request: &Request) -> Result<Shard> {
     let own = node.owners();
@@ -103,26 +135,41 @@
     Err(Error::new(error::Kind::Impossible, message))
 }
 
-/// Hands a call to the owner of its shard, and looks the owner up again if it has moved.
+/// Hands a call to the owner of its shard, and to the next owner if the shard has moved.
 async fn forward(node: &Node, call: Call) -> Result<Status> {
     let deadline = node.timer.now().after(call.remaining);
+    let mut backoff = Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF);
+    node.retries.pay(&call.team);
     loop {
-        let remaining = deadline.since(node.timer.now());
+        let asked = owner_of(node, call.verb.shard());
         let attempt = Call {
-            remaining,
+            remaining: deadline.since(node.timer.now()),
             ..call.clone()
         };
         let error = match send(node, attempt).await {
             Err(error) if may_have_moved(&error) => error,
             result => return result,
         };
-        if remaining <= LOOKUP_INTERVAL {
-            return Err(error.retry_after(node.config.session_lease));
+        backoff.fail(node.timer.now(), rand::random());
+        while owner_of(node, call.verb.shard()) == asked {
+            let now = node.timer.now();
+            if deadline.since(now) <= LOOKUP_INTERVAL {
+                return Err(error.retry_after(node.config.session_lease));
+            }
+            if backoff.remaining(now).is_none() && node.retries.take(&call.team) {
+                break;
+            }
+            node.timer.sleep(LOOKUP_INTERVAL).await;
         }
-        node.timer.sleep(LOOKUP_INTERVAL).await;
     }
 }
 
+/// Returns whom a call for a shard would go to: this VM, if it owns the shard, or another.
+fn owner_of(node: &Node, shard: &Shard) -> (Option<Epoch>, Option<directory::Entry>) {
+    let own = node.owner(shard).map(|owner| owner.title.epoch);
+    (own, node.directory.find(shard))
+}
+
 fn may_have_moved(error: &Error) -> bool {
     matches!(error.kind, error::Kind::NotOwner | error::Kind::Unreachable)
         && error.kind.answer().ran == Ran::No
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,8 @@
         let job = Job {
             team: accepted.team,
             accepted: accepted.at,
+            request_id: accepted.request_id,
+            deadline: accepted.deadline,
             ended: vec![None; accepted.request.count as usize],
             request: accepted.request,
             sent: 0,
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -52,7 +52,7 @@
 }
 
 async fn next_vm(first: &Embedded, name: &str) -> Running {
-    let running = further_vm(first, config(name)).await;
+    let running = further_vm(&first.store, first.fleet.client(), config(name)).await;
     ready(&running).await;
     running
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -164,7 +164,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_runs_over_a_lowered_limit_is_stopped_and_waits() {
     let first = one_vm().await;
-    let second = further_vm(&first, Config::local("entry-1", "local")).await;
+    let second = further_vm(
+        &first.store,
+        first.fleet.client(),
+        Config::local("entry-1", "local"),
+    )
+    .await;
     ready(&second).await;
     let client = caller(second.callers.address);
     client.submit(&job(12, 60_000), PATIENCE).await.unwrap();
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -6,7 +6,7 @@
 };
 
 use basilbridge::{
-    client::Client,
+    client,
     config::Config,
     embedded::{
         self,
@@ -27,6 +27,8 @@
     timer,
     unit::Resources,
 };
+use basilbridge_endpoints::Client;
+use basilbridge_standins::store::Store;
 
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -41,21 +43,21 @@
         .unwrap()
 }
 
-/// Starts further entry VMs on the platform and workers of `first`.
-pub(crate) async fn further_vm(first: &Embedded, config: Config) -> Running {
+/// Starts a further entry VM on a platform with these workers.
+pub(crate) async fn further_vm(store: &Store, workers: Client, config: Config) -> Running {
     let node = Node::new(
         config,
         timer::Service::start(),
-        first.store.platform(),
-        first.fleet.client(),
+        store.platform(),
+        workers,
         log::silent(),
         Metrics::none(),
     );
     node.start().await.unwrap()
 }
 
-pub(crate) fn caller(address: SocketAddr) -> Client {
-    Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
+pub(crate) fn caller(address: SocketAddr) -> client::Client {
+    client::Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
 }
 
 pub(crate) fn request(queue: &str, kind: Kind, payload: &str) -> Request {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -55,7 +55,12 @@
 async fn a_request_to_a_vm_that_does_not_own_the_shard_is_answered_too() {
     let first = one_vm().await;
     ready(&first.running).await;
-    let second = further_vm(&first, Config::local("entry-1", "local")).await;
+    let second = further_vm(
+        &first.store,
+        first.fleet.client(),
+        Config::local("entry-1", "local"),
+    )
+    .await;
     ready(&second).await;
     assert!(second.node.owners().is_empty());
     let client = caller(second.callers.address);
