--- /dev/null
+++ b/crates/operators/src/audit.rs
@@ -0,0 +1,157 @@
+//! The trail of all changes, chained by hash.
+//!
+//! Each entry holds the hash of the one before it, so that an entry that was altered, cut out or
+//! put in breaks the chain. See `docs/design/audit.md`.
+
+use basilbridge_common::{
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
+};
+use basilbridge_derives::data;
+
+use crate::{
+    change::Change,
+    key::Hash, //
+};
+
+/// One change that took effect.
+#[data]
+pub struct Entry {
+    /// The position in the trail, from one; it is the version of the configuration it led to.
+    pub sequence: Version,
+    /// When the change was made, by the clock of the VM that made it.
+    pub at: Millis,
+    /// The fingerprint of the operator's key.
+    pub operator: String,
+    /// The id of the edit, which a plan shares.
+    pub id: Name,
+    /// The file or command that the edit came from.
+    pub intent: String,
+    /// What changed.
+    pub changes: Vec<Change>,
+    /// The hash of the entry before.
+    pub previous: Hash,
+    /// The hash of all of the above.
+    pub hash: Hash,
+}
+
+/// Where the trail stands.
+#[data]
+pub struct Head {
+    /// The position of the last entry.
+    pub sequence: Version,
+    /// The hash of the last entry.
+    pub hash: Hash,
+    /// The position of the first entry that is still in the table.
+    pub first: Version,
+}
+
+/// Some consecutive entries of the trail.
+#[data]
+pub struct Page {
+    /// The entries; none means that the trail ends here.
+    pub entries: Vec<Entry>,
+    /// Where the whole trail stands.
+    pub head: Head,
+}
+
+impl Default for Head {
+    fn default() -> Self {
+        Self {
+            sequence: Version(0),
+            hash: Hash::zero(),
+            first: Version(1),
+        }
+    }
+}
+
+/// What is wrong with a trail.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// Entries are missing, doubled or out of order.
+    #[error("entry {found} stands where entry {expected} should")]
+    Order {
+        /// The position that should come.
+        expected: u64,
+        /// The position that came.
+        found: u64,
+    },
+    /// An entry does not follow from the one before it.
+    #[error("entry {0} does not follow from the entry before it")]
+    Link(u64),
+    /// The content of an entry does not match its hash.
+    #[error("entry {0} does not match its hash")]
+    Content(u64),
+    /// The trail does not end where its head says.
+    #[error("the trail ends at entry {found}, its head says {expected}")]
+    End {
+        /// The position of the head.
+        expected: u64,
+        /// The position of the last entry.
+        found: u64,
+    },
+}
+
+impl Entry {
+    /// Fills in the hash.
+    #[must_use]
+    pub fn sealed(mut self) -> Self {
+        self.hash = self.content_hash();
+        self
+    }
+
+    fn content_hash(&self) -> Hash {
+        let changes = serde_json::to_vec(&self.changes).unwrap_or_default();
+        Hash::of_bytes(&[
+            &self.sequence.0.to_be_bytes(),
+            &self.at.0.to_be_bytes(),
+            self.operator.as_bytes(),
+            self.id.as_bytes(),
+            self.intent.as_bytes(),
+            &changes,
+            self.previous.to_string().as_bytes(),
+        ])
+    }
+
+    /// Checks that this entry follows from what stands before it.
+    pub fn check(&self, sequence: Version, hash: &Hash) -> Result<(), Fault> {
+        let expected = sequence.0 + 1;
+        if self.sequence.0 != expected {
+            return Err(Fault::Order {
+                expected,
+                found: self.sequence.0,
+            });
+        }
+        if self.previous != *hash {
+            return Err(Fault::Link(expected));
+        }
+        if self.hash != self.content_hash() {
+            return Err(Fault::Content(expected));
+        }
+        Ok(())
+    }
+}
+
+/// Checks a whole trail, from its first entry to its head.
+pub fn verify(entries: &[Entry], head: &Head) -> Result<(), Fault> {
+    let mut sequence = Version(0);
+    let mut hash = Hash::zero();
+    for entry in entries {
+        entry.check(sequence, &hash)?;
+        sequence = entry.sequence;
+        hash = entry.hash.clone();
+    }
+    if sequence != head.sequence {
+        return Err(Fault::End {
+            expected: head.sequence.0,
+            found: sequence.0,
+        });
+    }
+    if hash != head.hash {
+        return Err(Fault::Link(sequence.0 + 1));
+    }
+    Ok(())
+}
--- a/crates/operators/src/configuration.rs
+++ b/crates/operators/src/configuration.rs
@@ -5,6 +5,7 @@
         Name,
         Version, //
     },
+    job::Kind,
     unit::Resources,
 };
 use basilbridge_derives::data;
@@ -15,7 +16,7 @@
 #[data]
 #[derive(Default)]
 pub struct Configuration {
-    /// Grows with each change; it is the version of the row in the table service.
+    /// The number of changes that led here, which is the sequence of the last audit entry.
     #[serde(default)]
     pub version: Version,
     /// The teams.
@@ -24,6 +25,9 @@
     /// The queues.
     #[serde(default)]
     pub queues: Vec<Queue>,
+    /// The workloads that operators want to run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workloads: Vec<Workload>,
     /// The keys of operators.
     #[serde(default)]
     pub operator_keys: Vec<Hash>,
@@ -44,6 +48,42 @@
     pub keys: Vec<Hash>,
 }
 
+/// What operators set of a team; its keys change apart from it.
+#[data]
+#[derive(Copy, Eq)]
+pub struct Terms {
+    /// The weight of the team when capacity is short.
+    pub share: u32,
+    /// The most that the team may have running across the fleet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<Resources>,
+}
+
+/// Work that operators want to run.
+#[data]
+pub struct Workload {
+    /// The name, unique in the cell.
+    pub name: Name,
+    /// The team that the work is counted for.
+    pub team: Name,
+    /// The queue.
+    pub queue: Name,
+    /// The kind of work.
+    pub kind: Kind,
+    /// What each task needs.
+    pub resources: Resources,
+    /// How many tasks.
+    pub count: u32,
+    /// The most tasks that may stand in one rack.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spread: Option<u32>,
+    /// Whether a task may be run again after a try whose outcome is not known.
+    pub repeatable: bool,
+    /// What the worker hands to the program.
+    #[serde(default)]
+    pub payload: String,
+}
+
 /// A queue.
 #[data]
 pub struct Queue {
@@ -65,6 +105,13 @@
         self.queues.iter().find(|queue| &*queue.name == name)
     }
 
+    /// Returns the workload of this name.
+    pub fn workload(&self, name: &str) -> Option<&Workload> {
+        self.workloads
+            .iter()
+            .find(|workload| &*workload.name == name)
+    }
+
     /// Returns the team that a key belongs to.
     pub fn team_of_key(&self, key: &str) -> Option<&Team> {
         let hash = Hash::of(key);
@@ -86,3 +133,13 @@
             .fold(false, |any, known| known.matches(&hash) | any)
     }
 }
+
+impl Team {
+    /// Returns what operators set of the team besides its keys.
+    pub fn terms(&self) -> Terms {
+        Terms {
+            share: self.share,
+            limit: self.limit,
+        }
+    }
+}
--- a/crates/operators/src/key.rs
+++ b/crates/operators/src/key.rs
@@ -2,7 +2,15 @@
 
 use std::fmt;
 
-use basilbridge_common::id::Malformed;
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::Malformed,
+};
+use rand::TryRngCore;
 use serde::{
     Deserialize,
     Serialize, //
@@ -20,12 +28,53 @@
 #[serde(try_from = "String", into = "String")]
 pub struct Hash([u8; 32]);
 
+/// The random bytes in a key.
+const KEY_BYTES: usize = 32;
+
+/// The hexadecimal digits of a hash that name a key to people.
+pub const FINGERPRINT_DIGITS: usize = 12;
+
+/// Makes a key from the system's source of random numbers.
+pub fn generate() -> Result<String> {
+    let mut bytes = [0; KEY_BYTES];
+    rand::rngs::OsRng
+        .try_fill_bytes(&mut bytes)
+        .map_err(|error| Error::new(Kind::Internal, format!("no random numbers: {error}")))?;
+    Ok(hex(&bytes))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 impl Hash {
     /// Hashes a key.
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
 
+    /// Hashes what `parts` hold together.
+    pub fn of_bytes(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Returns the hash that the audit trail starts from.
+    pub fn zero() -> Self {
+        Self([0; 32])
+    }
+
+    /// Returns the first digits, which name a key without telling it.
+    pub fn fingerprint(&self) -> String {
+        let mut digits = self.to_string();
+        digits.truncate(FINGERPRINT_DIGITS);
+        digits
+    }
+
     /// Compares two hashes in a time that does not depend on them.
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
@@ -34,7 +83,7 @@
 
 impl fmt::Display for Hash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        f.write_str(&hex(&self.0))
     }
 }
 
@@ -53,7 +102,7 @@
 impl TryFrom<String> for Hash {
     type Error = Malformed;
 
-    fn try_from(text: String) -> Result<Self, Malformed> {
+    fn try_from(text: String) -> std::result::Result<Self, Malformed> {
         let malformed = || Malformed {
             wanted: "hash of a key",
             text: text.clone(),
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,34 +1,47 @@
 //! What operators say: the configuration, its keys, and the HTTP interface to both.
 
+pub mod audit;
+pub mod change;
 pub mod configuration;
 pub mod key;
 pub mod route;
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use basilbridge_common::{
     error::Result,
+    id::Version,
     worker::Worker, //
 };
 use futures_util::future::BoxFuture;
 use gotham::state::StateData;
 
+use audit::Page;
+use change::{
+    Accepted,
+    Edit, //
+};
 use configuration::Configuration;
 
-type Authorize = Arc<dyn Fn(Option<&str>) -> Result<()> + Send + Sync>;
+type Authorize = Arc<dyn Fn(Option<&str>) -> Result<String> + Send + Sync>;
 type Read<T> = Arc<dyn Fn() -> T + Send + Sync>;
-type Replace =
-    Arc<dyn Fn(Configuration) -> BoxFuture<'static, Result<Configuration>> + Send + Sync>;
+type Commit = Arc<dyn Fn(Edit, Duration) -> BoxFuture<'static, Result<Accepted>> + Send + Sync>;
+type Audit = Arc<dyn Fn(Version) -> BoxFuture<'static, Result<Page>> + Send + Sync>;
 
 /// What stands behind the interface.
 #[derive(Clone, StateData)]
 pub struct App {
-    /// Says whether a key is an operator's.
+    /// Returns the fingerprint of a key that is an operator's.
     pub authorize: Authorize,
     /// Returns the configuration that this VM acts on.
     pub configuration: Read<Configuration>,
-    /// Replaces the configuration if it still has the version given.
-    pub replace: Replace,
+    /// Carries out an edit and waits until it is in force, for at most the time given.
+    pub commit: Commit,
+    /// Returns the entries of the audit trail after a position.
+    pub audit: Audit,
     /// Returns the workers that this VM knows.
     pub workers: Read<Vec<Worker>>,
     /// Counts the requests in flight.
--- a/crates/operators/src/route.rs
+++ b/crates/operators/src/route.rs
@@ -1,6 +1,12 @@
 //! The paths of the interface.
 
-use basilbridge_common::error::Result;
+use std::time::Duration;
+
+use basilbridge_callers::route::TIMEOUT_HEADER;
+use basilbridge_common::{
+    error::Result,
+    id::Version, //
+};
 use basilbridge_server::body;
 use gotham::{
     handler::HandlerResult,
@@ -16,14 +22,29 @@
     },
     state::State,
 };
-use http::StatusCode;
-use serde::Serialize;
+use http::{
+    HeaderMap,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::{
     App,
+    change::Edit,
     configuration::Configuration, //
 };
 
+/// How long an edit is waited for that comes without a time-out.
+const DEFAULT_WAIT: Duration = Duration::from_secs(9);
+
+#[derive(Deserialize, StateData, StaticResponseExtender)]
+struct AuditPath {
+    after: u64,
+}
+
 /// Makes the router of the interface.
 pub fn router(app: App) -> Router {
     let pipeline = new_pipeline().add(StateMiddleware::new(app)).build();
@@ -31,15 +52,20 @@
     build_router(chain, pipelines, |route| {
         route.get("/v1/configuration").to_async(configuration);
         route.put("/v1/configuration").to_async(replace);
+        route.post("/v1/edits").to_async(edit);
+        route
+            .get("/v1/audit/:after")
+            .with_path_extractor::<AuditPath>()
+            .to_async(audit);
         route.get("/v1/workers").to_async(workers);
     })
 }
 
-fn authorized(state: &State) -> Result<App> {
+fn authorized(state: &State) -> Result<(App, String)> {
     let app = App::borrow_from(state).clone();
     let key = body::bearer(state);
-    (app.authorize)(key.as_deref())?;
-    Ok(app)
+    let operator = (app.authorize)(key.as_deref())?;
+    Ok((app, operator))
 }
 
 fn answer<T: Serialize>(state: State, result: Result<T>) -> HandlerResult {
@@ -47,14 +73,15 @@
 }
 
 async fn configuration(state: State) -> HandlerResult {
-    let result = authorized(&state).map(|app| (app.configuration)());
+    let result = authorized(&state).map(|(app, _)| (app.configuration)());
     answer(state, result)
 }
 
 async fn replace(mut state: State) -> HandlerResult {
+    let wait = wait(&state);
     let result = match authorized(&state) {
-        Ok(app) => match body::read_json::<Configuration>(&mut state).await {
-            Ok(configuration) => (app.replace)(configuration).await,
+        Ok((app, operator)) => match body::read_json::<Configuration>(&mut state).await {
+            Ok(next) => replace_by(&app, operator, &next, wait).await,
             Err(error) => Err(error),
         },
         Err(error) => Err(error),
@@ -62,7 +89,51 @@
     answer(state, result)
 }
 
+async fn replace_by(
+    app: &App,
+    operator: String,
+    next: &Configuration,
+    wait: Duration,
+) -> Result<Configuration> {
+    let id = format!("replace-{}", rand::random::<u128>());
+    let mut edit = (app.configuration)().edit_to(id.into(), next);
+    edit.operator = operator;
+    edit.base = Some(next.version);
+    (app.commit)(edit, wait).await?;
+    Ok((app.configuration)())
+}
+
+async fn edit(mut state: State) -> HandlerResult {
+    let wait = wait(&state);
+    let result = match authorized(&state) {
+        Ok((app, operator)) => match body::read_json::<Edit>(&mut state).await {
+            Ok(edit) => (app.commit)(Edit { operator, ..edit }, wait).await,
+            Err(error) => Err(error),
+        },
+        Err(error) => Err(error),
+    };
+    answer(state, result)
+}
+
+async fn audit(mut state: State) -> HandlerResult {
+    let after = AuditPath::take_from(&mut state).after;
+    let result = match authorized(&state) {
+        Ok((app, _)) => (app.audit)(Version(after)).await,
+        Err(error) => Err(error),
+    };
+    answer(state, result)
+}
+
+fn wait(state: &State) -> Duration {
+    let headers = HeaderMap::borrow_from(state);
+    let text = headers
+        .get(TIMEOUT_HEADER)
+        .and_then(|value| value.to_str().ok());
+    let millis = text.and_then(|text| text.parse().ok());
+    millis.map_or(DEFAULT_WAIT, Duration::from_millis)
+}
+
 async fn workers(state: State) -> HandlerResult {
-    let result = authorized(&state).map(|app| (app.workers)());
+    let result = authorized(&state).map(|(app, _)| (app.workers)());
     answer(state, result)
 }
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -32,6 +32,7 @@
 use crate::{
     convert,
     generated::{
+        Configuration,
         News,
         peer_client::PeerClient, //
     },
@@ -43,6 +44,9 @@
 /// How long a connection may leave that question open.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a peer may take to catch up with the configuration.
+const CONFIGURE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How long a peer may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -88,6 +92,21 @@
         }
     }
 
+    /// Swaps what both know of the configuration with the peer at `address`.
+    pub async fn configure(
+        &self,
+        address: SocketAddr,
+        configuration: Configuration,
+    ) -> Result<Configuration> {
+        let mut client = PeerClient::new(self.channel(address)?);
+        let exchange = client.configure(Request::new(configuration));
+        match self.timer.timeout(CONFIGURE_TIMEOUT, exchange).await {
+            Some(Ok(configuration)) => Ok(configuration.into_inner()),
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(Kind::Unreachable, "no word in time")),
+        }
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(channel) = channels.get(&address) {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -14,6 +14,7 @@
 }
 
 pub use generated::{
+    Configuration,
     News,
     Owned, //
 };
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -26,7 +26,7 @@
 use crate::{
     convert,
     generated::{
-        self, News, Reply,
+        self, Configuration, News, Reply,
         peer_server::{
             Peer,
             PeerServer, //
@@ -36,6 +36,7 @@
 
 type Forward = Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Status>> + Send + Sync>;
 type Exchange = Arc<dyn Fn(News) -> News + Send + Sync>;
+type Configure = Arc<dyn Fn(Configuration) -> BoxFuture<'static, Configuration> + Send + Sync>;
 
 /// What stands behind the protocol.
 #[derive(Clone)]
@@ -44,6 +45,8 @@
     pub forward: Forward,
     /// Takes the news of a peer and returns our own.
     pub exchange: Exchange,
+    /// Catches up with a peer's configuration and returns what this VM knows then.
+    pub configure: Configure,
 }
 
 #[tonic::async_trait]
@@ -67,6 +70,13 @@
     ) -> std::result::Result<Response<News>, tonic::Status> {
         Ok(Response::new((self.exchange)(request.into_inner())))
     }
+
+    async fn configure(
+        &self,
+        request: Request<Configuration>,
+    ) -> std::result::Result<Response<Configuration>, tonic::Status> {
+        Ok(Response::new((self.configure)(request.into_inner()).await))
+    }
 }
 
 /// A server that runs in the background.
--- /dev/null
+++ b/src/acknowledgement.rs
@@ -0,0 +1,290 @@
+//! Which entry VMs act on a version of the configuration.
+//!
+//! The VM that takes a change tells the others at once, and the session rows tell it which version
+//! each of them acts on even if that word was lost. A VM that stays silent has fenced itself once
+//! [`MAX_AGE`] has passed. See `docs/design/configuration.md`.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::{
+        Name,
+        Session,
+        Version, //
+    },
+    timer,
+    unit::Millis,
+};
+use basilbridge_operators::{
+    audit::Entry,
+    change::Accepted, //
+};
+use basilbridge_peers::{
+    Configuration,
+    client::Pool, //
+};
+use basilbridge_platform::table::Service;
+use futures_util::future;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
+
+use crate::{
+    session::Record,
+    settings::{
+        MAX_AGE,
+        Settings, //
+    },
+};
+
+/// How long past [`MAX_AGE`] a silent VM is waited for, since clocks drift and answers travel.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// How often a session must have been renewed since ours was, before its VM surely knows ours.
+const RENEWALS_TO_KNOW_US: u64 = 2;
+
+/// How long one read of the configuration may take before the service counts as down.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Clone)]
+struct Peer {
+    name: Name,
+    address: SocketAddr,
+    acknowledged: Version,
+    renewals: u64,
+    /// The renewals when this VM first saw the session.
+    first_renewals: u64,
+    /// When this VM last saw the session renewed.
+    renewed: Millis,
+}
+
+/// Which version each other entry VM acts on.
+#[derive(Debug, Default)]
+pub struct Tracker {
+    peers: Mutex<HashMap<Session, Peer>>,
+    changed: Notify,
+}
+
+impl Tracker {
+    /// Takes note of the other VMs' sessions that live.
+    pub fn observe(&self, records: &[Record], own: Session, now: Millis, lease: Duration) {
+        let mut peers = self.lock();
+        for record in records.iter().filter(|record| record.session != own) {
+            let peer = peers.entry(record.session).or_insert_with(|| Peer {
+                name: record.name.clone(),
+                address: record.address,
+                acknowledged: Version(0),
+                renewals: record.renewals,
+                first_renewals: record.renewals,
+                renewed: now,
+            });
+            peer.address = record.address;
+            peer.acknowledged = peer.acknowledged.max(record.configuration);
+            if record.renewals > peer.renewals {
+                peer.renewals = record.renewals;
+                peer.renewed = now;
+            }
+        }
+        // A VM whose session lapsed so long ago has fenced itself, if it still runs at all.
+        peers.retain(|_, peer| now.since(peer.renewed) < lease + MAX_AGE + MARGIN);
+        drop(peers);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets how far the others have observed us, as our own session may have lapsed for them.
+    pub fn lapsed(&self) {
+        for peer in self.lock().values_mut() {
+            peer.first_renewals = peer.renewals;
+        }
+    }
+
+    /// Takes note of the version that a peer acts on.
+    pub fn acknowledge(&self, session: Session, version: Version) {
+        if let Some(peer) = self.lock().get_mut(&session) {
+            peer.acknowledged = peer.acknowledged.max(version);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the names of the VMs that may act on an older version `since` its commit.
+    pub fn missing(&self, version: Version, since: Duration) -> Vec<Name> {
+        let peers = self.lock();
+        let missing = peers.values().filter(|peer| {
+            let knows_us = peer.renewals >= peer.first_renewals + RENEWALS_TO_KNOW_US;
+            let fenced = knows_us && since >= MAX_AGE + MARGIN;
+            peer.acknowledged < version && !fenced
+        });
+        let mut names: Vec<_> = missing.map(|peer| peer.name.clone()).collect();
+        names.sort();
+        names
+    }
+
+    /// Waits until a version that was just committed is in force, for at most `limit`.
+    pub async fn in_force(
+        &self,
+        version: Version,
+        timer: &timer::Service,
+        limit: Duration,
+    ) -> Accepted {
+        let committed = timer.now();
+        loop {
+            let changed = self.changed.notified();
+            let since = timer.now().since(committed);
+            let missing = self.missing(version, since);
+            if missing.is_empty() || since >= limit {
+                return Accepted {
+                    version,
+                    in_force: missing.is_empty(),
+                    missing,
+                };
+            }
+            let fenced = MAX_AGE + MARGIN;
+            let next = if since < fenced {
+                fenced.min(limit)
+            } else {
+                limit
+            };
+            timer.timeout(next - since, changed).await;
+        }
+    }
+
+    fn peers(&self) -> Vec<(Session, SocketAddr, Version)> {
+        let peers = self.lock();
+        peers
+            .iter()
+            .map(|(session, peer)| (*session, peer.address, peer.acknowledged))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Session, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What keeps the configuration of this VM fresh and tells the others of changes.
+#[derive(Clone)]
+pub struct Messenger {
+    /// The session of this VM.
+    pub session: Session,
+    /// The configuration that this VM acts on.
+    pub settings: Arc<Settings>,
+    /// Which version each other VM acts on.
+    pub tracker: Arc<Tracker>,
+    /// The connections to other entry VMs.
+    pub pool: Pool,
+    /// The table service.
+    pub tables: Service,
+    /// The timer service.
+    pub timer: timer::Service,
+}
+
+impl Messenger {
+    /// Reads the configuration each `interval`, and asks the peers where that fails.
+    pub async fn poll(self, interval: Duration) {
+        loop {
+            self.refresh().await;
+            self.timer.sleep(interval).await;
+        }
+    }
+
+    /// Tells the peers of each version that this VM writes.
+    pub async fn spread(self, mut committed: watch::Receiver<Version>) {
+        while committed.changed().await.is_ok() {
+            committed.borrow_and_update();
+            self.consult().await;
+        }
+    }
+
+    /// Reads the configuration once, and asks the peers where that fails.
+    pub async fn refresh(&self) {
+        let read = self.settings.refresh(&self.tables);
+        let read = self.timer.timeout(READ_TIMEOUT, read).await;
+        if read.is_none() {
+            self.settings.store_is_down();
+        }
+        if !matches!(read, Some(Ok(()))) {
+            let asked = self.timer.now();
+            if self.consult().await {
+                self.settings.exempt(asked);
+            }
+        }
+    }
+
+    /// Swaps news with all peers, and says whether the table service is down for each of them.
+    async fn consult(&self) -> bool {
+        let peers = self.tracker.peers();
+        let talks = peers
+            .into_iter()
+            .map(|(session, address, version)| async move {
+                let asked = self.timer.now();
+                let answer = self.pool.configure(address, self.known(version)).await;
+                let answer = answer.ok()?;
+                self.tracker.acknowledge(session, Version(answer.version));
+                self.take(&answer, asked);
+                Some(answer.store_down)
+            });
+        let answers = future::join_all(talks).await;
+        answers.into_iter().all(|down| down == Some(true))
+    }
+
+    /// Answers a peer that swaps news with us.
+    pub async fn answer(self, told: Configuration) -> Configuration {
+        // How long the word was on its way is not known, so it tells nothing of our freshness.
+        self.extend(&told);
+        if told.version > self.settings.current().version.0 {
+            self.refresh_alone().await;
+        }
+        let session = Session(told.session);
+        self.tracker.acknowledge(session, Version(told.version));
+        self.known(Version(told.version))
+    }
+
+    /// Reads the configuration without asking peers, so that VMs never wait for each other.
+    async fn refresh_alone(&self) {
+        let read = self.settings.refresh(&self.tables);
+        // A failure leaves the older version, which the answer then tells.
+        let _ = self.timer.timeout(READ_TIMEOUT / 2, read).await;
+    }
+
+    fn known(&self, theirs: Version) -> Configuration {
+        let (age, store_down) = self.settings.age();
+        let entries = self.settings.entries_after(theirs).unwrap_or_default();
+        let entries = entries
+            .iter()
+            .filter_map(|entry| serde_json::to_vec(entry).ok());
+        Configuration {
+            session: self.session.0,
+            version: self.settings.current().version.0,
+            age_ms: age.map(|age| age.as_millis() as u64),
+            store_down,
+            entries: entries.collect(),
+        }
+    }
+
+    fn extend(&self, told: &Configuration) {
+        let entries = told.entries.iter();
+        let entries: Vec<Entry> = entries
+            .filter_map(|bytes| serde_json::from_slice(bytes).ok())
+            .collect();
+        self.settings.extend(&entries);
+    }
+
+    fn take(&self, told: &Configuration, asked: Millis) {
+        self.extend(told);
+        if let Some(age) = told.age_ms {
+            let at = Millis(asked.0.saturating_sub(age));
+            self.settings.heard_from_peer(Version(told.version), at);
+        }
+    }
+}
--- /dev/null
+++ b/src/audit.rs
@@ -0,0 +1,268 @@
+//! The configuration and its audit trail in the table service and the object store.
+//!
+//! The trail is the log of changes and the items are the state it leads to. One transaction
+//! writes both, so that no change stands without its entry. A VM that lags reads the entries it
+//! has missed; one that starts, or lags behind what the table keeps, reads the items. See
+//! `docs/design/audit.md`.
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::Version,
+};
+use basilbridge_operators::{
+    audit::{
+        Entry,
+        Head,
+        Page, //
+    },
+    change::Item,
+    configuration::Configuration,
+    key::Hash,
+};
+use basilbridge_platform::{
+    Platform,
+    table::{
+        Check,
+        Outcome,
+        Put,
+        Query,
+        Row,
+        Service,
+        Transaction, //
+    },
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+/// The table of the configuration.
+pub const TABLE: &str = "configuration";
+
+/// The key of the row that tells where the trail stands.
+pub const HEAD_KEY: &str = "head";
+
+/// The table of the trail.
+pub const AUDIT_TABLE: &str = "audit";
+
+/// The table of the ids of edits that took effect.
+pub const EDITS_TABLE: &str = "edits";
+
+/// How many entries one object of the older trail holds.
+pub const SEGMENT_ENTRIES: u64 = 250;
+
+/// How many entries stay in the table before a segment of them is moved to the object store.
+pub const KEPT_ENTRIES: u64 = 1000;
+
+const ITEM_PREFIX: &str = "item/";
+const ROWS_PER_READ: u32 = 1000;
+
+/// Reads where the trail stands, with the version of its row.
+pub async fn head(tables: &Service) -> Result<(Head, Version)> {
+    let row = tables.get(TABLE, HEAD_KEY).await?;
+    let head = match &row.value {
+        Some(_) => parse(&row)?,
+        None => Head::default(),
+    };
+    Ok((head, row.version))
+}
+
+/// Reads the entries after a position that are still in the table.
+pub async fn entries_after(tables: &Service, sequence: Version) -> Result<Vec<Entry>> {
+    let rows = scan(tables, AUDIT_TABLE, "", Some(entry_key(sequence.0))).await?;
+    rows.iter().map(parse).collect()
+}
+
+/// Reads the whole configuration, with the hash of the entry that led to it.
+pub async fn load(tables: &Service) -> Result<(Configuration, Hash)> {
+    let (head, _) = head(tables).await?;
+    let mut configuration = Configuration {
+        version: head.sequence,
+        ..Configuration::default()
+    };
+    for row in scan(tables, TABLE, ITEM_PREFIX, None).await? {
+        let item: Item = parse(&row)?;
+        configuration.set_item(&item.key(), Some(item));
+    }
+    // Items may have changed since the head was read; the entries since then settle each of them.
+    let mut hash = head.hash;
+    for entry in entries_after(tables, head.sequence).await? {
+        entry
+            .check(configuration.version, &hash)
+            .map_err(|fault| Error::new(Kind::Conflict, fault.to_string()))?;
+        configuration.follow(&entry);
+        hash = entry.hash;
+    }
+    Ok((configuration, hash))
+}
+
+/// Reads some entries after a position, from the object store where the table has them no more.
+pub async fn page(platform: &Platform, after: Version) -> Result<Page> {
+    let (head, _) = head(&platform.tables).await?;
+    let next = after.0 + 1;
+    let mut entries: Vec<Entry> = if next < head.first.0 {
+        let first = after.0 / SEGMENT_ENTRIES * SEGMENT_ENTRIES + 1;
+        let key = segment_key(first);
+        let missing = || Error::new(Kind::NotFound, format!("the object {key} is gone"));
+        let body = platform
+            .objects
+            .get(key.clone())
+            .await?
+            .ok_or_else(missing)?;
+        serde_json::from_slice(&body)
+            .map_err(|error| Error::new(Kind::Truncated, format!("{key}: {error}")))?
+    } else {
+        entries_after(&platform.tables, after).await?
+    };
+    // What was added since the head was read belongs to a later reading.
+    entries.retain(|entry| entry.sequence > after && entry.sequence <= head.sequence);
+    Ok(Page { entries, head })
+}
+
+/// Returns the position of an edit that took effect, by its id.
+pub async fn find(tables: &Service, id: &str) -> Result<Option<Version>> {
+    let row = tables.get(EDITS_TABLE, id).await?;
+    row.value.as_ref().map(|_| parse(&row)).transpose()
+}
+
+/// Writes entries and the items that they change, if the head has not moved.
+pub async fn append(
+    tables: &Service,
+    write_id: String,
+    (head, row): (&Head, Version),
+    entries: &[Entry],
+) -> Result<Outcome> {
+    let Some(last) = entries.last() else {
+        return Err(Error::new(Kind::Internal, "there is nothing to write"));
+    };
+    let mut transaction = Transaction {
+        write_id,
+        checks: vec![check(TABLE, HEAD_KEY.to_owned(), row)],
+        puts: Vec::new(),
+    };
+    for entry in entries {
+        let id = entry.id.to_string();
+        let checks = &mut transaction.checks;
+        checks.push(check(EDITS_TABLE, id.clone(), Version(0)));
+        let puts = &mut transaction.puts;
+        puts.push(put(EDITS_TABLE, id, &entry.sequence)?);
+        puts.push(put(AUDIT_TABLE, entry_key(entry.sequence.0), entry)?);
+        for change in &entry.changes {
+            let key = format!("{ITEM_PREFIX}{}", change.key);
+            // A later entry of the same transaction has the last word on an item.
+            puts.retain(|put| *put.table != *TABLE || put.key != key);
+            puts.push(match &change.after {
+                Some(item) => put(TABLE, key, item)?,
+                None => delete(TABLE, key),
+            });
+        }
+    }
+    let next = Head {
+        sequence: last.sequence,
+        hash: last.hash.clone(),
+        first: head.first,
+    };
+    transaction
+        .puts
+        .push(put(TABLE, HEAD_KEY.to_owned(), &next)?);
+    tables.transact(transaction).await
+}
+
+/// Moves the oldest entries to the object store once the table holds more than it should.
+///
+/// The object is written first, so that an entry is never in neither place.
+pub async fn trim(platform: &Platform, write_id: String) -> Result<bool> {
+    let (head, row) = head(&platform.tables).await?;
+    if head.sequence.0 + 1 - head.first.0 < KEPT_ENTRIES + SEGMENT_ENTRIES {
+        return Ok(false);
+    }
+    let mut segment = entries_after(&platform.tables, Version(head.first.0 - 1)).await?;
+    segment.truncate(SEGMENT_ENTRIES as usize);
+    let body = serde_json::to_vec(&segment)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+    let key = segment_key(head.first.0);
+    platform.objects.put(key, body.into()).await?;
+    let next = Head {
+        first: Version(head.first.0 + SEGMENT_ENTRIES),
+        ..head
+    };
+    let mut puts = vec![put(TABLE, HEAD_KEY.to_owned(), &next)?];
+    for entry in &segment {
+        puts.push(delete(AUDIT_TABLE, entry_key(entry.sequence.0)));
+        puts.push(delete(EDITS_TABLE, entry.id.to_string()));
+    }
+    let transaction = Transaction {
+        write_id,
+        checks: vec![check(TABLE, HEAD_KEY.to_owned(), row)],
+        puts,
+    };
+    let outcome = platform.tables.transact(transaction).await?;
+    Ok(matches!(outcome, Outcome::Committed(_)))
+}
+
+fn entry_key(sequence: u64) -> String {
+    format!("{sequence:020}")
+}
+
+fn segment_key(first: u64) -> String {
+    format!("audit-{first:020}")
+}
+
+fn check(table: &str, key: String, version: Version) -> Check {
+    Check {
+        table: table.into(),
+        key,
+        version,
+    }
+}
+
+fn put<T: Serialize>(table: &str, key: String, value: &T) -> Result<Put> {
+    let value = serde_json::to_string(value)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+    Ok(Put {
+        table: table.into(),
+        key,
+        value: Some(value),
+    })
+}
+
+fn delete(table: &str, key: String) -> Put {
+    Put {
+        table: table.into(),
+        key,
+        value: None,
+    }
+}
+
+async fn scan(
+    tables: &Service,
+    table: &str,
+    prefix: &str,
+    mut after: Option<String>,
+) -> Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    loop {
+        let query = Query {
+            table: table.into(),
+            prefix: prefix.to_owned(),
+            after: after.clone(),
+            limit: ROWS_PER_READ,
+        };
+        let page = tables.scan(query).await?;
+        let full = page.len() == ROWS_PER_READ as usize;
+        after = page.last().map(|row| row.key.clone());
+        rows.extend(page);
+        if !full {
+            return Ok(rows);
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(row: &Row) -> Result<T> {
+    serde_json::from_str(row.value.as_deref().unwrap_or_default())
+        .map_err(|error| Error::new(Kind::Internal, format!("{}: {error}", row.key)))
+}
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -2,7 +2,8 @@
 
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    sync::Arc, //
 };
 
 use basilbridge_common::{
@@ -31,6 +32,7 @@
 use slog::Logger;
 
 use crate::{
+    commit::Committer,
     config::Config,
     node::{
         Node,
@@ -62,7 +64,7 @@
     let workers = stand_in_workers(&config.data_centre, workers);
     store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
     let fleet = Fleet::new(timer.clone(), workers);
-    configure(&store).await.map_err(io::Error::other)?;
+    configure(&store, &timer).await.map_err(io::Error::other)?;
     let node = Node::new(config, timer, store.platform(), fleet.client(), log);
     let running = node.start().await?;
     Ok(Embedded {
@@ -107,15 +109,17 @@
             keys: vec![Hash::of(TEAM_KEY)],
         }],
         queues: vec![queue("checks"), queue("plans"), queue("collections")],
+        workloads: Vec::new(),
         operator_keys: vec![Hash::of(OPERATOR_KEY)],
     }
 }
 
-async fn configure(store: &Store) -> Result<()> {
-    let settings = Settings::new(None);
-    let tables = store.platform().tables;
-    settings
-        .replace(&tables, "first".to_owned(), first_configuration())
-        .await?;
-    Ok(())
+async fn configure(store: &Store, timer: &timer::Service) -> Result<()> {
+    let platform = store.platform();
+    let settings = Arc::new(Settings::new(timer.clone(), None));
+    let (committer, writer) = Committer::new(settings, platform, timer.clone());
+    let first = Configuration::default().edit_to("first".into(), &first_configuration());
+    let commit = async move { committer.commit(first).await };
+    let (committed, ()) = tokio::join!(commit, writer.run());
+    committed.map(|_| ())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,10 @@
 //! Each entry VM runs one [`node::Node`]. Nodes own shards of workers under epochs that they take
 //! through the platform's table service. `docs/ARCHITECTURE.md` shows the way of one request.
 
+pub mod acknowledgement;
+pub mod audit;
 pub mod client;
+pub mod commit;
 pub mod config;
 pub mod directory;
 pub mod dispatch;
@@ -12,6 +15,7 @@
 pub mod journal;
 pub mod log;
 pub mod node;
+pub mod operator;
 pub mod owner;
 pub mod renewal;
 pub mod router;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
     io,
     sync::{
         Arc,
+        Mutex,
         PoisonError,
         RwLock, //
     },
@@ -43,6 +44,11 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    acknowledgement::Messenger,
+    commit::{
+        self,
+        Committer, //
+    },
     config::Config,
     directory::{
         self,
@@ -54,6 +60,7 @@
         Journal,
         Title, //
     },
+    operator,
     owner::{
         Owner,
         Tools, //
@@ -82,7 +89,11 @@
     /// The timer service.
     pub timer: timer::Service,
     /// The configuration that operators have set.
-    pub settings: Settings,
+    pub settings: Arc<Settings>,
+    /// Takes the edits of the configuration.
+    pub committer: Committer,
+    /// Keeps the configuration fresh and tells peers of changes.
+    pub messenger: Messenger,
     /// The workers.
     pub fleet: Fleet,
     /// The owners of shards.
@@ -91,8 +102,9 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    writer: Mutex<Option<commit::Writer>>,
     session: Session,
-    platform: Platform,
+    pub(crate) platform: Platform,
     endpoints: Client,
     log: Logger,
     held: RwLock<HashMap<Shard, Held>>,
@@ -121,13 +133,30 @@
         log: Logger,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
+        let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
+        let settings = Arc::new(settings);
+        let (committer, writer) =
+            Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
+        let pool = Pool::new(timer.clone());
+        let session = Session(rand::random());
+        let messenger = Messenger {
+            session,
+            settings: Arc::clone(&settings),
+            tracker: Arc::default(),
+            pool: pool.clone(),
+            tables: platform.tables.clone(),
+            timer: timer.clone(),
+        };
         Arc::new(Self {
-            settings: Settings::new(config.bootstrap_key.clone()),
+            settings,
+            committer,
+            messenger,
+            writer: Mutex::new(Some(writer)),
             fleet: Fleet::new(config.racks_per_shard),
             directory: Directory::default(),
-            pool: Pool::new(timer.clone()),
+            pool,
             gate: Gate::default(),
-            session: Session(rand::random()),
+            session,
             platform,
             endpoints,
             log,
@@ -142,7 +171,7 @@
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
         let callers = Server::start(self.config.callers, caller_router).await?;
-        let operator_router = operators::route::router(self.operator_app());
+        let operator_router = operators::route::router(operator::app(self));
         let operators = Server::start(self.config.operators, operator_router).await?;
         let record = Record {
             session: self.session,
@@ -150,8 +179,20 @@
             address: peers.address,
             data_centre: self.config.data_centre.clone(),
             renewals: 0,
+            configuration: Version(0),
         };
         let mut tasks = JoinSet::new();
+        let writer = self
+            .writer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(writer) = writer {
+            tasks.spawn(writer.run());
+        }
+        let messenger = self.messenger.clone();
+        tasks.spawn(messenger.clone().poll(self.config.poll_interval));
+        tasks.spawn(messenger.spread(self.committer.committed()));
         tasks.spawn(Arc::clone(self).keep_session(record));
         Ok(Running {
             node: Arc::clone(self),
@@ -183,10 +224,19 @@
     async fn keep_session(self: Arc<Self>, mut record: Record) {
         let mut version = Version(0);
         let mut observer = Observer::default();
+        let mut renewed = self.timer.now();
         loop {
             record.renewals += 1;
+            record.configuration = self.settings.current().version;
             match session::renew(&self.platform.tables, &record, version).await {
-                Ok(next) => version = next,
+                Ok(next) => {
+                    version = next;
+                    let now = self.timer.now();
+                    if now.since(renewed) >= self.config.session_lease {
+                        self.messenger.tracker.lapsed();
+                    }
+                    renewed = now;
+                }
                 Err(error) => slog::warn!(self.log, "session not renewed"; "error" => %error),
             }
             if let Err(error) = self.round(&mut observer).await {
@@ -199,12 +249,14 @@
     /// Reads what has changed and claims the shards that fall to this VM.
     async fn round(self: &Arc<Self>, observer: &mut Observer) -> Result<()> {
         let tables = &self.platform.tables;
-        self.settings.refresh(tables).await?;
         self.fleet.set((self.platform.vms)().await?);
         let now = self.timer.now();
         let view = observer
             .observe(tables, now, self.config.session_lease)
             .await?;
+        let lease = self.config.session_lease;
+        let tracker = &self.messenger.tracker;
+        tracker.observe(&view.live, self.session, now, lease);
         self.learn(&view);
         for (shard, workers) in self.fleet.shards() {
             if let Some(owner) = self.owner(&shard) {
@@ -300,7 +352,9 @@
     fn peer_app(self: &Arc<Self>) -> server::App {
         let node = Arc::clone(self);
         let news = Arc::clone(self);
+        let messenger = self.messenger.clone();
         server::App {
+            configure: Arc::new(move |told| messenger.clone().answer(told).boxed()),
             forward: Arc::new(move |call| {
                 let node = Arc::clone(&node);
                 async move { node.handle_forwarded(call).await }.boxed()
@@ -313,26 +367,6 @@
         }
     }
 
-    fn operator_app(self: &Arc<Self>) -> operators::App {
-        let (authorizer, reader) = (Arc::clone(self), Arc::clone(self));
-        let (writer, lister) = (Arc::clone(self), Arc::clone(self));
-        operators::App {
-            authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
-            configuration: Arc::new(move || (*reader.settings.current()).clone()),
-            replace: Arc::new(move |next| {
-                let node = Arc::clone(&writer);
-                async move {
-                    let write_id = format!("configuration/{}", rand::random::<u128>());
-                    let tables = &node.platform.tables;
-                    node.settings.replace(tables, write_id, next).await
-                }
-                .boxed()
-            }),
-            workers: Arc::new(move || lister.fleet.workers()),
-            gate: self.gate.clone(),
-        }
-    }
-
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
     async fn handle_forwarded(&self, call: Call) -> Result<Status> {
         let shard = call.verb.shard();
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,56 @@
+//! What stands behind the operators' interface.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use basilbridge_common::{
+    error::Result,
+    id::Version, //
+};
+use basilbridge_operators::{
+    App,
+    audit::Page,
+    change::{
+        Accepted,
+        Edit, //
+    },
+};
+use futures_util::FutureExt;
+
+use crate::{
+    audit,
+    node::Node, //
+};
+
+/// Makes what stands behind the operators' interface of a VM.
+pub fn app(node: &Arc<Node>) -> App {
+    let (authorizer, reader) = (Arc::clone(node), Arc::clone(node));
+    let (writer, auditor) = (Arc::clone(node), Arc::clone(node));
+    let lister = Arc::clone(node);
+    App {
+        authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
+        configuration: Arc::new(move || (*reader.settings.current()).clone()),
+        commit: Arc::new(move |edit, wait| {
+            let node = Arc::clone(&writer);
+            async move { commit(&node, edit, wait).await }.boxed()
+        }),
+        audit: Arc::new(move |after| {
+            let node = Arc::clone(&auditor);
+            async move { page(&node, after).await }.boxed()
+        }),
+        workers: Arc::new(move || lister.fleet.workers()),
+        gate: node.gate.clone(),
+    }
+}
+
+async fn commit(node: &Node, edit: Edit, wait: Duration) -> Result<Accepted> {
+    let version = node.committer.commit(edit).await?;
+    let tracker = &node.messenger.tracker;
+    Ok(tracker.in_force(version, &node.timer, wait).await)
+}
+
+async fn page(node: &Node, after: Version) -> Result<Page> {
+    audit::page(&node.platform, after).await
+}
--- a/src/session.rs
+++ b/src/session.rs
@@ -70,6 +70,9 @@
     pub data_centre: Name,
     /// Grows with each renewal.
     pub renewals: u64,
+    /// The version of the configuration that the VM acts on.
+    #[serde(default)]
+    pub configuration: Version,
 }
 
 /// A shard's row.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,15 @@
-//! The configuration that this VM acts on.
+//! The configuration that this VM acts on, and how fresh it is.
 
-use std::sync::{
-    Arc,
-    PoisonError,
-    RwLock, //
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        PoisonError,
+        RwLock,
+        RwLockReadGuard,
+        RwLockWriteGuard, //
+    },
+    time::Duration,
 };
 
 use basilbridge_common::{
@@ -16,134 +22,241 @@
         Name,
         Version, //
     },
+    timer,
+    unit::Millis,
 };
 use basilbridge_operators::{
+    audit::Entry,
     configuration::Configuration,
     key::Hash, //
 };
-use basilbridge_platform::table::{
-    Check,
-    Outcome,
-    Put,
-    Row,
-    Service,
-    Transaction, //
-};
+use basilbridge_platform::table::Service;
+
+use crate::audit;
 
-/// The table of the configuration.
-pub const TABLE: &str = "configuration";
+/// How long a VM takes keyed work without word from the table service or from a peer that has it.
+///
+/// Together with the poll interval it stays under the nine seconds in which a change must be in
+/// force. See `docs/design/configuration.md`.
+pub const MAX_AGE: Duration = Duration::from_secs(5);
 
-/// The key of the configuration's row.
-pub const KEY: &str = "current";
+/// How many of the last entries are kept in memory for peers that can't reach the table service.
+const RECENT_ENTRIES: usize = 500;
+
+struct State {
+    configuration: Arc<Configuration>,
+    hash: Hash,
+    recent: VecDeque<Entry>,
+    /// When the table service was asked for the last answer that we know of.
+    heard: Option<Millis>,
+    /// Until when keyed work goes on because the table service is down for all peers.
+    exempt_until: Option<Millis>,
+    store_down: bool,
+}
 
 /// The configuration that this VM acts on; its version only grows.
 pub struct Settings {
-    current: RwLock<Arc<Configuration>>,
+    state: RwLock<State>,
+    timer: timer::Service,
     bootstrap_key: Option<Hash>,
 }
 
 impl Settings {
     /// Starts without any team.
-    pub fn new(bootstrap_key: Option<Hash>) -> Self {
+    pub fn new(timer: timer::Service, bootstrap_key: Option<Hash>) -> Self {
         Self {
-            current: RwLock::default(),
+            state: RwLock::new(State {
+                configuration: Arc::default(),
+                hash: Hash::zero(),
+                recent: VecDeque::new(),
+                heard: None,
+                exempt_until: None,
+                store_down: false,
+            }),
+            timer,
             bootstrap_key,
         }
     }
 
     /// Returns the configuration.
     pub fn current(&self) -> Arc<Configuration> {
-        let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&current)
+        Arc::clone(&self.read().configuration)
     }
 
-    /// Takes a configuration, unless it is older than the present one.
-    pub fn offer(&self, offered: Configuration) {
-        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
-        if offered.version > current.version {
-            *current = Arc::new(offered);
+    /// Takes over the entries that follow from the present configuration.
+    ///
+    /// Entries that are known already are passed over. It returns whether no gap or fault was met.
+    pub fn extend(&self, entries: &[Entry]) -> bool {
+        let mut state = self.write();
+        let mut next = (*state.configuration).clone();
+        for entry in entries {
+            if entry.sequence <= next.version {
+                continue;
+            }
+            if entry.check(next.version, &state.hash).is_err() {
+                break;
+            }
+            next.follow(entry);
+            state.hash = entry.hash.clone();
+            state.recent.push_back(entry.clone());
+            if state.recent.len() > RECENT_ENTRIES {
+                state.recent.pop_front();
+            }
+        }
+        let reached = next.version;
+        if reached > state.configuration.version {
+            state.configuration = Arc::new(next);
         }
+        entries.last().is_none_or(|last| last.sequence <= reached)
     }
 
-    /// Reads the configuration from the table service.
+    /// Returns the entries after a version, or nothing where memory does not reach back so far.
+    pub fn entries_after(&self, version: Version) -> Option<Vec<Entry>> {
+        let state = self.read();
+        if version >= state.configuration.version {
+            return Some(Vec::new());
+        }
+        let first = state.recent.front()?;
+        (first.sequence.0 <= version.0 + 1).then(|| {
+            let later = state.recent.iter().filter(|entry| entry.sequence > version);
+            later.cloned().collect()
+        })
+    }
+
+    /// Reads what has changed from the table service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::StaleConfiguration`] if the service answers with an older version than this
+    /// VM has acted on, which counts as no word at all.
     pub async fn refresh(&self, tables: &Service) -> Result<()> {
-        let row = tables.get(TABLE, KEY).await?;
-        if row.version > self.current().version {
-            self.offer(parse(&row)?);
+        let asked = self.timer.now();
+        let result = self.catch_up(tables).await;
+        let mut state = self.write();
+        state.store_down = result.is_err();
+        if result.is_ok() {
+            state.heard = state.heard.max(Some(asked));
+        }
+        result
+    }
+
+    async fn catch_up(&self, tables: &Service) -> Result<()> {
+        let (head, _) = audit::head(tables).await?;
+        let version = self.current().version;
+        if head.sequence < version {
+            let message = "the table service answered with an older configuration";
+            return Err(Error::new(Kind::StaleConfiguration, message));
+        }
+        if head.sequence == version {
+            return Ok(());
+        }
+        let entries = audit::entries_after(tables, version).await?;
+        if self.extend(&entries) && self.current().version >= head.sequence {
+            return Ok(());
+        }
+        let (configuration, hash) = audit::load(tables).await?;
+        let mut state = self.write();
+        if configuration.version > state.configuration.version {
+            state.configuration = Arc::new(configuration);
+            state.hash = hash;
+            state.recent.clear();
         }
         Ok(())
     }
 
-    /// Replaces the configuration if it still has the version that `next` was made from.
-    pub async fn replace(
-        &self,
-        tables: &Service,
-        write_id: String,
-        next: Configuration,
-    ) -> Result<Configuration> {
-        let value = serde_json::to_string(&next)
-            .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
-        let transaction = Transaction {
-            write_id,
-            checks: vec![Check {
-                table: TABLE.into(),
-                key: KEY.to_owned(),
-                version: next.version,
-            }],
-            puts: vec![Put {
-                table: TABLE.into(),
-                key: KEY.to_owned(),
-                value: Some(value),
-            }],
-        };
-        match tables.transact(transaction).await? {
-            Outcome::Committed(version) => {
-                let next = Configuration { version, ..next };
-                self.offer(next.clone());
-                Ok(next)
-            }
-            Outcome::Conflict(rows) => {
-                let version = rows.first().map_or(Version(0), |row| row.version);
-                let message = format!("the configuration now has version {}", version.0);
-                Err(Error::new(Kind::Conflict, message))
-            }
+    /// Takes note that a peer at the same version had word from the table service at `at`.
+    pub fn heard_from_peer(&self, version: Version, at: Millis) {
+        let mut state = self.write();
+        if version == state.configuration.version {
+            state.heard = state.heard.max(Some(at));
         }
     }
 
+    /// Goes on with keyed work, since all peers said after `asked` that the service is down.
+    pub fn exempt(&self, asked: Millis) {
+        let mut state = self.write();
+        // A VM that never read a configuration has nothing to act on.
+        if state.store_down && state.heard.is_some() {
+            state.exempt_until = Some(asked.after(MAX_AGE));
+        }
+    }
+
+    /// Takes note that the table service did not answer in time.
+    pub fn store_is_down(&self) {
+        self.write().store_down = true;
+    }
+
+    /// Returns the time since the last word from the table service, and whether it is down for us.
+    pub fn age(&self) -> (Option<Duration>, bool) {
+        let now = self.timer.now();
+        let state = self.read();
+        (state.heard.map(|heard| now.since(heard)), state.store_down)
+    }
+
+    /// Refuses if the configuration may be older than [`MAX_AGE`].
+    pub fn expect_fresh(&self) -> Result<()> {
+        let now = self.timer.now();
+        let state = self.read();
+        let heard = state.heard.is_some_and(|heard| now.since(heard) < MAX_AGE);
+        let exempt = state.exempt_until.is_some_and(|until| now < until);
+        if heard || exempt {
+            return Ok(());
+        }
+        let message = "this VM has not heard for too long which keys are valid";
+        Err(Error::new(Kind::StaleConfiguration, message).retry_after(MAX_AGE))
+    }
+
     /// Returns the team that work in `queue` with this key is for.
     pub fn team(&self, queue: &str, key: Option<&str>) -> Result<Name> {
         let current = self.current();
-        let queue = current
-            .queue(queue)
-            .ok_or_else(|| Error::new(Kind::NotFound, format!("there is no queue `{queue}`")))?;
-        match (key, &queue.open_for) {
-            (Some(key), _) => team_of_key(&current, key),
-            (None, Some(team)) => Ok(team.clone()),
-            (None, None) => Err(unauthorized("the queue takes no work without a key")),
-        }
+        let Some(key) = key else {
+            let queue = current.queue(queue).ok_or_else(|| no_queue(queue))?;
+            return queue
+                .open_for
+                .clone()
+                .ok_or_else(|| unauthorized("the queue takes no work without a key"));
+        };
+        self.expect_fresh()?;
+        current.queue(queue).ok_or_else(|| no_queue(queue))?;
+        team_of_key(&current, key)
     }
 
     /// Returns the team of a key, for a request that concerns a job.
     pub fn team_of_key(&self, key: Option<&str>) -> Result<Name> {
         let key = key.ok_or_else(|| unauthorized("the request has no key"))?;
+        self.expect_fresh()?;
         team_of_key(&self.current(), key)
     }
 
-    /// Says whether a key is an operator's.
-    pub fn authorize_operator(&self, key: Option<&str>) -> Result<()> {
+    /// Returns the fingerprint of a key if it is an operator's.
+    pub fn authorize_operator(&self, key: Option<&str>) -> Result<String> {
         let key = key.ok_or_else(|| unauthorized("the request has no key"))?;
+        self.expect_fresh()?;
         let current = self.current();
+        let hash = Hash::of(key);
         let bootstrap = self
             .bootstrap_key
             .as_ref()
             .filter(|_| current.operator_keys.is_empty())
-            .is_some_and(|hash| hash.matches(&Hash::of(key)));
+            .is_some_and(|known| known.matches(&hash));
         if bootstrap || current.is_operator_key(key) {
-            Ok(())
+            Ok(hash.fingerprint())
         } else {
             Err(unauthorized("the key is not an operator's"))
         }
     }
+
+    fn read(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn no_queue(queue: &str) -> Error {
+    Error::new(Kind::NotFound, format!("there is no queue `{queue}`"))
 }
 
 fn team_of_key(current: &Configuration, key: &str) -> Result<Name> {
@@ -156,13 +269,3 @@
 fn unauthorized(message: &str) -> Error {
     Error::new(Kind::Unauthorized, message)
 }
-
-fn parse(row: &Row) -> Result<Configuration> {
-    let text = row.value.as_deref().unwrap_or("{}");
-    let configuration: Configuration = serde_json::from_str(text)
-        .map_err(|error| Error::new(Kind::Internal, format!("the configuration: {error}")))?;
-    Ok(Configuration {
-        version: row.version,
-        ..configuration
-    })
-}
