--- a/crates/operators/src/change.rs
+++ b/crates/operators/src/change.rs
@@ -1,5 +1,7 @@
 //! Changes of the configuration, and what each one did.
 
+use std::collections::BTreeMap;
+
 use basilbridge_common::{
     error::{
         Error,
@@ -96,14 +98,14 @@
 /// One thing of the configuration as it stands.
 #[data]
 pub enum Item {
-    /// A team.
-    Team(Team),
+    /// A team without its keys.
+    Team(Name, Terms),
     /// A queue.
     Queue(Queue),
     /// A workload.
     Workload(Workload),
-    /// The keys of operators.
-    OperatorKeys(Vec<Hash>),
+    /// A key that is valid.
+    Key(Holder, Hash),
 }
 
 /// What an edit did to one thing.
@@ -117,26 +119,15 @@
     pub after: Option<Item>,
 }
 
-/// The key of the operators' keys.
-pub const OPERATORS: &str = "operators";
-
-impl Holder {
-    fn item_key(&self) -> String {
-        match self {
-            Self::Team(team) => format!("team/{team}"),
-            Self::Operator => OPERATORS.to_owned(),
-        }
-    }
-}
-
 impl Item {
     /// Returns the key that the thing has among all others.
     pub fn key(&self) -> String {
         match self {
-            Self::Team(team) => format!("team/{}", team.name),
+            Self::Team(name, _) => format!("team/{name}"),
             Self::Queue(queue) => format!("queue/{}", queue.name),
             Self::Workload(workload) => format!("workload/{}", workload.name),
-            Self::OperatorKeys(_) => OPERATORS.to_owned(),
+            Self::Key(Holder::Team(team), hash) => format!("key/{hash}/{team}"),
+            Self::Key(Holder::Operator, hash) => format!("key/{hash}"),
         }
     }
 }
@@ -147,41 +138,97 @@
             Self::SetTeam(name, _) => format!("team/{name}"),
             Self::SetQueue(name, _) => format!("queue/{name}"),
             Self::SetWorkload(name, _) => format!("workload/{name}"),
-            Self::GiveKey(holder, _) | Self::WithdrawKey(holder, _) => holder.item_key(),
+            Self::GiveKey(holder, hash) | Self::WithdrawKey(holder, hash) => {
+                Item::Key(holder.clone(), hash.clone()).key()
+            }
         }
     }
 }
 
 impl Configuration {
-    /// Returns the thing under a key.
-    pub fn item(&self, key: &str) -> Option<Item> {
-        match key.split_once('/') {
-            Some(("team", name)) => self.team(name).cloned().map(Item::Team),
-            Some(("queue", name)) => self.queue(name).cloned().map(Item::Queue),
-            Some(("workload", name)) => self.workload(name).cloned().map(Item::Workload),
-            _ if key == OPERATORS && !self.operator_keys.is_empty() => {
-                Some(Item::OperatorKeys(self.operator_keys.clone()))
+    /// Returns the things that an operation may change.
+    fn items(&self, operation: &Operation) -> Vec<Item> {
+        match operation {
+            Operation::SetTeam(name, _) => self.team(name).map_or_else(Vec::new, |team| {
+                let holder = Holder::Team(name.clone());
+                let keys = team.keys.iter().cloned();
+                let keys = keys.map(|hash| Item::Key(holder.clone(), hash));
+                let terms = Item::Team(name.clone(), team.terms());
+                std::iter::once(terms).chain(keys).collect()
+            }),
+            Operation::SetQueue(name, _) => {
+                let queue = self.queue(name).cloned();
+                queue.map(Item::Queue).into_iter().collect()
+            }
+            Operation::SetWorkload(name, _) => {
+                let workload = self.workload(name).cloned();
+                workload.map(Item::Workload).into_iter().collect()
             }
-            _ => None,
+            Operation::GiveKey(holder, hash) | Operation::WithdrawKey(holder, hash) => {
+                let item = || Item::Key(holder.clone(), hash.clone());
+                self.has_key(holder, hash).then(item).into_iter().collect()
+            }
+        }
+    }
+
+    fn has_key(&self, holder: &Holder, hash: &Hash) -> bool {
+        match holder {
+            Holder::Team(team) => self.team(team).is_some_and(|team| team.keys.contains(hash)),
+            Holder::Operator => self.operator_keys.contains(hash),
         }
     }
 
-    /// Puts a thing under its key, or takes it away.
-    pub fn set_item(&mut self, key: &str, item: Option<Item>) {
-        let name = key.split_once('/').map_or("", |(_, name)| name);
+    /// Puts things into the configuration, in any order.
+    pub fn insert_all(&mut self, items: Vec<Item>) {
+        let is_key = |item: &Item| matches!(item, Item::Key(..));
+        let (keys, others): (Vec<_>, Vec<_>) = items.into_iter().partition(is_key);
+        // A key is put into its team, so the teams have to be there first.
+        for item in others.into_iter().chain(keys) {
+            self.insert(item);
+        }
+    }
+
+    /// Puts a thing into the configuration.
+    fn insert(&mut self, item: Item) {
         match item {
-            Some(Item::Team(team)) => put(&mut self.teams, team, |team| &team.name),
-            Some(Item::Queue(queue)) => put(&mut self.queues, queue, |queue| &queue.name),
-            Some(Item::Workload(workload)) => {
+            Item::Team(name, terms) => {
+                let keys = self
+                    .team(&name)
+                    .map_or_else(Vec::new, |team| team.keys.clone());
+                let team = Team {
+                    name,
+                    share: terms.share,
+                    limit: terms.limit,
+                    keys,
+                };
+                put(&mut self.teams, team, |team| &team.name);
+            }
+            Item::Queue(queue) => put(&mut self.queues, queue, |queue| &queue.name),
+            Item::Workload(workload) => {
                 put(&mut self.workloads, workload, |workload| &workload.name);
             }
-            Some(Item::OperatorKeys(keys)) => self.operator_keys = keys,
-            None if key.starts_with("team/") => self.teams.retain(|team| &*team.name != name),
-            None if key.starts_with("queue/") => self.queues.retain(|queue| &*queue.name != name),
-            None if key.starts_with("workload/") => {
-                self.workloads.retain(|workload| &*workload.name != name);
+            Item::Key(holder, hash) => {
+                if let Ok(keys) = self.keys_mut(&holder) {
+                    put_key(keys, hash);
+                }
+            }
+        }
+    }
+
+    /// Takes a thing out of the configuration.
+    fn remove(&mut self, item: &Item) {
+        match item {
+            Item::Team(name, _) => self.teams.retain(|team| team.name != *name),
+            Item::Queue(removed) => self.queues.retain(|queue| queue.name != removed.name),
+            Item::Workload(removed) => {
+                self.workloads
+                    .retain(|workload| workload.name != removed.name);
+            }
+            Item::Key(holder, hash) => {
+                if let Ok(keys) = self.keys_mut(holder) {
+                    keys.retain(|known| known != hash);
+                }
             }
-            None => self.operator_keys.clear(),
         }
     }
 
@@ -198,15 +245,10 @@
         }
         let mut next = self.clone();
         let mut conflicts = Vec::new();
-        let mut keys = Vec::new();
         for operation in &edit.operations {
             if let Err(conflict) = next.step(operation) {
                 conflicts.push(conflict);
             }
-            let key = operation.item_key();
-            if !keys.contains(&key) {
-                keys.push(key);
-            }
         }
         if !conflicts.is_empty() {
             return Err(Error::new(Kind::Conflict, conflicts.join("\n")));
@@ -215,46 +257,61 @@
             let message = "the last key of an operator can't be withdrawn; give another one first";
             return Err(Error::new(Kind::Forbidden, message));
         }
-        let changes = keys.into_iter().filter_map(|key| {
-            let (before, after) = (self.item(&key), next.item(&key));
-            let change = Change { key, before, after };
-            (change.before != change.after).then_some(change)
-        });
-        let changes = changes.collect();
+        let changes = self.changes_to(&next, &edit.operations);
         *self = next;
         Ok(changes)
     }
 
+    fn changes_to(&self, next: &Self, operations: &[Operation]) -> Vec<Change> {
+        let mut changes: BTreeMap<String, Change> = BTreeMap::new();
+        let entry = |key: String| Change {
+            key,
+            before: None,
+            after: None,
+        };
+        for operation in operations {
+            for item in self.items(operation) {
+                let key = item.key();
+                let change = changes.entry(key.clone()).or_insert_with(|| entry(key));
+                change.before = Some(item);
+            }
+            for item in next.items(operation) {
+                let key = item.key();
+                let change = changes.entry(key.clone()).or_insert_with(|| entry(key));
+                change.after = Some(item);
+            }
+        }
+        changes.retain(|_, change| change.before != change.after);
+        changes.into_values().collect()
+    }
+
     fn step(&mut self, operation: &Operation) -> std::result::Result<(), String> {
         let key = operation.item_key();
         match operation {
             Operation::SetTeam(name, replacement) => {
                 let present = self.team(name).map(Team::terms);
                 expect(&key, &present, replacement)?;
-                let keys = self
-                    .team(name)
-                    .map_or_else(Vec::new, |team| team.keys.clone());
-                let team = replacement.after.map(|terms| Team {
-                    name: name.clone(),
-                    share: terms.share,
-                    limit: terms.limit,
-                    keys,
-                });
-                self.set_item(&key, team.map(Item::Team));
+                match replacement.after {
+                    Some(terms) => self.insert(Item::Team(name.clone(), terms)),
+                    None => self.teams.retain(|team| team.name != *name),
+                }
             }
             Operation::SetQueue(name, replacement) => {
                 expect(&key, &self.queue(name).cloned(), replacement)?;
-                self.set_item(&key, replacement.after.clone().map(Item::Queue));
+                match replacement.after.clone() {
+                    Some(queue) => self.insert(Item::Queue(queue)),
+                    None => self.queues.retain(|queue| queue.name != *name),
+                }
             }
             Operation::SetWorkload(name, replacement) => {
                 expect(&key, &self.workload(name).cloned(), replacement)?;
-                self.set_item(&key, replacement.after.clone().map(Item::Workload));
+                match replacement.after.clone() {
+                    Some(workload) => self.insert(Item::Workload(workload)),
+                    None => self.workloads.retain(|workload| workload.name != *name),
+                }
             }
             Operation::GiveKey(holder, hash) => {
-                let keys = self.keys_mut(holder)?;
-                if !keys.contains(hash) {
-                    keys.push(hash.clone());
-                }
+                put_key(self.keys_mut(holder)?, hash.clone());
             }
             Operation::WithdrawKey(holder, hash) => {
                 self.keys_mut(holder)?.retain(|known| known != hash);
@@ -274,87 +331,19 @@
                 .ok_or_else(|| format!("there is no team `{name}`")),
         }
     }
-
-    /// Returns the edit that turns this configuration into `next`.
-    pub fn edit_to(&self, id: Name, next: &Self) -> Edit {
-        let mut operations = Vec::new();
-        for name in names(&self.teams, &next.teams, |team| &team.name) {
-            let (before, after) = (self.team(&name), next.team(&name));
-            let terms = Replacement {
-                before: before.map(Team::terms),
-                after: after.map(Team::terms),
-            };
-            operations.push(Operation::SetTeam(name.clone(), terms));
-            if let Some(after) = after {
-                let old = before.map_or(&[][..], |team| &team.keys);
-                operations.extend(key_steps(&Holder::Team(name), old, &after.keys));
-            }
-        }
-        for name in names(&self.queues, &next.queues, |queue| &queue.name) {
-            let queue = Replacement {
-                before: self.queue(&name).cloned(),
-                after: next.queue(&name).cloned(),
-            };
-            operations.push(Operation::SetQueue(name, queue));
-        }
-        for name in names(&self.workloads, &next.workloads, |workload| &workload.name) {
-            let workload = Replacement {
-                before: self.workload(&name).cloned(),
-                after: next.workload(&name).cloned(),
-            };
-            operations.push(Operation::SetWorkload(name, workload));
-        }
-        operations.extend(key_steps(
-            &Holder::Operator,
-            &self.operator_keys,
-            &next.operator_keys,
-        ));
-        operations.retain(Operation::does_something);
-        Edit {
-            id,
-            operator: String::new(),
-            intent: String::new(),
-            base: None,
-            operations,
-        }
-    }
 }
 
-impl Operation {
-    fn does_something(&self) -> bool {
-        match self {
-            Self::SetTeam(_, replacement) => replacement.before != replacement.after,
-            Self::SetQueue(_, replacement) => replacement.before != replacement.after,
-            Self::SetWorkload(_, replacement) => replacement.before != replacement.after,
-            Self::GiveKey(..) | Self::WithdrawKey(..) => true,
-        }
+/// Puts an item in the order of the names, so that equal configurations compare equal.
+fn put<T>(items: &mut Vec<T>, item: T, name: impl Fn(&T) -> &Name) {
+    match items.binary_search_by(|known| name(known).cmp(name(&item))) {
+        Ok(position) => items[position] = item,
+        Err(position) => items.insert(position, item),
     }
 }
 
-fn key_steps(holder: &Holder, before: &[Hash], after: &[Hash]) -> Vec<Operation> {
-    let given = after.iter().filter(|hash| !before.contains(hash));
-    let withdrawn = before.iter().filter(|hash| !after.contains(hash));
-    given
-        .map(|hash| Operation::GiveKey(holder.clone(), hash.clone()))
-        .chain(withdrawn.map(|hash| Operation::WithdrawKey(holder.clone(), hash.clone())))
-        .collect()
-}
-
-fn names<T>(before: &[T], after: &[T], name: impl Fn(&T) -> &Name) -> Vec<Name> {
-    let mut names: Vec<_> = before
-        .iter()
-        .chain(after)
-        .map(|item| name(item).clone())
-        .collect();
-    names.sort();
-    names.dedup();
-    names
-}
-
-fn put<T>(items: &mut Vec<T>, item: T, name: impl Fn(&T) -> &Name) {
-    match items.iter_mut().find(|known| name(known) == name(&item)) {
-        Some(known) => *known = item,
-        None => items.push(item),
+fn put_key(keys: &mut Vec<Hash>, hash: Hash) {
+    if let Err(position) = keys.binary_search(&hash) {
+        keys.insert(position, hash);
     }
 }
 
@@ -382,8 +371,15 @@
     /// Takes over what an entry of the audit trail changed.
     pub fn follow(&mut self, entry: &Entry) {
         for change in &entry.changes {
-            self.set_item(&change.key, change.after.clone());
+            if let (Some(before), None) = (&change.before, &change.after) {
+                self.remove(before);
+            }
         }
+        let after = entry
+            .changes
+            .iter()
+            .filter_map(|change| change.after.clone());
+        self.insert_all(after.collect());
         self.version = entry.sequence;
     }
 }
--- /dev/null
+++ b/crates/operators/src/difference.rs
@@ -0,0 +1,94 @@
+//! The edit that leads from one configuration to another.
+
+use basilbridge_common::id::Name;
+
+use crate::{
+    change::{
+        Edit,
+        Holder,
+        Operation,
+        Replacement, //
+    },
+    configuration::{
+        Configuration,
+        Team, //
+    },
+    key::Hash,
+};
+
+impl Configuration {
+    /// Returns the edit that turns this configuration into `next`.
+    pub fn edit_to(&self, id: Name, next: &Self) -> Edit {
+        let mut operations = Vec::new();
+        for name in names(&self.teams, &next.teams, |team| &team.name) {
+            let (before, after) = (self.team(&name), next.team(&name));
+            let terms = Replacement {
+                before: before.map(Team::terms),
+                after: after.map(Team::terms),
+            };
+            operations.push(Operation::SetTeam(name.clone(), terms));
+            if let Some(after) = after {
+                let old = before.map_or(&[][..], |team| &team.keys);
+                operations.extend(key_steps(&Holder::Team(name), old, &after.keys));
+            }
+        }
+        for name in names(&self.queues, &next.queues, |queue| &queue.name) {
+            let queue = Replacement {
+                before: self.queue(&name).cloned(),
+                after: next.queue(&name).cloned(),
+            };
+            operations.push(Operation::SetQueue(name, queue));
+        }
+        for name in names(&self.workloads, &next.workloads, |workload| &workload.name) {
+            let workload = Replacement {
+                before: self.workload(&name).cloned(),
+                after: next.workload(&name).cloned(),
+            };
+            operations.push(Operation::SetWorkload(name, workload));
+        }
+        operations.extend(key_steps(
+            &Holder::Operator,
+            &self.operator_keys,
+            &next.operator_keys,
+        ));
+        operations.retain(Operation::does_something);
+        Edit {
+            id,
+            operator: String::new(),
+            intent: String::new(),
+            base: None,
+            operations,
+        }
+    }
+}
+
+impl Operation {
+    fn does_something(&self) -> bool {
+        match self {
+            Self::SetTeam(_, replacement) => replacement.before != replacement.after,
+            Self::SetQueue(_, replacement) => replacement.before != replacement.after,
+            Self::SetWorkload(_, replacement) => replacement.before != replacement.after,
+            Self::GiveKey(..) | Self::WithdrawKey(..) => true,
+        }
+    }
+}
+
+fn key_steps(holder: &Holder, before: &[Hash], after: &[Hash]) -> Vec<Operation> {
+    let given = after.iter().filter(|hash| !before.contains(hash));
+    let withdrawn = before.iter().filter(|hash| !after.contains(hash));
+    given
+        .map(|hash| Operation::GiveKey(holder.clone(), hash.clone()))
+        .chain(withdrawn.map(|hash| Operation::WithdrawKey(holder.clone(), hash.clone())))
+        .collect()
+}
+
+fn names<T>(before: &[T], after: &[T], name: impl Fn(&T) -> &Name) -> Vec<Name> {
+    let mut names: Vec<_> = before
+        .iter()
+        .chain(after)
+        .map(|item| name(item).clone())
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+}
--- a/crates/operators/src/key.rs
+++ b/crates/operators/src/key.rs
@@ -24,7 +24,7 @@
 /// The SHA-256 hash of a key, in hexadecimal digits on the wire.
 ///
 /// Keys are random and long, so that a plain hash can't be reversed by trying.
-#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Hash([u8; 32]);
 
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod change;
 pub mod configuration;
+pub mod difference;
 pub mod key;
 pub mod route;
 
--- a/src/acknowledgement.rs
+++ b/src/acknowledgement.rs
@@ -17,6 +17,7 @@
 };
 
 use basilbridge_common::{
+    error::Result,
     id::{
         Name,
         Session,
@@ -29,21 +30,23 @@
     audit::Entry,
     change::Accepted, //
 };
-use basilbridge_peers::{
-    Configuration,
-    client::Pool, //
-};
+use basilbridge_peers::Configuration;
 use basilbridge_platform::table::Service;
-use futures_util::future;
+use futures_util::future::{
+    self,
+    BoxFuture, //
+};
 use tokio::sync::{
     Notify,
     watch, //
 };
 
 use crate::{
+    commit::Batch,
     session::Record,
     settings::{
         MAX_AGE,
+        MAX_PEER_WORD,
         Settings, //
     },
 };
@@ -69,17 +72,31 @@
     renewed: Millis,
 }
 
+#[derive(Debug, Default)]
+struct Inner {
+    peers: HashMap<Session, Peer>,
+    observed: Millis,
+}
+
 /// Which version each other entry VM acts on.
 #[derive(Debug, Default)]
 pub struct Tracker {
-    peers: Mutex<HashMap<Session, Peer>>,
+    inner: Mutex<Inner>,
     changed: Notify,
 }
 
 impl Tracker {
     /// Takes note of the other VMs' sessions that live.
     pub fn observe(&self, records: &[Record], own: Session, now: Millis, lease: Duration) {
-        let mut peers = self.lock();
+        let mut inner = self.lock();
+        if now.since(inner.observed) >= lease {
+            // While nobody could renew, silence told nothing.
+            for peer in inner.peers.values_mut() {
+                peer.renewed = now;
+            }
+        }
+        inner.observed = now;
+        let peers = &mut inner.peers;
         for record in records.iter().filter(|record| record.session != own) {
             let peer = peers.entry(record.session).or_insert_with(|| Peer {
                 name: record.name.clone(),
@@ -97,21 +114,22 @@
             }
         }
         // A VM whose session lapsed so long ago has fenced itself, if it still runs at all.
-        peers.retain(|_, peer| now.since(peer.renewed) < lease + MAX_AGE + MARGIN);
-        drop(peers);
+        let limit = lease + MAX_PEER_WORD + MAX_AGE + MARGIN;
+        peers.retain(|_, peer| now.since(peer.renewed) < limit);
+        drop(inner);
         self.changed.notify_waiters();
     }
 
     /// Forgets how far the others have observed us, as our own session may have lapsed for them.
     pub fn lapsed(&self) {
-        for peer in self.lock().values_mut() {
+        for peer in self.lock().peers.values_mut() {
             peer.first_renewals = peer.renewals;
         }
     }
 
     /// Takes note of the version that a peer acts on.
     pub fn acknowledge(&self, session: Session, version: Version) {
-        if let Some(peer) = self.lock().get_mut(&session) {
+        if let Some(peer) = self.lock().peers.get_mut(&session) {
             peer.acknowledged = peer.acknowledged.max(version);
         }
         self.changed.notify_waiters();
@@ -119,8 +137,8 @@
 
     /// Returns the names of the VMs that may act on an older version `since` its commit.
     pub fn missing(&self, version: Version, since: Duration) -> Vec<Name> {
-        let peers = self.lock();
-        let missing = peers.values().filter(|peer| {
+        let inner = self.lock();
+        let missing = inner.peers.values().filter(|peer| {
             let knows_us = peer.renewals >= peer.first_renewals + RENEWALS_TO_KNOW_US;
             let fenced = knows_us && since >= MAX_AGE + MARGIN;
             peer.acknowledged < version && !fenced
@@ -160,18 +178,22 @@
     }
 
     fn peers(&self) -> Vec<(Session, SocketAddr, Version)> {
-        let peers = self.lock();
+        let inner = self.lock();
+        let peers = inner.peers.iter();
         peers
-            .iter()
             .map(|(session, peer)| (*session, peer.address, peer.acknowledged))
             .collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Session, Peer>> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+type Exchange = Arc<
+    dyn Fn(SocketAddr, Configuration) -> BoxFuture<'static, Result<Configuration>> + Send + Sync,
+>;
+
 /// What keeps the configuration of this VM fresh and tells the others of changes.
 #[derive(Clone)]
 pub struct Messenger {
@@ -181,8 +203,8 @@
     pub settings: Arc<Settings>,
     /// Which version each other VM acts on.
     pub tracker: Arc<Tracker>,
-    /// The connections to other entry VMs.
-    pub pool: Pool,
+    /// Swaps what both know of the configuration with the peer at an address.
+    pub exchange: Exchange,
     /// The table service.
     pub tables: Service,
     /// The timer service.
@@ -198,11 +220,14 @@
         }
     }
 
-    /// Tells the peers of each version that this VM writes.
-    pub async fn spread(self, mut committed: watch::Receiver<Version>) {
+    /// Tells the peers of each batch that this VM writes.
+    ///
+    /// Only the batch itself is sent along. A peer that lacks what came before it reads the table
+    /// service, so that VMs which write at the same time don't repeat each other's entries.
+    pub async fn spread(self, mut committed: watch::Receiver<Batch>) {
         while committed.changed().await.is_ok() {
-            committed.borrow_and_update();
-            self.consult().await;
+            let batch = *committed.borrow_and_update();
+            self.consult(batch.after).await;
         }
     }
 
@@ -215,20 +240,22 @@
         }
         if !matches!(read, Some(Ok(()))) {
             let asked = self.timer.now();
-            if self.consult().await {
+            if self.consult(Version(0)).await {
                 self.settings.exempt(asked);
             }
         }
     }
 
     /// Swaps news with all peers, and says whether the table service is down for each of them.
-    async fn consult(&self) -> bool {
+    ///
+    /// Entries up to `after` are not sent along.
+    async fn consult(&self, after: Version) -> bool {
         let peers = self.tracker.peers();
         let talks = peers
             .into_iter()
             .map(|(session, address, version)| async move {
                 let asked = self.timer.now();
-                let answer = self.pool.configure(address, self.known(version)).await;
+                let answer = (self.exchange)(address, self.known(version.max(after))).await;
                 let answer = answer.ok()?;
                 self.tracker.acknowledge(session, Version(answer.version));
                 self.take(&answer, asked);
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -84,10 +84,9 @@
         version: head.sequence,
         ..Configuration::default()
     };
-    for row in scan(tables, TABLE, ITEM_PREFIX, None).await? {
-        let item: Item = parse(&row)?;
-        configuration.set_item(&item.key(), Some(item));
-    }
+    let rows = scan(tables, TABLE, ITEM_PREFIX, None).await?;
+    let items: Result<Vec<Item>> = rows.iter().map(parse).collect();
+    configuration.insert_all(items?);
     // Items may have changed since the head was read; the entries since then settle each of them.
     let mut hash = head.hash;
     for entry in entries_after(tables, head.sequence).await? {
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -58,6 +58,15 @@
 /// How long to wait before a write whose outcome is not known is looked for.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The entries that one transaction wrote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Batch {
+    /// The position before the first of them.
+    pub after: Version,
+    /// The position of the last of them.
+    pub last: Version,
+}
+
 struct Request {
     edit: Edit,
     answer: oneshot::Sender<Result<Version>>,
@@ -67,13 +76,13 @@
 #[derive(Clone)]
 pub struct Committer {
     requests: mpsc::Sender<Request>,
-    committed: watch::Receiver<Version>,
+    committed: watch::Receiver<Batch>,
 }
 
 /// Writes what a [`Committer`] takes.
 pub struct Writer {
     requests: mpsc::Receiver<Request>,
-    committed: watch::Sender<Version>,
+    committed: watch::Sender<Batch>,
     settings: Arc<Settings>,
     platform: Platform,
     timer: timer::Service,
@@ -87,7 +96,7 @@
         timer: timer::Service,
     ) -> (Self, Writer) {
         let (sender, receiver) = mpsc::channel(MAX_WAITING);
-        let (told, committed) = watch::channel(Version(0));
+        let (told, committed) = watch::channel(Batch::default());
         let writer = Writer {
             requests: receiver,
             committed: told,
@@ -115,8 +124,8 @@
         answered.await.map_err(|_| lost())?
     }
 
-    /// Returns a watch of the last version that this VM wrote itself.
-    pub fn committed(&self) -> watch::Receiver<Version> {
+    /// Returns a watch of the last batch that this VM wrote itself.
+    pub fn committed(&self) -> watch::Receiver<Batch> {
         self.committed.clone()
     }
 }
@@ -195,7 +204,10 @@
             answer(batch, &id, result);
         }
         if let Some(last) = entries.last() {
-            self.committed.send_replace(last.sequence);
+            self.committed.send_replace(Batch {
+                after: head.sequence,
+                last: last.sequence,
+            });
         }
         Ok(())
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -143,7 +143,13 @@
             session,
             settings: Arc::clone(&settings),
             tracker: Arc::default(),
-            pool: pool.clone(),
+            exchange: {
+                let pool = pool.clone();
+                Arc::new(move |address, told| {
+                    let pool = pool.clone();
+                    async move { pool.configure(address, told).await }.boxed()
+                })
+            },
             tables: platform.tables.clone(),
             timer: timer.clone(),
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,6 +40,11 @@
 /// force. See `docs/design/configuration.md`.
 pub const MAX_AGE: Duration = Duration::from_secs(5);
 
+/// How long a VM may live by the word of peers alone while the table service is up for them.
+///
+/// Its session has lapsed by then, and the others stop to wait for it after this time.
+pub const MAX_PEER_WORD: Duration = Duration::from_secs(60);
+
 /// How many of the last entries are kept in memory for peers that can't reach the table service.
 const RECENT_ENTRIES: usize = 500;
 
@@ -49,6 +54,8 @@
     recent: VecDeque<Entry>,
     /// When the table service was asked for the last answer that we know of.
     heard: Option<Millis>,
+    /// The same, of the answers that came to this VM itself.
+    read: Option<Millis>,
     /// Until when keyed work goes on because the table service is down for all peers.
     exempt_until: Option<Millis>,
     store_down: bool,
@@ -70,6 +77,7 @@
                 hash: Hash::zero(),
                 recent: VecDeque::new(),
                 heard: None,
+                read: None,
                 exempt_until: None,
                 store_down: false,
             }),
@@ -136,6 +144,7 @@
         state.store_down = result.is_err();
         if result.is_ok() {
             state.heard = state.heard.max(Some(asked));
+            state.read = state.read.max(Some(asked));
         }
         result
     }
@@ -197,7 +206,8 @@
     pub fn expect_fresh(&self) -> Result<()> {
         let now = self.timer.now();
         let state = self.read();
-        let heard = state.heard.is_some_and(|heard| now.since(heard) < MAX_AGE);
+        let within = |at: Option<Millis>, limit| at.is_some_and(|at| now.since(at) < limit);
+        let heard = within(state.heard, MAX_AGE) && within(state.read, MAX_PEER_WORD);
         let exempt = state.exempt_until.is_some_and(|until| now < until);
         if heard || exempt {
             return Ok(());
--- /dev/null
+++ b/tests/configuration/histories.rs
@@ -0,0 +1,347 @@
+//! Histories of racing operators, and VMs that are cut off and paused by seed.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use crate::cell::{
+    Cell,
+    Fault,
+    cell,
+    edit,
+    give,
+    register,
+    withdraw,
+    workshop, //
+};
+use basilbridge::audit;
+use basilbridge_common::{
+    error::Kind,
+    id::Version, //
+};
+use basilbridge_standins::store::Switches;
+use futures_util::future;
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use todc_utils::{
+    linearizability::{
+        WGLChecker,
+        history::{
+            Action,
+            History, //
+        },
+    },
+    specifications::Specification,
+};
+
+/// What an operator did with the register.
+#[derive(Debug, Clone, Copy)]
+enum Operation {
+    /// Read this value.
+    Read(Option<u64>),
+    /// Changed it from one value to another.
+    Changed(Option<u64>, u64),
+    /// Was told that it no longer has the value expected.
+    Conflict(Option<u64>),
+    /// Tried to change it and was not told what became of that.
+    Unknown(Option<u64>, u64),
+}
+
+/// A register that changes only from the value that the operator expects.
+struct Register;
+
+impl Specification for Register {
+    type State = Option<u64>;
+    type Operation = Operation;
+
+    fn init() -> Option<u64> {
+        None
+    }
+
+    fn apply(operation: &Operation, state: &Option<u64>) -> (bool, Option<u64>) {
+        match *operation {
+            Operation::Read(value) => (value == *state, *state),
+            Operation::Changed(before, after) => (before == *state, Some(after)),
+            Operation::Conflict(before) => (before != *state, *state),
+            // The response stands at the end of the history, so that the change may take effect
+            // at any time after its call; what it does after all others is never seen.
+            Operation::Unknown(before, after) if before == *state => (true, Some(after)),
+            Operation::Unknown(..) => (true, *state),
+        }
+    }
+}
+
+type Actions = Arc<Mutex<Vec<(usize, Action<Operation>)>>>;
+
+const OPERATORS: usize = 4;
+const ROUNDS: u64 = 6;
+
+async fn read_register(cell: &Cell) -> Option<Option<u64>> {
+    let tables = cell.store.platform().tables;
+    let (configuration, _) = audit::load(&tables).await.ok()?;
+    let queue = configuration.queue("register");
+    let value = queue.and_then(|queue| queue.open_for.as_ref());
+    Some(value.and_then(|value| value.parse().ok()))
+}
+
+async fn operate(cell: &Cell, operator: usize, seed: u64, actions: &Actions) {
+    let mut random = SmallRng::seed_from_u64(seed * 100 + operator as u64);
+    for round in 0..ROUNDS {
+        cell.wait(Duration::from_millis(random.random_range(0..20)))
+            .await;
+        let push = |action| actions.lock().unwrap().push((operator, action));
+        push(Action::Call(Operation::Read(None)));
+        // A read that fails is told as a change that did nothing.
+        let read = read_register(cell).await;
+        push(Action::Response(read.map_or(
+            Operation::Unknown(Some(u64::MAX), 0),
+            Operation::Read,
+        )));
+        let Some(before) = read else {
+            continue;
+        };
+        let after = operator as u64 * 1000 + round + 1;
+        let vm = &cell.vms[operator % cell.vms.len()];
+        let id = format!("edit-{after}");
+        push(Action::Call(Operation::Changed(before, after)));
+        let result = vm
+            .committer
+            .commit(edit(&id, vec![register(before, after)]));
+        match result.await {
+            Ok(_) => push(Action::Response(Operation::Changed(before, after))),
+            Err(error) if error.kind == Kind::Conflict => {
+                push(Action::Response(Operation::Conflict(before)));
+            }
+            Err(error) if error.kind == Kind::WriteUnknown => {
+                let unknown = Operation::Unknown(before, after);
+                actions
+                    .lock()
+                    .unwrap()
+                    .push((usize::MAX, Action::Response(unknown)));
+                return;
+            }
+            // Nothing happened, so a change from a value that never stands there tells it.
+            Err(_) => push(Action::Response(Operation::Unknown(Some(u64::MAX), 0))),
+        }
+    }
+}
+
+/// Moves the responses of unknown outcomes to the end.
+fn history(actions: &[(usize, Action<Operation>)]) -> History<Operation> {
+    let mut calls: BTreeMap<usize, i64> = BTreeMap::new();
+    let mut ordered = Vec::new();
+    let mut open = Vec::new();
+    for (process, action) in actions {
+        if *process == usize::MAX {
+            open.push(action.clone());
+            continue;
+        }
+        *calls.entry(*process).or_default() += match action {
+            Action::Call(_) => 1,
+            Action::Response(_) => -1,
+        };
+        ordered.push((*process, action.clone()));
+    }
+    let waiting = calls.iter().filter(|(_, count)| **count > 0);
+    let waiting: Vec<_> = waiting.map(|(process, _)| *process).collect();
+    assert_eq!(waiting.len(), open.len());
+    for response in open {
+        let process = waiting.iter().find(|process| {
+            ordered
+                .iter()
+                .rev()
+                .any(|(other, call)| other == *process && same(call, &response))
+        });
+        ordered.push((*process.unwrap(), response));
+    }
+    History::from_actions(ordered)
+}
+
+fn same(call: &Action<Operation>, response: &Action<Operation>) -> bool {
+    match (call, response) {
+        (
+            Action::Call(Operation::Changed(_, called)),
+            Action::Response(Operation::Unknown(_, answered)),
+        ) => called == answered,
+        _ => false,
+    }
+}
+
+async fn race(seed: u64) -> Vec<(usize, Action<Operation>)> {
+    let cell = cell(3).await;
+    let mut random = SmallRng::seed_from_u64(seed);
+    cell.store.set(Switches {
+        delay: Duration::from_millis(random.random_range(1..10)),
+        lose_answers: random.random_range(0..12),
+        ..Switches::default()
+    });
+    let actions = Actions::default();
+    let operators = (0..OPERATORS).map(|operator| operate(&cell, operator, seed, &actions));
+    let outage = async {
+        cell.wait(Duration::from_millis(random.random_range(20..100)))
+            .await;
+        let up = cell.store.switches();
+        let down = Switches {
+            down: true,
+            ..up.clone()
+        };
+        cell.store.set(down);
+        cell.wait(Duration::from_millis(random.random_range(1..400)))
+            .await;
+        cell.store.set(up);
+    };
+    tokio::join!(future::join_all(operators), outage);
+    let actions = actions.lock().unwrap();
+    actions.clone()
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_racing_operators_are_told_has_one_order() {
+    let (mut changed, mut conflicts) = (0, 0);
+    for seed in 0..40 {
+        let actions = race(seed).await;
+
+        let told = |wanted: fn(&Operation) -> bool| {
+            let responses = actions.iter().filter_map(|(_, action)| match action {
+                Action::Response(operation) => Some(operation),
+                Action::Call(_) => None,
+            });
+            responses.filter(|operation| wanted(operation)).count()
+        };
+        changed += told(|operation| matches!(operation, Operation::Changed(..)));
+        conflicts += told(|operation| matches!(operation, Operation::Conflict(_)));
+        let linearizable = WGLChecker::<Register>::is_linearizable(history(&actions));
+        assert!(linearizable, "seed {seed}: {actions:?}");
+    }
+    // A run in which nobody wins or loses would prove nothing.
+    assert!(changed > 100, "{changed}");
+    assert!(conflicts > 100, "{conflicts}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_checker_refuses_a_history_that_reverts() {
+    let changed = Operation::Changed(None, 1);
+    let reverted = Operation::Read(None);
+    let actions = [
+        (0, Action::Call(changed)),
+        (0, Action::Response(changed)),
+        (1, Action::Call(reverted)),
+        (1, Action::Response(reverted)),
+    ];
+
+    assert!(!WGLChecker::<Register>::is_linearizable(history(&actions)));
+}
+
+/// Cuts off and pauses VMs, one after the other or together, for a while each.
+async fn disturb(cell: &Cell, random: &mut SmallRng) {
+    for _ in 0..6 {
+        let vm = &cell.vms[random.random_range(0..cell.vms.len())];
+        vm.fault.send_replace(Fault {
+            no_store: random.random(),
+            no_peers: random.random(),
+            paused: random.random_ratio(1, 3),
+        });
+        cell.wait(Duration::from_millis(random.random_range(0..12_000)))
+            .await;
+        if random.random_ratio(2, 3) {
+            let vm = &cell.vms[random.random_range(0..cell.vms.len())];
+            vm.fault.send_replace(Fault::default());
+        }
+        let down = random.random_ratio(1, 5);
+        cell.store.set(Switches {
+            down,
+            ..Switches::default()
+        });
+    }
+    for vm in &cell.vms {
+        vm.fault.send_replace(Fault::default());
+    }
+    cell.store.set(Switches::default());
+}
+
+/// Asserts over and over that no version falls and no VM takes what is withdrawn in force.
+async fn watch(cell: &Cell, withdrawn: &Mutex<Vec<String>>, done: &Mutex<bool>, seed: u64) {
+    let mut highest = vec![Version(0); cell.vms.len()];
+    while !*done.lock().unwrap() {
+        for (highest, version) in highest.iter_mut().zip(cell.versions()) {
+            assert!(version >= *highest, "seed {seed}");
+            *highest = version;
+        }
+        for key in withdrawn.lock().unwrap().iter() {
+            for vm in cell.vms.iter().filter(|vm| !vm.fault.borrow().paused) {
+                assert!(vm.accepts(key).is_err(), "seed {seed}: {key} is taken");
+            }
+        }
+        cell.wait(Duration::from_millis(100)).await;
+    }
+}
+
+async fn rotate(cell: &Cell, withdrawn: &Mutex<Vec<String>>, random: &mut SmallRng) -> u32 {
+    let mut pending = 0;
+    for number in 0..12 {
+        let key = format!("key-{number}");
+        let vm = &cell.vms[random.random_range(0..cell.vms.len())];
+        let given = edit(&format!("give-{number}"), vec![give("workshop", &key)]);
+        let given = cell
+            .timer
+            .timeout(Duration::from_secs(20), vm.change(given))
+            .await;
+        if !matches!(given, Some(Ok(_))) {
+            pending += 1;
+            continue;
+        }
+        let step = edit(
+            &format!("withdraw-{number}"),
+            vec![withdraw("workshop", &key)],
+        );
+        match cell
+            .timer
+            .timeout(Duration::from_secs(20), vm.change(step))
+            .await
+        {
+            Some(Ok(accepted)) if accepted.in_force => withdrawn.lock().unwrap().push(key),
+            _ => pending += 1,
+        }
+    }
+    pending
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_whose_withdrawal_is_in_force_is_taken_nowhere_whatever_is_cut_off() {
+    let (mut in_force, mut pending) = (0, 0);
+    for seed in 0..30 {
+        let cell = cell(4).await;
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut faults = SmallRng::seed_from_u64(seed + 1000);
+        cell.vms[0].change(workshop("k")).await.unwrap();
+        let (withdrawn, done) = (Mutex::default(), Mutex::new(false));
+        let work = async {
+            let rotation = rotate(&cell, &withdrawn, &mut random);
+            let (missed, ()) = tokio::join!(rotation, disturb(&cell, &mut faults));
+            cell.wait(Duration::from_secs(20)).await;
+            *done.lock().unwrap() = true;
+            missed
+        };
+
+        let (missed, ()) = tokio::join!(work, watch(&cell, &withdrawn, &done, seed));
+
+        let versions = cell.versions();
+        assert!(
+            versions.iter().all(|version| *version == versions[0]),
+            "seed {seed}"
+        );
+        in_force += withdrawn.lock().unwrap().len();
+        pending += missed;
+    }
+    println!("{in_force} withdrawals in force, {pending} steps pending or refused");
+    assert!(in_force > 100, "{in_force}");
+    assert!(pending > 10, "{pending}");
+}
--- /dev/null
+++ b/tests/configuration/in_force.rs
@@ -0,0 +1,424 @@
+//! The configuration on several entry VMs: in force within seconds, and never older than before.
+
+use std::{
+    sync::atomic::Ordering,
+    time::Duration, //
+};
+
+use crate::cell::{
+    Fault,
+    IN_FORCE,
+    POLL,
+    cell,
+    edit,
+    give,
+    set_team,
+    withdraw,
+    workshop, //
+};
+use basilbridge::{
+    audit,
+    settings::{
+        MAX_AGE,
+        MAX_PEER_WORD, //
+    },
+};
+use basilbridge_common::{
+    error::Kind,
+    id::Version, //
+};
+use basilbridge_operators::configuration::Terms;
+use basilbridge_platform::table::{
+    Put,
+    Transaction, //
+};
+use basilbridge_standins::store::Switches;
+use futures_util::future;
+
+/// What a change and the next polls may take at most once a VM has gone silent.
+const FENCED: Duration = Duration::from_millis(6500);
+
+fn cut_off() -> Fault {
+    Fault {
+        no_store: true,
+        no_peers: true,
+        paused: false,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_once_every_vm_acts_on_it() {
+    let cell = cell(9).await;
+    let before = cell.timer.now();
+
+    let accepted = cell.vms[0].change(workshop("k")).await.unwrap();
+
+    assert!(accepted.in_force);
+    assert_eq!(accepted.missing.len(), 0);
+    assert!(cell.timer.now().since(before) < POLL);
+    assert_eq!(cell.versions(), vec![accepted.version; 9]);
+    assert!(cell.vms.iter().all(|vm| vm.accepts("k").is_ok()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_word_is_made_up_for_by_the_poll() {
+    let cell = cell(3).await;
+    let deaf = Fault {
+        no_peers: true,
+        ..Fault::default()
+    };
+    cell.vms[2].fault.send_replace(deaf);
+    let before = cell.timer.now();
+
+    let accepted = cell.vms[0].change(workshop("k")).await.unwrap();
+
+    assert!(accepted.in_force);
+    assert!(cell.timer.now().since(before) <= 3 * POLL);
+    assert!(cell.vms[2].accepts("k").is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_pending_and_names_the_vm_that_is_missing() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.vms[2].fault.send_replace(cut_off());
+
+    let version = cell.vms[0]
+        .committer
+        .commit(edit("withdrawn", vec![withdraw("workshop", "k")]))
+        .await
+        .unwrap();
+    let soon = cell.vms[0]
+        .tracker
+        .in_force(version, &cell.timer, 2 * POLL)
+        .await;
+
+    assert!(!soon.in_force);
+    assert_eq!(soon.missing, ["entry-2".into()]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_stops_within_seconds_on_a_vm_that_is_cut_off() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.vms[2].fault.send_replace(cut_off());
+    let before = cell.timer.now();
+
+    let accepted = cell.vms[0]
+        .change(edit("withdrawn", vec![withdraw("workshop", "k")]))
+        .await
+        .unwrap();
+
+    assert!(accepted.in_force);
+    assert!(cell.timer.now().since(before) <= IN_FORCE);
+    let refusals: Vec<_> = cell.vms.iter().map(|vm| vm.accepts("k")).collect();
+    let kinds: Vec<_> = refusals
+        .into_iter()
+        .map(|result| result.unwrap_err().kind)
+        .collect();
+    let expected = [
+        Kind::Unauthorized,
+        Kind::Unauthorized,
+        Kind::StaleConfiguration,
+    ];
+    assert_eq!(kinds, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_without_the_store_learns_a_withdrawal_from_its_peers() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    let no_store = Fault {
+        no_store: true,
+        ..Fault::default()
+    };
+    cell.vms[2].fault.send_replace(no_store);
+    cell.wait(2 * MAX_AGE).await;
+    let served = cell.vms[2].accepts("k");
+
+    let accepted = cell.vms[0]
+        .change(edit("withdrawn", vec![withdraw("workshop", "k")]))
+        .await
+        .unwrap();
+
+    assert!(served.is_ok(), "{served:?}");
+    assert!(accepted.in_force);
+    let refused = cell.vms[2].accepts("k").unwrap_err();
+    assert_eq!(refused.kind, Kind::Unauthorized);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_lives_by_the_word_of_peers_stops_before_the_others_forget_it() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    let no_store = Fault {
+        no_store: true,
+        ..Fault::default()
+    };
+    cell.vms[2].fault.send_replace(no_store);
+
+    cell.wait(MAX_PEER_WORD).await;
+
+    let refused = cell.vms[2].accepts("k").unwrap_err();
+    assert_eq!(refused.kind, Kind::StaleConfiguration);
+    assert!(cell.vms[1].accepts("k").is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_a_long_outage_a_withdrawal_is_not_in_force_before_it_is_known() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    // The last renewal of this VM is read by the others before the outage.
+    let no_store = Fault {
+        no_store: true,
+        ..Fault::default()
+    };
+    cell.vms[2].fault.send_replace(no_store);
+    cell.wait(2 * POLL).await;
+    cell.store.set(Switches {
+        down: true,
+        ..Switches::default()
+    });
+    cell.wait(Duration::from_secs(600)).await;
+    cell.vms[2].fault.send_replace(cut_off());
+    cell.store.set(Switches::default());
+
+    let accepted = cell.vms[0]
+        .change(edit("withdrawn", vec![withdraw("workshop", "k")]))
+        .await
+        .unwrap();
+
+    assert!(!accepted.in_force);
+    assert_eq!(accepted.missing, ["entry-2".into()]);
+    let refused = cell.vms[2].accepts("k").unwrap_err();
+    assert_eq!(refused.kind, Kind::StaleConfiguration);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keyed_work_goes_on_while_the_store_is_down_for_all() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.store.set(Switches {
+        down: true,
+        ..Switches::default()
+    });
+
+    cell.wait(Duration::from_secs(600)).await;
+
+    for vm in &cell.vms {
+        vm.accepts("k").unwrap();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn keyed_work_stops_while_the_store_is_down_and_a_peer_is_silent() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.store.set(Switches {
+        down: true,
+        ..Switches::default()
+    });
+    cell.vms[2].fault.send_replace(cut_off());
+
+    cell.wait(FENCED).await;
+
+    for vm in &cell.vms {
+        let refused = vm.accepts("k").unwrap_err();
+        assert_eq!(refused.kind, Kind::StaleConfiguration);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_wakes_refuses_until_it_has_caught_up() {
+    let cell = cell(3).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    let paused = Fault {
+        paused: true,
+        ..Fault::default()
+    };
+    cell.vms[2].fault.send_replace(paused);
+    cell.vms[0]
+        .change(edit("withdrawn", vec![withdraw("workshop", "k")]))
+        .await
+        .unwrap();
+
+    cell.vms[2].fault.send_replace(Fault::default());
+    let at_once = cell.vms[2].accepts("k").unwrap_err();
+    cell.wait(3 * POLL).await;
+    let later = cell.vms[2].accepts("k").unwrap_err();
+
+    assert_eq!(at_once.kind, Kind::StaleConfiguration);
+    assert_eq!(later.kind, Kind::Unauthorized);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_afresh_takes_no_keyed_work_before_it_has_read() {
+    let mut cell = cell(2).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.store.set(Switches {
+        down: true,
+        ..Switches::default()
+    });
+    cell.add();
+
+    cell.wait(3 * POLL).await;
+
+    let refused = cell.vms[2].accepts("k").unwrap_err();
+    assert_eq!(refused.kind, Kind::StaleConfiguration);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_answer_of_the_store_neither_reverts_nor_counts_as_word() {
+    let cell = cell(1).await;
+    let vm = &cell.vms[0];
+    let old = cell
+        .store
+        .platform()
+        .tables
+        .get(audit::TABLE, audit::HEAD_KEY)
+        .await
+        .unwrap();
+    let accepted = vm.change(workshop("k")).await.unwrap();
+    let put = Put {
+        table: audit::TABLE.into(),
+        key: audit::HEAD_KEY.to_owned(),
+        value: old.value,
+    };
+    let transaction = Transaction {
+        write_id: "revert".to_owned(),
+        checks: Vec::new(),
+        puts: vec![put],
+    };
+    cell.store.transact(transaction).await.unwrap();
+
+    cell.wait(POLL).await;
+    let refreshed = vm
+        .settings
+        .refresh(&cell.store.platform().tables)
+        .await
+        .unwrap_err();
+
+    assert_eq!(refreshed.kind, Kind::StaleConfiguration);
+    assert_eq!(cell.versions(), [accepted.version]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_edit_that_is_sent_twice_takes_effect_once() {
+    let cell = cell(2).await;
+    let first = cell.vms[0].change(workshop("k")).await.unwrap();
+
+    let again = cell.vms[1].change(workshop("k")).await.unwrap();
+
+    assert_eq!(again.version, first.version);
+    assert_eq!(cell.versions(), [first.version; 2]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_copy_of_an_edit_does_not_give_a_withdrawn_key_again() {
+    let cell = cell(2).await;
+    let first = cell.vms[0].change(workshop("k")).await.unwrap();
+    let given = edit("given", vec![give("workshop", "second")]);
+    let second = cell.vms[0].change(given.clone()).await.unwrap();
+    let step = withdraw("workshop", "second");
+    cell.vms[0]
+        .change(edit("withdrawn", vec![step]))
+        .await
+        .unwrap();
+
+    let again = cell.vms[1].change(given).await.unwrap();
+
+    assert_eq!(again.version, second.version);
+    assert_ne!(again.version, first.version);
+    let refused = cell.vms[1].accepts("second").unwrap_err();
+    assert_eq!(refused.kind, Kind::Unauthorized);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_of_the_store_neither_double_nor_lose_an_edit() {
+    let cell = cell(2).await;
+    for lost in 1..8 {
+        cell.store.set(Switches {
+            lose_answers: lost,
+            ..Switches::default()
+        });
+        let key = format!("key-{lost}");
+        let team = format!("team-{lost}");
+        let terms = Terms {
+            share: lost,
+            limit: None,
+        };
+        let steps = vec![set_team(&team, None, Some(terms)), give(&team, &key)];
+
+        let accepted = cell.vms[0].change(edit(&team, steps)).await.unwrap();
+
+        assert_eq!(accepted.version, Version(u64::from(lost)));
+        cell.vms[1].accepts(&key).unwrap();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_operators_who_race_one_wins_and_the_other_sees_what_changed() {
+    let cell = cell(2).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    let terms = |share| Terms { share, limit: None };
+    let raise = |share| vec![set_team("workshop", Some(terms(1)), Some(terms(share)))];
+
+    let (first, second) = tokio::join!(
+        cell.vms[0].change(edit("first", raise(2))),
+        cell.vms[1].change(edit("second", raise(3))),
+    );
+
+    let (winner, loser) = match (first, second) {
+        (Ok(accepted), Err(error)) | (Err(error), Ok(accepted)) => (accepted, error),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(winner.version, Version(2));
+    assert_eq!(loser.kind, Kind::Conflict);
+    let share = cell.vms[0]
+        .settings
+        .current()
+        .team("workshop")
+        .unwrap()
+        .share;
+    let seen = format!("there is now {{\"share\":{share}}}");
+    assert!(loser.message.contains(&seen), "{}", loser.message);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_burst_of_a_hundred_changes_rides_in_few_transactions() {
+    let cell = cell(9).await;
+    cell.vms[0].change(workshop("k")).await.unwrap();
+    cell.store.set(Switches {
+        delay: Duration::from_millis(5),
+        ..Switches::default()
+    });
+    let sessions = 9.0 / POLL.as_secs_f64();
+    let writes = cell.store.counts().writes;
+    let messages = cell.traffic.messages.load(Ordering::Relaxed);
+    let bytes = cell.traffic.bytes.load(Ordering::Relaxed);
+    let before = cell.timer.now();
+
+    let changes = (0..100).map(|number| {
+        let step = give("workshop", &format!("key-{number}"));
+        let vm = &cell.vms[number % cell.vms.len()];
+        vm.change(edit(&format!("edit-{number}"), vec![step]))
+    });
+    let accepted = future::join_all(changes).await;
+
+    let took = cell.timer.now().since(before);
+    assert!(accepted.iter().all(|one| one.as_ref().unwrap().in_force));
+    assert!(took <= IN_FORCE, "{took:?}");
+    // Each transaction of a VM loses at most once against each one of the other VMs.
+    let renewals = (sessions * (took.as_secs_f64() + 1.0)).ceil() as u64;
+    let writes = cell.store.counts().writes - writes;
+    let messages = cell.traffic.messages.load(Ordering::Relaxed) - messages;
+    let bytes = cell.traffic.bytes.load(Ordering::Relaxed) - bytes;
+    println!("100 changes: {took:?}, {writes} writes, {messages} messages, {bytes} bytes");
+    assert!(writes <= 45 + renewals, "{writes}");
+    // A question and an answer for each other VM and transaction that took effect.
+    assert!(messages <= 2 * 8 * 9, "{messages}");
+    // The control budget of a node, over the time in which the burst must be in force.
+    let budget = 12_000 * 9 * IN_FORCE.as_secs();
+    assert!(bytes <= budget, "{bytes}");
+    assert_eq!(cell.store.counts().over_cap, 0);
+}
--- /dev/null
+++ b/tests/configuration/trail.rs
@@ -0,0 +1,150 @@
+//! The audit trail in the table service and the object store.
+
+use crate::cell::{
+    Cell,
+    POLL,
+    cell,
+    edit,
+    give,
+    withdraw,
+    workshop, //
+};
+use basilbridge::audit::{
+    self,
+    AUDIT_TABLE,
+    EDITS_TABLE,
+    KEPT_ENTRIES,
+    SEGMENT_ENTRIES, //
+};
+use basilbridge_common::id::Version;
+use basilbridge_operators::{
+    audit::{
+        Entry,
+        Head,
+        verify, //
+    },
+    configuration::Configuration,
+};
+use basilbridge_platform::{
+    Platform,
+    table::{
+        Put,
+        Query,
+        Transaction, //
+    },
+};
+use basilbridge_standins::store::Switches;
+
+/// Gives and withdraws one key until the trail has `length` entries.
+async fn write(cell: &Cell, length: u64) {
+    // How fast the trail grows is not what these tests are about.
+    cell.store.set(Switches {
+        writes_per_second: u32::MAX,
+        reads_per_second: u32::MAX,
+        ..Switches::default()
+    });
+    let vm = &cell.vms[0];
+    vm.committer.commit(workshop("k")).await.unwrap();
+    for number in 2..=length {
+        let step = if number % 2 == 0 { give } else { withdraw };
+        let edit = edit(&format!("edit-{number}"), vec![step("workshop", "second")]);
+        vm.committer.commit(edit).await.unwrap();
+    }
+}
+
+async fn read(platform: &Platform) -> (Vec<Entry>, Head) {
+    let mut entries: Vec<Entry> = Vec::new();
+    loop {
+        let after = entries.last().map_or(Version(0), |entry| entry.sequence);
+        let page = audit::page(platform, after).await.unwrap();
+        if page.entries.is_empty() {
+            return (entries, page.head);
+        }
+        entries.extend(page.entries);
+    }
+}
+
+async fn rows(platform: &Platform, table: &str) -> usize {
+    let query = Query {
+        table: table.into(),
+        prefix: String::new(),
+        after: None,
+        limit: 10_000,
+    };
+    platform.tables.scan(query).await.unwrap().len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_older_trail_moves_to_the_object_store_and_stays_whole() {
+    let cell = cell(1).await;
+    let platform = cell.store.platform();
+    let length = KEPT_ENTRIES + 2 * SEGMENT_ENTRIES + 7;
+
+    write(&cell, length).await;
+    cell.wait(POLL).await;
+
+    let (entries, head) = read(&platform).await;
+    assert_eq!(entries.len() as u64, length);
+    assert_eq!(verify(&entries, &head), Ok(()));
+    assert_eq!(head.first, Version(2 * SEGMENT_ENTRIES + 1));
+    let bound = (KEPT_ENTRIES + SEGMENT_ENTRIES) as usize;
+    assert!(rows(&platform, AUDIT_TABLE).await < bound);
+    assert!(rows(&platform, EDITS_TABLE).await < bound);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_lags_behind_the_kept_trail_reads_the_items() {
+    let mut cell = cell(1).await;
+    let length = KEPT_ENTRIES + SEGMENT_ENTRIES + 1;
+    write(&cell, length).await;
+    cell.wait(POLL).await;
+
+    cell.add();
+    cell.wait(4 * POLL).await;
+
+    assert_eq!(cell.versions(), [Version(length); 2]);
+    let (first, second) = (&cell.vms[0], &cell.vms[1]);
+    assert_eq!(first.settings.current(), second.settings.current());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_row_that_was_altered_or_cut_in_the_table_is_seen() {
+    for position in 1..=5 {
+        for value in [None, Some(r#""another""#)] {
+            let cell = cell(1).await;
+            let platform = cell.store.platform();
+            write(&cell, 5).await;
+            let key = format!("{position:020}");
+            let row = platform.tables.get(AUDIT_TABLE, &key).await.unwrap();
+            let text = row.value.unwrap();
+            let transaction = Transaction {
+                write_id: "tamper".to_owned(),
+                checks: Vec::new(),
+                puts: vec![Put {
+                    table: AUDIT_TABLE.into(),
+                    key,
+                    value: value.map(|value| text.replace(r#""test""#, value)),
+                }],
+            };
+            platform.tables.transact(transaction).await.unwrap();
+
+            let (entries, head) = read(&platform).await;
+
+            assert!(verify(&entries, &head).is_err(), "{position} {value:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_trail_replayed_from_the_start_gives_the_configuration() {
+    let cell = cell(2).await;
+    write(&cell, 40).await;
+
+    let (entries, _) = read(&cell.store.platform()).await;
+
+    let mut replayed = Configuration::default();
+    entries.iter().for_each(|entry| replayed.follow(entry));
+    let (stored, _) = audit::load(&cell.store.platform().tables).await.unwrap();
+    assert_eq!(replayed, stored);
+    assert_eq!(replayed, *cell.vms[0].settings.current());
+}
