--- a/src/commit.rs
+++ b/src/commit.rs
@@ -213,6 +213,20 @@
     }
 }
 
+/// Writes the first configuration of a platform that has none.
+pub async fn first(
+    platform: Platform,
+    timer: timer::Service,
+    configuration: &Configuration,
+) -> Result<Version> {
+    let settings = Arc::new(Settings::new(timer.clone(), None));
+    let (committer, writer) = Committer::new(settings, platform, timer);
+    let edit = Configuration::default().edit_to("first".into(), configuration);
+    let commit = async move { committer.commit(edit).await };
+    let (committed, ()) = tokio::join!(commit, writer.run());
+    committed
+}
+
 type Answers = Vec<(Name, Result<Version>)>;
 
 /// Carries out the edits one after the other on a copy of the configuration.
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -2,12 +2,10 @@
 
 use std::{
     io,
-    net::SocketAddr,
-    sync::Arc, //
+    net::SocketAddr, //
 };
 
 use basilbridge_common::{
-    error::Result,
     id::{
         Name,
         Version, //
@@ -32,13 +30,13 @@
 use slog::Logger;
 
 use crate::{
-    commit::Committer,
+    commit,
     config::Config,
+    metrics::Metrics,
     node::{
         Node,
         Running, //
     },
-    settings::Settings,
 };
 
 /// The key of the team that a first try uses.
@@ -58,14 +56,28 @@
 }
 
 /// Starts an entry VM with `workers` stand-in workers.
-pub async fn start(config: Config, workers: u32, log: Logger) -> io::Result<Embedded> {
+pub async fn start(
+    config: Config,
+    workers: u32,
+    log: Logger,
+    metrics: Metrics,
+) -> io::Result<Embedded> {
     let timer = timer::Service::start();
     let store = Store::new(timer.clone());
     let workers = stand_in_workers(&config.data_centre, workers);
     store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
     let fleet = Fleet::new(timer.clone(), workers);
-    configure(&store, &timer).await.map_err(io::Error::other)?;
-    let node = Node::new(config, timer, store.platform(), fleet.client(), log);
+    commit::first(store.platform(), timer.clone(), &first_configuration())
+        .await
+        .map_err(io::Error::other)?;
+    let node = Node::new(
+        config,
+        timer,
+        store.platform(),
+        fleet.client(),
+        log,
+        metrics,
+    );
     let running = node.start().await?;
     Ok(Embedded {
         running,
@@ -113,13 +125,3 @@
         operator_keys: vec![Hash::of(OPERATOR_KEY)],
     }
 }
-
-async fn configure(store: &Store, timer: &timer::Service) -> Result<()> {
-    let platform = store.platform();
-    let settings = Arc::new(Settings::new(timer.clone(), None));
-    let (committer, writer) = Committer::new(settings, platform, timer.clone());
-    let first = Configuration::default().edit_to("first".into(), &first_configuration());
-    let commit = async move { committer.commit(first).await };
-    let (committed, ()) = tokio::join!(commit, writer.run());
-    committed.map(|_| ())
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod journal;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod operator;
 pub mod owner;
--- a/src/node.rs
+++ b/src/node.rs
@@ -41,7 +41,10 @@
 };
 use futures_util::FutureExt;
 use slog::Logger;
-use tokio::task::JoinSet;
+use tokio::{
+    sync::watch,
+    task::JoinSet, //
+};
 
 use crate::{
     acknowledgement::Messenger,
@@ -60,6 +63,10 @@
         Journal,
         Title, //
     },
+    metrics::{
+        self,
+        Metrics, //
+    },
     operator,
     owner::{
         Owner,
@@ -103,11 +110,14 @@
     /// The requests in flight.
     pub gate: Gate,
     writer: Mutex<Option<commit::Writer>>,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     session: Session,
     pub(crate) platform: Platform,
     endpoints: Client,
     log: Logger,
     held: RwLock<HashMap<Shard, Held>>,
+    rounds: watch::Sender<u64>,
 }
 
 /// The servers of an entry VM and what keeps it going.
@@ -131,6 +141,7 @@
         platform: Platform,
         endpoints: Client,
         log: Logger,
+        metrics: Metrics,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
@@ -163,10 +174,12 @@
             pool,
             gate: Gate::default(),
             session,
+            metrics,
             platform,
             endpoints,
             log,
             held: RwLock::default(),
+            rounds: watch::Sender::new(0),
             timer,
             config,
         })
@@ -200,6 +213,7 @@
         tasks.spawn(messenger.clone().poll(self.config.poll_interval));
         tasks.spawn(messenger.spread(self.committer.committed()));
         tasks.spawn(Arc::clone(self).keep_session(record));
+        tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
             callers,
@@ -227,6 +241,16 @@
         started && !self.gate.is_draining() && !self.directory.shards().is_empty()
     }
 
+    /// Waits until this VM takes requests.
+    pub async fn until_ready(&self) {
+        let mut rounds = self.rounds.subscribe();
+        while !self.is_ready() {
+            if rounds.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     async fn keep_session(self: Arc<Self>, mut record: Record) {
         let mut version = Version(0);
         let mut observer = Observer::default();
@@ -248,6 +272,7 @@
             if let Err(error) = self.round(&mut observer).await {
                 slog::warn!(self.log, "round failed"; "error" => %error);
             }
+            self.rounds.send_modify(|rounds| *rounds += 1);
             self.timer.sleep(self.config.poll_interval).await;
         }
     }
@@ -348,7 +373,7 @@
         callers::App {
             handle: Arc::new(move |request| {
                 let node = Arc::clone(&node);
-                async move { router::route(&node, request).await }.boxed()
+                async move { node.handle_request(request).await }.boxed()
             }),
             ready: Arc::new(move || ready.is_ready()),
             gate: self.gate.clone(),
@@ -373,6 +398,38 @@
         }
     }
 
+    async fn handle_request(&self, request: callers::Request) -> Result<Status> {
+        let start = self.timer.now();
+        let request_id = request.request_id.clone();
+        let result = router::route(self, request).await;
+        let time = self.timer.now().since(start);
+        let refused = result.as_ref().err();
+        self.metrics.answered(time, refused.map(|error| error.kind));
+        match refused {
+            None => slog::debug!(self.log, "answered"; "request_id" => %request_id),
+            Some(error) => {
+                slog::info!(self.log, "refused"; "request_id" => %request_id, "error" => %error);
+            }
+        }
+        result
+    }
+
+    /// Sends the gauges until the VM stops.
+    async fn report(self: Arc<Self>) {
+        loop {
+            let owners = self.owners();
+            let loads: Vec<_> = owners.iter().map(|owner| owner.load()).collect();
+            let queued = loads.iter().map(|(queued, _)| *queued as u64).sum();
+            let running = loads.iter().map(|(_, running)| *running as u64).sum();
+            self.metrics.gauge(metrics::TASKS_QUEUED, queued);
+            self.metrics.gauge(metrics::TASKS_RUNNING, running);
+            self.metrics
+                .gauge(metrics::SHARDS_OWNED, owners.len() as u64);
+            self.metrics.control();
+            self.timer.sleep(metrics::GAUGE_INTERVAL).await;
+        }
+    }
+
     /// Handles a call from a peer; it is never handed on, so that calls can't circle.
     async fn handle_forwarded(&self, call: Call) -> Result<Status> {
         let shard = call.verb.shard();
