Give and withdraw keys, read the audit trail, and check intents by line and column

Cause: keys were hashed by hand into a JSON document, the trail could not be read, and an intent had no file form. Ruled out: keys made by the daemon (a lost answer would lose the key); serde's own errors (one fault at a time, no column in JSON). Change: basilbridge key, audit and teams; intents in TOML and JSON read through one tree of spans. Before: no command of these.

--- a/crates/operators/src/audit.rs
+++ b/crates/operators/src/audit.rs
@@ -3,8 +3,11 @@
 //! Each entry holds the hash of the one before it, so that an entry that was altered, cut out or
 //! put in breaks the chain. See `docs/design/audit.md`.
 
+use std::str::FromStr;
+
 use basilbridge_common::{
     id::{
+        Malformed,
         Name,
         Version, //
     },
@@ -68,6 +71,46 @@
     }
 }
 
+/// An entry that was noted down outside of the table service.
+///
+/// Whoever can write the table could write a whole new chain; it would lack the noted entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Anchor {
+    /// The position of the entry.
+    pub sequence: Version,
+    /// The hash of the entry.
+    pub hash: Hash,
+}
+
+impl Anchor {
+    /// Checks that a trail holds the entry.
+    pub fn check(&self, entries: &[Entry]) -> Result<(), Fault> {
+        let mut entries = entries.iter();
+        let held = entries.any(|entry| entry.sequence == self.sequence && entry.hash == self.hash);
+        if held {
+            Ok(())
+        } else {
+            Err(Fault::Anchor(self.sequence.0))
+        }
+    }
+}
+
+impl FromStr for Anchor {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed {
+            wanted: "position and hash",
+            text: text.to_owned(),
+        };
+        let (sequence, hash) = text.split_once(':').ok_or_else(malformed)?;
+        Ok(Self {
+            sequence: Version(sequence.parse().map_err(|_| malformed())?),
+            hash: Hash::try_from(hash.to_owned())?,
+        })
+    }
+}
+
 /// What is wrong with a trail.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
@@ -85,6 +128,9 @@
     /// The content of an entry does not match its hash.
     #[error("entry {0} does not match its hash")]
     Content(u64),
+    /// The trail does not hold an entry that was noted down.
+    #[error("entry {0} is not the one that was noted down")]
+    Anchor(u64),
     /// The trail does not end where its head says.
     #[error("the trail ends at entry {found}, its head says {expected}")]
     End {
--- a/crates/operators/src/change.rs
+++ b/crates/operators/src/change.rs
@@ -132,6 +132,19 @@
     }
 }
 
+impl Item {
+    /// Shows what the thing holds, for people.
+    pub fn content(&self) -> String {
+        let text = match self {
+            Self::Team(_, terms) => serde_json::to_string(terms),
+            Self::Queue(queue) => serde_json::to_string(queue),
+            Self::Workload(workload) => serde_json::to_string(workload),
+            Self::Key(_, hash) => Ok(hash.fingerprint()),
+        };
+        text.unwrap_or_default()
+    }
+}
+
 impl Operation {
     fn item_key(&self) -> String {
         match self {
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod change;
 pub mod configuration;
 pub mod difference;
+pub mod intent;
 pub mod key;
 pub mod route;
 
--- a/crates/operators/tests/audit.rs
+++ b/crates/operators/tests/audit.rs
@@ -7,6 +7,7 @@
 use basilbridge_operators::{
     audit::{
         self,
+        Anchor,
         Entry,
         Fault,
         Head, //
@@ -155,6 +156,27 @@
     }
 }
 
+#[test]
+fn a_trail_that_was_written_anew_lacks_the_noted_entry() {
+    let (entries, head) = trail(5);
+    let noted = format!("3:{}", entries[2].hash);
+    let noted: Anchor = noted.parse().unwrap();
+    let mut forged: Vec<Entry> = Vec::new();
+    for mut entry in entries.clone() {
+        entry.operator = "another".to_owned();
+        entry.previous = forged.last().map_or(Hash::zero(), |last| last.hash.clone());
+        forged.push(entry.sealed());
+    }
+    let forged_head = Head {
+        hash: forged[4].hash.clone(),
+        ..head
+    };
+
+    assert_eq!(audit::verify(&forged, &forged_head), Ok(()));
+    assert_eq!(noted.check(&forged), Err(Fault::Anchor(3)));
+    assert_eq!(noted.check(&entries), Ok(()));
+}
+
 #[test]
 fn what_an_edit_changed_is_told_with_before_and_after() {
     let mut configuration = Configuration::default();
--- a/src/bin/basilbridge/app.rs
+++ b/src/bin/basilbridge/app.rs
@@ -26,12 +26,15 @@
 use serde::Serialize;
 
 use crate::{
+    audit,
     clap_app::{
         Arguments,
         Command,
         Submit, //
     },
+    key,
     printer,
+    teams, //
 };
 
 const MIB_BYTES: u64 = 1024 * 1024;
@@ -58,6 +61,9 @@
         Command::Wait { job } => show(wait(&caller, job, timeout).await?),
         Command::Cancel { job } => show(caller.cancel(job).await?),
         Command::Workers => printer::print(&*operator.workers().await?, json, printer::workers),
+        Command::Teams => teams::run(&operator, arguments).await,
+        Command::Key(command) => key::run(command, &operator, arguments).await,
+        Command::Audit(filter) => audit::run(filter, &operator, arguments).await,
         Command::Configuration { file: None } => document(&operator.configuration().await?),
         Command::Configuration { file: Some(file) } => {
             document(&operator.replace(&read(file)?).await?)
--- a/src/bin/basilbridge/clap_app.rs
+++ b/src/bin/basilbridge/clap_app.rs
@@ -17,6 +17,11 @@
     builder::ValueParser, //
 };
 
+use crate::{
+    audit,
+    key, //
+};
+
 /// Submits work to basilbridge and operates it.
 ///
 /// Exit codes: 0 if the answer is a success, 2 if the command can't be read, else the code of the
@@ -75,6 +80,13 @@
     },
     /// List the workers.
     Workers,
+    /// List the teams.
+    Teams,
+    /// Give, withdraw or list keys.
+    #[command(subcommand)]
+    Key(key::Command),
+    /// Show the audit trail and check its chain.
+    Audit(audit::Filter),
     /// Show the configuration, or replace it by a JSON document.
     Configuration {
         /// The document.
--- a/src/bin/basilbridge/main.rs
+++ b/src/bin/basilbridge/main.rs
@@ -1,8 +1,12 @@
 //! The command line for submitters and operators.
 
 mod app;
+mod audit;
 mod clap_app;
+mod edit;
+mod key;
 mod printer;
+mod teams;
 
 use std::process::ExitCode;
 
--- a/src/client.rs
+++ b/src/client.rs
@@ -11,14 +11,24 @@
         Kind,
         Result, //
     },
-    id::Job,
+    id::{
+        Job,
+        Version, //
+    },
     job::{
         Request,
         Status, //
     },
     worker::Worker,
 };
-use basilbridge_operators::configuration::Configuration;
+use basilbridge_operators::{
+    audit::Page,
+    change::{
+        Accepted,
+        Edit, //
+    },
+    configuration::Configuration,
+};
 use bytes::Bytes;
 use http::{
     Method,
@@ -93,6 +103,18 @@
             .await
     }
 
+    /// Carries out an edit and waits until it is in force, for at most `timeout`.
+    pub async fn edit(&self, edit: &Edit, timeout: Duration) -> Result<Accepted> {
+        self.send(Method::POST, "/v1/edits", Some(edit), Some(timeout))
+            .await
+    }
+
+    /// Returns some entries of the audit trail after a position.
+    pub async fn audit(&self, after: Version) -> Result<Page> {
+        let path = format!("/v1/audit/{}", after.0);
+        self.send(Method::GET, &path, None::<&()>, None).await
+    }
+
     async fn send<B: Serialize, A: DeserializeOwned>(
         &self,
         method: Method,
