--- a/examples/capacity/slopes.rs
+++ b/examples/capacity/slopes.rs
@@ -220,7 +220,7 @@
         let fleet = Fleet::new(timer.clone(), workers);
         let counters = Arc::new(Counters::default());
         let first = configuration(load.teams);
-        commit::first(store.platform(), timer.clone(), &first)
+        commit::replace(store.platform(), timer.clone(), &first)
             .await
             .expect("the stand-in takes the first configuration");
         let node = Node::new(
--- a/src/acknowledgement.rs
+++ b/src/acknowledgement.rs
@@ -30,15 +30,24 @@
     audit::Entry,
     change::Accepted, //
 };
-use basilbridge_peers::Configuration;
+use basilbridge_peers::{
+    Configuration,
+    client::Pool, //
+};
 use basilbridge_platform::table::Service;
-use futures_util::future::{
-    self,
-    BoxFuture, //
+use futures_util::{
+    FutureExt,
+    future::{
+        self,
+        BoxFuture, //
+    },
 };
-use tokio::sync::{
-    Notify,
-    watch, //
+use tokio::{
+    sync::{
+        Notify,
+        watch, //
+    },
+    task::JoinSet,
 };
 
 use crate::{
@@ -212,8 +221,40 @@
 }
 
 impl Messenger {
+    /// Makes a messenger that reaches the peers through a pool of connections.
+    pub fn new(
+        session: Session,
+        settings: Arc<Settings>,
+        pool: Pool,
+        tables: Service,
+        timer: timer::Service,
+    ) -> Self {
+        let exchange: Exchange = Arc::new(move |address, told| {
+            let pool = pool.clone();
+            async move { pool.configure(address, told).await }.boxed()
+        });
+        Self {
+            session,
+            settings,
+            tracker: Arc::default(),
+            exchange,
+            tables,
+            timer,
+        }
+    }
+
+    /// Starts to poll and to tell the peers of what this VM commits.
+    pub fn start(
+        self,
+        tasks: &mut JoinSet<()>,
+        committed: watch::Receiver<Batch>,
+        interval: Duration,
+    ) {
+        tasks.spawn(self.clone().poll(interval));
+        tasks.spawn(self.spread(committed));
+    }
     /// Reads the configuration each `interval`, and asks the peers where that fails.
-    pub async fn poll(self, interval: Duration) {
+    async fn poll(self, interval: Duration) {
         loop {
             self.refresh().await;
             self.timer.sleep(interval).await;
@@ -224,7 +265,7 @@
     ///
     /// Only the batch itself is sent along. A peer that lacks what came before it reads the table
     /// service, so that VMs which write at the same time don't repeat each other's entries.
-    pub async fn spread(self, mut committed: watch::Receiver<Batch>) {
+    async fn spread(self, mut committed: watch::Receiver<Batch>) {
         while committed.changed().await.is_ok() {
             let batch = *committed.borrow_and_update();
             self.consult(batch.after).await;
@@ -232,7 +273,7 @@
     }
 
     /// Reads the configuration once, and asks the peers where that fails.
-    pub async fn refresh(&self) {
+    async fn refresh(&self) {
         let read = self.settings.refresh(&self.tables);
         let read = self.timer.timeout(READ_TIMEOUT, read).await;
         if read.is_none() {
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -5,7 +5,11 @@
 //! the configuration that it changes. See `docs/design/configuration.md`.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -35,10 +39,13 @@
     Platform,
     table::Outcome, //
 };
-use tokio::sync::{
-    mpsc,
-    oneshot,
-    watch, //
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    task::JoinSet,
 };
 
 use crate::{
@@ -77,10 +84,11 @@
 pub struct Committer {
     requests: mpsc::Sender<Request>,
     committed: watch::Receiver<Batch>,
+    writer: Arc<Mutex<Option<Writer>>>,
 }
 
 /// Writes what a [`Committer`] takes.
-pub struct Writer {
+struct Writer {
     requests: mpsc::Receiver<Request>,
     committed: watch::Sender<Batch>,
     settings: Arc<Settings>,
@@ -89,12 +97,8 @@
 }
 
 impl Committer {
-    /// Makes a committer and its writer, which has to be run.
-    pub fn new(
-        settings: Arc<Settings>,
-        platform: Platform,
-        timer: timer::Service,
-    ) -> (Self, Writer) {
+    /// Makes a committer that writes nothing before it is started.
+    pub fn new(settings: Arc<Settings>, platform: Platform, timer: timer::Service) -> Self {
         let (sender, receiver) = mpsc::channel(MAX_WAITING);
         let (told, committed) = watch::channel(Batch::default());
         let writer = Writer {
@@ -104,11 +108,19 @@
             platform,
             timer,
         };
-        let committer = Self {
+        Self {
             requests: sender,
             committed,
-        };
-        (committer, writer)
+            writer: Arc::new(Mutex::new(Some(writer))),
+        }
+    }
+
+    /// Starts to write, once.
+    pub fn start(&self, tasks: &mut JoinSet<()>) {
+        let mut writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(writer) = writer.take() {
+            tasks.spawn(writer.run());
+        }
     }
 
     /// Carries out an edit and returns the version that it led to.
@@ -132,7 +144,7 @@
 
 impl Writer {
     /// Writes until all committers are gone.
-    pub async fn run(mut self) {
+    async fn run(mut self) {
         while let Some(first) = self.requests.recv().await {
             let mut batch = vec![first];
             while batch.len() < MAX_BATCH
@@ -213,18 +225,20 @@
     }
 }
 
-/// Writes the first configuration of a platform that has none.
-pub async fn first(
+/// Sets the whole configuration of a platform, for set-ups in one process.
+pub async fn replace(
     platform: Platform,
     timer: timer::Service,
     configuration: &Configuration,
 ) -> Result<Version> {
     let settings = Arc::new(Settings::new(timer.clone(), None));
-    let (committer, writer) = Committer::new(settings, platform, timer);
-    let edit = Configuration::default().edit_to("first".into(), configuration);
-    let commit = async move { committer.commit(edit).await };
-    let (committed, ()) = tokio::join!(commit, writer.run());
-    committed
+    settings.refresh(&platform.tables).await?;
+    let id = format!("replace-{}", rand::random::<u128>());
+    let edit = settings.current().edit_to(id.into(), configuration);
+    let committer = Committer::new(settings, platform, timer);
+    let mut tasks = JoinSet::new();
+    committer.start(&mut tasks);
+    committer.commit(edit).await
 }
 
 type Answers = Vec<(Name, Result<Version>)>;
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -67,7 +67,7 @@
     let workers = stand_in_workers(&config.data_centre, workers);
     store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
     let fleet = Fleet::new(timer.clone(), workers);
-    commit::first(store.platform(), timer.clone(), &first_configuration())
+    commit::replace(store.platform(), timer.clone(), &first_configuration())
         .await
         .map_err(io::Error::other)?;
     let node = Node::new(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! through the platform's table service. `docs/ARCHITECTURE.md` shows the way of one request.
 
 pub mod acknowledgement;
+pub mod allotment;
 pub mod audit;
+pub mod budget;
 pub mod client;
 pub mod commit;
 pub mod config;
@@ -12,6 +14,7 @@
 pub mod dispatch;
 pub mod embedded;
 pub mod fleet;
+pub mod grant;
 pub mod journal;
 pub mod log;
 pub mod metrics;
@@ -20,6 +23,7 @@
 pub mod owner;
 pub mod renewal;
 pub mod router;
+pub mod seat;
 pub mod session;
 pub mod settings;
 pub mod takeover;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,7 +5,6 @@
     io,
     sync::{
         Arc,
-        Mutex,
         PoisonError,
         RwLock, //
     },
@@ -42,16 +41,16 @@
 use futures_util::FutureExt;
 use slog::Logger;
 use tokio::{
-    sync::watch,
+    sync::{
+        Notify,
+        watch, //
+    },
     task::JoinSet, //
 };
 
 use crate::{
     acknowledgement::Messenger,
-    commit::{
-        self,
-        Committer, //
-    },
+    commit::Committer,
     config::Config,
     directory::{
         self,
@@ -72,7 +71,7 @@
         Owner,
         Tools, //
     },
-    renewal, router,
+    renewal, router, seat,
     session::{
         self,
         Observer,
@@ -109,10 +108,11 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
-    writer: Mutex<Option<commit::Writer>>,
     /// Where metrics are sent.
     pub metrics: Metrics,
-    session: Session,
+    /// Tells that work waits for an allotment of its team.
+    pub(crate) allotments: Arc<Notify>,
+    pub(crate) session: Session,
     pub(crate) platform: Platform,
     endpoints: Client,
     log: Logger,
@@ -146,34 +146,26 @@
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
         let settings = Arc::new(settings);
-        let (committer, writer) =
-            Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
+        let committer = Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
         let pool = Pool::new(timer.clone());
         let session = Session(rand::random());
-        let messenger = Messenger {
+        let messenger = Messenger::new(
             session,
-            settings: Arc::clone(&settings),
-            tracker: Arc::default(),
-            exchange: {
-                let pool = pool.clone();
-                Arc::new(move |address, told| {
-                    let pool = pool.clone();
-                    async move { pool.configure(address, told).await }.boxed()
-                })
-            },
-            tables: platform.tables.clone(),
-            timer: timer.clone(),
-        };
+            Arc::clone(&settings),
+            pool.clone(),
+            platform.tables.clone(),
+            timer.clone(),
+        );
         Arc::new(Self {
             settings,
             committer,
             messenger,
-            writer: Mutex::new(Some(writer)),
             fleet: Fleet::new(config.racks_per_shard),
             directory: Directory::default(),
             pool,
             gate: Gate::default(),
             session,
+            allotments: Arc::default(),
             metrics,
             platform,
             endpoints,
@@ -201,18 +193,12 @@
             configuration: Version(0),
         };
         let mut tasks = JoinSet::new();
-        let writer = self
-            .writer
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        if let Some(writer) = writer {
-            tasks.spawn(writer.run());
-        }
+        self.committer.start(&mut tasks);
+        let committed = self.committer.committed();
         let messenger = self.messenger.clone();
-        tasks.spawn(messenger.clone().poll(self.config.poll_interval));
-        tasks.spawn(messenger.spread(self.committer.committed()));
+        messenger.start(&mut tasks, committed, self.config.poll_interval);
         tasks.spawn(Arc::clone(self).keep_session(record));
+        tasks.spawn(seat::run(Arc::clone(self)));
         tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
@@ -303,6 +289,7 @@
     }
 
     fn learn(&self, view: &View) {
+        self.directory.set_members(view.live.clone());
         for (shard, (claim, _)) in &view.claims {
             let owner = view
                 .live
@@ -348,6 +335,7 @@
             journal,
             log,
             task_lease: self.config.task_lease,
+            allotments: Arc::clone(&self.allotments),
         };
         let owner = Owner::new(title, tools, workers);
         let mut tasks = JoinSet::new();
--- a/tests/configuration/cell.rs
+++ b/tests/configuration/cell.rs
@@ -130,8 +130,7 @@
         let platform = platform(&self.store, &faults);
         let timer = self.timer.clone();
         let settings = Arc::new(Settings::new(timer.clone(), None));
-        let (committer, writer) =
-            Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
+        let committer = Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
         let tracker = Arc::new(Tracker::default());
         let messenger = Messenger {
             session: Session(number as u64 + 1),
@@ -143,9 +142,10 @@
         };
         self.peers.lock().unwrap().push((messenger.clone(), faults));
         let mut tasks = JoinSet::new();
-        tasks.spawn(writer.run());
-        tasks.spawn(messenger.clone().poll(POLL));
-        tasks.spawn(messenger.clone().spread(committer.committed()));
+        committer.start(&mut tasks);
+        messenger
+            .clone()
+            .start(&mut tasks, committer.committed(), POLL);
         tasks.spawn(keep_session(record(number), messenger));
         self.vms.push(Vm {
             settings,
