--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -20,12 +20,15 @@
 };
 
 use basilbridge::{
+    acknowledgement::{
+        Exchange,
+        Messenger, //
+    },
+    commit,
     config::Config,
-    embedded,
-    log,
+    embedded, log,
     metrics::Metrics,
     node::Node,
-    settings::Settings, //
 };
 use basilbridge_common::{
     error::{
@@ -111,9 +114,8 @@
         let store = Store::new(timer.clone());
         let workers = self::workers(workers);
         store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
-        let tables = store.platform().tables;
-        Settings::new(None)
-            .replace(&tables, "first".to_owned(), embedded::first_configuration())
+        let first = embedded::first_configuration();
+        commit::replace(store.platform(), timer.clone(), &first)
             .await
             .unwrap();
         let cell = Self {
@@ -169,6 +171,12 @@
             Metrics::none(),
         );
         let mut tasks = JoinSet::new();
+        let messenger = Messenger {
+            exchange: self.exchange(&paused),
+            ..node.messenger.clone()
+        };
+        let committed = node.committer.committed();
+        messenger.start(&mut tasks, committed, node.config.poll_interval);
         tasks.spawn(Arc::clone(&node).keep_session(address));
         let machine = Machine {
             node,
@@ -269,6 +277,21 @@
         Client::new(Arc::new(move |worker, command| link((worker, command))))
     }
 
+    /// Swaps news of the configuration between the VMs.
+    fn exchange(&self, paused: &watch::Sender<bool>) -> Exchange {
+        let cell = self.clone();
+        let silent = || Error::new(Kind::Unreachable, "no answer came");
+        let link = self.link(paused, silent, move |(address, told)| {
+            let node = cell.node(address);
+            async move {
+                let node = node.ok_or_else(silent)?;
+                Ok(node.messenger.clone().answer(told).await)
+            }
+            .boxed()
+        });
+        Arc::new(move |address, told| link((address, told)))
+    }
+
     /// Carries calls over a network that delays and loses, from a VM that may be paused.
     fn link<I: Send + 'static, O: Send + 'static>(
         &self,
