--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -6,7 +6,6 @@
 };
 
 use basilbridge_common::{
-    error::Result,
     id::{
         Name,
         Version, //
@@ -31,13 +30,13 @@
 use slog::Logger;
 
 use crate::{
+    commit,
     config::Config,
     metrics::Metrics,
     node::{
         Node,
         Running, //
     },
-    settings::Settings,
 };
 
 /// The key of the team that a first try uses.
@@ -68,7 +67,9 @@
     let workers = stand_in_workers(&config.data_centre, workers);
     store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
     let fleet = Fleet::new(timer.clone(), workers);
-    configure(&store).await.map_err(io::Error::other)?;
+    commit::replace(store.platform(), timer.clone(), &first_configuration())
+        .await
+        .map_err(io::Error::other)?;
     let node = Node::new(
         config,
         timer,
@@ -120,15 +121,7 @@
             keys: vec![Hash::of(TEAM_KEY)],
         }],
         queues: vec![queue("checks"), queue("plans"), queue("collections")],
+        workloads: Vec::new(),
         operator_keys: vec![Hash::of(OPERATOR_KEY)],
     }
 }
-
-async fn configure(store: &Store) -> Result<()> {
-    let settings = Settings::new(None);
-    let tables = store.platform().tables;
-    settings
-        .replace(&tables, "first".to_owned(), first_configuration())
-        .await?;
-    Ok(())
-}
--- a/src/session.rs
+++ b/src/session.rs
@@ -90,6 +90,9 @@
     /// Whether the VM is about to end, and so takes no more shards.
     #[serde(default)]
     pub leaving: bool,
+    /// The version of the configuration that the VM acts on.
+    #[serde(default)]
+    pub configuration: Version,
 }
 
 /// A shard's row.
