--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -225,6 +225,33 @@
     assert!(runs[0].deadline.unwrap() <= Duration::from_millis(5000));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_is_refused_at_once_and_what_was_refused_did_not_run() {
+    let mut config = Config::local("entry-0", "local");
+    config.max_requests = 8;
+    let vm = first_vm(config).await;
+    ready(&vm.running).await;
+    let check = request(
+        "checks",
+        Kind::Interactive,
+        r#"{"run_ms":300,"output":"dry"}"#,
+    );
+
+    let flood = (0..40).map(|_| {
+        let (client, check) = (caller(vm.running.callers.address), check.clone());
+        async move { client.submit(&check, PATIENCE).await }
+    });
+    let results = futures_util::future::join_all(flood).await;
+
+    let (answered, refused): (Vec<_>, Vec<_>) = results.into_iter().partition(Result::is_ok);
+    assert!(!refused.is_empty());
+    for error in refused.into_iter().filter_map(Result::err) {
+        assert_eq!(error.kind, ErrorKind::Overloaded, "{error}");
+        assert!(error.retry_after.is_some());
+    }
+    assert_eq!(vm.fleet.counts().starts, answered.len() as u64);
+}
+
 #[test]
 fn decoders_refuse_or_read_back_what_they_read() {
     let mut random = Gen::from_size_and_seed(64, 6);
