--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -190,18 +190,35 @@
         } else {
             Kind::OutcomeUnknown
         };
-        Error::new(kind, format!("the peer at {address}: {}", status.message()))
+        // The message of the status is often only that of its outermost cause.
+        let cause = causes(status).last().map(ToString::to_string);
+        let cause = cause.unwrap_or_else(|| status.message().to_owned());
+        Error::new(kind, format!("the peer at {address}: {cause}"))
     }
 }
 
-/// Says whether a call failed before it was sent: no connection could be made for it, or the
-/// connection ended while the call still waited for its turn on it.
+/// Says whether a call was provably not carried out: no connection could be made for it, the
+/// connection ended while it waited for its turn, or the peer refused it unread.
 fn is_unsent(status: &tonic::Status) -> bool {
-    let first = std::error::Error::source(status);
-    std::iter::successors(first, |error| error.source()).any(|error| {
+    causes(status).any(|error| {
         let canceled = error
             .downcast_ref::<hyper::Error>()
             .is_some_and(hyper::Error::is_canceled);
-        canceled || error.is::<ConnectError>()
+        let refused = error.downcast_ref::<h2::Error>().is_some_and(is_refused);
+        canceled || refused || error.is::<ConnectError>()
     })
 }
+
+/// Says whether a peer that is stopping has refused a call unread.
+///
+/// HTTP/2 fails with a graceful GOAWAY only the calls above the last one that the peer has read.
+fn is_refused(error: &h2::Error) -> bool {
+    let stopping = error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR);
+    let stream = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+    error.is_remote() && (stopping || stream)
+}
+
+fn causes(status: &tonic::Status) -> impl Iterator<Item = &(dyn std::error::Error + 'static)> {
+    let first = std::error::Error::source(status);
+    std::iter::successors(first, |error| error.source())
+}
