--- a/examples/edges/main.rs
+++ b/examples/edges/main.rs
@@ -20,6 +20,7 @@
 use basilbridge_common::{
     error::{
         Error,
+        Kind,
         Ran, //
     },
     timer,
@@ -45,6 +46,9 @@
 };
 use serde::de::DeserializeOwned;
 
+/// The longest time that is told from longer ones, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
 const MOST_CHECKS: u64 = 1_000_000;
 const CHECK: &str = r#"{"queue":"checks","kind":"interactive",
     "resources":{"cpu_millis":100,"memory_mib":64},"payload":"glue"}"#;
@@ -104,7 +108,10 @@
         .header("x-timeout-ms", arguments.timeout_ms.to_string())
         .body(Full::new(Bytes::from_static(CHECK.as_bytes())))
         .expect("the request is valid");
-    let response = http.request(request).await.map_err(|_| None)?;
+    let response = http.request(request).await.map_err(|error| {
+        let refused = || Error::new(Kind::Unreachable, "the connection was refused");
+        error.is_connect().then(refused)
+    })?;
     let status = response.status();
     let body = response.into_body().collect().await.map_err(|_| None)?;
     if status.is_success() {
@@ -127,7 +134,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are allowed")
+    Histogram::new_with_bounds(1, LONGEST_MICROS, 3).expect("the bounds are in order")
 }
 
 fn line(name: &str, times: &Histogram<u64>) {
