--- a/crates/endpoints/src/command.rs
+++ b/crates/endpoints/src/command.rs
@@ -53,7 +53,8 @@
     Checkpoint(Task),
     /// Hold a task to a part of its processor time.
     Throttle(Throttle),
-    /// Stop an attempt, and start it no more if the command to start it is still under way.
+    /// Stop an attempt, and start it no more under this epoch if the command to start it is still
+    /// under way, also after a later attempt has ended and was acknowledged.
     Stop(Attempt),
 }
 
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -114,6 +114,8 @@
     boot: Boot,
     epoch: Epoch,
     tasks: BTreeMap<Task, Running>,
+    /// The latest attempt of each task that was stopped before it had started under this epoch.
+    refused: BTreeMap<Task, Attempt>,
     switches: Switches,
 }
 
@@ -398,6 +400,7 @@
             boot,
             epoch: Epoch(0),
             tasks: BTreeMap::new(),
+            refused: BTreeMap::new(),
             switches: Switches::default(),
         }
     }
@@ -427,18 +430,24 @@
             done: watch::Sender::new(true),
         };
         self.tasks.insert(attempt.task.clone(), never_started);
+        self.refused.insert(attempt.task.clone(), attempt.clone());
     }
 
     /// Drops the notes of attempts that the epoch alone now keeps from starting.
     fn forget_never_started(&mut self) {
         self.tasks
             .retain(|_, running| running.report.phase != Phase::NeverStarted);
+        self.refused.clear();
     }
 
     fn has_seen(&self, attempt: &Attempt) -> bool {
         self.tasks
             .get(&attempt.task)
             .is_some_and(|running| running.report.attempt() >= *attempt)
+            || self
+                .refused
+                .get(&attempt.task)
+                .is_some_and(|refused| refused >= attempt)
     }
 
     fn is_latest(&self, attempt: &Attempt) -> bool {
