--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod call;
 pub mod error;
+pub mod flag;
 pub mod id;
 pub mod job;
 pub mod timer;
--- a/crates/endpoints/src/command.rs
+++ b/crates/endpoints/src/command.rs
@@ -106,6 +106,13 @@
     ///
     /// An attempt that never started is not among them: its note must outlive the command.
     pub acknowledged: Vec<Attempt>,
+    /// How long the worker may hold its answer back while it has no end to tell that it has not
+    /// told before.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "wait_ms")]
+    pub wait: Duration,
+    /// Whether the answer lists the tasks that run, beside those that have ended.
+    pub list: bool,
 }
 
 /// A limit on a task's processor time.
@@ -124,7 +131,8 @@
     pub boot: Boot,
     /// The tasks that run, and those that ended and were not acknowledged.
     ///
-    /// The answer to [`Verb::Run`] holds just the task concerned.
+    /// The answer to [`Verb::Run`] holds just the task concerned, and that to [`Verb::Renew`]
+    /// lists the tasks that run only where it was asked to.
     pub tasks: Vec<Report>,
 }
 
--- a/crates/endpoints/src/http.rs
+++ b/crates/endpoints/src/http.rs
@@ -64,6 +64,7 @@
 fn limit(settings: &Settings, command: &Command) -> Duration {
     match &command.verb {
         Verb::Run(run) if run.wait => run.deadline.unwrap_or(settings.longest_wait),
+        Verb::Renew(renew) => settings.timeout + renew.wait,
         _ => settings.timeout,
     }
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -42,13 +42,17 @@
         Attempt,
         Command,
         Phase,
+        Renew,
         Report,
         Run,
         Verb, //
     },
 };
 use futures_util::FutureExt;
-use tokio::sync::watch;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 
 use crate::program::Program;
 
@@ -107,6 +111,8 @@
     report: Report,
     lease_until: Millis,
     done: watch::Sender<bool>,
+    /// Whether an answer to the owner has told of the end.
+    told: bool,
 }
 
 struct Machine {
@@ -114,6 +120,8 @@
     boot: Boot,
     epoch: Epoch,
     tasks: BTreeMap<Task, Running>,
+    /// Wakes the renewals that wait for an end.
+    ends: Arc<Notify>,
     switches: Switches,
 }
 
@@ -210,6 +218,7 @@
         let boot = Boot(machine.boot.0 + 1);
         let fresh = Machine::new(machine.worker.clone(), boot);
         let old = std::mem::replace(machine, fresh);
+        old.ends.notify_waiters();
         let mut ledger = lock(&self.ledger);
         for (task, running) in old.tasks {
             if running.report.phase == Phase::Running {
@@ -243,6 +252,7 @@
         let answer = result?;
         match &command.verb {
             Verb::Run(run) if run.wait => self.wait(name, &run.task).await,
+            Verb::Renew(renew) => self.wait_for_end(name, command.epoch, renew).await,
             _ => Ok(answer),
         }
     }
@@ -267,7 +277,10 @@
             Verb::Renew(renew) => {
                 machine.extend_leases(now.after(renew.lease.lease));
                 machine.forget(&renew.acknowledged);
-                Ok(machine.answer())
+                Ok(Answer {
+                    boot: machine.boot,
+                    tasks: Vec::new(),
+                })
             }
             Verb::Checkpoint(task) => machine.answer_one(task),
             Verb::Throttle(throttle) => machine.answer_one(&throttle.task),
@@ -314,6 +327,7 @@
             },
             lease_until: self.timer.now().after(run.lease),
             done: watch::Sender::new(false),
+            told: false,
         };
         machine.tasks.insert(run.task.clone(), running);
         let fail = program.fail || machine.switches.fail_all;
@@ -372,10 +386,35 @@
         running.report.phase = phase;
         running.report.output = output;
         running.done.send_replace(true);
+        machine.ends.notify_waiters();
         let need = running.report.resources;
         lock(&self.ledger).leave(task, &need);
     }
 
+    /// Answers a renewal once there is an end that was not told yet, or the wait is over.
+    async fn wait_for_end(&self, name: &Name, epoch: Epoch, renew: &Renew) -> Result<Answer> {
+        let gone = || Error::new(Kind::OutcomeUnknown, "the worker is gone");
+        let (ends, untold) = {
+            let machines = lock(&self.machines);
+            let machine = machines.get(name).ok_or_else(gone)?;
+            let ends = Arc::clone(&machine.ends).notified_owned();
+            (ends, machine.has_untold_end())
+        };
+        if !untold {
+            self.timer.timeout(renew.wait, ends).await;
+        }
+        let mut machines = lock(&self.machines);
+        let machine = machines.get_mut(name).ok_or_else(gone)?;
+        if machine.switches.silent {
+            return Err(Error::new(Kind::OutcomeUnknown, "the worker is silent"));
+        }
+        if epoch < machine.epoch {
+            let message = format!("the worker has seen epoch {}", machine.epoch.0);
+            return Err(Error::new(Kind::StaleEpoch, message));
+        }
+        Ok(machine.answer_renewal(renew.list))
+    }
+
     async fn wait(&self, name: &Name, task: &Task) -> Result<Answer> {
         let gone = || Error::new(Kind::OutcomeUnknown, "the worker has booted since");
         let mut done = lock(&self.machines)
@@ -398,6 +437,7 @@
             boot,
             epoch: Epoch(0),
             tasks: BTreeMap::new(),
+            ends: Arc::default(),
             switches: Switches::default(),
         }
     }
@@ -425,6 +465,7 @@
             },
             lease_until: Millis::default(),
             done: watch::Sender::new(true),
+            told: true,
         };
         self.tasks.insert(attempt.task.clone(), never_started);
     }
@@ -472,6 +513,28 @@
         }
     }
 
+    fn has_untold_end(&self) -> bool {
+        self.tasks
+            .values()
+            .any(|running| running.report.phase != Phase::Running && !running.told)
+    }
+
+    /// Tells of the tasks that have ended, and of those that run where `list` asks for them.
+    fn answer_renewal(&mut self, list: bool) -> Answer {
+        let mut tasks = Vec::new();
+        for running in self.tasks.values_mut() {
+            let ended = running.report.phase != Phase::Running;
+            if ended || list {
+                running.told = ended;
+                tasks.push(running.report.clone());
+            }
+        }
+        Answer {
+            boot: self.boot,
+            tasks,
+        }
+    }
+
     fn answer_one(&self, task: &Task) -> Result<Answer> {
         let running = self
             .tasks
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -25,6 +25,7 @@
         Kind,
         Result, //
     },
+    flag::Flag,
     id::{
         self,
         Boot,
@@ -171,7 +172,7 @@
     /// Whether new work is refused because the shard is about to be handed over.
     closing: watch::Sender<bool>,
     /// Whether another VM owns the shard by now.
-    released: watch::Sender<bool>,
+    released: Flag,
     /// How many calls that change something are being answered.
     in_flight: watch::Sender<usize>,
     pub(crate) title_check: Check,
@@ -188,7 +189,7 @@
             inner: Mutex::default(),
             wake: Notify::new(),
             closing: watch::Sender::new(false),
-            released: watch::Sender::new(false),
+            released: Flag::default(),
             in_flight: watch::Sender::new(0),
             title_check: Check::default(),
             listed: watch::Sender::new(0),
@@ -232,13 +233,12 @@
 
     /// Handles a call.
     pub async fn handle(self: &Arc<Self>, call: Call) -> Result<Status> {
-        let mut released = self.released.subscribe();
         let changes = matches!(call.verb, Verb::Submit(..) | Verb::Cancel(_));
         let _in_flight = changes.then(|| InFlight::new(&self.in_flight));
         tokio::select! {
             biased;
             result = self.answer(call) => result,
-            _ = released.wait_for(|released| *released) => Err(self.moved(changes)),
+            () = self.released.until(true) => Err(self.moved(changes)),
         }
     }
 
@@ -453,7 +453,7 @@
     /// Tells all callers that wait here to ask the next owner.
     pub fn release(&self) {
         self.closing.send_replace(true);
-        self.released.send_replace(true);
+        self.released.set(true);
     }
 
     /// Says whether the shard is about to be handed over.
@@ -463,7 +463,7 @@
 
     /// Says whether another VM owns the shard by now.
     pub(crate) fn is_released(&self) -> bool {
-        *self.released.borrow()
+        self.released.is_raised()
     }
 
     /// Whoever only asks may ask the next owner; other work may have run here.
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -41,6 +41,14 @@
 /// A lease is renewed so many times before it would lapse.
 const RENEWALS_PER_LEASE: u32 = 10;
 
+/// How long a renewal that has told of an end waits before the next, so that ends that come
+/// together are told together.
+const COALESCE: Duration = Duration::from_millis(20);
+
+/// How often a worker lists the tasks that run, which tells what they use and finds those that
+/// nobody waits for.
+const LIST_INTERVAL: Duration = Duration::from_secs(30);
+
 /// A worker that is silent for this part of a lease has its leases extended no more.
 const SILENT_PARTS: u32 = 3;
 
@@ -199,28 +207,34 @@
     let interval = owner.tools.task_lease / RENEWALS_PER_LEASE;
     let mut heard = owner.tools.timer.now();
     let mut extended = heard;
+    let mut listed = heard;
     let mut open_on = contact_boot(owner, worker);
     loop {
-        owner.tools.timer.sleep(interval).await;
         let now = owner.tools.timer.now();
         let extend = now.since(heard) < owner.tools.task_lease / SILENT_PARTS;
         if extend {
             extended = now;
         }
-        match renew(owner, worker, extend).await {
+        let list = now.since(listed) >= LIST_INTERVAL;
+        match renew(owner, worker, extend, list).await {
             Some(answer) if open_on.is_some_and(|boot| boot != answer.boot) => {
                 break;
             }
             Some(answer) => {
-                heard = now;
+                heard = owner.tools.timer.now();
+                if list {
+                    listed = now;
+                }
                 if contact_boot(owner, worker).is_none() {
                     open(owner, worker, answer.boot);
                 }
                 open_on = Some(answer.boot);
                 hear_all(owner, worker, answer);
+                owner.tools.timer.sleep(COALESCE).await;
             }
             None => {
                 close(owner, worker);
+                owner.tools.timer.sleep(interval).await;
                 if owner.tools.timer.now().since(extended) >= lapse(owner) {
                     break;
                 }
@@ -236,7 +250,7 @@
 }
 
 /// Asks a worker what has ended; a lease is only ever made longer by this.
-async fn renew(owner: &Owner, worker: &Worker, extend: bool) -> Option<Answer> {
+async fn renew(owner: &Owner, worker: &Worker, extend: bool, list: bool) -> Option<Answer> {
     let acknowledged = {
         let inner = owner.lock();
         inner.contacts.get(&worker.name)?.acknowledged.clone()
@@ -251,6 +265,8 @@
         verb: Verb::Renew(Renew {
             lease: Lease { lease },
             acknowledged: acknowledged.clone(),
+            wait: owner.tools.task_lease / RENEWALS_PER_LEASE,
+            list,
         }),
     };
     let answer = owner.tools.endpoints.send(worker, command).await.ok()?;
--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -33,6 +33,7 @@
         Kind,
         Result, //
     },
+    flag::Flag,
     id::{
         Name,
         Session, //
@@ -61,16 +62,13 @@
     SeedableRng,
     rngs::SmallRng, //
 };
-use tokio::{
-    sync::{
-        oneshot,
-        watch, //
-    },
-    task::JoinSet,
-};
+use tokio::{sync::oneshot, task::JoinSet};
 
 const STEP: Duration = Duration::from_millis(5);
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a worker may hold a renewal back, at the lease that the nodes here run with.
+const RENEWAL_WAIT: Duration = Duration::from_millis(1500);
 const LONGEST_DELAY_MS: u64 = 4000;
 
 /// How messages fare, in thousandths of all messages.
@@ -84,7 +82,7 @@
 pub(crate) struct Machine {
     pub(crate) node: Arc<Node>,
     clock: timer::Service,
-    paused: watch::Sender<bool>,
+    paused: Arc<Flag>,
     _tasks: JoinSet<()>,
 }
 
@@ -154,7 +152,7 @@
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         let clock = timer::Service::manual();
         clock.advance(Duration::from_millis(self.timer.now().0));
-        let paused = watch::Sender::new(false);
+        let paused = Arc::new(Flag::default());
         let config = Config {
             racks_per_shard: 1,
             ..Config::local(&format!("entry-{port}"), "local")
@@ -190,7 +188,7 @@
 
     pub(crate) fn set_paused(&self, address: SocketAddr, paused: bool) {
         if let Some(machine) = self.lock().machines.get(&address) {
-            machine.paused.send_replace(paused);
+            machine.paused.set(paused);
         }
     }
 
@@ -201,7 +199,7 @@
     pub(crate) fn node(&self, address: SocketAddr) -> Option<Arc<Node>> {
         let shared = self.lock();
         let machine = shared.machines.get(&address)?;
-        (!*machine.paused.borrow()).then(|| Arc::clone(&machine.node))
+        (!machine.paused.is_raised()).then(|| Arc::clone(&machine.node))
     }
 
     /// Moves the clocks of all VMs that are not paused up to the common time.
@@ -211,7 +209,7 @@
             let now = self.timer.now();
             let clocks: Vec<_> = {
                 let shared = self.lock();
-                let awake = shared.machines.values().filter(|vm| !*vm.paused.borrow());
+                let awake = shared.machines.values().filter(|vm| !vm.paused.is_raised());
                 awake.map(|vm| vm.clock.clone()).collect()
             };
             for clock in clocks {
@@ -220,7 +218,7 @@
         }
     }
 
-    fn platform(&self, paused: &watch::Sender<bool>) -> Platform {
+    fn platform(&self, paused: &Arc<Flag>) -> Platform {
         let store = self.store.platform();
         let (writer, reader) = (store.tables.clone(), store.tables.clone());
         let (putter, getter) = (store.objects.clone(), store.objects.clone());
@@ -230,64 +228,70 @@
         let read = unknown(Kind::StoreUnavailable);
         Platform {
             tables: Service::new(
-                self.link(paused, write, move |transaction| {
+                self.link(paused, CALL_TIMEOUT, write, move |transaction| {
                     let tables = writer.clone();
                     async move { tables.transact(transaction).await }.boxed()
                 }),
-                self.link(paused, read, move |query| {
+                self.link(paused, CALL_TIMEOUT, read, move |query| {
                     let tables = reader.clone();
                     async move { tables.scan(query).await }.boxed()
                 }),
             ),
             objects: object::Store::new(
                 {
-                    let put = self.link(paused, write, move |(key, body)| {
+                    let put = self.link(paused, CALL_TIMEOUT, write, move |(key, body)| {
                         let objects = putter.clone();
                         async move { objects.put(key, body).await }.boxed()
                     });
                     Arc::new(move |key, body| put((key, body)))
                 },
-                self.link(paused, read, move |key| {
+                self.link(paused, CALL_TIMEOUT, read, move |key| {
                     let objects = getter.clone();
                     async move { objects.get(key).await }.boxed()
                 }),
             ),
             vms: {
-                let list = self.link(paused, read, move |()| lister());
+                let list = self.link(paused, CALL_TIMEOUT, read, move |()| lister());
                 Arc::new(move || list(()))
             },
         }
     }
 
-    fn endpoints(&self, paused: &watch::Sender<bool>) -> Client {
+    fn endpoints(&self, paused: &Arc<Flag>) -> Client {
         let fleet = self.fleet.client();
         let silent = || Error::new(Kind::OutcomeUnknown, "no answer came");
-        let link = self.link(paused, silent, move |(worker, command)| {
-            let fleet = fleet.clone();
-            async move { fleet.send(&worker, command).await }.boxed()
-        });
+        let link = self.link(
+            paused,
+            CALL_TIMEOUT + RENEWAL_WAIT,
+            silent,
+            move |(worker, command)| {
+                let fleet = fleet.clone();
+                async move { fleet.send(&worker, command).await }.boxed()
+            },
+        );
         Client::new(Arc::new(move |worker, command| link((worker, command))))
     }
 
     /// Carries calls over a network that delays and loses, from a VM that may be paused.
     fn link<I: Send + 'static, O: Send + 'static>(
         &self,
-        paused: &watch::Sender<bool>,
+        paused: &Arc<Flag>,
+        timeout: Duration,
         unknown: impl Fn() -> Error + Copy + Send + Sync + 'static,
         serve: impl Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync + 'static,
     ) -> Arc<dyn Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync> {
         let cell = self.clone();
-        let paused = paused.clone();
+        let paused = Arc::clone(paused);
         Arc::new(move |input| {
             let trip = cell.trip();
             let served = serve(input);
             let timer = cell.timer.clone();
-            let mut awake = paused.subscribe();
+            let paused = Arc::clone(&paused);
             async move {
-                let _ = awake.wait_for(|paused| !paused).await;
+                paused.until(false).await;
                 let answer = send(timer.clone(), trip, served);
-                let result = timer.timeout(CALL_TIMEOUT, answer).await.flatten();
-                let _ = awake.wait_for(|paused| !paused).await;
+                let result = timer.timeout(timeout, answer).await.flatten();
+                paused.until(false).await;
                 result.unwrap_or_else(|| Err(unknown()))
             }
             .boxed()
