--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -87,6 +87,18 @@
     #[arg(long, env = "BASILBRIDGE_DEFAULT_WAIT", value_parser = humantime::parse_duration, default_value = "10s")]
     pub(crate) default_wait: Duration,
 
+    /// How long requests are taken after readiness went off, from 0s to 1m.
+    #[arg(long, env = "BASILBRIDGE_DRAIN_GRACE", value_parser = humantime::parse_duration, default_value = "2s")]
+    pub(crate) drain_grace: Duration,
+
+    /// How long the end of the VM takes at most, from 100ms to 1h.
+    #[arg(long, env = "BASILBRIDGE_DRAIN_LIMIT", value_parser = humantime::parse_duration, default_value = "30s")]
+    pub(crate) drain_limit: Duration,
+
+    /// How many submissions, and waits apart from them, the VM works on at once.
+    #[arg(long, env = "BASILBRIDGE_MAX_REQUESTS", default_value_t = 2048)]
+    pub(crate) max_requests: usize,
+
     /// The key of the first operator, before the configuration names any.
     #[arg(long, env = "BASILBRIDGE_BOOTSTRAP_KEY", hide_env_values = true)]
     pub(crate) bootstrap_key: Option<String>,
--- a/tests/configuration/cell.rs
+++ b/tests/configuration/cell.rs
@@ -187,6 +187,7 @@
         data_centre: "local".into(),
         renewals: 0,
         lease: LEASE,
+        leaving: false,
         configuration: Version(0),
     }
 }
