Decide by index, share, reservation and preemption

Change: a placement tree, classes of size in the queue, a ledger of dominant shares, one policy table, reservations with expiry and backfill, preemption by checkpoint and then stop, headroom. Before: a worker adopted over-full gave back more room than it had, because room saturated at zero. After: 300 seeds of 120 random operations hold capacity, limits, one place and all-or-none after every step (tests/shard_invariants.rs). The test was red three times on the way and found: room promised before a limit was lowered was used after; a reservation gathered over the limit; a member of a group that came back was left out of the group's reservation.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,13 @@
 //! Nothing here does I/O, reads a clock or waits, so that each decision is tested and measured
 //! alone. Times come in as [`Millis`](basilbridge_common::unit::Millis).
 
+mod decision;
+pub mod headroom;
 pub mod placement;
+pub mod policy;
+mod preemption;
 pub mod queue;
+mod reservation;
 pub mod shard;
+pub mod share;
+pub mod task;
--- /dev/null
+++ b/crates/scheduler/src/preemption.rs
@@ -0,0 +1,224 @@
+//! Tasks that are stopped so that others can start.
+//!
+//! A task is asked to save its progress first and stopped soon after. Those that lose the least
+//! work go first; those that must not be repeated never go. `docs/design/preemption.md` weighs
+//! the ways.
+
+use std::time::Duration;
+
+use basilbridge_common::{
+    job::Kind,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+
+use crate::{
+    decision::Round,
+    placement, policy,
+    queue::Head,
+    shard::{
+        Action,
+        Shard, //
+    },
+    task::{
+        self,
+        Leaving,
+        Place, //
+    },
+};
+
+/// How long a task that is to be stopped has for its checkpoint.
+pub(crate) const CHECKPOINT_GRACE: Duration = Duration::from_millis(1000);
+
+/// How long a task keeps the promise of a worker that others are to leave.
+const CLAIM_TIME: Duration = Duration::from_secs(10);
+
+/// How long a task waits for others to end by themselves before its team takes its share back.
+const RECLAIM_AFTER: Duration = Duration::from_secs(5);
+
+/// How many tasks that might be stopped are looked at for one that waits.
+const VICTIMS_EXAMINED: usize = 32;
+
+/// How many tasks wait for others to leave at one time, as one in this many of the slots.
+const CLAIMS_PER_SLOTS: usize = 8;
+
+/// How many tasks wait for others to leave at one time in a large shard.
+const MOST_CLAIMS: usize = 256;
+
+struct Offer {
+    worker: placement::Key,
+    victims: Vec<task::Key>,
+    lost: f64,
+}
+
+impl Shard {
+    /// Has tasks stopped for urgent work, and for teams that have less than their share.
+    pub(crate) fn preempt(&mut self, round: &mut Round) {
+        let most = (self.slots as usize / CLAIMS_PER_SLOTS).clamp(1, MOST_CLAIMS);
+        let mut claims = self.claims();
+        for kind in policy::ORDER {
+            if kind == Kind::Gang {
+                continue;
+            }
+            while claims < most {
+                let heads = self.queue.blocked(kind);
+                let claimed = heads.iter().find_map(|head| {
+                    let offer = self.offer(kind, head, round)?;
+                    Some((head.task, offer))
+                });
+                let Some((task, offer)) = claimed else {
+                    break;
+                };
+                self.claim(task, offer.worker, round.now.after(CLAIM_TIME));
+                for victim in offer.victims {
+                    self.ask_to_leave(victim, round);
+                }
+                claims += 1;
+            }
+        }
+    }
+
+    /// Asks a task to save its progress; the stop follows.
+    pub(crate) fn ask_to_leave(&mut self, key: task::Key, round: &mut Round) {
+        let entry = &mut self.tasks[key];
+        let Place::Running(run) = &mut entry.place else {
+            return;
+        };
+        let policy = policy::of(entry.task.kind);
+        if run.leaving.is_some() || !(policy.preemptible)(&entry.task) {
+            return;
+        }
+        let until = round.now.after(CHECKPOINT_GRACE);
+        run.leaving = Some(Leaving::Saving(until));
+        self.victims.remove(&(run.saved, key));
+        self.saving.insert((until, key));
+        let (team, charge) = (entry.team, entry.charge);
+        self.ledger.update(team, |account| {
+            account.leaving = account.leaving.plus(&charge)
+        });
+        if let Some(slot) = self.workers.get(run.worker) {
+            round.actions.push(Action::Checkpoint {
+                task: entry.task.id.clone(),
+                worker: slot.worker.clone(),
+            });
+        }
+        self.sort_team(team);
+    }
+
+    /// Stops the tasks that have saved their progress, or had the time to.
+    pub(crate) fn stop_saved(&mut self, round: &mut Round) {
+        while let Some((until, key)) = self.saving.first().copied()
+            && until <= round.now
+        {
+            self.saving.remove(&(until, key));
+            let entry = &mut self.tasks[key];
+            let Place::Running(run) = &mut entry.place else {
+                continue;
+            };
+            run.leaving = Some(Leaving::Stopping);
+            if let Some(slot) = self.workers.get(run.worker) {
+                round.actions.push(Action::Stop {
+                    task: entry.task.id.clone(),
+                    worker: slot.worker.clone(),
+                });
+            }
+        }
+    }
+
+    /// Returns the worker on which room for a task costs the least work.
+    fn offer(&self, kind: Kind, head: &Head, round: &Round) -> Option<Offer> {
+        let entry = &self.tasks[head.task];
+        if !self.ledger.allows(head.team, &entry.charge) {
+            return None;
+        }
+        let patient = round.now.since(entry.task.accepted) < RECLAIM_AFTER;
+        if patient && !(policy::of(kind).preempts)(Kind::Batch) {
+            return None;
+        }
+        let mut seen = Vec::new();
+        let latest = self.victims.iter().rev().take(VICTIMS_EXAMINED);
+        latest
+            .filter_map(|(_, victim)| {
+                let Place::Running(run) = &self.tasks[*victim].place else {
+                    return None;
+                };
+                if seen.contains(&run.worker) {
+                    return None;
+                }
+                seen.push(run.worker);
+                self.offer_on(run.worker, kind, head, round.now)
+            })
+            .min_by(|a, b| a.lost.total_cmp(&b.lost))
+    }
+
+    fn offer_on(
+        &self,
+        worker: placement::Key,
+        kind: Kind,
+        head: &Head,
+        now: Millis,
+    ) -> Option<Offer> {
+        let slot = self.workers.get(worker)?;
+        let need = self.tasks[head.task].charge;
+        if slot.worker.leaving || slot.on_probation() {
+            return None;
+        }
+        let mut candidates: Vec<_> = slot
+            .tasks
+            .iter()
+            .filter_map(|key| Some((self.saved_of(*key)?, *key)))
+            .filter(|(_, key)| self.may_preempt(kind, head, *key))
+            .collect();
+        candidates.sort();
+        let mut offer = Offer {
+            worker,
+            victims: Vec::new(),
+            lost: 0.0,
+        };
+        while !self.fits_without(slot, &offer.victims, &need) {
+            let (saved, key) = candidates.pop()?;
+            let charge = self.tasks[key].charge;
+            offer.lost += now.since(saved).as_secs_f64() * charge.dominant_share(&self.capacity);
+            offer.victims.push(key);
+        }
+        Some(offer)
+    }
+
+    /// Says whether a worker has room without these tasks.
+    fn fits_without(&self, slot: &placement::Slot, gone: &[task::Key], need: &Resources) -> bool {
+        let gone_use = gone.iter().fold(Resources::default(), |sum, key| {
+            sum.plus(&self.tasks[*key].charge)
+        });
+        let taken = slot.used.plus(&slot.held).minus(&gone_use);
+        let count = slot.tasks.len() as u32 + slot.holds - gone.len() as u32;
+        count < slot.most && need.plus(&taken).fits(&slot.worker.capacity)
+    }
+
+    /// Returns when a task that may be stopped was last saved.
+    fn saved_of(&self, key: task::Key) -> Option<Millis> {
+        match &self.tasks[key].place {
+            Place::Running(run) if self.victims.contains(&(run.saved, key)) => Some(run.saved),
+            _ => None,
+        }
+    }
+
+    fn may_preempt(&self, kind: Kind, head: &Head, victim: task::Key) -> bool {
+        let claimant = &self.tasks[head.task];
+        let victim = &self.tasks[victim];
+        let urgent = (policy::of(kind).preempts)(victim.task.kind);
+        if urgent && self.ledger.is_under(head.team) {
+            return true;
+        }
+        if victim.team == head.team {
+            return urgent;
+        }
+        // The victim's team stays at or above the claimant's, so that it can't ask for the same
+        // room back.
+        let weight = |key| self.ledger.weight(key);
+        let gain = claimant.charge.dominant_share(self.ledger.capacity()) / weight(head.team);
+        let loss = victim.charge.dominant_share(self.ledger.capacity()) / weight(victim.team);
+        self.ledger.level(head.team) + gain <= self.ledger.level(victim.team) - loss
+    }
+}
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -1,6 +1,10 @@
-//! The state of one shard and the decisions of its owner.
+//! The state of one shard.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap, //
+};
 
 use basilbridge_common::{
     id::{
@@ -14,35 +18,36 @@
     },
     worker::Worker,
 };
+use slotmap::SlotMap;
 
 use crate::{
+    headroom::Headroom,
     placement::{
-        Index,
-        Key, //
+        self,
+        Index, //
     },
+    policy,
     queue::Queue,
+    reservation::{
+        self,
+        Group,
+        Reservation, //
+    },
+    share::{
+        self,
+        Ledger,
+        Team, //
+    },
+    task::{
+        self,
+        Entry,
+        Leaving,
+        Place,
+        Run, //
+    },
 };
 
-/// A task, as far as the decisions need to know it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Task {
-    /// The task.
-    pub id: id::Task,
-    /// The team that pays for it.
-    pub team: Name,
-    /// The kind of work.
-    pub kind: Kind,
-    /// What the task needs.
-    pub resources: Resources,
-    /// Whether the task may be run again.
-    pub repeatable: bool,
-    /// The jobs that this one is alike to in size and run time.
-    pub family: Option<Name>,
-    /// When the task was accepted.
-    pub accepted: Millis,
-    /// When the answer has no more use.
-    pub deadline: Option<Millis>,
-}
+pub use crate::task::Task;
 
 /// What the owner has to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -59,31 +64,104 @@
         /// The task.
         task: id::Task,
     },
-}
-
-#[derive(Debug)]
-struct Entry {
-    task: Task,
-    on: Option<Key>,
+    /// Have the worker save the progress of a task that is about to be stopped.
+    ///
+    /// [`Shard::checkpointed`] tells when that is done; the stop follows even without.
+    Checkpoint {
+        /// The task.
+        task: id::Task,
+        /// The worker.
+        worker: Worker,
+    },
+    /// Stop a task so that another one can start.
+    ///
+    /// [`Shard::requeue`] tells that it runs no more, [`Shard::remove`] that it ended.
+    Stop {
+        /// The task.
+        task: id::Task,
+        /// The worker.
+        worker: Worker,
+    },
 }
 
 /// The state of one shard.
 #[derive(Debug, Default)]
 pub struct Shard {
-    workers: Index,
-    queue: Queue,
-    tasks: HashMap<id::Task, Entry>,
+    pub(crate) workers: Index,
+    pub(crate) capacity: Resources,
+    pub(crate) slots: u64,
+    pub(crate) fleet: Option<Resources>,
+    pub(crate) queue: Queue,
+    pub(crate) ledger: Ledger,
+    pub(crate) headroom: Headroom,
+    pub(crate) tasks: SlotMap<task::Key, Entry>,
+    pub(crate) names: HashMap<id::Task, task::Key>,
+    pub(crate) deadlines: BTreeSet<(Millis, task::Key)>,
+    pub(crate) groups: BTreeMap<(Millis, id::Job), Group>,
+    pub(crate) reservations: SlotMap<reservation::Key, Reservation>,
+    /// The tasks that may be stopped, by start or last checkpoint.
+    pub(crate) victims: BTreeSet<(Millis, task::Key)>,
+    pub(crate) saving: BTreeSet<(Millis, task::Key)>,
+    /// The racks of the tasks of each job that is spread over racks.
+    pub(crate) racks: HashMap<id::Job, Vec<u32>>,
+    pub(crate) running: usize,
 }
 
 impl Shard {
     /// Adds a worker, or takes note of its change.
     pub fn set_worker(&mut self, worker: Worker) {
-        match self.workers.find(&worker.name) {
-            Some(key) => self.workers.set_open(key, !worker.leaving),
-            None => {
-                self.workers.insert(worker);
-            }
+        self.workers.set(worker);
+        self.count_capacity();
+    }
+
+    /// Forgets a worker that is gone, and returns the tasks that ran there.
+    ///
+    /// The tasks are forgotten with it; the caller says which of them are to be submitted again.
+    pub fn remove_worker(&mut self, name: &Name) -> Vec<Task> {
+        let Some(key) = self.workers.find(name) else {
+            return Vec::new();
+        };
+        let tasks = self.workers.get(key).map(|slot| slot.tasks.clone());
+        let ids: Vec<_> = tasks
+            .into_iter()
+            .flatten()
+            .filter_map(|task| self.tasks.get(task).map(|entry| entry.task.id.clone()))
+            .collect();
+        let removed = ids.iter().filter_map(|id| self.remove(id)).collect();
+        self.cancel_holds(key);
+        self.workers.remove(key);
+        self.count_capacity();
+        removed
+    }
+
+    /// Sets the teams, with what they have elsewhere, and what the whole fleet has.
+    ///
+    /// Without this each team has a weight of one and the shard stands for the fleet.
+    pub fn set_teams(&mut self, teams: Vec<Team>, fleet: Option<Resources>) {
+        self.fleet = fleet;
+        self.ledger.set_capacity(fleet.unwrap_or(self.capacity));
+        for team in teams {
+            self.ledger.set(team);
         }
+        self.sort_teams();
+    }
+
+    /// Sets the most that a team may have running in this shard.
+    pub fn set_allotment(&mut self, team: &Name, allotment: Option<Resources>) {
+        let key = self.ledger.key(team);
+        self.ledger
+            .update(key, |account| account.team.allotment = allotment);
+        self.sort_team(key);
+    }
+
+    /// Returns what each team is counted with.
+    pub fn teams(&self) -> impl Iterator<Item = &share::Account> {
+        self.ledger.iter().map(|(_, account)| account)
+    }
+
+    /// Returns the lowest level of a team that waits, as a part of the mean of such teams.
+    pub fn nearness(&self) -> Option<f64> {
+        self.ledger.nearness()
     }
 
     /// Returns the workers.
@@ -91,14 +169,39 @@
         self.workers.iter().map(|(_, slot)| &slot.worker)
     }
 
+    /// Returns the workers with what they have left.
+    pub fn slots(&self) -> impl Iterator<Item = &placement::Slot> {
+        self.workers.iter().map(|(_, slot)| slot)
+    }
+
+    /// Returns how many nodes of the placement index all searches have looked at.
+    pub fn examined(&self) -> u64 {
+        self.workers.examined()
+    }
+
     /// Returns how many tasks wait.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.tasks.len() - self.running
     }
 
     /// Returns how many tasks run.
     pub fn running(&self) -> usize {
-        self.tasks.len() - self.queue.len()
+        self.running
+    }
+
+    /// Says where a task runs.
+    pub fn worker_of(&self, id: &id::Task) -> Option<&Worker> {
+        let entry = self.tasks.get(*self.names.get(id)?)?;
+        match &entry.place {
+            Place::Running(run) => self.workers.get(run.worker).map(|slot| &slot.worker),
+            _ => None,
+        }
+    }
+
+    /// Returns what a task is counted with, which is never less than declared.
+    pub fn charge(&self, id: &id::Task) -> Option<Resources> {
+        let entry = self.tasks.get(*self.names.get(id)?)?;
+        Some(entry.charge)
     }
 
     /// Says whether any worker of the shard could run a task of this size when empty.
@@ -108,67 +211,223 @@
             .any(|(_, slot)| need.fits(&slot.worker.capacity))
     }
 
-    /// Queues a task.
+    /// Queues a task; one that is known already stays as it is.
     pub fn submit(&mut self, task: Task) {
-        self.queue.push(task.kind, task.id.clone());
-        self.tasks.insert(task.id.clone(), Entry { task, on: None });
+        if self.names.contains_key(&task.id) {
+            return;
+        }
+        let team = self.ledger.key(&task.team);
+        let charge = self.charge_of(&task);
+        let id = task.id.clone();
+        let key = self.tasks.insert(Entry {
+            task,
+            team,
+            charge,
+            place: Place::Grouped,
+            preempted: 0,
+        });
+        self.names.insert(id, key);
+        self.wait(key);
     }
 
     /// Counts a task that already runs on a worker of this name.
+    ///
+    /// Nothing is counted if there is no such worker.
     pub fn adopt(&mut self, task: Task, worker: &Name) {
-        let Some(key) = self.workers.find(worker) else {
+        let Some(worker) = self.workers.find(worker) else {
             return;
         };
-        self.workers.take(key, &task.resources);
-        let entry = Entry {
-            task,
-            on: Some(key),
-        };
-        if let Some(old) = self.tasks.insert(entry.task.id.clone(), entry)
-            && old.on.is_none()
-        {
-            self.queue.remove(old.task.kind, &old.task.id);
-        }
+        let saved = task.accepted;
+        let id = task.id.clone();
+        self.remove(&id);
+        self.submit(task);
+        let key = self.names[&id];
+        self.leave_queue(key);
+        self.run(key, worker, saved, false);
     }
 
     /// Forgets a task that has ended, was cancelled or has failed to start.
     pub fn remove(&mut self, id: &id::Task) -> Option<Task> {
-        let entry = self.tasks.remove(id)?;
-        match entry.on {
-            Some(key) => self.workers.give_back(key, &entry.task.resources),
-            None => {
-                self.queue.remove(entry.task.kind, id);
+        let key = self.names.remove(id)?;
+        self.leave_queue(key);
+        self.leave_worker(key);
+        self.tasks.remove(key).map(|entry| entry.task)
+    }
+
+    /// Puts a task that runs no more back into the queue.
+    pub fn requeue(&mut self, id: &id::Task) {
+        let Some(key) = self.names.get(id).copied() else {
+            return;
+        };
+        let Some(run) = self.leave_worker(key) else {
+            return;
+        };
+        let entry = &mut self.tasks[key];
+        entry.preempted += u32::from(run.leaving.is_some());
+        entry.charge = entry.task.resources;
+        let charge = self.charge_of(&self.tasks[key].task);
+        self.tasks[key].charge = charge;
+        self.wait(key);
+    }
+
+    /// Takes note that the progress of a task was saved at `now`.
+    pub fn checkpointed(&mut self, id: &id::Task, now: Millis) {
+        let Some(key) = self.names.get(id).copied() else {
+            return;
+        };
+        let Place::Running(run) = &mut self.tasks[key].place else {
+            return;
+        };
+        if self.victims.remove(&(run.saved, key)) {
+            self.victims.insert((now, key));
+        }
+        run.saved = now;
+        if let Some(Leaving::Saving(until)) = run.leaving {
+            run.leaving = Some(Leaving::Saving(now));
+            self.saving.remove(&(until, key));
+            self.saving.insert((now, key));
+        }
+    }
+
+    /// Returns what a task is counted with from its start on.
+    pub(crate) fn charge_of(&self, task: &Task) -> Resources {
+        task.resources
+    }
+
+    /// Puts a task that is nowhere into the queue.
+    pub(crate) fn wait(&mut self, key: task::Key) {
+        let entry = &mut self.tasks[key];
+        let (task, team) = (&entry.task, entry.team);
+        if task.kind == Kind::Gang {
+            let name = (task.accepted, task.id.job.clone());
+            self.join_group(name, key);
+        } else {
+            let rank = (policy::of(task.kind).rank)(task);
+            let ticket = self.queue.push(task.kind, team, &entry.charge, rank, key);
+            entry.place = Place::Waiting(ticket);
+        }
+        if let Some(deadline) = self.tasks[key].task.deadline {
+            self.deadlines.insert((deadline, key));
+        }
+        self.ledger.update(team, |account| account.waiting += 1);
+        self.sort_team(team);
+    }
+
+    /// Takes a task that does not run out of the queue, or out of its reservation.
+    pub(crate) fn leave_queue(&mut self, key: task::Key) {
+        let entry = &self.tasks[key];
+        let team = entry.team;
+        if let Some(deadline) = entry.task.deadline {
+            self.deadlines.remove(&(deadline, key));
+        }
+        match entry.place {
+            Place::Running(_) => return,
+            Place::Waiting(ref ticket) => {
+                self.queue.remove(ticket);
             }
+            Place::Reserved(reservation) => self.leave_reservation(reservation, key),
+            Place::Grouped => {}
+        }
+        self.leave_group(key);
+        self.ledger.update(team, |account| account.waiting -= 1);
+    }
+
+    /// Starts a task that has left the queue.
+    pub(crate) fn run(
+        &mut self,
+        key: task::Key,
+        worker: placement::Key,
+        now: Millis,
+        backfill: bool,
+    ) {
+        let entry = &mut self.tasks[key];
+        let (team, charge) = (entry.team, entry.charge);
+        entry.place = Place::Running(Run {
+            worker,
+            saved: now,
+            leaving: None,
+            backfill,
+        });
+        let policy = policy::of(entry.task.kind);
+        if (policy.preemptible)(&entry.task) && entry.preempted < policy::MOST_PREEMPTIONS {
+            self.victims.insert((now, key));
+        }
+        if policy.spread_racks
+            && let Some(slot) = self.workers.get(worker)
+        {
+            let racks = self.racks.entry(entry.task.id.job.clone()).or_default();
+            racks.push(slot.worker.rack);
+        }
+        if entry.task.kind == Kind::Interactive {
+            self.headroom.start(&charge, now);
+        }
+        self.running += 1;
+        self.workers.take(worker, key, &charge);
+        self.ledger
+            .update(team, |account| account.used = account.used.plus(&charge));
+        self.sort_team(team);
+    }
+
+    /// Takes a task off its worker; the task is nowhere then.
+    fn leave_worker(&mut self, key: task::Key) -> Option<Run> {
+        let entry = &mut self.tasks[key];
+        let (team, charge) = (entry.team, entry.charge);
+        let Place::Running(run) = std::mem::replace(&mut entry.place, Place::Grouped) else {
+            return None;
+        };
+        self.victims.remove(&(run.saved, key));
+        if let Some(Leaving::Saving(until)) = run.leaving {
+            self.saving.remove(&(until, key));
         }
-        Some(entry.task)
-    }
-
-    /// Decides what to do at `now`.
-    pub fn decide(&mut self, now: Millis) -> Vec<Action> {
-        let waiting: Vec<_> = self.queue.iter().cloned().collect();
-        let mut actions = Vec::new();
-        for id in waiting {
-            let Some(entry) = self.tasks.get_mut(&id) else {
-                continue;
-            };
-            if entry.task.deadline.is_some_and(|deadline| deadline <= now) {
-                self.remove(&id);
-                actions.push(Action::Expire { task: id });
-                continue;
+        let job = &entry.task.id.job;
+        if let Some(racks) = self.racks.get_mut(job)
+            && let Some(slot) = self.workers.get(run.worker)
+        {
+            let at = racks.iter().position(|rack| *rack == slot.worker.rack);
+            at.map(|at| racks.swap_remove(at));
+            if racks.is_empty() {
+                self.racks.remove(job);
             }
-            let Some(key) = self.workers.choose(&entry.task.resources) else {
-                continue;
-            };
-            self.workers.take(key, &entry.task.resources);
-            self.queue.remove(entry.task.kind, &id);
-            entry.on = Some(key);
-            if let Some(slot) = self.workers.get(key) {
-                actions.push(Action::Start {
-                    task: id,
-                    worker: slot.worker.clone(),
-                });
+        }
+        if entry.task.kind == Kind::Interactive {
+            self.headroom.end(&charge);
+        }
+        self.running -= 1;
+        self.workers.give_back(run.worker, key, &charge);
+        self.ledger.update(team, |account| {
+            account.used = account.used.minus(&charge);
+            if run.leaving.is_some() {
+                account.leaving = account.leaving.minus(&charge);
             }
+        });
+        self.sort_team(team);
+        Some(run)
+    }
+
+    pub(crate) fn sort_team(&mut self, team: share::Key) {
+        self.queue.set_level(team, self.ledger.level(team));
+    }
+
+    fn sort_teams(&mut self) {
+        let levels: Vec<_> = self
+            .ledger
+            .iter()
+            .map(|(team, _)| (team, self.ledger.level(team)))
+            .collect();
+        for (team, level) in levels {
+            self.queue.set_level(team, level);
+        }
+    }
+
+    fn count_capacity(&mut self) {
+        let workers = self.workers.iter().map(|(_, slot)| &slot.worker);
+        let (capacity, slots) = workers.fold((Resources::default(), 0), |(sum, slots), worker| {
+            (sum.plus(&worker.capacity), slots + u64::from(worker.slots))
+        });
+        (self.capacity, self.slots) = (capacity, slots);
+        if self.fleet.is_none() {
+            self.ledger.set_capacity(capacity);
+            self.sort_teams();
         }
-        actions
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/shard_invariants.rs
@@ -0,0 +1,388 @@
+//! Random operations on a shard, checked after each step against a slow and obvious model.
+//!
+//! `BASILBRIDGE_SEEDS=100000 cargo test -p basilbridge-scheduler --test shard_invariants` explores
+//! freely; a failure names its seed.
+
+mod util;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::{
+        self,
+        Name, //
+    },
+    job::Kind,
+    unit::{
+        Millis,
+        Resources, //
+    },
+    worker::Worker,
+};
+use basilbridge_scheduler::{
+    shard::{
+        Action,
+        Shard, //
+    },
+    share::Team,
+    task::Task,
+};
+use quickcheck::{
+    Arbitrary,
+    Gen, //
+};
+
+const FIXED_SEEDS: u64 = 300;
+const STEPS: usize = 120;
+const TEAMS: [&str; 3] = ["first", "second", "third"];
+
+#[derive(Debug, Clone)]
+enum Operation {
+    Submit {
+        kind: Kind,
+        cores: u64,
+        memory: u64,
+        count: u32,
+        team: usize,
+        repeatable: bool,
+        deadline: Option<u64>,
+    },
+    Adopt(u64, usize),
+    End(usize),
+    Requeue(usize),
+    Cancel(usize),
+    Saved(usize),
+    AddWorker(u64, u32),
+    Leave(usize),
+    RemoveWorker(usize),
+    Allot(usize, Option<u64>),
+    Weigh(usize, u32),
+    Wait(u64),
+}
+
+impl Arbitrary for Operation {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = |g: &mut Gen, most: u64| u64::arbitrary(g) % most;
+        let pick = |g: &mut Gen| usize::arbitrary(g) % 1000;
+        match number(g, 20) {
+            0..=7 => Self::Submit {
+                kind: *g
+                    .choose(&[Kind::Interactive, Kind::Service, Kind::Batch, Kind::Gang])
+                    .expect("the list is not empty"),
+                cores: 1 + number(g, 8),
+                memory: 1 + number(g, 8),
+                count: 1 + number(g, 5) as u32,
+                team: pick(g) % TEAMS.len(),
+                repeatable: bool::arbitrary(g),
+                deadline: bool::arbitrary(g).then(|| number(g, 100_000)),
+            },
+            8 => Self::Adopt(1 + number(g, 12), pick(g)),
+            9..=11 => Self::End(pick(g)),
+            12 => Self::Requeue(pick(g)),
+            13 => Self::Cancel(pick(g)),
+            14 => Self::Saved(pick(g)),
+            15 => Self::AddWorker(4 + number(g, 8), 1 + number(g, 6) as u32),
+            16 => match number(g, 3) {
+                0 => Self::Leave(pick(g)),
+                1 => Self::RemoveWorker(pick(g)),
+                _ => Self::Weigh(pick(g) % TEAMS.len(), 1 + number(g, 5) as u32),
+            },
+            17 => Self::Allot(
+                pick(g) % TEAMS.len(),
+                bool::arbitrary(g).then(|| number(g, 20)),
+            ),
+            _ => Self::Wait(number(g, 40_000)),
+        }
+    }
+}
+
+/// What should hold, kept in plain maps that are summed anew at each check.
+#[derive(Default)]
+struct Model {
+    shard: Shard,
+    now: Millis,
+    jobs: u64,
+    machines: u32,
+    workers: BTreeMap<Name, Worker>,
+    waiting: BTreeMap<id::Task, Task>,
+    running: BTreeMap<id::Task, (Task, Name)>,
+    /// Tasks that were asked to save, and of those the ones that were asked to stop.
+    saving: BTreeSet<id::Task>,
+    stopping: BTreeSet<id::Task>,
+    allotments: BTreeMap<Name, Resources>,
+}
+
+impl Model {
+    fn apply(&mut self, operation: Operation) {
+        match operation {
+            Operation::Submit { .. } => self.submit(&operation),
+            Operation::Adopt(cores, pick) => self.adopt(cores, pick),
+            Operation::End(pick) => {
+                if let Some(id) = nth(self.running.keys(), pick) {
+                    self.shard.remove(&id);
+                    self.forget(&id);
+                }
+            }
+            Operation::Requeue(pick) => {
+                // Tasks that were told to stop come back first, as they do from workers.
+                let stopped = nth(self.stopping.iter(), pick);
+                if let Some(id) = stopped.or_else(|| nth(self.running.keys(), pick)) {
+                    self.shard.requeue(&id);
+                    let (task, _) = self.running[&id].clone();
+                    self.forget(&id);
+                    self.waiting.insert(id, task);
+                }
+            }
+            Operation::Cancel(pick) => {
+                if let Some(id) = nth(self.waiting.keys(), pick) {
+                    self.shard.remove(&id);
+                    self.forget(&id);
+                }
+            }
+            Operation::Saved(pick) => {
+                if let Some(id) = nth(self.saving.iter(), pick) {
+                    self.shard.checkpointed(&id, self.now);
+                }
+            }
+            Operation::AddWorker(cores, slots) => {
+                self.machines += 1;
+                self.set(util::worker(
+                    self.machines,
+                    util::resources(cores, cores),
+                    slots,
+                ));
+            }
+            Operation::Leave(pick) => {
+                if let Some(name) = nth(self.workers.keys(), pick) {
+                    let mut worker = self.workers[&name].clone();
+                    worker.leaving = true;
+                    self.set(worker);
+                }
+            }
+            Operation::RemoveWorker(pick) => self.remove_worker(pick),
+            Operation::Allot(team, cores) => {
+                let name: Name = TEAMS[team].into();
+                let allotment = cores.map(|cores| util::resources(cores, cores));
+                self.shard.set_allotment(&name, allotment);
+                self.allotments.remove(&name);
+                allotment.map(|allotment| self.allotments.insert(name, allotment));
+            }
+            Operation::Weigh(team, weight) => {
+                let name: Name = TEAMS[team].into();
+                let allotment = self.allotments.get(&name).copied();
+                let team = Team {
+                    name,
+                    weight,
+                    elsewhere: Resources::default(),
+                    allotment,
+                };
+                self.shard.set_teams(vec![team], None);
+            }
+            Operation::Wait(wait) => self.now = self.now.after(Duration::from_millis(wait)),
+        }
+    }
+
+    fn submit(&mut self, operation: &Operation) {
+        let Operation::Submit {
+            kind,
+            cores,
+            memory,
+            count,
+            team,
+            repeatable,
+            deadline,
+        } = *operation
+        else {
+            return;
+        };
+        self.jobs += 1;
+        for index in 0..count {
+            let task = Task {
+                id: util::id(self.jobs, index),
+                team: TEAMS[team].into(),
+                repeatable,
+                accepted: self.now,
+                deadline: deadline.map(|wait| self.now.after(Duration::from_millis(wait))),
+                ..util::task(self.jobs, kind, util::resources(cores, memory))
+            };
+            self.shard.submit(task.clone());
+            self.waiting.insert(task.id.clone(), task);
+        }
+    }
+
+    fn adopt(&mut self, cores: u64, pick: usize) {
+        let Some(name) = nth(self.workers.keys(), pick) else {
+            return;
+        };
+        self.jobs += 1;
+        let task = util::task(self.jobs, Kind::Batch, util::resources(cores, cores));
+        self.shard.adopt(task.clone(), &name);
+        self.running.insert(task.id.clone(), (task, name));
+    }
+
+    fn set(&mut self, worker: Worker) {
+        self.shard.set_worker(worker.clone());
+        self.workers.insert(worker.name.clone(), worker);
+    }
+
+    fn remove_worker(&mut self, pick: usize) {
+        let Some(name) = nth(self.workers.keys(), pick) else {
+            return;
+        };
+        self.workers.remove(&name);
+        let removed = self.shard.remove_worker(&name);
+        let known = self.running.iter().filter(|(_, (_, on))| *on == name);
+        let expected: BTreeSet<_> = known.map(|(id, _)| id.clone()).collect();
+        let removed: BTreeSet<_> = removed.into_iter().map(|task| task.id).collect();
+        assert_eq!(removed, expected, "the tasks of a worker that is gone");
+        for id in removed {
+            self.forget(&id);
+        }
+    }
+
+    fn forget(&mut self, id: &id::Task) {
+        self.waiting.remove(id);
+        self.running.remove(id);
+        self.saving.remove(id);
+        self.stopping.remove(id);
+    }
+
+    fn decide(&mut self) {
+        let actions = self.shard.decide(self.now);
+        let mut started: BTreeMap<id::Job, usize> = BTreeMap::new();
+        for action in &actions {
+            match action {
+                Action::Start { task, worker } => {
+                    *started.entry(task.job.clone()).or_default() += 1;
+                    self.start(task, &worker.name);
+                }
+                Action::Expire { task } => {
+                    let expired = self.waiting.remove(task).expect("an expired task waited");
+                    assert!(
+                        expired
+                            .deadline
+                            .is_some_and(|deadline| deadline <= self.now)
+                    );
+                }
+                Action::Checkpoint { task, worker } => {
+                    let (known, on) = &self.running[task];
+                    assert!(
+                        known.repeatable && known.kind == Kind::Batch,
+                        "{task} may be stopped"
+                    );
+                    assert_eq!(*on, worker.name);
+                    assert!(self.saving.insert(task.clone()), "{task} is asked once");
+                }
+                Action::Stop { task, .. } => {
+                    assert!(self.saving.contains(task), "{task} could save first");
+                    assert!(self.stopping.insert(task.clone()), "{task} is stopped once");
+                }
+            }
+        }
+        self.check_groups(&started);
+        self.check_counts();
+    }
+
+    fn start(&mut self, id: &id::Task, worker: &Name) {
+        assert!(!self.running.contains_key(id), "{id} runs in one place");
+        let task = self.waiting.remove(id).expect("a started task waited");
+        let on = &self.workers[worker];
+        assert!(!on.leaving, "{worker} takes new tasks");
+        let team = task.team.clone();
+        self.running.insert(id.clone(), (task, worker.clone()));
+        let here = self.running.values().filter(|(_, name)| name == worker);
+        let used = sum(here.clone().map(|(task, _)| task));
+        assert!(used.fits(&on.capacity), "{worker} has room");
+        assert!(here.count() as u32 <= on.slots, "{worker} has slots");
+        if let Some(allotment) = self.allotments.get(&team) {
+            let running = self.running.values().map(|(task, _)| task);
+            let used = sum(running.filter(|task| task.team == team));
+            assert!(used.fits(allotment), "{team} keeps its limit");
+        }
+    }
+
+    fn check_groups(&self, started: &BTreeMap<id::Job, usize>) {
+        let groups = self.waiting.values().filter(|task| task.kind == Kind::Gang);
+        for task in groups {
+            assert!(!started.contains_key(&task.id.job), "all start, or none");
+        }
+    }
+
+    fn check_counts(&self) {
+        assert_eq!(self.shard.running(), self.running.len());
+        assert_eq!(self.shard.queued(), self.waiting.len());
+        for (id, (_, worker)) in &self.running {
+            let known = self.shard.worker_of(id).map(|worker| &worker.name);
+            assert_eq!(known, Some(worker), "where {id} runs");
+        }
+        for slot in self.shard.slots() {
+            let here = self
+                .running
+                .values()
+                .filter(|(_, on)| *on == slot.worker.name);
+            let used = sum(here.map(|(task, _)| task));
+            assert_eq!(slot.used, used, "what {} is counted with", slot.worker.name);
+        }
+        for team in self.shard.teams() {
+            let running = self.running.values().map(|(task, _)| task);
+            let used = sum(running.filter(|task| task.team == team.team.name));
+            assert!(
+                used.fits(&team.used),
+                "what {} is counted with",
+                team.team.name
+            );
+        }
+    }
+
+    /// Ends what runs until nothing waits that could run.
+    fn drain(&mut self) {
+        let (large, slots) = (util::resources(64, 64), 64);
+        self.set(util::worker(1_000, large, slots));
+        for team in TEAMS {
+            self.shard.set_allotment(&team.into(), None);
+        }
+        self.allotments.clear();
+        for _ in 0..1_000 {
+            if self.waiting.is_empty() {
+                return;
+            }
+            for id in self.running.keys().cloned().collect::<Vec<_>>() {
+                self.shard.remove(&id);
+                self.forget(&id);
+            }
+            self.now = self.now.after(Duration::from_secs(1));
+            self.decide();
+        }
+        panic!("{} tasks starve", self.waiting.len());
+    }
+}
+
+fn sum<'a>(tasks: impl Iterator<Item = &'a Task>) -> Resources {
+    tasks.fold(Resources::default(), |sum, task| sum.plus(&task.resources))
+}
+
+fn nth<'a, T: Clone + 'a>(items: impl ExactSizeIterator<Item = &'a T>, pick: usize) -> Option<T> {
+    let count = items.len().max(1);
+    items.into_iter().nth(pick % count).cloned()
+}
+
+#[test]
+fn capacity_limits_one_place_and_all_or_none_hold_after_every_step() {
+    for seed in util::seeds(FIXED_SEEDS) {
+        let mut gen_ = Gen::from_size_and_seed(64, seed);
+        let mut model = Model::default();
+        model.set(util::worker(0, util::resources(8, 8), 4));
+        println!("seed {seed}");
+        for _ in 0..STEPS {
+            model.apply(Operation::arbitrary(&mut gen_));
+            model.decide();
+        }
+        model.drain();
+    }
+}
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -417,6 +417,7 @@
         resources: accepted.request.resources,
         repeatable: accepted.request.repeatable,
         family: accepted.request.family.clone(),
+        run_time: accepted.request.run_time,
         accepted: accepted.at,
         deadline,
     }
