--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -47,6 +47,10 @@
             actions: Vec::new(),
             keep,
         };
+        self.limits.begin_pass();
+        for team in std::mem::take(&mut self.parked) {
+            self.sort_team(team);
+        }
         self.expire(&mut round);
         self.stop_saved(&mut round);
         self.unblock();
@@ -101,7 +105,8 @@
                 return;
             }
             let charge = self.tasks[head.task].charge;
-            if !self.ledger.allows(head.team, &charge) {
+            if !self.admits(head.task, &charge) {
+                self.parked.insert(head.team);
                 self.queue.park(kind, &head);
                 continue;
             }
@@ -124,11 +129,17 @@
         }
     }
 
-    /// Says whether enough is left for interactive work after `count` tasks start.
+    /// Says whether the allotment of the task's team has `need` left, and notes it if not.
+    pub(crate) fn admits(&mut self, key: task::Key, need: &Resources) -> bool {
+        self.limits.admits(&self.tasks[key].task.team, need)
+    }
+
+    /// Says whether enough is left for interactive work after `count` tasks start, which need
+    /// this much together.
     pub(crate) fn leaves_headroom(&self, need: &Resources, count: u64, round: &Round) -> bool {
         let (free, slots) = self.workers.free();
         let (keep, keep_slots) = round.keep;
-        need.times(count).plus(&keep).fits(&free) && slots >= count + keep_slots
+        need.plus(&keep).fits(&free) && slots >= count + keep_slots
     }
 
     /// Searches a worker for a task.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,8 +3,10 @@
 //! Nothing here does I/O, reads a clock or waits, so that each decision is tested and measured
 //! alone. Times come in as [`Millis`](basilbridge_common::unit::Millis).
 
+pub mod allotment;
 mod decision;
 pub mod headroom;
+pub mod limit;
 pub mod placement;
 pub mod policy;
 mod preemption;
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -71,6 +71,10 @@
                 let Some((task, offer)) = claimed else {
                     break;
                 };
+                let charge = self.tasks[task].charge;
+                if !self.admits(task, &charge) {
+                    break;
+                }
                 self.claim(task, offer.worker, round.now.after(CLAIM_TIME));
                 for victim in offer.victims {
                     self.ask_to_leave(victim, round);
@@ -130,9 +134,6 @@
     /// Returns the worker on which room for a task costs the least work.
     fn offer(&self, kind: Kind, head: &Head, round: &Round) -> Option<Offer> {
         let entry = &self.tasks[head.task];
-        if !self.ledger.allows(head.team, &entry.charge) {
-            return None;
-        }
         let patient = round.now.since(entry.task.accepted) < RECLAIM_AFTER;
         if patient && !(policy::of(kind).preempts)(Kind::Batch) {
             return None;
--- a/crates/scheduler/src/reservation.rs
+++ b/crates/scheduler/src/reservation.rs
@@ -27,6 +27,7 @@
         Found, //
     },
     policy,
+    queue::Head,
     shard::Shard,
     task::{
         self,
@@ -88,7 +89,8 @@
 /// Says whether a task may run in promised room until that is needed.
 fn is_guest(entry: &Entry) -> bool {
     let policy = policy::of(entry.task.kind);
-    let leaves = (policy.preemptible)(&entry.task) && entry.preempted < policy::MOST_PREEMPTIONS;
+    let leaves =
+        (policy.preemptible)(&entry.task) && entry.task.preempted < policy::MOST_PREEMPTIONS;
     policy.backfills && (leaves || policy.brief)
 }
 
@@ -119,9 +121,9 @@
     /// Starts all tasks of a group, or none.
     fn start_group(&mut self, name: &(Millis, id::Job), round: &mut Round) -> bool {
         let tasks: Vec<_> = self.groups[name].tasks.iter().copied().collect();
-        let (team, need) = self.sum(&tasks);
+        let need = self.sum(&tasks);
         let count = tasks.len() as u64;
-        if !self.ledger.allows(team, &need) || !self.leaves_headroom(&need, count, round) {
+        if !self.leaves_headroom(&need, count, round) || !self.admits(tasks[0], &need) {
             return false;
         }
         let reservation = self.open(tasks, round.now, Some(name.clone()));
@@ -152,13 +154,13 @@
         };
         let (name, doublings) = (name.clone(), group.reservations.min(MOST_DOUBLINGS));
         let tasks: Vec<_> = group.tasks.iter().copied().collect();
-        let (team, need) = self.sum(&tasks);
+        let need = self.sum(&tasks);
         if let Some(group) = self.groups.get_mut(&name) {
             group.reservations += 1;
             group.rests_until = round.now.after(after);
         }
         let whole = need.fits(&self.capacity) && tasks.len() as u64 <= self.slots;
-        if !whole || !self.ledger.allows(team, &need) {
+        if !whole || !self.admits(tasks[0], &need) {
             return;
         }
         let expires = round.now.after(FIRST_HOLD * 2_u32.pow(doublings));
@@ -274,27 +276,44 @@
             }
             for _ in 0..BACKFILL_STARTS {
                 let heads = self.queue.blocked(kind);
-                let found = heads.into_iter().find_map(|head| {
-                    let entry = &self.tasks[head.task];
-                    let end = round.now.after(entry.task.run_time.unwrap_or_default());
-                    let fits = end < expires
-                        && is_guest(entry)
-                        && self.ledger.allows(head.team, &entry.charge);
-                    let idle = |key: &&placement::Key| {
-                        let slot = self.workers.get(**key);
-                        slot.is_some_and(|slot| slot.could_start(&entry.charge))
-                    };
-                    let place = places.iter().take(BACKFILL_PLACES).find(idle);
-                    place.filter(|_| fits).map(|place| (head.task, *place))
+                let found = heads.iter().find_map(|head| {
+                    Some((
+                        head.task,
+                        self.guest_place(head, &places, expires, round.now)?,
+                    ))
                 });
                 let Some((task, place)) = found else {
                     break;
                 };
+                let charge = self.tasks[task].charge;
+                if !self.admits(task, &charge) {
+                    break;
+                }
                 self.start(task, place, true, round);
             }
         }
     }
 
+    /// Returns a promised place where a task may run until it is needed.
+    fn guest_place(
+        &self,
+        head: &Head,
+        places: &[placement::Key],
+        expires: Millis,
+        now: Millis,
+    ) -> Option<placement::Key> {
+        let entry = &self.tasks[head.task];
+        let end = now.after(entry.task.run_time.unwrap_or_default());
+        if end >= expires || !is_guest(entry) {
+            return None;
+        }
+        let idle = |key: &&placement::Key| {
+            let slot = self.workers.get(**key);
+            slot.is_some_and(|slot| slot.could_start(&entry.charge))
+        };
+        places.iter().take(BACKFILL_PLACES).find(idle).copied()
+    }
+
     /// Has the tasks stopped that run in room that a reservation needs now.
     fn clear_backfill(&mut self, key: Key, round: &mut Round) {
         let holds = self.reservations[key].holds.clone();
@@ -321,14 +340,14 @@
     }
 
     /// Says whether a limit was lowered or a worker is leaving since room was promised.
-    fn is_void(&self, key: Key) -> bool {
-        let reservation = &self.reservations[key];
-        let mut tasks = reservation.holds.iter().map(|hold| hold.task);
+    fn is_void(&mut self, key: Key) -> bool {
+        let holds = self.reservations[key].holds.clone();
+        let mut tasks = holds.iter().map(|hold| hold.task);
         let over = tasks.any(|task| {
-            let team = self.tasks[task].team;
-            !self.ledger.allows(team, &Resources::default())
+            let team = self.tasks[task].task.team.clone();
+            !self.limits.admits(&team, &Resources::default())
         });
-        let mut workers = reservation.holds.iter().map(|hold| hold.worker);
+        let mut workers = holds.iter().map(|hold| hold.worker);
         over || workers.any(|worker| {
             let slot = self.workers.get(worker);
             slot.is_none_or(|slot| slot.worker.leaving)
@@ -420,8 +439,8 @@
         let pending = std::mem::take(&mut self.reservations[key].pending);
         let mut left = pending.into_iter();
         for task in left.by_ref() {
-            let entry = &self.tasks[task];
-            let allowed = self.ledger.allows(entry.team, &entry.charge);
+            let charge = self.tasks[task].charge;
+            let allowed = self.admits(task, &charge);
             match self.choose(task) {
                 Found::Worker(worker) if allowed => self.hold(key, task, worker),
                 _ => {
@@ -439,6 +458,7 @@
         self.reservations[key]
             .holds
             .push(Hold { task, worker, need });
+        self.limits.start(&self.tasks[task].task.team, &need);
         self.workers.hold(worker, &need);
         self.ledger
             .update(team, |account| account.used = account.used.plus(&need));
@@ -446,7 +466,9 @@
     }
 
     fn release(&mut self, hold: &Hold) {
-        let team = self.tasks[hold.task].team;
+        let entry = &self.tasks[hold.task];
+        let team = entry.team;
+        self.limits.end(&entry.task.team, &hold.need);
         self.workers.release(hold.worker, &hold.need);
         self.ledger.update(team, |account| {
             account.used = account.used.minus(&hold.need)
@@ -454,9 +476,8 @@
         self.sort_team(team);
     }
 
-    fn sum(&self, tasks: &[task::Key]) -> (crate::share::Key, Resources) {
+    fn sum(&self, tasks: &[task::Key]) -> Resources {
         let needs = tasks.iter().map(|task| self.tasks[*task].charge);
-        let sum = needs.fold(Resources::default(), |sum, need| sum.plus(&need));
-        (self.tasks[tasks[0]].team, sum)
+        needs.fold(Resources::default(), |sum, need| sum.plus(&need))
     }
 }
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -21,6 +21,7 @@
 use slotmap::SlotMap;
 
 use crate::{
+    allotment::Book,
     headroom::Headroom,
     placement::{
         self,
@@ -105,6 +106,10 @@
     /// The racks of the tasks of each job that is spread over racks.
     pub(crate) racks: HashMap<id::Job, Vec<u32>>,
     pub(crate) running: usize,
+    /// The teams whose tasks wait for want of allotment.
+    pub(crate) parked: BTreeSet<share::Key>,
+    /// What the teams run here and may run here.
+    pub limits: Book,
 }
 
 impl Shard {
@@ -116,22 +121,18 @@
 
     /// Forgets a worker that is gone, and returns the tasks that ran there.
     ///
-    /// The tasks are forgotten with it; the caller says which of them are to be submitted again.
-    pub fn remove_worker(&mut self, name: &Name) -> Vec<Task> {
+    /// The tasks count as running until each is removed or queued again.
+    pub fn remove_worker(&mut self, name: &Name) -> Vec<id::Task> {
         let Some(key) = self.workers.find(name) else {
             return Vec::new();
         };
-        let tasks = self.workers.get(key).map(|slot| slot.tasks.clone());
-        let ids: Vec<_> = tasks
-            .into_iter()
-            .flatten()
-            .filter_map(|task| self.tasks.get(task).map(|entry| entry.task.id.clone()))
-            .collect();
-        let removed = ids.iter().filter_map(|id| self.remove(id)).collect();
         self.cancel_holds(key);
-        self.workers.remove(key);
+        let removed = self.workers.remove(key);
         self.count_capacity();
-        removed
+        let tasks = removed.into_iter().flat_map(|slot| slot.tasks);
+        tasks
+            .filter_map(|task| self.tasks.get(task).map(|entry| entry.task.id.clone()))
+            .collect()
     }
 
     /// Sets the teams, with what they have elsewhere, and what the whole fleet has.
@@ -146,14 +147,6 @@
         self.sort_teams();
     }
 
-    /// Sets the most that a team may have running in this shard.
-    pub fn set_allotment(&mut self, team: &Name, allotment: Option<Resources>) {
-        let key = self.ledger.key(team);
-        self.ledger
-            .update(key, |account| account.team.allotment = allotment);
-        self.sort_team(key);
-    }
-
     /// Returns what each team is counted with.
     pub fn teams(&self) -> impl Iterator<Item = &share::Account> {
         self.ledger.iter().map(|(_, account)| account)
@@ -179,6 +172,11 @@
         self.workers.examined()
     }
 
+    /// Says whether a decision is due in [`policy::DECISION_INTERVAL`] even if nothing changes.
+    pub fn is_pending(&self) -> bool {
+        self.queued() > 0 || !self.saving.is_empty()
+    }
+
     /// Returns how many tasks wait.
     pub fn queued(&self) -> usize {
         self.tasks.len() - self.running
@@ -224,7 +222,6 @@
             team,
             charge,
             place: Place::Grouped,
-            preempted: 0,
         });
         self.names.insert(id, key);
         self.wait(key);
@@ -244,14 +241,21 @@
         let key = self.names[&id];
         self.leave_queue(key);
         self.run(key, worker, saved, false);
+        // The task counts against what the last owner may have running, not as a new start.
+        let entry = &self.tasks[key];
+        self.limits.end(&entry.task.team, &entry.charge);
+        self.limits.find(&entry.task.team, &entry.charge);
     }
 
     /// Forgets a task that has ended, was cancelled or has failed to start.
     pub fn remove(&mut self, id: &id::Task) -> Option<Task> {
         let key = self.names.remove(id)?;
         self.leave_queue(key);
-        self.leave_worker(key);
-        self.tasks.remove(key).map(|entry| entry.task)
+        let run = self.leave_worker(key);
+        let stopped = run.is_some_and(|run| run.leaving.is_some());
+        let mut task = self.tasks.remove(key)?.task;
+        task.preempted += u32::from(stopped);
+        Some(task)
     }
 
     /// Puts a task that runs no more back into the queue.
@@ -263,7 +267,7 @@
             return;
         };
         let entry = &mut self.tasks[key];
-        entry.preempted += u32::from(run.leaving.is_some());
+        entry.task.preempted += u32::from(run.leaving.is_some());
         entry.charge = entry.task.resources;
         let charge = self.charge_of(&self.tasks[key].task);
         self.tasks[key].charge = charge;
@@ -340,28 +344,29 @@
         now: Millis,
         backfill: bool,
     ) {
+        let rack = self.workers.get(worker).map_or(0, |slot| slot.worker.rack);
         let entry = &mut self.tasks[key];
         let (team, charge) = (entry.team, entry.charge);
         entry.place = Place::Running(Run {
             worker,
+            rack,
             saved: now,
             leaving: None,
             backfill,
         });
         let policy = policy::of(entry.task.kind);
-        if (policy.preemptible)(&entry.task) && entry.preempted < policy::MOST_PREEMPTIONS {
+        if (policy.preemptible)(&entry.task) && entry.task.preempted < policy::MOST_PREEMPTIONS {
             self.victims.insert((now, key));
         }
-        if policy.spread_racks
-            && let Some(slot) = self.workers.get(worker)
-        {
+        if policy.spread_racks {
             let racks = self.racks.entry(entry.task.id.job.clone()).or_default();
-            racks.push(slot.worker.rack);
+            racks.push(rack);
         }
         if entry.task.kind == Kind::Interactive {
             self.headroom.start(&charge, now);
         }
         self.running += 1;
+        self.limits.start(&entry.task.team, &charge);
         self.workers.take(worker, key, &charge);
         self.ledger
             .update(team, |account| account.used = account.used.plus(&charge));
@@ -380,10 +385,8 @@
             self.saving.remove(&(until, key));
         }
         let job = &entry.task.id.job;
-        if let Some(racks) = self.racks.get_mut(job)
-            && let Some(slot) = self.workers.get(run.worker)
-        {
-            let at = racks.iter().position(|rack| *rack == slot.worker.rack);
+        if let Some(racks) = self.racks.get_mut(job) {
+            let at = racks.iter().position(|rack| *rack == run.rack);
             at.map(|at| racks.swap_remove(at));
             if racks.is_empty() {
                 self.racks.remove(job);
@@ -393,6 +396,7 @@
             self.headroom.end(&charge);
         }
         self.running -= 1;
+        self.limits.end(&entry.task.team, &charge);
         self.workers.give_back(run.worker, key, &charge);
         self.ledger.update(team, |account| {
             account.used = account.used.minus(&charge);
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -29,8 +29,6 @@
     pub weight: u32,
     /// What the team has running in other shards.
     pub elsewhere: Resources,
-    /// The most that the team may have running in this shard; none stands for no limit.
-    pub allotment: Option<Resources>,
 }
 
 /// A team and what it uses.
@@ -80,7 +78,7 @@
         key
     }
 
-    /// Returns the key of a team; one that is not known has a weight of one and no limit.
+    /// Returns the key of a team; one that is not known has a weight of one.
     pub fn key(&mut self, name: &Name) -> Key {
         if let Some(key) = self.names.get(name) {
             return *key;
@@ -90,7 +88,6 @@
                 name: name.clone(),
                 weight: 1,
                 elsewhere: Resources::default(),
-                allotment: None,
             },
             used: Resources::default(),
             leaving: Resources::default(),
@@ -151,14 +148,6 @@
         self.level(key) < self.entitlement()
     }
 
-    /// Says whether a team may have this much more in this shard.
-    pub fn allows(&self, key: Key, need: &Resources) -> bool {
-        self.accounts.get(key).is_some_and(|account| {
-            let allotment = account.team.allotment.as_ref();
-            allotment.is_none_or(|allotment| account.used.plus(need).fits(allotment))
-        })
-    }
-
     /// Returns the lowest level of a team that waits, as a part of the mean of such teams.
     pub fn nearness(&self) -> Option<f64> {
         let waiting = self
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -48,6 +48,8 @@
     pub accepted: Millis,
     /// When the answer has no more use.
     pub deadline: Option<Millis>,
+    /// How often the task was stopped for another one.
+    pub preempted: u32,
 }
 
 /// A task and where it stands.
@@ -58,8 +60,6 @@
     /// What the task is counted with, which is never less than declared.
     pub(crate) charge: Resources,
     pub(crate) place: Place,
-    /// How often the task was stopped for another one.
-    pub(crate) preempted: u32,
 }
 
 /// Where a task stands.
@@ -79,6 +79,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
     pub(crate) worker: placement::Key,
+    pub(crate) rack: u32,
     /// The start or the last checkpoint; what came after is lost with a stop.
     pub(crate) saved: Millis,
     pub(crate) leaving: Option<Leaving>,
