--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -22,7 +22,6 @@
         Action,
         Shard, //
     },
-    share,
     task::{
         self,
         Leaving,
@@ -97,11 +96,9 @@
         }
         let until = round.now.after(CHECKPOINT_GRACE);
         run.leaving = Some(Leaving::Saving(until));
-        let (team, charge) = (entry.team, entry.charge);
-        if let Some(victims) = self.victims.get_mut(team) {
-            victims.remove(&(run.saved, key));
-        }
+        self.victims.remove(&(run.saved, key));
         self.saving.insert((until, key));
+        let (team, charge) = (entry.team, entry.charge);
         self.ledger.update(team, |account| {
             account.leaving = account.leaving.plus(&charge)
         });
@@ -142,11 +139,7 @@
             return None;
         }
         let mut seen = Vec::new();
-        let teams = self.victim_teams(head);
-        let latest = teams.iter().flat_map(|team| {
-            let victims = self.victims[*team].iter().rev();
-            victims.take(VICTIMS_EXAMINED)
-        });
+        let latest = self.victims.iter().rev().take(VICTIMS_EXAMINED);
         latest
             .filter_map(|(_, victim)| {
                 let Place::Running(run) = &self.tasks[*victim].place else {
@@ -161,19 +154,6 @@
             .min_by(|a, b| a.lost.total_cmp(&b.lost))
     }
 
-    /// Returns the teams whose tasks may give way to a task: its own, and the one with the
-    /// highest level.
-    fn victim_teams(&self, head: &Head) -> Vec<share::Key> {
-        let full = self.victims.iter().filter(|(_, tasks)| !tasks.is_empty());
-        let level = |team: &share::Key| self.ledger.level(*team);
-        let highest = full
-            .map(|(team, _)| team)
-            .filter(|team| *team != head.team)
-            .max_by(|a, b| level(a).total_cmp(&level(b)));
-        let own = self.victims.contains_key(head.team).then_some(head.team);
-        own.into_iter().chain(highest).collect()
-    }
-
     fn offer_on(
         &self,
         worker: placement::Key,
@@ -220,10 +200,7 @@
     /// Returns when a task that may be stopped was last saved.
     fn saved_of(&self, key: task::Key) -> Option<Millis> {
         match &self.tasks[key].place {
-            Place::Running(run) => {
-                let victims = self.victims.get(self.tasks[key].team)?;
-                victims.contains(&(run.saved, key)).then_some(run.saved)
-            }
+            Place::Running(run) if self.victims.contains(&(run.saved, key)) => Some(run.saved),
             _ => None,
         }
     }
