--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -23,6 +23,7 @@
         Action,
         Shard, //
     },
+    share,
     task, //
 };
 
@@ -101,7 +102,7 @@
 
     fn start_tasks(&mut self, kind: Kind, under: bool, round: &mut Round) {
         while let Some(head) = self.queue.next(kind) {
-            if under && !self.ledger.is_under(head.team) {
+            if under && !self.is_under(kind, head.team) {
                 return;
             }
             let charge = self.tasks[head.task].charge;
@@ -117,6 +118,14 @@
         }
     }
 
+    /// Says whether a team goes first with work of this kind.
+    pub(crate) fn is_under(&self, kind: Kind, team: share::Key) -> bool {
+        match policy::of(kind).brief {
+            true => self.ledger.is_under_by_urgent(team),
+            false => self.ledger.is_under(team),
+        }
+    }
+
     fn place(&mut self, kind: Kind, head: &Head, round: &Round) -> Result<placement::Key, Block> {
         let need = self.tasks[head.task].charge;
         if !policy::of(kind).uses_headroom && !self.leaves_headroom(&need, 1, round) {
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -209,7 +209,7 @@
         let claimant = &self.tasks[head.task];
         let victim = &self.tasks[victim];
         let urgent = (policy::of(kind).preempts)(victim.task.kind);
-        if urgent && self.ledger.is_under(head.team) {
+        if urgent && self.is_under(kind, head.team) {
             return true;
         }
         if victim.team == head.team {
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -368,8 +368,12 @@
         self.running += 1;
         self.limits.start(&entry.task.team, &charge);
         self.workers.take(worker, key, &charge);
-        self.ledger
-            .update(team, |account| account.used = account.used.plus(&charge));
+        self.ledger.update(team, |account| {
+            account.used = account.used.plus(&charge);
+            if policy.brief {
+                account.urgent = account.urgent.plus(&charge);
+            }
+        });
         self.sort_team(team);
     }
 
@@ -392,7 +396,8 @@
                 self.racks.remove(job);
             }
         }
-        if entry.task.kind == Kind::Interactive {
+        let policy = policy::of(entry.task.kind);
+        if policy.brief {
             self.headroom.end(&charge);
         }
         self.running -= 1;
@@ -400,6 +405,9 @@
         self.workers.give_back(run.worker, key, &charge);
         self.ledger.update(team, |account| {
             account.used = account.used.minus(&charge);
+            if policy.brief {
+                account.urgent = account.urgent.minus(&charge);
+            }
             if run.leaving.is_some() {
                 account.leaving = account.leaving.minus(&charge);
             }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -40,6 +40,8 @@
     pub used: Resources,
     /// The part of this that tasks have which were asked to leave.
     pub leaving: Resources,
+    /// The part of this that urgent tasks have.
+    pub urgent: Resources,
     /// How many tasks wait.
     pub waiting: usize,
 }
@@ -91,6 +93,7 @@
             },
             used: Resources::default(),
             leaving: Resources::default(),
+            urgent: Resources::default(),
             waiting: 0,
         });
         self.names.insert(name.clone(), key);
@@ -148,6 +151,16 @@
         self.level(key) < self.entitlement()
     }
 
+    /// Says whether a team has less urgent work running here than it is entitled to.
+    ///
+    /// Urgent work goes first within the share of its team, however much other work the team has.
+    pub fn is_under_by_urgent(&self, key: Key) -> bool {
+        self.accounts.get(key).is_some_and(|account| {
+            let part = account.urgent.dominant_share(&self.capacity);
+            part / account.weight() < self.entitlement()
+        })
+    }
+
     /// Returns the lowest level of a team that waits, as a part of the mean of such teams.
     pub fn nearness(&self) -> Option<f64> {
         let waiting = self
