--- a/crates/scheduler/src/reservation.rs
+++ b/crates/scheduler/src/reservation.rs
@@ -127,7 +127,7 @@
             return false;
         }
         let reservation = self.open(tasks, round.now, Some(name.clone()));
-        self.gather(reservation);
+        self.gather(reservation, round);
         if self.reservations[reservation].pending.is_empty() {
             self.start_reserved(reservation, round);
             return true;
@@ -165,7 +165,7 @@
         }
         let expires = round.now.after(FIRST_HOLD * 2_u32.pow(doublings));
         let reservation = self.open(tasks, expires, Some(name));
-        self.gather(reservation);
+        self.gather(reservation, round);
     }
 
     /// Starts what has its room, gathers more, and gives up what took too long.
@@ -176,7 +176,7 @@
                 self.close(key);
                 continue;
             }
-            self.gather(key);
+            self.gather(key, round);
             if self.is_ready(key) {
                 self.start_reserved(key, round);
             } else if self.reservations[key].expires <= round.now {
@@ -435,12 +435,12 @@
     }
 
     /// Finds room for more tasks of a reservation.
-    fn gather(&mut self, key: Key) {
+    fn gather(&mut self, key: Key, round: &Round) {
         let pending = std::mem::take(&mut self.reservations[key].pending);
         let mut left = pending.into_iter();
         for task in left.by_ref() {
             let charge = self.tasks[task].charge;
-            let allowed = self.admits(task, &charge);
+            let allowed = self.leaves_headroom(&charge, 1, round) && self.admits(task, &charge);
             match self.choose(task) {
                 Found::Worker(worker) if allowed => self.hold(key, task, worker),
                 _ => {
