--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -78,6 +78,10 @@
     pub held: Resources,
     /// How many tasks are promised room.
     pub holds: u32,
+    /// The part of `held` that is promised to single tasks, for which others leave.
+    pub claimed: Resources,
+    /// The part of `holds` that these are.
+    pub claims: u32,
     /// The tasks that run.
     pub tasks: Vec<task::Key>,
     /// The most tasks that may run at once, which is less than its slots on probation.
@@ -97,14 +101,21 @@
         self.most.saturating_sub(taken)
     }
 
-    /// Returns what does not run, whether it is promised or not.
-    pub fn idle(&self) -> Resources {
-        self.worker.capacity.minus(&self.used)
+    /// Says whether tasks that need this much together could start, if only single tasks were
+    /// promised room.
+    pub fn could_start_group(&self, need: &Resources, count: u32) -> bool {
+        let taken = self.used.plus(&self.claimed);
+        let slots = self.tasks.len() as u32 + self.claims + count;
+        !self.worker.leaving && slots <= self.most && need.plus(&taken).fits(&self.worker.capacity)
     }
 
-    /// Says whether a task could start if nothing were promised.
-    pub fn could_start(&self, need: &Resources) -> bool {
-        !self.worker.leaving && (self.tasks.len() as u32) < self.most && need.fits(&self.idle())
+    /// Says whether a single task that is promised room could start now.
+    ///
+    /// Other single tasks are left out, because the room that they wait for is still used.
+    pub fn could_start_claim(&self, need: &Resources) -> bool {
+        let taken = self.used.plus(&self.held.minus(&self.claimed));
+        let slots = self.tasks.len() as u32 + self.holds - self.claims;
+        !self.worker.leaving && slots < self.most && need.plus(&taken).fits(&self.worker.capacity)
     }
 
     /// Says whether the worker takes fewer tasks than it has slots.
@@ -212,6 +223,8 @@
             used: Resources::default(),
             held: Resources::default(),
             holds: 0,
+            claimed: Resources::default(),
+            claims: 0,
             tasks: Vec::new(),
             most: worker.slots,
             worker,
@@ -315,18 +328,28 @@
     }
 
     /// Promises room to a task, even if that room has yet to come free.
-    pub fn hold(&mut self, key: Key, need: &Resources) {
+    ///
+    /// A single task waits for others to leave; a task of a group gets room that is free.
+    pub fn hold(&mut self, key: Key, need: &Resources, single: bool) {
         self.update(key, |slot| {
             slot.held = slot.held.plus(need);
             slot.holds += 1;
+            if single {
+                slot.claimed = slot.claimed.plus(need);
+                slot.claims += 1;
+            }
         });
     }
 
     /// Takes back a promise.
-    pub fn release(&mut self, key: Key, need: &Resources) {
+    pub fn release(&mut self, key: Key, need: &Resources, single: bool) {
         self.update(key, |slot| {
             slot.held = slot.held.minus(need);
-            slot.holds = slot.holds.saturating_sub(1);
+            slot.holds -= 1;
+            if single {
+                slot.claimed = slot.claimed.minus(need);
+                slot.claims -= 1;
+            }
         });
     }
 
--- a/crates/scheduler/src/reservation.rs
+++ b/crates/scheduler/src/reservation.rs
@@ -84,6 +84,8 @@
     pub(crate) task: task::Key,
     pub(crate) worker: placement::Key,
     need: Resources,
+    /// Whether this is a single task, for which others leave.
+    single: bool,
 }
 
 /// Says whether a task may run in promised room until that is needed.
@@ -309,7 +311,7 @@
         }
         let idle = |key: &&placement::Key| {
             let slot = self.workers.get(**key);
-            slot.is_some_and(|slot| slot.could_start(&entry.charge))
+            slot.is_some_and(|slot| slot.could_start_group(&entry.charge, 1))
         };
         places.iter().take(BACKFILL_PLACES).find(idle).copied()
     }
@@ -365,9 +367,10 @@
             let need = on_one
                 .iter()
                 .fold(Resources::default(), |sum, hold| sum.plus(&hold.need));
-            self.workers.get(on_one[0].worker).is_some_and(|slot| {
-                let slots = (slot.tasks.len() + on_one.len()) as u32;
-                slot.could_start(&need) && slots <= slot.most
+            let slot = self.workers.get(on_one[0].worker);
+            slot.is_some_and(|slot| match on_one[0].single {
+                true => slot.could_start_claim(&need),
+                false => slot.could_start_group(&need, on_one.len() as u32),
             })
         })
     }
@@ -455,11 +458,16 @@
     fn hold(&mut self, key: Key, task: task::Key, worker: placement::Key) {
         let entry = &self.tasks[task];
         let (team, need) = (entry.team, entry.charge);
-        self.reservations[key]
-            .holds
-            .push(Hold { task, worker, need });
+        let reservation = &mut self.reservations[key];
+        let single = reservation.group.is_none();
+        reservation.holds.push(Hold {
+            task,
+            worker,
+            need,
+            single,
+        });
         self.limits.start(&self.tasks[task].task.team, &need);
-        self.workers.hold(worker, &need);
+        self.workers.hold(worker, &need, single);
         self.ledger
             .update(team, |account| account.used = account.used.plus(&need));
         self.sort_team(team);
@@ -469,7 +477,7 @@
         let entry = &self.tasks[hold.task];
         let team = entry.team;
         self.limits.end(&entry.task.team, &hold.need);
-        self.workers.release(hold.worker, &hold.need);
+        self.workers.release(hold.worker, &hold.need, hold.single);
         self.ledger.update(team, |account| {
             account.used = account.used.minus(&hold.need)
         });
