--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -355,7 +355,11 @@
             backfill,
         });
         let policy = policy::of(entry.task.kind);
-        if (policy.preemptible)(&entry.task) && entry.task.preempted < policy::MOST_PREEMPTIONS {
+        // A task in room that is promised to a group makes no room for others when it leaves.
+        if !backfill
+            && (policy.preemptible)(&entry.task)
+            && entry.task.preempted < policy::MOST_PREEMPTIONS
+        {
             self.victims.insert((now, key));
         }
         if policy.spread_racks {
