--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -11,7 +11,7 @@
 pub const HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// The largest part of a shard that is kept free, as one in this many.
-pub const LARGEST_PART: u64 = 32;
+pub const LARGEST_PART: u64 = 8;
 
 /// The peak of what interactive work used of late.
 #[derive(Debug, Default)]
