Learn sizes, blame workers and jobs, refuse what would wait in vain

Change: blame on two sides with probes, sizes by family and team, a gauge of the wait behind admission, budgets of retries (the last is not wired to the owner yet).

--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -53,7 +53,11 @@
             self.sort_team(team);
         }
         self.expire(&mut round);
+        for worker in std::mem::take(&mut self.crowded) {
+            self.relieve(worker, &mut round);
+        }
         self.stop_saved(&mut round);
+        self.set_standings(now);
         self.unblock();
         self.advance_reservations(&mut round);
         for under in [true, false] {
--- /dev/null
+++ b/crates/scheduler/src/feedback.rs
@@ -0,0 +1,143 @@
+//! What workers tell of tasks, and what the shard learns from it.
+
+use basilbridge_common::{
+    id,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+
+use crate::{
+    blame::{
+        Fault,
+        Standing, //
+    },
+    policy,
+    shard::Shard,
+    task::{
+        Place,
+        Task, //
+    },
+};
+
+impl Shard {
+    /// Takes in what a task uses, as of some time ago.
+    ///
+    /// The task is counted with the larger of what it was counted with and what it uses. Where
+    /// that puts the worker over its size, the next decision asks the tasks with the least work to
+    /// lose to leave, as far as they may be stopped.
+    pub fn report_usage(&mut self, id: &id::Task, usage: &Resources, now: Millis) {
+        let Some(key) = self.names.get(id).copied() else {
+            return;
+        };
+        let entry = &self.tasks[key];
+        let Place::Running(run) = &entry.place else {
+            return;
+        };
+        let worker = run.worker;
+        if let Some(family) = &entry.task.family {
+            let team = &entry.task.team;
+            self.estimate.report(team, family, usage, now);
+        }
+        let charge = entry.charge.max(usage);
+        if charge != entry.charge {
+            self.recharge(key, charge);
+            self.crowded.insert(worker);
+        }
+    }
+
+    /// Takes in that a task succeeded, before it is removed.
+    pub fn report_success(&mut self, id: &id::Task, now: Millis) {
+        let Some((job, worker, slots)) = self.whereabouts(id) else {
+            return;
+        };
+        self.blame.succeed(&job, &worker, slots);
+        self.set_standing(&worker, now);
+    }
+
+    /// Takes in that a task failed, before it is queued again or removed.
+    pub fn report_failure(&mut self, id: &id::Task, now: Millis) -> Fault {
+        let Some((job, worker, _)) = self.whereabouts(id) else {
+            return Fault::Unknown;
+        };
+        let fault = self.blame.fail(&job, &worker, now);
+        self.set_standing(&worker, now);
+        if fault == Fault::Job {
+            self.set_standings(now);
+        }
+        fault
+    }
+
+    /// Lets workers take as many tasks as their standing allows at `now`.
+    pub(crate) fn set_standings(&mut self, now: Millis) {
+        for name in self.limited.clone() {
+            self.set_standing(&name, now);
+        }
+    }
+
+    fn set_standing(&mut self, worker: &id::Name, now: Millis) {
+        let Some(key) = self.workers.find(worker) else {
+            return;
+        };
+        let most = match self.blame.standing(worker, now) {
+            Standing::Trusted => u32::MAX,
+            Standing::Probation(slots) => slots,
+            Standing::Aside(_) => 0,
+        };
+        let slot = self.workers.get(key);
+        if slot.is_some_and(|slot| slot.most != most.min(slot.worker.slots)) {
+            self.workers.set_most(key, most);
+        }
+        if most == u32::MAX {
+            self.limited.remove(worker);
+        } else {
+            self.limited.insert(worker.clone());
+        }
+    }
+
+    fn whereabouts(&self, id: &id::Task) -> Option<(id::Job, id::Name, u32)> {
+        let worker = self.worker_of(id)?;
+        Some((id.job.clone(), worker.name.clone(), worker.slots))
+    }
+
+    /// Returns what a task is counted with from its start on: the larger of the declared and the
+    /// learned size, but never more than the largest worker has.
+    ///
+    /// A family that is learned to be larger than any worker still gets a worker of its own.
+    pub(crate) fn charge_of(&self, task: &Task, now: Millis) -> Resources {
+        let learned = task.family.as_ref().map(|family| {
+            let size = self.estimate.size(&task.team, family, now);
+            size.min(&self.largest)
+        });
+        task.resources.max(&learned.unwrap_or_default())
+    }
+
+    /// Counts a running task with another size.
+    fn recharge(&mut self, key: crate::task::Key, charge: Resources) {
+        let entry = &mut self.tasks[key];
+        let before = std::mem::replace(&mut entry.charge, charge);
+        let (team, brief) = (entry.team, policy::of(entry.task.kind).brief);
+        let name = entry.task.team.clone();
+        let Place::Running(run) = &entry.place else {
+            return;
+        };
+        let leaving = run.leaving.is_some();
+        self.workers.update(run.worker, |slot| {
+            slot.used = slot.used.minus(&before).plus(&charge);
+        });
+        self.limits.end(&name, &before);
+        self.limits.start(&name, &charge);
+        self.ledger.update(team, |account| {
+            let swap = |sum: &mut Resources| *sum = sum.minus(&before).plus(&charge);
+            swap(&mut account.used);
+            if brief {
+                swap(&mut account.urgent);
+            }
+            if leaving {
+                swap(&mut account.leaving);
+            }
+        });
+        self.sort_team(team);
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,7 +4,10 @@
 //! alone. Times come in as [`Millis`](basilbridge_common::unit::Millis).
 
 pub mod allotment;
+pub mod blame;
 mod decision;
+pub mod estimate;
+mod feedback;
 pub mod headroom;
 pub mod limit;
 pub mod placement;
@@ -12,6 +15,8 @@
 mod preemption;
 pub mod queue;
 mod reservation;
+pub mod retry;
 pub mod shard;
 pub mod share;
+pub mod shed;
 pub mod task;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -317,6 +317,11 @@
         });
     }
 
+    /// Sets the most tasks that a worker may run at once, up to its slots.
+    pub fn set_most(&mut self, key: Key, most: u32) {
+        self.update(key, |slot| slot.most = most.min(slot.worker.slots));
+    }
+
     /// Takes back what a task had.
     pub fn give_back(&mut self, key: Key, task: task::Key, need: &Resources) {
         self.update(key, |slot| {
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -43,6 +43,8 @@
     pub backfills: bool,
     /// Whether tasks end so soon that none needs to be stopped.
     pub brief: bool,
+    /// How many tasks wait at most before more are refused.
+    pub most_waiting: usize,
     /// How often a task that failed or was lost is tried again at most.
     pub retries: u32,
 }
@@ -74,6 +76,7 @@
         reserve_after: None,
         backfills: true,
         brief: true,
+        most_waiting: 10_000,
         retries: 1,
     },
     Policy {
@@ -87,6 +90,7 @@
         reserve_after: None,
         backfills: false,
         brief: false,
+        most_waiting: 10_000,
         retries: u32::MAX,
     },
     Policy {
@@ -100,6 +104,7 @@
         reserve_after: Some(Duration::from_secs(10)),
         backfills: false,
         brief: false,
+        most_waiting: 10_000,
         retries: 3,
     },
     Policy {
@@ -113,6 +118,7 @@
         reserve_after: None,
         backfills: true,
         brief: false,
+        most_waiting: 100_000,
         retries: 5,
     },
 ];
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -131,6 +131,35 @@
         }
     }
 
+    /// Has tasks stopped until a worker is within its size, those with the least to lose first.
+    pub(crate) fn relieve(&mut self, worker: placement::Key, round: &mut Round) {
+        let Some(slot) = self.workers.get(worker) else {
+            return;
+        };
+        let mut victims: Vec<_> = slot.tasks.clone();
+        victims.retain(|key| {
+            (policy::of(self.tasks[*key].task.kind).preemptible)(&self.tasks[*key].task)
+        });
+        victims.sort_by_key(|key| match &self.tasks[*key].place {
+            Place::Running(run) => run.saved,
+            _ => Millis::default(),
+        });
+        let leaving = |key: &task::Key| match &self.tasks[*key].place {
+            Place::Running(run) if run.leaving.is_some() => Some(self.tasks[*key].charge),
+            _ => None,
+        };
+        let gone = slot.tasks.iter().filter_map(leaving);
+        let mut left = gone.fold(slot.used, |used, charge| used.minus(&charge));
+        let capacity = slot.worker.capacity;
+        victims.retain(|key| leaving(key).is_none());
+        while !left.fits(&capacity)
+            && let Some(key) = victims.pop()
+        {
+            left = left.minus(&self.tasks[key].charge);
+            self.ask_to_leave(key, round);
+        }
+    }
+
     /// Returns the worker on which room for a task costs the least work.
     fn offer(&self, kind: Kind, head: &Head, round: &Round) -> Option<Offer> {
         let entry = &self.tasks[head.task];
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -22,6 +22,8 @@
 
 use crate::{
     allotment::Book,
+    blame::Blame,
+    estimate::Estimate,
     headroom::Headroom,
     placement::{
         self,
@@ -39,6 +41,10 @@
         Ledger,
         Team, //
     },
+    shed::{
+        Gauge,
+        Refusal, //
+    },
     task::{
         self,
         Entry,
@@ -91,10 +97,17 @@
     pub(crate) workers: Index,
     pub(crate) capacity: Resources,
     pub(crate) slots: u64,
+    /// The most that any one worker has, in each dimension.
+    pub(crate) largest: Resources,
     pub(crate) fleet: Option<Resources>,
     pub(crate) queue: Queue,
     pub(crate) ledger: Ledger,
     pub(crate) headroom: Headroom,
+    pub(crate) estimate: Estimate,
+    pub(crate) blame: Blame,
+    pub(crate) gauge: Gauge,
+    /// The workers that take fewer tasks than they have slots.
+    pub(crate) limited: BTreeSet<Name>,
     pub(crate) tasks: SlotMap<task::Key, Entry>,
     pub(crate) names: HashMap<id::Task, task::Key>,
     pub(crate) deadlines: BTreeSet<(Millis, task::Key)>,
@@ -106,6 +119,8 @@
     /// The racks of the tasks of each job that is spread over racks.
     pub(crate) racks: HashMap<id::Job, Vec<u32>>,
     pub(crate) running: usize,
+    /// The workers that may be over their size since a task was found to be larger.
+    pub(crate) crowded: BTreeSet<placement::Key>,
     /// The teams whose tasks wait for want of allotment.
     pub(crate) parked: BTreeSet<share::Key>,
     /// What the teams run here and may run here.
@@ -127,6 +142,8 @@
             return Vec::new();
         };
         self.cancel_holds(key);
+        self.blame.forget(name);
+        self.limited.remove(name);
         let removed = self.workers.remove(key);
         self.count_capacity();
         let tasks = removed.into_iter().flat_map(|slot| slot.tasks);
@@ -209,13 +226,19 @@
             .any(|(_, slot)| need.fits(&slot.worker.capacity))
     }
 
+    /// Refuses a task that would wait in vain; nothing of it has run or will run.
+    pub fn admit(&self, kind: Kind, deadline: Option<Millis>, now: Millis) -> Result<(), Refusal> {
+        let most = policy::of(kind).most_waiting;
+        self.gauge.admit(kind, deadline, most, now)
+    }
+
     /// Queues a task; one that is known already stays as it is.
     pub fn submit(&mut self, task: Task) {
         if self.names.contains_key(&task.id) {
             return;
         }
         let team = self.ledger.key(&task.team);
-        let charge = self.charge_of(&task);
+        let charge = self.charge_of(&task, task.accepted);
         let id = task.id.clone();
         let key = self.tasks.insert(Entry {
             task,
@@ -268,8 +291,7 @@
         };
         let entry = &mut self.tasks[key];
         entry.task.preempted += u32::from(run.leaving.is_some());
-        entry.charge = entry.task.resources;
-        let charge = self.charge_of(&self.tasks[key].task);
+        let charge = self.charge_of(&self.tasks[key].task, run.saved);
         self.tasks[key].charge = charge;
         self.wait(key);
     }
@@ -293,11 +315,6 @@
         }
     }
 
-    /// Returns what a task is counted with from its start on.
-    pub(crate) fn charge_of(&self, task: &Task) -> Resources {
-        task.resources
-    }
-
     /// Puts a task that is nowhere into the queue.
     pub(crate) fn wait(&mut self, key: task::Key) {
         let entry = &mut self.tasks[key];
@@ -313,6 +330,7 @@
         if let Some(deadline) = self.tasks[key].task.deadline {
             self.deadlines.insert((deadline, key));
         }
+        self.gauge.wait(self.tasks[key].task.kind);
         self.ledger.update(team, |account| account.waiting += 1);
         self.sort_team(team);
     }
@@ -333,6 +351,7 @@
             Place::Grouped => {}
         }
         self.leave_group(key);
+        self.gauge.leave(self.tasks[key].task.kind);
         self.ledger.update(team, |account| account.waiting -= 1);
     }
 
@@ -370,6 +389,7 @@
             self.headroom.start(&charge, now);
         }
         self.running += 1;
+        self.gauge.start(entry.task.kind, now);
         self.limits.start(&entry.task.team, &charge);
         self.workers.take(worker, key, &charge);
         self.ledger.update(team, |account| {
@@ -441,6 +461,8 @@
             (sum.plus(&worker.capacity), slots + u64::from(worker.slots))
         });
         (self.capacity, self.slots) = (capacity, slots);
+        let capacities = self.workers.iter().map(|(_, slot)| slot.worker.capacity);
+        self.largest = capacities.fold(Resources::default(), |most, next| most.max(&next));
         if self.fleet.is_none() {
             self.ledger.set_capacity(capacity);
             self.sort_teams();
--- a/crates/scheduler/tests/driver/mod.rs
+++ b/crates/scheduler/tests/driver/mod.rs
@@ -206,12 +206,23 @@
             Step::Arrive(arrival) => self.arrive(*arrival),
             Step::End(id, start) => {
                 if self.is_current(&id, start) {
+                    if let Decider::Real(shard) = &mut self.decider {
+                        shard.report_success(&id, self.now);
+                    }
                     self.running.remove(&id);
                     self.known.remove(&id);
                     self.decider.remove(&id);
                 }
             }
-            Step::Fail(id, start) | Step::Stopped(id, start) => {
+            Step::Fail(id, start) => {
+                if self.is_current(&id, start) {
+                    if let Decider::Real(shard) = &mut self.decider {
+                        shard.report_failure(&id, self.now);
+                    }
+                    self.come_back(&id);
+                }
+            }
+            Step::Stopped(id, start) => {
                 if self.is_current(&id, start) {
                     self.come_back(&id);
                 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -319,6 +319,7 @@
         if !placed {
             return;
         }
+        self.learn(&report);
         match report.phase {
             Phase::Running if wanted => self.lock().mark_running(&attempt.task),
             // The stop that followed the job's end was lost.
@@ -336,6 +337,20 @@
         }
     }
 
+    /// Lets the decisions learn from a report.
+    fn learn(&self, report: &Report) {
+        let now = self.tools.timer.now();
+        let scheduler = &mut self.lock().scheduler;
+        match report.phase {
+            Phase::Running => scheduler.report_usage(&report.task, &report.usage, now),
+            Phase::Succeeded => scheduler.report_success(&report.task, now),
+            Phase::Failed => {
+                scheduler.report_failure(&report.task, now);
+            }
+            _ => {}
+        }
+    }
+
     /// Keeps the end of a task and lets the worker forget it.
     pub(crate) async fn end(&self, attempt: &Attempt, state: State, output: String) {
         let task = &attempt.task;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -267,6 +267,7 @@
             return Err(Error::new(Kind::NotOwner, "the shard is being handed over"));
         }
         let accepted = self.accepted(call, request);
+        self.check_load(&accepted)?;
         let id = accepted.job.clone();
         // A caller that goes away must not leave a job that is kept and not queued.
         let kept = tokio::spawn(Arc::clone(self).accept(accepted));
@@ -367,6 +368,18 @@
         }
     }
 
+    /// Refuses a job whose tasks would wait in vain.
+    fn check_load(&self, accepted: &Accepted) -> Result<()> {
+        let inner = self.lock();
+        let admitted = inner
+            .scheduler
+            .admit(accepted.request.kind, accepted.deadline, accepted.at);
+        admitted.map_err(|refusal| {
+            let message = "too much of this kind waits here already";
+            Error::new(Kind::Overloaded, message).retry_after(refusal.retry_after)
+        })
+    }
+
     fn next_job(&self) -> id::Job {
         let mut inner = self.lock();
         inner.next_job += 1;
