--- a/examples/capacity/slopes.rs
+++ b/examples/capacity/slopes.rs
@@ -15,12 +15,12 @@
 };
 
 use basilbridge::{
+    commit,
     config::Config,
     embedded,
     log,
     metrics::Metrics,
-    node::Node,
-    settings::Settings, //
+    node::Node, //
 };
 use basilbridge_common::{
     call::{
@@ -219,12 +219,8 @@
         store.set_vms(workers.iter().cloned().map(Vm::Worker).collect());
         let fleet = Fleet::new(timer.clone(), workers);
         let counters = Arc::new(Counters::default());
-        Settings::new(None)
-            .replace(
-                &store.platform().tables,
-                "first".to_owned(),
-                configuration(load.teams),
-            )
+        let first = configuration(load.teams);
+        commit::replace(store.platform(), timer.clone(), &first)
             .await
             .expect("the stand-in takes the first configuration");
         let node = Node::new(
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -117,6 +117,7 @@
                 data_centre: self.config.data_centre.clone(),
                 renewals: 0,
                 lease: pace.lease,
+                configuration: Version(0),
             },
             version: Version(0),
             observer: Observer::default(),
@@ -151,8 +152,13 @@
         // A renewal with an unknown outcome is sent again under the same id.
         let mut record = keeper.record.clone();
         record.renewals += 1;
+        record.configuration = self.settings.current().version;
         match session::renew(&self.platform.tables, &record, keeper.version).await {
             Ok(version) => {
+                let lapsed = |renewed| now.since(renewed) >= keeper.record.lease;
+                if keeper.renewed.is_some_and(lapsed) {
+                    self.messenger.tracker.lapsed();
+                }
                 keeper.version = version;
                 keeper.record = record;
                 keeper.renewed = Some(now);
@@ -161,6 +167,7 @@
             Err(error) if error.kind == Kind::Conflict => {
                 slog::warn!(self.log, "session ended by others");
                 self.abandon();
+                self.messenger.tracker.lapsed();
                 keeper.version = Version(0);
                 keeper.record.renewals += 1;
             }
@@ -168,11 +175,8 @@
         }
     }
 
-    /// Reads the configuration and the list of VMs; either may fail without the other.
+    /// Reads the list of VMs.
     async fn refresh(&self) {
-        if let Err(error) = self.settings.refresh(&self.platform.tables).await {
-            slog::warn!(self.log, "configuration not read"; "error" => %error);
-        }
         match (self.platform.vms)().await {
             Ok(vms) => self.fleet.set(vms),
             Err(error) => slog::warn!(self.log, "list of VMs not read"; "error" => %error),
@@ -188,6 +192,8 @@
         let vms = view.live.len().max(1);
         self.journals.set_vms(vms);
         keeper.pace = Pace::new(self.config.poll_interval, self.config.session_lease, vms);
+        let tracker = &self.messenger.tracker;
+        tracker.observe(&view.live, self.session, now, keeper.pace.lease);
         keeper.rounds += 1;
         self.learn(&view);
         let shards = self.fleet.shards();
@@ -209,12 +215,13 @@
         view: &View,
         mut shards: Vec<(Shard, Vec<Worker>)>,
     ) -> Result<()> {
-        for (shard, workers) in &shards {
-            self.resume(view, shard, workers);
-        }
         shards.retain(|(shard, _)| {
-            let free = !view.is_owned(shard) && self.owner(shard).is_none();
-            free && view.preferred(shard) == Some(self.session)
+            // A claim of ours without an owner is one whose answer was lost. It is made anew,
+            // because an epoch stands for one owner only.
+            let (claim, _) = view.claims.get(shard).cloned().unzip();
+            let ours = claim.is_some_and(|claim| claim.session == Some(self.session));
+            let free = !view.is_owned(shard) && view.preferred(shard) == Some(self.session);
+            self.owner(shard).is_none() && (ours || free)
         });
         for chunk in shards.chunks(SHARDS_PER_WRITE) {
             let wanted: Vec<_> = chunk
@@ -229,21 +236,6 @@
         Ok(())
     }
 
-    /// Holds a shard that was claimed by a write whose answer was lost.
-    fn resume(self: &Arc<Self>, view: &View, shard: &Shard, workers: &[Worker]) {
-        let Some((claim, version)) = view.claims.get(shard) else {
-            return;
-        };
-        if claim.session == Some(self.session) && self.owner(shard).is_none() {
-            let title = Title {
-                shard: shard.clone(),
-                epoch: claim.epoch,
-                version: *version,
-            };
-            self.hold(title, workers.to_vec());
-        }
-    }
-
     /// Hands some shards over to VMs that have joined and would now be chosen for them.
     fn rebalance(self: &Arc<Self>, view: &View) {
         let owners = self.owners();
--- a/src/node.rs
+++ b/src/node.rs
@@ -49,6 +49,8 @@
 };
 
 use crate::{
+    acknowledgement::Messenger,
+    commit::Committer,
     config::Config,
     directory::Directory,
     fleet::Fleet,
@@ -58,6 +60,7 @@
         self,
         Metrics, //
     },
+    operator,
     owner::Owner,
     router, seat,
     settings::Settings,
@@ -70,7 +73,11 @@
     /// The timer service.
     pub timer: timer::Service,
     /// The configuration that operators have set.
-    pub settings: Settings,
+    pub settings: Arc<Settings>,
+    /// Takes the edits of the configuration.
+    pub committer: Committer,
+    /// Keeps the configuration fresh and tells peers of changes.
+    pub messenger: Messenger,
     /// The workers.
     pub fleet: Fleet,
     /// The owners of shards.
@@ -132,15 +139,28 @@
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
+        let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
+        let settings = Arc::new(settings);
+        let committer = Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
+        let pool = Pool::new(timer.clone());
+        let messenger = Messenger::new(
+            session,
+            Arc::clone(&settings),
+            pool.clone(),
+            platform.tables.clone(),
+            timer.clone(),
+        );
         Arc::new(Self {
-            settings: Settings::new(config.bootstrap_key.clone()),
+            settings,
+            committer,
+            messenger,
             fleet: Fleet::new(config.racks_per_shard),
             directory: Directory::default(),
-            pool: Pool::new(timer.clone()),
+            pool,
             gate: Gate::default(),
+            session,
             allotments: Arc::default(),
             metrics,
-            session,
             platform,
             endpoints,
             log,
@@ -158,9 +178,13 @@
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
         let callers = Server::start(self.config.callers, caller_router).await?;
-        let operator_router = operators::route::router(self.operator_app());
+        let operator_router = operators::route::router(operator::app(self));
         let operators = Server::start(self.config.operators, operator_router).await?;
         let mut tasks = JoinSet::new();
+        self.committer.start(&mut tasks);
+        let committed = self.committer.committed();
+        let messenger = self.messenger.clone();
+        messenger.start(&mut tasks, committed, self.config.poll_interval);
         tasks.spawn(Arc::clone(self).keep_session(peers.address));
         tasks.spawn(seat::run(Arc::clone(self)));
         tasks.spawn(Arc::clone(self).report());
@@ -217,7 +241,9 @@
     fn peer_app(self: &Arc<Self>) -> server::App {
         let node = Arc::clone(self);
         let news = Arc::clone(self);
+        let messenger = self.messenger.clone();
         server::App {
+            configure: Arc::new(move |told| messenger.clone().answer(told).boxed()),
             forward: Arc::new(move |call| {
                 let node = Arc::clone(&node);
                 async move { node.handle_forwarded(call).await }.boxed()
@@ -230,26 +256,6 @@
         }
     }
 
-    fn operator_app(self: &Arc<Self>) -> operators::App {
-        let (authorizer, reader) = (Arc::clone(self), Arc::clone(self));
-        let (writer, lister) = (Arc::clone(self), Arc::clone(self));
-        operators::App {
-            authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
-            configuration: Arc::new(move || (*reader.settings.current()).clone()),
-            replace: Arc::new(move |next| {
-                let node = Arc::clone(&writer);
-                async move {
-                    let write_id = format!("configuration/{}", rand::random::<u128>());
-                    let tables = &node.platform.tables;
-                    node.settings.replace(tables, write_id, next).await
-                }
-                .boxed()
-            }),
-            workers: Arc::new(move || lister.fleet.workers()),
-            gate: self.gate.clone(),
-        }
-    }
-
     async fn handle_request(&self, request: callers::Request) -> Result<Status> {
         let start = self.timer.now();
         let request_id = request.request_id.clone();
--- a/src/session.rs
+++ b/src/session.rs
@@ -87,6 +87,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_ms")]
     pub lease: Duration,
+    /// The version of the configuration that the VM acts on.
+    #[serde(default)]
+    pub configuration: Version,
 }
 
 /// A shard's row.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -6,6 +6,7 @@
 
 use basilbridge::{
     client::Client,
+    commit,
     config::Config,
     embedded::{
         self,
@@ -17,7 +18,6 @@
         Node,
         Running, //
     },
-    settings::Settings,
 };
 use basilbridge_common::{
     job::{
@@ -102,14 +102,11 @@
 }
 
 async fn set_limit(store: &Store, limit: Resources) {
-    let tables = store.platform().tables;
-    let settings = Settings::new(None);
-    settings.refresh(&tables).await.unwrap();
     let mut next = embedded::first_configuration();
-    next.version = settings.current().version;
     next.teams[0].limit = Some(limit);
-    let write_id = format!("limit/{}", next.version.0);
-    settings.replace(&tables, write_id, next).await.unwrap();
+    commit::replace(store.platform(), timer::Service::start(), &next)
+        .await
+        .unwrap();
 }
 
 fn job(count: u32, run_ms: u32) -> Request {
