--- a/crates/scheduler/src/reservation.rs
+++ b/crates/scheduler/src/reservation.rs
@@ -270,7 +270,8 @@
         let expires = reservation.expires;
         let mut places: Vec<_> = reservation.holds.iter().map(|hold| hold.worker).collect();
         places.dedup();
-        let first = round.now.0 as usize % places.len().max(1);
+        let first = self.turn % places.len().max(1);
+        self.turn = self.turn.wrapping_add(1);
         places.rotate_left(first);
         for kind in policy::ORDER {
             if !policy::of(kind).backfills {
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -119,6 +119,8 @@
     /// The racks of the tasks of each job that is spread over racks.
     pub(crate) racks: HashMap<id::Job, Vec<u32>>,
     pub(crate) running: usize,
+    /// Which promised place backfill looks at first.
+    pub(crate) turn: usize,
     /// The workers that may be over their size since a task was found to be larger.
     pub(crate) crowded: BTreeSet<placement::Key>,
     /// The teams whose tasks wait for want of allotment.
