--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -22,6 +22,7 @@
         Action,
         Shard, //
     },
+    share,
     task::{
         self,
         Leaving,
@@ -96,9 +97,11 @@
         }
         let until = round.now.after(CHECKPOINT_GRACE);
         run.leaving = Some(Leaving::Saving(until));
-        self.victims.remove(&(run.saved, key));
-        self.saving.insert((until, key));
         let (team, charge) = (entry.team, entry.charge);
+        if let Some(victims) = self.victims.get_mut(team) {
+            victims.remove(&(run.saved, key));
+        }
+        self.saving.insert((until, key));
         self.ledger.update(team, |account| {
             account.leaving = account.leaving.plus(&charge)
         });
@@ -168,7 +171,11 @@
             return None;
         }
         let mut seen = Vec::new();
-        let latest = self.victims.iter().rev().take(VICTIMS_EXAMINED);
+        let teams = self.victim_teams(head);
+        let latest = teams.iter().flat_map(|team| {
+            let victims = self.victims[*team].iter().rev();
+            victims.take(VICTIMS_EXAMINED)
+        });
         latest
             .filter_map(|(_, victim)| {
                 let Place::Running(run) = &self.tasks[*victim].place else {
@@ -183,6 +190,19 @@
             .min_by(|a, b| a.lost.total_cmp(&b.lost))
     }
 
+    /// Returns the teams whose tasks may give way to a task: its own, and the one with the
+    /// highest level.
+    fn victim_teams(&self, head: &Head) -> Vec<share::Key> {
+        let full = self.victims.iter().filter(|(_, tasks)| !tasks.is_empty());
+        let level = |team: &share::Key| self.ledger.level(*team);
+        let highest = full
+            .map(|(team, _)| team)
+            .filter(|team| *team != head.team)
+            .max_by(|a, b| level(a).total_cmp(&level(b)));
+        let own = self.victims.contains_key(head.team).then_some(head.team);
+        own.into_iter().chain(highest).collect()
+    }
+
     fn offer_on(
         &self,
         worker: placement::Key,
@@ -229,7 +249,10 @@
     /// Returns when a task that may be stopped was last saved.
     fn saved_of(&self, key: task::Key) -> Option<Millis> {
         match &self.tasks[key].place {
-            Place::Running(run) if self.victims.contains(&(run.saved, key)) => Some(run.saved),
+            Place::Running(run) => {
+                let victims = self.victims.get(self.tasks[key].team)?;
+                victims.contains(&(run.saved, key)).then_some(run.saved)
+            }
             _ => None,
         }
     }
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -18,7 +18,10 @@
     },
     worker::Worker,
 };
-use slotmap::SlotMap;
+use slotmap::{
+    SecondaryMap,
+    SlotMap, //
+};
 
 use crate::{
     allotment::Book,
@@ -113,8 +116,8 @@
     pub(crate) deadlines: BTreeSet<(Millis, task::Key)>,
     pub(crate) groups: BTreeMap<(Millis, id::Job), Group>,
     pub(crate) reservations: SlotMap<reservation::Key, Reservation>,
-    /// The tasks that may be stopped, by start or last checkpoint.
-    pub(crate) victims: BTreeSet<(Millis, task::Key)>,
+    /// The tasks of each team that may be stopped, by start or last checkpoint.
+    pub(crate) victims: SecondaryMap<share::Key, BTreeSet<(Millis, task::Key)>>,
     pub(crate) saving: BTreeSet<(Millis, task::Key)>,
     /// The racks of the tasks of each job that is spread over racks.
     pub(crate) racks: HashMap<id::Job, Vec<u32>>,
@@ -303,11 +306,15 @@
         let Some(key) = self.names.get(id).copied() else {
             return;
         };
-        let Place::Running(run) = &mut self.tasks[key].place else {
+        let entry = &mut self.tasks[key];
+        let team = entry.team;
+        let Place::Running(run) = &mut entry.place else {
             return;
         };
-        if self.victims.remove(&(run.saved, key)) {
-            self.victims.insert((now, key));
+        if let Some(victims) = self.victims.get_mut(team)
+            && victims.remove(&(run.saved, key))
+        {
+            victims.insert((now, key));
         }
         run.saved = now;
         if let Some(Leaving::Saving(until)) = run.leaving {
@@ -381,7 +388,10 @@
             && (policy.preemptible)(&entry.task)
             && entry.task.preempted < policy::MOST_PREEMPTIONS
         {
-            self.victims.insert((now, key));
+            if !self.victims.contains_key(team) {
+                self.victims.insert(team, BTreeSet::new());
+            }
+            self.victims[team].insert((now, key));
         }
         if policy.spread_racks {
             let racks = self.racks.entry(entry.task.id.job.clone()).or_default();
@@ -410,7 +420,9 @@
         let Place::Running(run) = std::mem::replace(&mut entry.place, Place::Grouped) else {
             return None;
         };
-        self.victims.remove(&(run.saved, key));
+        if let Some(victims) = self.victims.get_mut(team) {
+            victims.remove(&(run.saved, key));
+        }
         if let Some(Leaving::Saving(until)) = run.leaving {
             self.saving.remove(&(until, key));
         }
