--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -4,7 +4,10 @@
 //! work go first; those that must not be repeated never go. `docs/design/preemption.md` weighs
 //! the ways.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use basilbridge_common::{
     job::Kind,
@@ -14,6 +17,8 @@
     },
 };
 
+use slotmap::SecondaryMap;
+
 use crate::{
     decision::Round,
     placement, policy,
@@ -48,6 +53,31 @@
 /// How many tasks wait for others to leave at one time in a large shard.
 const MOST_CLAIMS: usize = 256;
 
+/// The tasks that may be stopped, by start or last checkpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Victims {
+    all: BTreeSet<(Millis, task::Key)>,
+    teams: SecondaryMap<share::Key, BTreeSet<(Millis, task::Key)>>,
+}
+
+impl Victims {
+    pub(crate) fn insert(&mut self, team: share::Key, saved: Millis, task: task::Key) {
+        self.all.insert((saved, task));
+        if !self.teams.contains_key(team) {
+            self.teams.insert(team, BTreeSet::new());
+        }
+        self.teams[team].insert((saved, task));
+    }
+
+    /// Removes a task, and says whether it was there.
+    pub(crate) fn remove(&mut self, team: share::Key, saved: Millis, task: task::Key) -> bool {
+        if let Some(tasks) = self.teams.get_mut(team) {
+            tasks.remove(&(saved, task));
+        }
+        self.all.remove(&(saved, task))
+    }
+}
+
 struct Offer {
     worker: placement::Key,
     victims: Vec<task::Key>,
@@ -98,9 +128,7 @@
         let until = round.now.after(CHECKPOINT_GRACE);
         run.leaving = Some(Leaving::Saving(until));
         let (team, charge) = (entry.team, entry.charge);
-        if let Some(victims) = self.victims.get_mut(team) {
-            victims.remove(&(run.saved, key));
-        }
+        self.victims.remove(team, run.saved, key);
         self.saving.insert((until, key));
         self.ledger.update(team, |account| {
             account.leaving = account.leaving.plus(&charge)
@@ -171,12 +199,9 @@
             return None;
         }
         let mut seen = Vec::new();
-        let teams = self.victim_teams(head);
-        let latest = teams.iter().flat_map(|team| {
-            let victims = self.victims[*team].iter().rev();
-            victims.take(VICTIMS_EXAMINED)
-        });
+        let latest = self.candidates(kind, head).iter().rev();
         latest
+            .take(VICTIMS_EXAMINED)
             .filter_map(|(_, victim)| {
                 let Place::Running(run) = &self.tasks[*victim].place else {
                     return None;
@@ -190,17 +215,17 @@
             .min_by(|a, b| a.lost.total_cmp(&b.lost))
     }
 
-    /// Returns the teams whose tasks may give way to a task: its own, and the one with the
-    /// highest level.
-    fn victim_teams(&self, head: &Head) -> Vec<share::Key> {
-        let full = self.victims.iter().filter(|(_, tasks)| !tasks.is_empty());
-        let level = |team: &share::Key| self.ledger.level(*team);
-        let highest = full
-            .map(|(team, _)| team)
-            .filter(|team| *team != head.team)
-            .max_by(|a, b| level(a).total_cmp(&level(b)));
-        let own = self.victims.contains_key(head.team).then_some(head.team);
-        own.into_iter().chain(highest).collect()
+    /// Returns the tasks that may give way: for urgent work those of all teams, otherwise those
+    /// of the team with the highest level.
+    fn candidates(&self, kind: Kind, head: &Head) -> &BTreeSet<(Millis, task::Key)> {
+        if (policy::of(kind).preempts)(Kind::Batch) {
+            return &self.victims.all;
+        }
+        let teams = self.victims.teams.iter();
+        let others = teams.filter(|(team, tasks)| *team != head.team && !tasks.is_empty());
+        let level = |team| self.ledger.level(team);
+        let highest = others.max_by(|a, b| level(a.0).total_cmp(&level(b.0)));
+        highest.map_or(&self.victims.all, |(_, tasks)| tasks)
     }
 
     fn offer_on(
@@ -249,10 +274,7 @@
     /// Returns when a task that may be stopped was last saved.
     fn saved_of(&self, key: task::Key) -> Option<Millis> {
         match &self.tasks[key].place {
-            Place::Running(run) => {
-                let victims = self.victims.get(self.tasks[key].team)?;
-                victims.contains(&(run.saved, key)).then_some(run.saved)
-            }
+            Place::Running(run) if self.victims.all.contains(&(run.saved, key)) => Some(run.saved),
             _ => None,
         }
     }
--- a/crates/scheduler/src/shard.rs
+++ b/crates/scheduler/src/shard.rs
@@ -18,10 +18,7 @@
     },
     worker::Worker,
 };
-use slotmap::{
-    SecondaryMap,
-    SlotMap, //
-};
+use slotmap::SlotMap;
 
 use crate::{
     allotment::Book,
@@ -33,6 +30,7 @@
         Index, //
     },
     policy,
+    preemption::Victims,
     queue::Queue,
     reservation::{
         self,
@@ -116,8 +114,7 @@
     pub(crate) deadlines: BTreeSet<(Millis, task::Key)>,
     pub(crate) groups: BTreeMap<(Millis, id::Job), Group>,
     pub(crate) reservations: SlotMap<reservation::Key, Reservation>,
-    /// The tasks of each team that may be stopped, by start or last checkpoint.
-    pub(crate) victims: SecondaryMap<share::Key, BTreeSet<(Millis, task::Key)>>,
+    pub(crate) victims: Victims,
     pub(crate) saving: BTreeSet<(Millis, task::Key)>,
     /// The racks of the tasks of each job that is spread over racks.
     pub(crate) racks: HashMap<id::Job, Vec<u32>>,
@@ -311,10 +308,8 @@
         let Place::Running(run) = &mut entry.place else {
             return;
         };
-        if let Some(victims) = self.victims.get_mut(team)
-            && victims.remove(&(run.saved, key))
-        {
-            victims.insert((now, key));
+        if self.victims.remove(team, run.saved, key) {
+            self.victims.insert(team, now, key);
         }
         run.saved = now;
         if let Some(Leaving::Saving(until)) = run.leaving {
@@ -388,10 +383,7 @@
             && (policy.preemptible)(&entry.task)
             && entry.task.preempted < policy::MOST_PREEMPTIONS
         {
-            if !self.victims.contains_key(team) {
-                self.victims.insert(team, BTreeSet::new());
-            }
-            self.victims[team].insert((now, key));
+            self.victims.insert(team, now, key);
         }
         if policy.spread_racks {
             let racks = self.racks.entry(entry.task.id.job.clone()).or_default();
@@ -420,9 +412,7 @@
         let Place::Running(run) = std::mem::replace(&mut entry.place, Place::Grouped) else {
             return None;
         };
-        if let Some(victims) = self.victims.get_mut(team) {
-            victims.remove(&(run.saved, key));
-        }
+        self.victims.remove(team, run.saved, key);
         if let Some(Leaving::Saving(until)) = run.leaving {
             self.saving.remove(&(until, key));
         }
