--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -28,7 +28,10 @@
     Run,
     Verb, //
 };
-use basilbridge_scheduler::shard::Action;
+use basilbridge_scheduler::{
+    policy,
+    shard::Action, //
+};
 use tokio::task::JoinSet;
 
 use crate::{
@@ -55,23 +58,83 @@
 /// How long to wait before a record that the store refused is written again.
 const RECORD_BACK_OFF: Duration = Duration::from_secs(1);
 
+/// What a decision asks for.
+#[derive(Default)]
+struct Decided {
+    starts: Vec<Placed>,
+    expired: Vec<id::Task>,
+    saves: Vec<Placed>,
+    stops: Vec<Placed>,
+}
+
 /// Decides and carries out until the owner is dropped.
 pub async fn run(owner: Arc<Owner>) {
     let mut starts = JoinSet::new();
     loop {
-        owner.wake.notified().await;
+        wait(&owner).await;
         while starts.try_join_next().is_some() {}
         let now = owner.tools.timer.now();
-        let (placed, expired) = owner.lock().decide(now, owner.title.epoch);
+        let decided = owner.lock().decide(now, owner.title.epoch);
         if owner.lock().scheduler.limits.is_waiting() {
             owner.tools.allotments.notify_one();
         }
-        for placed in placed {
+        for placed in decided.starts {
             starts.spawn(start(Arc::clone(&owner), placed));
         }
-        for task in expired {
+        for task in decided.expired {
             starts.spawn(expire(Arc::clone(&owner), task));
         }
+        for placed in decided.saves {
+            starts.spawn(save(Arc::clone(&owner), placed));
+        }
+        for placed in decided.stops {
+            starts.spawn(give_way(Arc::clone(&owner), placed));
+        }
+    }
+}
+
+/// Waits for a change, or for the time at which a shard with work in hand is due.
+async fn wait(owner: &Owner) {
+    let changed = owner.wake.notified();
+    if owner.lock().scheduler.is_pending() {
+        let timer = &owner.tools.timer;
+        timer.timeout(policy::DECISION_INTERVAL, changed).await;
+    } else {
+        changed.await;
+    }
+}
+
+/// Has a worker save the progress of a task that is about to be stopped.
+async fn save(owner: Arc<Owner>, placed: Placed) {
+    let task = &placed.attempt.task;
+    let command = Command {
+        epoch: owner.title.epoch,
+        verb: Verb::Checkpoint(task.clone()),
+    };
+    match owner.tools.endpoints.send(&placed.worker, command).await {
+        Ok(_) => {
+            let now = owner.tools.timer.now();
+            owner.lock().scheduler.checkpointed(task, now);
+            owner.wake.notify_one();
+        }
+        Err(error) => {
+            // The stop follows all the same when the time for the checkpoint is up.
+            slog::warn!(owner.tools.log, "progress not saved";
+                "task" => %task, "error" => %error);
+        }
+    }
+}
+
+/// Stops a task so that another one can start, and queues it again.
+async fn give_way(owner: Arc<Owner>, placed: Placed) {
+    let boot = {
+        let inner = owner.lock();
+        let contact = inner.contacts.get(&placed.worker.name);
+        contact.and_then(|contact| contact.boot)
+    };
+    // A worker that has no boot is claimed anew, and that tells what became of the task.
+    if let Some(boot) = boot {
+        owner.settle(&placed.attempt, &placed.worker, boot).await;
     }
 }
 
@@ -158,10 +221,9 @@
 }
 
 impl Inner {
-    /// Decides what to start and what is too late.
-    fn decide(&mut self, now: Millis, epoch: id::Epoch) -> (Vec<Placed>, Vec<id::Task>) {
-        let mut starts = Vec::new();
-        let mut expired = Vec::new();
+    /// Decides what to start, what is too late and what gives way.
+    fn decide(&mut self, now: Millis, epoch: id::Epoch) -> Decided {
+        let mut decided = Decided::default();
         for action in self.scheduler.decide(now) {
             match action {
                 Action::Start { task, worker } => {
@@ -176,12 +238,18 @@
                         ending: false,
                     };
                     self.placed.insert(task, placed.clone());
-                    starts.push(placed);
+                    decided.starts.push(placed);
+                }
+                Action::Expire { task } => decided.expired.push(task),
+                Action::Checkpoint { task, .. } => {
+                    decided.saves.extend(self.placed.get(&task).cloned());
+                }
+                Action::Stop { task, .. } => {
+                    decided.stops.extend(self.placed.get(&task).cloned());
                 }
-                Action::Expire { task } => expired.push(task),
             }
         }
-        (starts, expired)
+        decided
     }
 
     /// Takes note that an attempt is about to be sent; says whether it still should be.
@@ -243,6 +311,7 @@
         if !placed {
             return;
         }
+        self.learn(&report);
         match report.phase {
             Phase::Running if wanted => self.lock().mark_running(&attempt.task),
             // The stop that followed the job's end was lost.
@@ -260,6 +329,20 @@
         }
     }
 
+    /// Lets the decisions learn from a report.
+    fn learn(&self, report: &Report) {
+        let now = self.tools.timer.now();
+        let scheduler = &mut self.lock().scheduler;
+        match report.phase {
+            Phase::Running => scheduler.report_usage(&report.task, &report.usage, now),
+            Phase::Succeeded => scheduler.report_success(&report.task, now),
+            Phase::Failed => {
+                scheduler.report_failure(&report.task, now);
+            }
+            _ => {}
+        }
+    }
+
     /// Keeps the end of a task and lets the worker forget it.
     pub(crate) async fn end(&self, attempt: &Attempt, state: State, output: String) {
         let task = &attempt.task;
