--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backoff;
 pub mod call;
 pub mod error;
+pub mod flag;
 pub mod id;
 pub mod job;
 pub mod timer;
--- a/crates/endpoints/src/http.rs
+++ b/crates/endpoints/src/http.rs
@@ -201,6 +201,7 @@
 fn limit(settings: &Settings, command: &Command) -> Duration {
     match &command.verb {
         Verb::Run(run) if run.wait => run.deadline.unwrap_or(settings.longest_wait),
+        Verb::Renew(renew) => settings.timeout + renew.wait,
         _ => settings.timeout,
     }
 }
--- a/src/acknowledgement.rs
+++ b/src/acknowledgement.rs
@@ -5,7 +5,7 @@
 //! [`MAX_AGE`] has passed. See `docs/design/configuration.md`.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -83,7 +83,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    peers: HashMap<Session, Peer>,
+    peers: BTreeMap<Session, Peer>,
     observed: Millis,
 }
 
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -25,6 +25,7 @@
         Kind,
         Result, //
     },
+    flag::Flag,
     id::{
         self,
         Boot,
@@ -173,7 +174,7 @@
     /// Whether new work is refused because the shard is about to be handed over.
     closing: watch::Sender<bool>,
     /// Whether another VM owns the shard by now.
-    released: watch::Sender<bool>,
+    released: Flag,
     /// How many calls that change something are being answered.
     in_flight: watch::Sender<usize>,
     pub(crate) title_check: Check,
@@ -190,7 +191,7 @@
             inner: Mutex::default(),
             wake: Notify::new(),
             closing: watch::Sender::new(false),
-            released: watch::Sender::new(false),
+            released: Flag::default(),
             in_flight: watch::Sender::new(0),
             title_check: Check::default(),
             listed: watch::Sender::new(0),
@@ -234,13 +235,12 @@
 
     /// Handles a call.
     pub async fn handle(self: &Arc<Self>, call: Call) -> Result<Status> {
-        let mut released = self.released.subscribe();
         let changes = matches!(call.verb, Verb::Submit(..) | Verb::Cancel(_));
         let _in_flight = changes.then(|| InFlight::new(&self.in_flight));
         tokio::select! {
             biased;
             result = self.answer(call) => result,
-            _ = released.wait_for(|released| *released) => Err(self.moved(changes)),
+            () = self.released.until(true) => Err(self.moved(changes)),
         }
     }
 
@@ -269,6 +269,7 @@
             return Err(Error::new(Kind::NotOwner, "the shard is being handed over"));
         }
         let accepted = self.accepted(call, request);
+        self.check_load(&accepted)?;
         let id = accepted.job.clone();
         // A caller that goes away must not leave a job that is kept and not queued.
         let kept = tokio::spawn(Arc::clone(self).accept(accepted));
@@ -370,6 +371,18 @@
         }
     }
 
+    /// Refuses a job whose tasks would wait in vain.
+    fn check_load(&self, accepted: &Accepted) -> Result<()> {
+        let inner = self.lock();
+        let admitted = inner
+            .scheduler
+            .admit(accepted.request.kind, accepted.deadline, accepted.at);
+        admitted.map_err(|refusal| {
+            let message = "too much of this kind waits here already";
+            Error::new(Kind::Overloaded, message).retry_after(refusal.retry_after)
+        })
+    }
+
     fn next_job(&self) -> id::Job {
         let mut inner = self.lock();
         inner.next_job += 1;
@@ -456,7 +469,7 @@
     /// Tells all callers that wait here to ask the next owner.
     pub fn release(&self) {
         self.closing.send_replace(true);
-        self.released.send_replace(true);
+        self.released.set(true);
     }
 
     /// Says whether the shard is about to be handed over.
@@ -466,7 +479,7 @@
 
     /// Says whether another VM owns the shard by now.
     pub(crate) fn is_released(&self) -> bool {
-        *self.released.borrow()
+        self.released.is_raised()
     }
 
     /// Whoever only asks may ask the next owner; other work may have run here.
@@ -555,7 +568,9 @@
         resources: accepted.request.resources,
         repeatable: accepted.request.repeatable,
         family: accepted.request.family.clone(),
+        run_time: accepted.request.run_time,
         accepted: accepted.at,
         deadline: accepted.deadline,
+        preempted: 0,
     })
 }
