--- a/crates/scheduler/benches/decision.rs
+++ b/crates/scheduler/benches/decision.rs
@@ -5,13 +5,20 @@
 #[path = "../tests/util/mod.rs"]
 mod util;
 
-use std::hint::black_box;
+use std::{
+    collections::VecDeque,
+    hint::black_box, //
+};
 
 use basilbridge_common::{
+    id,
     job::Kind,
     unit::Millis, //
 };
-use basilbridge_scheduler::shard::Shard;
+use basilbridge_scheduler::shard::{
+    Action,
+    Shard, //
+};
 use criterion::{
     BatchSize,
     Criterion,
@@ -19,42 +26,40 @@
     criterion_main, //
 };
 
-/// Returns a shard whose slots are all taken and where as many tasks again wait, of six teams.
-fn full(workers: u32) -> Shard {
-    let mut shard = Shard::default();
-    for number in 0..workers {
-        shard.set_worker(util::worker(number, util::resources(64, 128), 8));
-    }
-    for job in 0..u64::from(workers) * 16 {
-        let mut task = util::task(job, Kind::Batch, util::resources(8, 16));
-        task.team = format!("team-{}", job % 6).into();
-        shard.submit(task);
-    }
-    shard.decide(Millis(0));
-    shard
+fn submit(shard: &mut Shard, job: u64) {
+    let mut task = util::task(job, Kind::Batch, util::resources(8, 16));
+    task.team = format!("team-{}", job % 6).into();
+    shard.submit(task);
 }
 
-/// One task ends and another takes its place.
+fn started(actions: Vec<Action>) -> impl Iterator<Item = id::Task> {
+    actions.into_iter().filter_map(|action| match action {
+        Action::Start { task, .. } => Some(task),
+        _ => None,
+    })
+}
+
+/// One task ends and another takes its place, while all slots are taken and as many tasks again
+/// wait, of six teams.
 fn turnover(criterion: &mut Criterion) {
     for workers in [50, 400, 3_000] {
-        let mut shard = full(workers);
-        let running = u64::from(workers) * 8;
-        let mut ended = 0;
-        let mut next = running * 2;
+        let mut shard = Shard::default();
+        for number in 0..workers {
+            shard.set_worker(util::worker(number, util::resources(64, 128), 8));
+        }
+        let mut next = u64::from(workers) * 16;
+        (0..next).for_each(|job| submit(&mut shard, job));
+        let mut running: VecDeque<_> = started(shard.decide(Millis(0))).collect();
         criterion.bench_function(&format!("turnover/{workers} workers"), |bencher| {
             bencher.iter(|| {
-                let mut task = util::task(next, Kind::Batch, util::resources(8, 16));
-                task.team = format!("team-{}", next % 6).into();
-                shard.submit(task);
+                submit(&mut shard, next);
                 next += 1;
-                // Jobs start about in order, so the oldest that is still there runs.
-                while shard.worker_of(&util::id(ended, 0)).is_none() && ended < next {
-                    ended += 1;
-                }
-                shard.remove(&util::id(ended, 0));
-                black_box(shard.decide(Millis(1)));
+                let ended = running.pop_front().expect("each end lets another start");
+                shard.remove(&ended);
+                running.extend(started(shard.decide(Millis(1))));
             });
         });
+        assert_eq!(shard.running(), running.len(), "the shard stays full");
     }
 }
 
