--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -25,7 +25,8 @@
 use miette::{
     IntoDiagnostic,
     Result,
-    WrapErr, //
+    WrapErr,
+    miette, //
 };
 use slog::Logger;
 use tokio::signal::unix::{
@@ -58,6 +59,9 @@
             poll_interval: arguments.poll_interval,
             racks_per_shard: arguments.racks_per_shard,
             default_wait: arguments.default_wait,
+            drain_grace: arguments.drain_grace,
+            drain_limit: arguments.drain_limit,
+            max_requests: arguments.max_requests,
             bootstrap_key: arguments.bootstrap_key.as_deref().map(Hash::of),
         };
         config.check()?;
@@ -93,10 +97,7 @@
         let timer = timer::Service::start();
         let timeout = self.arguments.platform_timeout;
         let platform = platform::platform(platform, timer.clone(), timeout);
-        let settings = endpoints::Settings {
-            timeout: self.arguments.worker_timeout,
-            longest_wait: LONGEST_WAIT,
-        };
+        let settings = endpoints::Settings::new(self.arguments.worker_timeout, LONGEST_WAIT);
         let workers = endpoints::client(timer.clone(), settings);
         let node = Node::new(self.config, timer, platform, workers, log, metrics);
         node.start().await
@@ -122,13 +123,22 @@
     println!("  {CLIENT} --operator-key {operator} workers");
 }
 
+/// Drains the VM when the process is told to stop; a second signal ends it at once.
 async fn until_stopped(running: Running) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut signalled = async || {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    signalled().await;
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        answered = running.drain() => match answered {
+            true => Ok(()),
+            false => Err(miette!("the drain was over before all requests were answered")),
+        },
+        () = signalled() => Err(miette!("a second signal cut the drain short")),
     }
-    running.drain().await;
-    Ok(())
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -117,6 +117,7 @@
                 data_centre: self.config.data_centre.clone(),
                 renewals: 0,
                 lease: pace.lease,
+                leaving: false,
                 configuration: Version(0),
             },
             version: Version(0),
@@ -143,15 +144,17 @@
     /// Renews the session when it is time.
     async fn renew(&self, keeper: &mut Keeper) {
         let now = self.timer.now();
+        let leaving = self.gate.is_draining();
         let due = keeper
             .renewed
             .is_none_or(|renewed| now.since(renewed) >= keeper.pace.renewal);
-        if !due {
+        if !due && leaving == keeper.record.leaving {
             return;
         }
         // A renewal with an unknown outcome is sent again under the same id.
         let mut record = keeper.record.clone();
         record.renewals += 1;
+        record.leaving = leaving;
         record.configuration = self.settings.current().version;
         match session::renew(&self.platform.tables, &record, keeper.version).await {
             Ok(version) => {
@@ -196,13 +199,15 @@
         tracker.observe(&view.live, self.session, now, keeper.pace.lease);
         keeper.rounds += 1;
         self.learn(&view);
+        let peers: Vec<_> = view.live.iter().map(|record| record.address).collect();
+        self.pool.retain(&peers);
         let shards = self.fleet.shards();
         for (shard, workers) in &shards {
             if let Some(owner) = self.owner(shard) {
                 owner.set_workers(workers.clone());
             }
         }
-        if keeper.rounds > ROUNDS_BEFORE_CLAIM {
+        if keeper.rounds > ROUNDS_BEFORE_CLAIM && !self.gate.is_draining() {
             self.claim(&view, shards.into_iter().collect()).await?;
             self.rebalance(&view);
         }
