Bound a search on workers that no part of the tree rules out

Cause: without the bound in Index::choose the test of the bound stayed green, because its random fleet never made a search go astray.

--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -42,6 +42,21 @@
     index
 }
 
+/// Returns an index of workers that have processors or memory left, never both, so that no part
+/// of the tree can be ruled out by the largest room in it.
+fn checkered(count: u32) -> Index {
+    let mut index = Index::default();
+    for machine in 0..count {
+        let key = index.set(util::worker(machine, util::resources(64, 128), 8));
+        let used = match machine % 2 {
+            0 => util::resources(64, 0),
+            _ => util::resources(0, 128),
+        };
+        index.take(key, task::Key::default(), &used);
+    }
+    index
+}
+
 fn wanted(need: Resources, order: Order) -> Wanted<'static> {
     Wanted {
         need,
@@ -77,23 +92,13 @@
 
 #[test]
 fn repeated_searches_find_the_only_worker_that_fits_in_both_dimensions() {
-    let mut index = Index::default();
-    // Most workers have processors or memory left, never both, so that no sum of a part of the
-    // fleet rules the part out.
-    for machine in 0..3_000 {
-        let key = index.set(util::worker(machine, util::resources(64, 128), 8));
-        let used = match (machine, machine % 2) {
-            (2_222, _) => Resources::default(),
-            (_, 0) => util::resources(64, 0),
-            _ => util::resources(0, 128),
-        };
-        index.take(key, task::Key::default(), &used);
-    }
+    let mut index = checkered(3_000);
+    let only = index.set(util::worker(3_000, util::resources(64, 128), 8));
     let need = util::resources(1, 1);
 
     let tries = (0..4_096).position(|_| {
         let found = index.choose(&wanted(need, Order::First));
-        matches!(found, Found::Worker(_))
+        found == Found::Worker(only)
     });
 
     assert!(
@@ -107,7 +112,7 @@
     let mut worst = Vec::new();
     for count in [50, 400, 3_000] {
         let mut g = Gen::from_size_and_seed(64, u64::from(count));
-        let mut index = fleet(count, &mut g);
+        let mut index = checkered(count);
         let mut most = 0;
         for _ in 0..2_000 {
             let need = util::resources(1 + number(&mut g, 16), 1 + number(&mut g, 32));
