--- a/tests/faults/cell.rs
+++ b/tests/faults/cell.rs
@@ -72,6 +72,16 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const LONGEST_DELAY_MS: u64 = 4000;
 
+/// Runs a future on a paused clock of its own; what it leaves behind ends with it.
+pub(crate) fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(future)
+}
+
 /// How messages fare, in thousandths of all messages.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Weather {
--- a/tests/faults/history.rs
+++ b/tests/faults/history.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cell::{
+        self,
         Cell,
         Weather, //
     },
@@ -108,12 +109,7 @@
 fn submissions_with_one_key_are_linearizable_under_faults() {
     let mut checked = 0;
     for seed in 0..12 {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .unwrap();
-        let log = runtime.block_on(keyed_log(seed));
+        let log = cell::run(keyed_log(seed));
         for (key, told) in by_key(&log) {
             let actions = actions(&told);
             if actions.is_empty() {
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -2,6 +2,7 @@
 
 mod cell;
 mod fault;
+mod fences;
 mod history;
 mod journal;
 mod outages;
--- a/tests/faults/schedules.rs
+++ b/tests/faults/schedules.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     cell::{
+        self,
         Cell,
         Weather, //
     },
@@ -44,12 +45,7 @@
 
 /// Runs one schedule and returns what did not hold, and what the callers were told.
 fn schedule(seed: u64, kinds: &[Fault]) -> (Vec<String>, String) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(run(seed, kinds.to_vec()))
+    cell::run(run(seed, kinds.to_vec()))
 }
 
 async fn run(seed: u64, kinds: Vec<Fault>) -> (Vec<String>, String) {
