--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -26,7 +26,7 @@
 use crate::{
     convert,
     generated::{
-        self, News, Reply,
+        self, Configuration, News, Reply,
         peer_server::{
             Peer,
             PeerServer, //
@@ -36,6 +36,7 @@
 
 type Forward = Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Status>> + Send + Sync>;
 type Exchange = Arc<dyn Fn(News) -> News + Send + Sync>;
+type Configure = Arc<dyn Fn(Configuration) -> BoxFuture<'static, Configuration> + Send + Sync>;
 
 /// What stands behind the protocol.
 #[derive(Clone)]
@@ -44,6 +45,8 @@
     pub forward: Forward,
     /// Takes the news of a peer and returns our own.
     pub exchange: Exchange,
+    /// Catches up with a peer's configuration and returns what this VM knows then.
+    pub configure: Configure,
 }
 
 #[tonic::async_trait]
@@ -67,6 +70,13 @@
     ) -> std::result::Result<Response<News>, tonic::Status> {
         Ok(Response::new((self.exchange)(request.into_inner())))
     }
+
+    async fn configure(
+        &self,
+        request: Request<Configuration>,
+    ) -> std::result::Result<Response<Configuration>, tonic::Status> {
+        Ok(Response::new((self.configure)(request.into_inner()).await))
+    }
 }
 
 /// A server that runs in the background.
@@ -74,7 +84,7 @@
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
-    stop: oneshot::Sender<()>,
+    stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
 
@@ -98,14 +108,15 @@
         });
         Ok(Self {
             address,
-            stop,
+            stop: Some(stop),
             task,
         })
     }
 
     /// Takes no new calls and waits until those in flight are answered.
-    pub async fn stop(self) {
-        let _ = self.stop.send(());
-        let _ = self.task.await;
+    pub async fn stop(&mut self) {
+        // Both fail only when the server has ended before.
+        let _ = self.stop.take().map(|stop| stop.send(()));
+        let _ = (&mut self.task).await;
     }
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -117,6 +117,8 @@
                 data_centre: self.config.data_centre.clone(),
                 renewals: 0,
                 lease: pace.lease,
+                leaving: false,
+                configuration: Version(0),
             },
             version: Version(0),
             observer: Observer::default(),
@@ -142,17 +144,24 @@
     /// Renews the session when it is time.
     async fn renew(&self, keeper: &mut Keeper) {
         let now = self.timer.now();
+        let leaving = self.gate.is_draining();
         let due = keeper
             .renewed
             .is_none_or(|renewed| now.since(renewed) >= keeper.pace.renewal);
-        if !due {
+        if !due && leaving == keeper.record.leaving {
             return;
         }
         // A renewal with an unknown outcome is sent again under the same id.
         let mut record = keeper.record.clone();
         record.renewals += 1;
+        record.leaving = leaving;
+        record.configuration = self.settings.current().version;
         match session::renew(&self.platform.tables, &record, keeper.version).await {
             Ok(version) => {
+                let lapsed = |renewed| now.since(renewed) >= keeper.record.lease;
+                if keeper.renewed.is_some_and(lapsed) {
+                    self.messenger.tracker.lapsed();
+                }
                 keeper.version = version;
                 keeper.record = record;
                 keeper.renewed = Some(now);
@@ -161,6 +170,7 @@
             Err(error) if error.kind == Kind::Conflict => {
                 slog::warn!(self.log, "session ended by others");
                 self.abandon();
+                self.messenger.tracker.lapsed();
                 keeper.version = Version(0);
                 keeper.record.renewals += 1;
             }
@@ -168,11 +178,8 @@
         }
     }
 
-    /// Reads the configuration and the list of VMs; either may fail without the other.
+    /// Reads the list of VMs.
     async fn refresh(&self) {
-        if let Err(error) = self.settings.refresh(&self.platform.tables).await {
-            slog::warn!(self.log, "configuration not read"; "error" => %error);
-        }
         match (self.platform.vms)().await {
             Ok(vms) => self.fleet.set(vms),
             Err(error) => slog::warn!(self.log, "list of VMs not read"; "error" => %error),
@@ -188,15 +195,19 @@
         let vms = view.live.len().max(1);
         self.journals.set_vms(vms);
         keeper.pace = Pace::new(self.config.poll_interval, self.config.session_lease, vms);
+        let tracker = &self.messenger.tracker;
+        tracker.observe(&view.live, self.session, now, keeper.pace.lease);
         keeper.rounds += 1;
         self.learn(&view);
+        let peers: Vec<_> = view.live.iter().map(|record| record.address).collect();
+        self.pool.retain(&peers);
         let shards = self.fleet.shards();
         for (shard, workers) in &shards {
             if let Some(owner) = self.owner(shard) {
                 owner.set_workers(workers.clone());
             }
         }
-        if keeper.rounds > ROUNDS_BEFORE_CLAIM {
+        if keeper.rounds > ROUNDS_BEFORE_CLAIM && !self.gate.is_draining() {
             self.claim(&view, shards.into_iter().collect()).await?;
             self.rebalance(&view);
         }
@@ -305,6 +316,7 @@
     }
 
     fn learn(&self, view: &View) {
+        self.directory.set_members(view.live.clone());
         for (shard, (claim, version)) in &view.claims {
             let owner = view
                 .live
@@ -346,6 +358,7 @@
             tables: self.platform.tables.clone(),
             log,
             task_lease: self.config.task_lease,
+            allotments: Arc::clone(&self.allotments),
         };
         let owner = Owner::new(title, tools, workers);
         let mut tasks = JoinSet::new();
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,17 +35,29 @@
 };
 use basilbridge_platform::Platform;
 use basilbridge_server::{
-    gate::Gate,
-    listener::Server, //
+    gate::{
+        Gate,
+        Phase, //
+    },
+    listener::{
+        self,
+        Server, //
+    },
 };
 use futures_util::FutureExt;
 use slog::Logger;
 use tokio::{
-    sync::watch,
+    sync::{
+        Notify,
+        watch, //
+    },
     task::JoinSet, //
 };
 
 use crate::{
+    acknowledgement::Messenger,
+    admission::Admission,
+    commit::Committer,
     config::Config,
     directory::Directory,
     fleet::Fleet,
@@ -55,8 +67,10 @@
         self,
         Metrics, //
     },
+    operator,
     owner::Owner,
-    router,
+    retry::Budget,
+    router, seat,
     settings::Settings,
 };
 
@@ -67,7 +81,11 @@
     /// The timer service.
     pub timer: timer::Service,
     /// The configuration that operators have set.
-    pub settings: Settings,
+    pub settings: Arc<Settings>,
+    /// Takes the edits of the configuration.
+    pub committer: Committer,
+    /// Keeps the configuration fresh and tells peers of changes.
+    pub messenger: Messenger,
     /// The workers.
     pub fleet: Fleet,
     /// The owners of shards.
@@ -76,8 +94,16 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    /// The submissions that this VM works on.
+    pub submissions: Admission,
+    /// The calls to other VMs that may be sent again.
+    pub retries: Budget,
+    /// The callers that wait for jobs here.
+    pub waits: Admission,
     /// Where metrics are sent.
     pub metrics: Metrics,
+    /// Tells that work waits for an allotment of its team.
+    pub(crate) allotments: Arc<Notify>,
     pub(crate) session: Session,
     pub(crate) platform: Platform,
     pub(crate) endpoints: Client,
@@ -127,14 +153,31 @@
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
         let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
+        let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
+        let settings = Arc::new(settings);
+        let committer = Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
+        let pool = Pool::new(timer.clone());
+        let messenger = Messenger::new(
+            session,
+            Arc::clone(&settings),
+            pool.clone(),
+            platform.tables.clone(),
+            timer.clone(),
+        );
         Arc::new(Self {
-            settings: Settings::new(config.bootstrap_key.clone()),
+            settings,
+            committer,
+            messenger,
             fleet: Fleet::new(config.racks_per_shard),
             directory: Directory::default(),
-            pool: Pool::new(timer.clone()),
+            pool,
             gate: Gate::default(),
-            metrics,
+            submissions: Admission::new(config.max_requests),
+            waits: Admission::new(config.max_requests),
+            retries: Budget::default(),
             session,
+            allotments: Arc::default(),
+            metrics,
             platform,
             endpoints,
             log,
@@ -151,11 +194,17 @@
     pub async fn start(self: &Arc<Self>) -> io::Result<Running> {
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
-        let callers = Server::start(self.config.callers, caller_router).await?;
-        let operator_router = operators::route::router(self.operator_app());
-        let operators = Server::start(self.config.operators, operator_router).await?;
+        let settings = listener::Settings::new(self.timer.clone(), self.gate.clone());
+        let callers = Server::start(self.config.callers, caller_router, settings.clone()).await?;
+        let operator_router = operators::route::router(operator::app(self));
+        let operators = Server::start(self.config.operators, operator_router, settings).await?;
         let mut tasks = JoinSet::new();
+        self.committer.start(&mut tasks);
+        let committed = self.committer.committed();
+        let messenger = self.messenger.clone();
+        messenger.start(&mut tasks, committed, self.config.poll_interval);
         tasks.spawn(Arc::clone(self).keep_session(peers.address));
+        tasks.spawn(seat::run(Arc::clone(self)));
         tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
@@ -210,7 +259,9 @@
     fn peer_app(self: &Arc<Self>) -> server::App {
         let node = Arc::clone(self);
         let news = Arc::clone(self);
+        let messenger = self.messenger.clone();
         server::App {
+            configure: Arc::new(move |told| messenger.clone().answer(told).boxed()),
             forward: Arc::new(move |call| {
                 let node = Arc::clone(&node);
                 async move { node.handle_forwarded(call).await }.boxed()
@@ -223,26 +274,6 @@
         }
     }
 
-    fn operator_app(self: &Arc<Self>) -> operators::App {
-        let (authorizer, reader) = (Arc::clone(self), Arc::clone(self));
-        let (writer, lister) = (Arc::clone(self), Arc::clone(self));
-        operators::App {
-            authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
-            configuration: Arc::new(move || (*reader.settings.current()).clone()),
-            replace: Arc::new(move |next| {
-                let node = Arc::clone(&writer);
-                async move {
-                    let write_id = format!("configuration/{}", rand::random::<u128>());
-                    let tables = &node.platform.tables;
-                    node.settings.replace(tables, write_id, next).await
-                }
-                .boxed()
-            }),
-            workers: Arc::new(move || lister.fleet.workers()),
-            gate: self.gate.clone(),
-        }
-    }
-
     async fn handle_request(&self, request: callers::Request) -> Result<Status> {
         let start = self.timer.now();
         let request_id = request.request_id.clone();
@@ -289,13 +320,35 @@
 }
 
 impl Running {
-    /// Stops taking requests, waits for those in flight and ends.
-    pub async fn drain(mut self) {
-        self.node.gate.drain();
-        self.callers.stop_accepting();
-        self.operators.stop_accepting();
-        self.node.gate.idle().await;
-        self.peers.stop().await;
+    /// Ends the VM without cutting off a request; says whether all were answered in time.
+    ///
+    /// `docs/design/drain.md` has the order of the steps.
+    pub async fn drain(mut self) -> bool {
+        let (timer, limit) = (self.node.timer.clone(), self.node.config.drain_limit);
+        let answered = timer.timeout(limit, self.leave()).await.is_some();
         self.tasks.shutdown().await;
+        answered
+    }
+
+    async fn leave(&mut self) {
+        let node = Arc::clone(&self.node);
+        slog::info!(node.log, "drain begins");
+        node.gate.advance(Phase::Leaving);
+        node.timer.sleep(node.config.drain_grace).await;
+        // What comes in on open connections from here on goes to the next owners.
+        if !node.hand_over().await {
+            slog::warn!(
+                node.log,
+                "shards not handed over; they lapse with the session"
+            );
+        }
+        node.gate.advance(Phase::Closing);
+        self.callers.close();
+        self.operators.close();
+        node.gate.idle().await;
+        self.callers.closed().await;
+        self.operators.closed().await;
+        self.peers.stop().await;
+        slog::info!(node.log, "drain ends");
     }
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -25,6 +25,7 @@
         Kind,
         Result, //
     },
+    flag::Flag,
     id::{
         self,
         Boot,
@@ -91,6 +92,8 @@
     pub log: Logger,
     /// How long a task goes on without word from its owner.
     pub task_lease: Duration,
+    /// Tells that work waits for an allotment of its team.
+    pub allotments: Arc<Notify>,
 }
 
 /// A job of the shard.
@@ -98,6 +101,8 @@
 pub(crate) struct Job {
     pub(crate) team: Name,
     pub(crate) accepted: Millis,
+    pub(crate) request_id: Name,
+    pub(crate) deadline: Option<Millis>,
     pub(crate) request: Request,
     /// How each task has ended, by the number of the task.
     pub(crate) ended: Vec<Option<State>>,
@@ -185,7 +190,7 @@
     /// Whether new work is refused because the shard is about to be handed over.
     closing: watch::Sender<bool>,
     /// Whether another VM owns the shard by now.
-    released: watch::Sender<bool>,
+    released: Flag,
     /// How many calls that change something are being answered.
     in_flight: watch::Sender<usize>,
     pub(crate) title_check: Check,
@@ -202,7 +207,7 @@
             inner: Mutex::default(),
             wake: Notify::new(),
             closing: watch::Sender::new(false),
-            released: watch::Sender::new(false),
+            released: Flag::default(),
             in_flight: watch::Sender::new(0),
             title_check: Check::default(),
             listed: watch::Sender::new(0),
@@ -246,13 +251,12 @@
 
     /// Handles a call.
     pub async fn handle(self: &Arc<Self>, call: Call) -> Result<Status> {
-        let mut released = self.released.subscribe();
         let changes = matches!(call.verb, Verb::Submit(..) | Verb::Cancel(_));
         let _in_flight = changes.then(|| InFlight::new(&self.in_flight));
         tokio::select! {
             biased;
             result = self.answer(call) => result,
-            _ = released.wait_for(|released| *released) => Err(self.moved(changes)),
+            () = self.released.until(true) => Err(self.moved(changes)),
         }
     }
 
@@ -281,6 +285,7 @@
             return Err(Error::new(Kind::NotOwner, "the shard is being handed over"));
         }
         let accepted = self.accepted(call, request);
+        self.check_load(&accepted)?;
         let id = accepted.job.clone();
         // A caller that goes away must not leave a job that is kept and not queued.
         let kept = tokio::spawn(Arc::clone(self).accept(accepted));
@@ -376,11 +381,24 @@
             job: self.next_job(),
             team: call.team.clone(),
             at,
+            request_id: call.request_id.clone(),
             deadline: stated.into_iter().chain(patience).min(),
             request: request.clone(),
         }
     }
 
+    /// Refuses a job whose tasks would wait in vain.
+    fn check_load(&self, accepted: &Accepted) -> Result<()> {
+        let inner = self.lock();
+        let admitted = inner
+            .scheduler
+            .admit(accepted.request.kind, accepted.deadline, accepted.at);
+        admitted.map_err(|refusal| {
+            let message = "too much of this kind waits here already";
+            Error::new(Kind::Overloaded, message).retry_after(refusal.retry_after)
+        })
+    }
+
     fn next_job(&self) -> id::Job {
         let mut inner = self.lock();
         inner.next_job += 1;
@@ -467,7 +485,7 @@
     /// Tells all callers that wait here to ask the next owner.
     pub fn release(&self) {
         self.closing.send_replace(true);
-        self.released.send_replace(true);
+        self.released.set(true);
     }
 
     /// Says whether the shard is about to be handed over.
@@ -477,7 +495,7 @@
 
     /// Says whether another VM owns the shard by now.
     pub(crate) fn is_released(&self) -> bool {
-        *self.released.borrow()
+        self.released.is_raised()
     }
 
     /// Whoever only asks may ask the next owner; other work may have run here.
@@ -566,7 +584,9 @@
         resources: accepted.request.resources,
         repeatable: accepted.request.repeatable,
         family: accepted.request.family.clone(),
+        run_time: accepted.request.run_time,
         accepted: accepted.at,
         deadline: accepted.deadline,
+        preempted: 0,
     })
 }
--- a/src/session.rs
+++ b/src/session.rs
@@ -87,6 +87,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_ms")]
     pub lease: Duration,
+    /// Whether the VM is about to end, and so takes no more shards.
+    #[serde(default)]
+    pub leaving: bool,
+    /// The version of the configuration that the VM acts on.
+    #[serde(default)]
+    pub configuration: Version,
 }
 
 /// A shard's row.
@@ -190,10 +196,11 @@
 
 impl View {
     /// Returns the session that should own a shard: that with the highest hash among the live
-    /// ones, those of the shard's own data centre first.
+    /// ones that stay, those of the shard's own data centre first.
     pub fn preferred(&self, shard: &Shard) -> Option<Session> {
         self.live
             .iter()
+            .filter(|record| !record.leaving)
             .max_by_key(|record| {
                 let near = record.data_centre == shard.data_centre;
                 (near, weight(record.session, shard))
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,8 @@
         let job = Job {
             team: accepted.team,
             accepted: accepted.at,
+            request_id: accepted.request_id,
+            deadline: accepted.deadline,
             ended: vec![None; accepted.request.count as usize],
             request: accepted.request,
             sent: 0,
@@ -193,6 +195,7 @@
             return;
         }
         self.phase = Phase::Settled;
+        self.scheduler.limits.settle();
         for task in std::mem::take(&mut self.inherited).into_values() {
             self.requeue(task);
         }
--- a/tests/faults/journal.rs
+++ b/tests/faults/journal.rs
@@ -66,6 +66,7 @@
         team: Name::from(format!("team-{}", number % TEAMS)),
         at: Default::default(),
         deadline: None,
+        request_id: "test".into(),
         request: request(Kind::Batch, &payload("plan", 60_000)),
     }
 }
