--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod limit;
 pub mod placement;
 pub mod queue;
+pub mod route;
 pub mod shard;
--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -50,11 +50,14 @@
     budget::Budget,
     grant::{
         Draft,
+        Move,
         POOLS_TABLE,
         Part,
+        ROWS_PER_READ,
         Team,
         Tenure,
-        read, //
+        read,
+        read_pools, //
     },
     journal::Title,
     seat::{
@@ -70,6 +73,12 @@
 /// The reads that all VMs together spend on pools.
 pub const READS_PER_SECOND: u64 = 200;
 
+/// The teams that one write moves allotments of.
+const TEAMS_PER_WRITE: usize = 16;
+
+/// The pools that are read one by one; for more than these all are read at once.
+const MOST_SINGLE_READS: usize = 4;
+
 /// How often a round tries again when another VM has changed the pool.
 const ATTEMPTS: u32 = 3;
 
@@ -93,6 +102,7 @@
     holders: BTreeSet<Name>,
     /// What was taken from a book and is not written back to its pool yet.
     owed: BTreeMap<(Name, Shard), (Epoch, Resources)>,
+    in_doubt: Vec<Draft>,
     last_write: u64,
 }
 
@@ -110,6 +120,7 @@
             teams: BTreeMap::new(),
             holders: BTreeSet::new(),
             owed: BTreeMap::new(),
+            in_doubt: Vec::new(),
             last_write: 0,
         }
     }
@@ -234,9 +245,10 @@
 
     /// Reads the pools that are not known, and again those of which someone wants more.
     async fn refresh(&mut self, now: Millis, limits: &Limits, wishes: &Wishes) {
+        let doubtful: HashSet<_> = self.doubtful().collect();
         let holders = &self.holders;
-        self.teams.retain(|name, team| {
-            team.in_doubt.is_some() || wishes.contains_key(name) || holders.contains(name)
+        self.teams.retain(|name, _| {
+            doubtful.contains(name) || wishes.contains_key(name) || holders.contains(name)
         });
         for name in wishes.keys() {
             self.teams.entry(name.clone()).or_default();
@@ -255,15 +267,40 @@
             .map(|(name, team)| (team.read, name.clone()))
             .collect();
         stale.sort();
+        if stale.len() > MOST_SINGLE_READS {
+            return self.read_all(now).await;
+        }
         stale.retain(|_| self.reads.take());
         let reads = stale
             .iter()
             .map(|(_, name)| self.tables.get(POOLS_TABLE, name));
         let rows = future::join_all(reads).await;
-        for ((_, name), row) in stale.iter().zip(rows) {
-            if let (Some(team), Ok(row)) = (self.teams.get_mut(name), row) {
-                let _ = team.learn(&row, now);
+        for row in rows.into_iter().flatten() {
+            self.learn(now, &row);
+        }
+    }
+
+    /// Reads all pools in pages, which costs fewer calls when many are to be read.
+    async fn read_all(&mut self, now: Millis) {
+        let mut after = None;
+        while self.reads.take() {
+            let Ok(rows) = read_pools(&self.tables, after.take()).await else {
+                return;
+            };
+            for row in &rows {
+                self.learn(now, row);
+            }
+            if rows.len() < ROWS_PER_READ as usize {
+                self.teams.values_mut().for_each(|team| team.missing(now));
+                return;
             }
+            after = rows.last().map(|row| row.key.clone());
+        }
+    }
+
+    fn learn(&mut self, now: Millis, row: &Row) {
+        if let Some(team) = self.teams.get_mut(row.key.as_str()) {
+            let _ = team.learn(row, now);
         }
     }
 
@@ -275,57 +312,67 @@
         seats: &[Seat],
         wishes: &Wishes,
     ) -> Vec<Draft> {
-        let mut drafts = self.in_doubt(now);
+        let mut drafts = self.resend(now);
+        let doubtful: HashSet<_> = self.doubtful().chain(teams_of(&drafts)).collect();
+        let mut moves = Vec::new();
         for (name, changes) in wishes {
-            let team = self.teams.entry(name.clone()).or_default();
-            let waits = team.in_doubt.is_some() || drafts.iter().any(|draft| draft.team == *name);
-            if waits || !team.may_write(now) {
+            if doubtful.contains(name) || !self.teams.get(name).is_some_and(|t| t.may_write(now)) {
                 continue;
             }
-            if let Some(draft) = self.draft(now, limits, seats, name, changes) {
-                drafts.push(draft);
-            }
+            moves.extend(self.plan(now, limits, seats, name, changes));
+        }
+        while !moves.is_empty() && self.writes.take() {
+            let rest = moves.split_off(moves.len().min(TEAMS_PER_WRITE));
+            drafts.extend(self.draft(std::mem::replace(&mut moves, rest)));
         }
         drafts
     }
 
+    fn doubtful(&self) -> impl Iterator<Item = Name> {
+        teams_of(&self.in_doubt)
+    }
+
     /// Returns the writes that must be sent again until their outcomes are known.
-    fn in_doubt(&mut self, now: Millis) -> Vec<Draft> {
+    fn resend(&mut self, now: Millis) -> Vec<Draft> {
         let writes = &mut self.writes;
-        self.teams
-            .values_mut()
-            .filter(|team| team.in_doubt.is_some() && team.may_write(now) && writes.take())
-            .filter_map(|team| team.in_doubt.take())
+        self.in_doubt
+            .extract_if(.., |draft| draft.not_before <= now && writes.take())
             .collect()
     }
 
-    fn draft(
-        &mut self,
+    /// Plans what to move between a team's pool and its allotments, if there is anything to move.
+    fn plan(
+        &self,
         now: Millis,
         limits: &Limits,
         seats: &[Seat],
         name: &Name,
         changes: &[(usize, Change)],
-    ) -> Option<Draft> {
+    ) -> Option<Move> {
         let team = self.teams.get(name)?;
         let mut pool = limits.apply(name, team.row.clone());
         let waits = team.is_short(now, READ_INTERVAL);
         let mut parts = Vec::new();
         for (index, seat) in seats.iter().enumerate() {
+            let owed = self.owed.get(&(name.clone(), seat.title.shard.clone()));
+            let wanted = changes.iter().find(|(wanting, _)| *wanting == index);
+            if wanted.is_none() {
+                pool.waiting.remove(&seat.title.shard);
+            }
+            if (owed.is_none() && wanted.is_none()) || self.lost.contains(&seat.tenure()) {
+                continue;
+            }
             let mut held = None;
             (seat.book)(&mut |book| held = Some(book.held(name)));
-            let Some(held) = held.filter(|_| !self.lost.contains(&seat.tenure())) else {
+            let Some(held) = held else {
                 continue;
             };
-            let owed = self.owed.get(&(name.clone(), seat.title.shard.clone()));
             let returned = owed.map_or(Resources::default(), |owed| owed.1);
             pool.give_back(&returned);
-            let wanted = changes.iter().find(|(wanting, _)| *wanting == index);
             let granted = wanted.map_or(Resources::default(), |(_, change)| pool.carry_out(change));
-            let in_vain = wanted.is_some() && granted == Resources::default();
-            if !in_vain {
+            if granted != Resources::default() {
                 pool.waiting.remove(&seat.title.shard);
-            } else if waits {
+            } else if waits && wanted.is_some() {
                 pool.waiting.insert(seat.title.shard.clone());
             }
             parts.push(Part {
@@ -338,15 +385,23 @@
         parts.retain(|part| !part.is_empty());
         let row = &team.row;
         let changed = !parts.is_empty() || pool.limit != row.limit || pool.waiting != row.waiting;
-        if !changed || !self.writes.take() {
-            return None;
-        }
-        for part in &parts {
-            self.owed.remove(&(name.clone(), part.title.shard.clone()));
-        }
+        changed.then(|| Move {
+            team: name.clone(),
+            version: team.version,
+            pool,
+            parts,
+        })
+    }
+
+    fn draft(&mut self, moves: Vec<Move>) -> Option<Draft> {
         self.last_write += 1;
         let write_id = format!("allotment/{}/{}", self.session.0, self.last_write);
-        Draft::new(write_id, name.clone(), team.version, pool, parts).ok()
+        let draft = Draft::new(write_id, moves).ok()?;
+        for (team, part) in draft.parts() {
+            let key = (team.clone(), part.title.shard.clone());
+            self.owed.remove(&key);
+        }
+        Some(draft)
     }
 
     /// Sends writes and says whether any met another VM's.
@@ -373,11 +428,15 @@
                 }
             }
             Err(error) => {
-                let team = self.teams.entry(draft.team.clone()).or_default();
-                team.back_off(now, &mut self.random);
+                let mut not_before = now;
+                for change in &draft.moves {
+                    let team = self.teams.entry(change.team.clone()).or_default();
+                    not_before = team.back_off(now, &mut self.random);
+                }
                 if error.kind == Kind::WriteUnknown || draft.was_in_doubt {
-                    team.in_doubt = Some(Draft {
+                    self.in_doubt.push(Draft {
                         was_in_doubt: true,
+                        not_before,
                         ..draft
                     });
                 } else {
@@ -388,40 +447,40 @@
     }
 
     fn commit(&mut self, now: Millis, draft: Draft, version: Version, seats: &[Seat]) {
-        for part in &draft.parts {
-            let seat = seats.iter().find(|seat| seat.tenure() == part.tenure());
-            let Some(seat) = seat.filter(|_| part.granted != Resources::default()) else {
-                continue;
-            };
-            (seat.book)(&mut |book| {
-                book.add(&draft.team, &part.granted);
-                book.note(&draft.team, &draft.pool, version);
-            });
-            (seat.granted)();
+        for change in draft.moves {
+            for part in &change.parts {
+                let seat = seats.iter().find(|seat| seat.tenure() == part.tenure());
+                let Some(seat) = seat.filter(|_| part.granted != Resources::default()) else {
+                    continue;
+                };
+                (seat.book)(&mut |book| {
+                    book.add(&change.team, &part.granted);
+                    book.note(&change.team, &change.pool, version);
+                });
+                (seat.granted)();
+            }
+            let team = self.teams.entry(change.team).or_default();
+            team.committed(change.pool, version, now);
         }
-        let team = self.teams.entry(draft.team).or_default();
-        team.committed(draft.pool, version, now);
     }
 
     /// Owes again what a write that had no effect was to return.
     fn restore(&mut self, draft: &Draft, seats: &[Seat]) {
-        for part in &draft.parts {
+        for (team, part) in draft.parts() {
             let present = seats.iter().any(|seat| seat.tenure() == part.tenure());
             if present && part.returned != Resources::default() {
-                self.owe(&part.title, &draft.team, &part.returned);
+                self.owe(&part.title, team, &part.returned);
             }
         }
     }
 
     fn learn_conflict(&mut self, now: Millis, draft: &Draft, row: &Row) {
         if *row.table == *session::SHARDS_TABLE {
-            let lost = draft
-                .parts
-                .iter()
-                .find(|part| part.title.shard.to_string() == row.key);
-            self.lost.extend(lost.map(Part::tenure));
-        } else if let Some(team) = self.teams.get_mut(&draft.team) {
-            let _ = team.learn(row, now);
+            let mut parts = draft.parts();
+            let lost = parts.find(|(_, part)| part.title.shard.to_string() == row.key);
+            self.lost.extend(lost.map(|(_, part)| part.tenure()));
+        } else {
+            self.learn(now, row);
         }
     }
 
@@ -443,6 +502,11 @@
     }
 }
 
+fn teams_of(drafts: &[Draft]) -> impl Iterator<Item = Name> {
+    let moves = drafts.iter().flat_map(|draft| &draft.moves);
+    moves.map(|change| change.team.clone())
+}
+
 fn stop_overdue(now: Millis, seats: &[Seat]) {
     for seat in seats {
         let mut overdue = Vec::new();
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -6,7 +6,7 @@
 const CALL: u64 = 1000;
 
 /// The calls that a VM may make at once after a quiet time.
-const BURST: u64 = 10;
+const BURST: u64 = 4;
 
 /// A budget of calls that fills with time.
 #[derive(Debug, Clone)]
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -51,7 +51,8 @@
 /// How long it waits at most in the end.
 const LAST_BACKOFF: Duration = Duration::from_secs(5);
 
-const ROWS_PER_READ: u32 = 1000;
+/// The most rows that one read returns.
+pub(crate) const ROWS_PER_READ: u32 = 1000;
 
 /// A claim on a shard, which tells two times of ownership apart.
 pub(crate) type Tenure = (Shard, Epoch);
@@ -75,63 +76,81 @@
     }
 }
 
-/// A write whose outcome is not known yet.
-pub(crate) struct Draft {
+/// What a write changes for one team.
+pub(crate) struct Move {
     pub(crate) team: Name,
-    pub(crate) transaction: Transaction,
+    /// The version that the pool's row must have.
+    pub(crate) version: Version,
     pub(crate) pool: Pool,
     pub(crate) parts: Vec<Part>,
+}
+
+/// A write whose outcome is not known yet.
+pub(crate) struct Draft {
+    pub(crate) transaction: Transaction,
+    pub(crate) moves: Vec<Move>,
     /// Whether an earlier try may have taken effect.
     pub(crate) was_in_doubt: bool,
+    pub(crate) not_before: Millis,
 }
 
 impl Draft {
-    /// Makes the write that changes a pool and allotments together.
+    /// Makes the write that changes pools and allotments together.
     ///
     /// It holds only while this VM owns all of the shards, so a later owner can rely on the rows
     /// that it reads after its claim.
-    pub(crate) fn new(
-        write_id: String,
-        team: Name,
-        version: Version,
-        pool: Pool,
-        parts: Vec<Part>,
-    ) -> Result<Self> {
-        let mut checks = vec![Check {
-            table: POOLS_TABLE.into(),
-            key: team.to_string(),
-            version,
-        }];
-        let mut puts = vec![Put {
-            table: POOLS_TABLE.into(),
-            key: team.to_string(),
-            value: Some(write(&pool)?),
-        }];
-        for part in &parts {
+    pub(crate) fn new(write_id: String, moves: Vec<Move>) -> Result<Self> {
+        let mut checks = Vec::new();
+        let mut puts = Vec::new();
+        for change in &moves {
             checks.push(Check {
-                table: session::SHARDS_TABLE.into(),
-                key: part.title.shard.to_string(),
-                version: part.title.version,
-            });
-            let kept = part.held != Resources::default();
-            puts.push(Put {
-                table: TABLE.into(),
-                key: format!("{}/{team}", part.title.shard),
-                value: kept.then(|| write(&part.held)).transpose()?,
+                table: POOLS_TABLE.into(),
+                key: change.team.to_string(),
+                version: change.version,
             });
+            puts.push(put(
+                POOLS_TABLE,
+                change.team.to_string(),
+                Some(&change.pool),
+            )?);
+            for part in &change.parts {
+                let shard = &part.title.shard;
+                checks.push(Check {
+                    table: session::SHARDS_TABLE.into(),
+                    key: shard.to_string(),
+                    version: part.title.version,
+                });
+                let kept = part.held != Resources::default();
+                let key = format!("{shard}/{}", change.team);
+                puts.push(put(TABLE, key, kept.then_some(&part.held))?);
+            }
         }
+        checks.sort_by(|a, b| (&a.table, &a.key).cmp(&(&b.table, &b.key)));
+        checks.dedup();
         Ok(Self {
-            team,
             transaction: Transaction {
                 write_id,
                 checks,
                 puts,
             },
-            pool,
-            parts,
+            moves,
             was_in_doubt: false,
+            not_before: Millis::default(),
         })
     }
+
+    pub(crate) fn parts(&self) -> impl Iterator<Item = (&Name, &Part)> {
+        let moves = self.moves.iter();
+        moves.flat_map(|change| change.parts.iter().map(|part| (&change.team, part)))
+    }
+}
+
+fn put<T: Serialize>(table: &str, key: String, value: Option<&T>) -> Result<Put> {
+    Ok(Put {
+        table: table.into(),
+        key,
+        value: value.map(write).transpose()?,
+    })
 }
 
 /// What this VM knows of a team's pool.
@@ -141,7 +160,6 @@
     pub(crate) version: Version,
     /// When the row was last known to stand so.
     pub(crate) read: Option<Millis>,
-    pub(crate) in_doubt: Option<Draft>,
     pub(crate) excess_since: Option<Millis>,
     /// Since when the pool has had too little for this VM.
     pub(crate) short_since: Option<Millis>,
@@ -158,6 +176,11 @@
         Ok(())
     }
 
+    /// Takes note that there is no row, if none was ever read.
+    pub(crate) fn missing(&mut self, now: Millis) {
+        self.read.get_or_insert(now);
+    }
+
     /// Takes the row that a write of ours has left.
     pub(crate) fn committed(&mut self, pool: Pool, version: Version, now: Millis) {
         self.row = pool;
@@ -187,14 +210,27 @@
     }
 
     /// Puts the next write off, at random so that VMs which met once do not meet again.
-    pub(crate) fn back_off(&mut self, now: Millis, random: &mut impl Rng) {
+    pub(crate) fn back_off(&mut self, now: Millis, random: &mut impl Rng) -> Millis {
         let most = FIRST_BACKOFF * (1 << self.failures.min(8));
         let most = most.min(LAST_BACKOFF).as_millis() as u64;
         self.failures += 1;
         self.not_before = now.after(Duration::from_millis(random.random_range(1..=most)));
+        self.not_before
     }
 }
 
+/// Reads a page of all pools, from the first key after `after` on.
+pub(crate) async fn read_pools(tables: &Service, after: Option<String>) -> Result<Vec<Row>> {
+    tables
+        .scan(Query {
+            table: POOLS_TABLE.into(),
+            prefix: String::new(),
+            after,
+            limit: ROWS_PER_READ,
+        })
+        .await
+}
+
 /// Reads the allotments of a shard.
 pub async fn read(tables: &Service, shard: &Shard) -> Result<Vec<(Name, Resources)>> {
     let prefix = format!("{shard}/");
