Tell news of shards and of teams' use between VMs, and route by them

Cause: a VM knew only the load of its own shards and only its own shards' use of a team. Change: scheduler::gossip (facts with versions, told from a cursor that the receiver acknowledges), scheduler::usage (teams' use by VM), summary::Board and the messages of Exchange; router::choose draws by scheduler::route, and new work that an owner provably did not run goes to another shard. Before: work that came to a VM went to that VM's own shards only.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -14,6 +14,8 @@
 }
 
 pub use generated::{
+    Cursor,
     News,
-    Owned, //
+    Owned,
+    Use, //
 };
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,8 +4,10 @@
 //! alone. Times come in as [`Millis`](basilbridge_common::unit::Millis).
 
 pub mod allotment;
+pub mod gossip;
 pub mod limit;
 pub mod placement;
 pub mod queue;
 pub mod route;
 pub mod shard;
+pub mod usage;
--- a/crates/scheduler/src/route.rs
+++ b/crates/scheduler/src/route.rs
@@ -24,7 +24,7 @@
     seq::IndexedRandom, //
 };
 
-/// The age at which a summary's room counts half.
+/// The age at which a summary's room counts half, where nothing else is set.
 pub const HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// The chance of a shard without room, beside that of one with room for one task.
@@ -58,11 +58,10 @@
 
 impl View {
     /// Returns how many tasks of this size find room, by what is known.
-    fn room(&self, need: &Resources, now: Millis, routers: u64) -> f64 {
+    fn room(&self, need: &Resources, age: Duration, half_life: Duration, routers: u64) -> f64 {
         let left = self.summary.free.minus(&self.sent.times(routers));
         let tasks = tasks_in(&left, need);
-        let age = now.since(self.learned).as_secs_f64();
-        tasks * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        tasks * 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
     }
 
     /// Returns how long a task waits, in the time of one task for each that runs.
@@ -85,6 +84,7 @@
 pub struct Table {
     shards: HashMap<Shard, View>,
     others: u64,
+    half_life: Option<Duration>,
 }
 
 struct Candidate<'a> {
@@ -99,6 +99,11 @@
         self.others = (routers as u64).saturating_sub(1);
     }
 
+    /// Sets the age at which a summary's room counts half, which follows how often news come.
+    pub fn set_half_life(&mut self, half_life: Duration) {
+        self.half_life = Some(half_life);
+    }
+
     /// Takes a newer summary of a shard.
     pub fn learn(&mut self, shard: Shard, summary: Summary, made: Millis) {
         let view = View {
@@ -154,7 +159,9 @@
         let unknown = View::default();
         let view = self.shards.get(shard).unwrap_or(&unknown);
         let routers = self.others + 1;
-        let room = view.room(need, now, routers);
+        let age = now.since(view.learned);
+        let half_life = self.half_life.unwrap_or(HALF_LIFE);
+        let room = view.room(need, age, half_life, routers);
         let cost = match room >= 1.0 {
             true => 1.0 / (1.0 + room),
             false => 1.0 + view.wait(routers),
--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -153,14 +153,15 @@
             number: number as u32,
         };
         let vm = number % size.vms;
-        let title = session::claim(&tables, Session(vm as u64), &shard, None).await;
+        let wanted = [(shard, None)];
+        let titles = session::claim(&tables, Session(vm as u64), &wanted).await;
         let mut book = Book::default();
         book.settle();
         book.set_limited(&limits.names);
         let book = Arc::new(Mutex::new(book));
         let shared = Arc::clone(&book);
         seats[vm].push(Seat {
-            title: title.unwrap().unwrap(),
+            title: titles.unwrap().remove(0),
             book: Arc::new(move |work| work(&mut shared.lock().unwrap())),
             granted: Arc::new(|| {}),
             stop: Arc::new(|_, _| {}),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
         HashMap, //
     },
     sync::{
+        Arc,
         Mutex,
         PoisonError, //
     },
@@ -16,6 +17,7 @@
         Name,
         Shard, //
     },
+    unit::Resources,
     worker::Worker,
 };
 use basilbridge_platform::vm::Vm;
@@ -25,6 +27,8 @@
 pub struct Fleet {
     racks_per_shard: u32,
     workers: Mutex<HashMap<Name, Worker>>,
+    /// The sizes of worker in each shard, so that routing need not look at every worker.
+    sizes: Mutex<Arc<BTreeMap<Shard, Vec<Resources>>>>,
 }
 
 impl Fleet {
@@ -33,6 +37,7 @@
         Self {
             racks_per_shard,
             workers: Mutex::default(),
+            sizes: Mutex::default(),
         }
     }
 
@@ -44,6 +49,35 @@
         });
         let mut current = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
         *current = workers.collect();
+        let sizes = self.count_sizes(current.values());
+        drop(current);
+        *self.sizes.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(sizes);
+    }
+
+    fn count_sizes<'a>(
+        &self,
+        workers: impl Iterator<Item = &'a Worker>,
+    ) -> BTreeMap<Shard, Vec<Resources>> {
+        let mut sizes: BTreeMap<Shard, Vec<Resources>> = BTreeMap::new();
+        for worker in workers {
+            let shard = worker.shard(self.racks_per_shard);
+            let sizes = sizes.entry(shard).or_default();
+            if !sizes.contains(&worker.capacity) {
+                sizes.push(worker.capacity);
+            }
+        }
+        sizes
+    }
+
+    /// Returns the shards that have a worker large enough, or nothing if no workers are known.
+    pub fn possible(&self, need: &Resources) -> Option<Vec<Shard>> {
+        let sizes = self.sizes.lock().unwrap_or_else(PoisonError::into_inner);
+        let sizes = Arc::clone(&sizes);
+        let possible = sizes
+            .iter()
+            .filter(|(_, sizes)| sizes.iter().any(|size| need.fits(size)));
+        let possible = possible.map(|(shard, _)| shard.clone()).collect();
+        (!sizes.is_empty()).then_some(possible)
     }
 
     /// Returns all workers, in the order of their names.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod settings;
 pub mod snapshot;
 mod state;
+pub mod summary;
 pub mod takeover;
 pub mod title;
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,7 +29,6 @@
 use basilbridge_endpoints::Client;
 use basilbridge_operators as operators;
 use basilbridge_peers::{
-    News,
     client::Pool,
     server, //
 };
@@ -61,6 +60,7 @@
     owner::Owner,
     router, seat,
     settings::Settings,
+    summary,
 };
 
 /// One entry VM.
@@ -83,6 +83,8 @@
     pub metrics: Metrics,
     /// Tells that work waits for an allotment of its team.
     pub(crate) allotments: Arc<Notify>,
+    /// What this VM knows of all shards and of the use of teams.
+    pub board: summary::Board,
     pub(crate) session: Session,
     pub(crate) platform: Platform,
     pub(crate) endpoints: Client,
@@ -140,6 +142,7 @@
             gate: Gate::default(),
             allotments: Arc::default(),
             metrics,
+            board: summary::Board::new(session, config.data_centre.clone()),
             session,
             platform,
             endpoints,
@@ -163,6 +166,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).keep_session(peers.address));
         tasks.spawn(seat::run(Arc::clone(self)));
+        tasks.spawn(summary::run(Arc::clone(self)));
         tasks.spawn(Arc::clone(self).report());
         Ok(Running {
             node: Arc::clone(self),
@@ -222,11 +226,7 @@
                 let node = Arc::clone(&node);
                 async move { node.handle_forwarded(call).await }.boxed()
             }),
-            exchange: Arc::new(move |_| News {
-                session: news.session.0,
-                configuration: news.settings.current().version.0,
-                shards: Vec::new(),
-            }),
+            exchange: Arc::new(move |told| news.board.answer(&told, news.timer.now())),
         }
     }
 
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -37,7 +37,10 @@
         Status, //
     },
     timer,
-    unit::Millis,
+    unit::{
+        Millis,
+        Resources, //
+    },
     worker::Worker,
 };
 use basilbridge_endpoints::{
@@ -45,7 +48,10 @@
     command::Attempt, //
 };
 use basilbridge_platform::table::Service;
-use basilbridge_scheduler::shard;
+use basilbridge_scheduler::{
+    route::Summary,
+    shard, //
+};
 use slog::Logger;
 use tokio::{
     sync::{
@@ -218,6 +224,28 @@
         (queued, inner.scheduler.running())
     }
 
+    /// Returns how full the shard is, and what each team has running in it.
+    pub fn summary(&self) -> (Summary, Vec<(Name, Resources)>) {
+        let inner = self.lock();
+        let uses = inner.scheduler.limits.uses();
+        let uses: Vec<_> = uses.map(|(team, used)| (team.clone(), *used)).collect();
+        let workers = inner.contacts.values().map(|contact| &contact.worker);
+        let capacity = workers
+            .filter(|worker| !worker.leaving)
+            .fold(Resources::default(), |sum, worker| {
+                sum.plus(&worker.capacity)
+            });
+        let used = uses
+            .iter()
+            .fold(Resources::default(), |sum, (_, used)| sum.plus(used));
+        let summary = Summary {
+            queued: (inner.scheduler.queued() + inner.inherited.len()) as u64,
+            running: inner.scheduler.running() as u64,
+            free: capacity.minus(&used),
+        };
+        (summary, uses)
+    }
+
     /// Says whether the shard could ever run a task of this size.
     pub fn possible(&self, request: &Request) -> bool {
         let inner = self.lock();
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,6 +30,9 @@
 /// How long to wait before the owner of a shard is looked up again.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often new work goes to another shard at once when an owner does not take it.
+const MOST_MOVES: u32 = 2;
+
 /// Handles a request that came from a caller.
 pub async fn route(node: &Node, request: callers::Request) -> Result<Status> {
     let team = authorize(node, &request)?;
@@ -78,33 +81,30 @@
     }
 }
 
-/// Chooses a shard for new work: one of our own that could run it, else any that could.
+/// Chooses a shard for new work among those that could run it.
 fn choose(node: &Node, request: &Request) -> Result<Shard> {
-    let own = node.owners();
-    let mut own: Vec<_> = own.iter().filter(|owner| owner.possible(request)).collect();
-    own.sort_by_key(|owner| owner.load());
-    if let Some(owner) = own.first() {
-        return Ok(owner.title.shard.clone());
-    }
-    let shards = node.fleet.shards();
-    let possible = shards.iter().find(|(_, workers)| {
-        workers
-            .iter()
-            .any(|worker| request.resources.fits(&worker.capacity))
-    });
-    if let Some((shard, _)) = possible {
-        return Ok(shard.clone());
-    }
-    if shards.is_empty() {
+    let Some(possible) = node.fleet.possible(&request.resources) else {
         let error = Error::new(error::Kind::Unreachable, "no workers are known yet");
         return Err(error.retry_after(node.config.poll_interval));
-    }
-    let message = "no worker of the fleet is large enough for a task of this size";
-    Err(Error::new(error::Kind::Impossible, message))
+    };
+    // A shard without an owner takes nothing for now, so it is the last resort.
+    let is_owned = |shard: &Shard| node.directory.find(shard).is_some();
+    let owned: Vec<_> = possible.iter().filter(|s| is_owned(s)).cloned().collect();
+    let candidates = if owned.is_empty() { possible } else { owned };
+    let now = node.timer.now();
+    let count = u64::from(request.count);
+    let chosen = node
+        .board
+        .choose(&candidates, &request.resources, count, now);
+    chosen.ok_or_else(|| {
+        let message = "no worker of the fleet is large enough for a task of this size";
+        Error::new(error::Kind::Impossible, message)
+    })
 }
 
 /// Hands a call to the owner of its shard, and looks the owner up again if it has moved.
-async fn forward(node: &Node, call: Call) -> Result<Status> {
+async fn forward(node: &Node, mut call: Call) -> Result<Status> {
+    let mut moves = 0;
     let deadline = node.timer.now().after(call.remaining);
     loop {
         let remaining = deadline.since(node.timer.now());
@@ -119,10 +119,28 @@
         if remaining <= LOOKUP_INTERVAL {
             return Err(error.retry_after(node.config.session_lease));
         }
+        if moves < MOST_MOVES && move_on(node, &mut call) {
+            moves += 1;
+            continue;
+        }
         node.timer.sleep(LOOKUP_INTERVAL).await;
     }
 }
 
+/// Chooses another shard for new work that provably did not run; says whether there is one.
+fn move_on(node: &Node, call: &mut Call) -> bool {
+    let Verb::Submit(shard, request) = &mut call.verb else {
+        return false;
+    };
+    match choose(node, request) {
+        Ok(chosen) if chosen != *shard => {
+            *shard = chosen;
+            true
+        }
+        _ => false,
+    }
+}
+
 fn may_have_moved(error: &Error) -> bool {
     matches!(error.kind, error::Kind::NotOwner | error::Kind::Unreachable)
         && error.kind.answer().ran == Ran::No
--- a/tests/limits.rs
+++ b/tests/shards.rs
@@ -1,4 +1,4 @@
-//! Upper limits of teams over several entry VMs and shards.
+//! Upper limits of teams and the spread of work over several entry VMs and shards.
 
 mod util;
 
@@ -176,3 +176,23 @@
     assert!(lowered, "{:?} runs", first.fleet.used());
     assert_eq!(first.fleet.violations(), Default::default());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_comes_to_one_vm_is_spread_over_the_shards_of_all() {
+    let cell = cell(cores(1000)).await;
+    let client = caller(cell.vms[0].callers.address);
+
+    for _ in 0..40 {
+        client.submit(&job(1, 60_000), PATIENCE).await.unwrap();
+    }
+
+    let owners = cell.vms.iter().flat_map(|vm| vm.node.owners());
+    let loads = owners.map(|owner| {
+        let (queued, running) = owner.load();
+        (queued + running, owner.title.shard.to_string())
+    });
+    let loads: Vec<_> = loads.collect();
+    let total: usize = loads.iter().map(|(load, _)| load).sum();
+    assert_eq!(total, 40);
+    assert!(loads.iter().all(|(load, _)| *load >= 2), "{loads:?}");
+}
