--- a/tests/news.rs
+++ b/tests/news.rs
@@ -18,7 +18,8 @@
         Epoch,
         Name,
         Session,
-        Shard, //
+        Shard,
+        Version, //
     },
     unit::{
         Millis,
@@ -73,6 +74,7 @@
         data_centre: format!("centre-{}", vm % data_centres).into(),
         renewals: 0,
         lease: INTERVAL,
+        configuration: Version(0),
     }
 }
 
