--- a/crates/scheduler/src/allotment.rs
+++ b/crates/scheduler/src/allotment.rs
@@ -124,12 +124,9 @@
 
     fn lower(&self) -> Option<Change> {
         let kept = self.peak.max(&self.previous_peak).plus(&self.unseen);
-        let kept = match self.scarce {
-            true => kept,
-            false => kept.plus(&headroom(&kept)),
-        };
         let idle = self.held.minus(&kept);
-        let worth = kept == NOTHING || !idle.fits(&headroom(&headroom(&self.held)));
+        let large = !idle.fits(&headroom(&headroom(&self.held)));
+        let worth = kept == NOTHING || (self.scarce && large);
         (worth && idle != NOTHING).then_some(Change::Lower(idle))
     }
 
--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -43,7 +43,8 @@
 use futures_util::future;
 use rand::{
     SeedableRng,
-    rngs::SmallRng, //
+    rngs::SmallRng,
+    seq::SliceRandom, //
 };
 
 use crate::{
@@ -321,6 +322,8 @@
             }
             moves.extend(self.plan(now, limits, seats, name, changes));
         }
+        // No team goes first each time when there are not enough writes for all.
+        moves.shuffle(&mut self.random);
         while !moves.is_empty() && self.writes.take() {
             let rest = moves.split_off(moves.len().min(TEAMS_PER_WRITE));
             drafts.extend(self.draft(std::mem::replace(&mut moves, rest)));
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -51,6 +51,9 @@
 /// How long it waits at most in the end.
 const LAST_BACKOFF: Duration = Duration::from_secs(5);
 
+/// How often the pool of an allotment is read although nobody is known to want more.
+const LONGEST_READ_INTERVAL: Duration = Duration::from_secs(30);
+
 /// The most rows that one read returns.
 pub(crate) const ROWS_PER_READ: u32 = 1000;
 
@@ -194,7 +197,10 @@
         let matters =
             self.short_since.is_some() || self.excess_since.is_some() || self.row.is_scarce();
         match self.read {
-            Some(read) => matters && now.since(read) >= interval,
+            Some(read) => {
+                let age = now.since(read);
+                age >= LONGEST_READ_INTERVAL || (matters && age >= interval)
+            }
             None => true,
         }
     }
