--- a/src/commit.rs
+++ b/src/commit.rs
@@ -153,7 +153,7 @@
                 batch.push(request);
             }
             self.write(batch).await;
-            let id = format!("trim/{}", rand::random::<u128>());
+            let id = format!("trim/{:032x}", rand::random::<u128>());
             // A trim that fails is made up for after the next transaction.
             let _ = audit::trim(&self.platform, id).await;
         }
@@ -192,7 +192,7 @@
             return Ok(());
         }
         let (entries, answers) = prepare(batch, &head, &configuration, self.timer.now());
-        let write_id = format!("configuration/{}", rand::random::<u128>());
+        let write_id = format!("configuration/{:032x}", rand::random::<u128>());
         let outcome = match entries.as_slice() {
             [] => None,
             entries => Some(audit::append(tables, write_id, (&head, row), entries).await?),
@@ -233,7 +233,7 @@
 ) -> Result<Version> {
     let settings = Arc::new(Settings::new(timer.clone(), None));
     settings.refresh(&platform.tables).await?;
-    let id = format!("replace-{}", rand::random::<u128>());
+    let id = format!("replace-{:032x}", rand::random::<u128>());
     let edit = settings.current().edit_to(id.into(), configuration);
     let committer = Committer::new(settings, platform, timer);
     let mut tasks = JoinSet::new();
--- a/src/config.rs
+++ b/src/config.rs
@@ -35,6 +35,12 @@
     pub racks_per_shard: u32,
     /// How long a caller that states no deadline waits for an answer.
     pub default_wait: Duration,
+    /// How long requests are still taken after the platform's balancer was told of the end.
+    pub drain_grace: Duration,
+    /// How long the end of the VM takes at most, the grace included.
+    pub drain_limit: Duration,
+    /// How many submissions the VM works on at once, and how many callers may wait for jobs.
+    pub max_requests: usize,
     /// The key of the first operator, before the configuration names any.
     pub bootstrap_key: Option<Hash>,
 }
@@ -77,6 +83,16 @@
 pub const DEFAULT_WAIT: RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(600);
 
+/// The shortest and the longest time in which the balancer sees that a VM ends.
+pub const DRAIN_GRACE: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(60);
+
+/// The shortest and the longest time that the end of a VM takes at most.
+pub const DRAIN_LIMIT: RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_secs(3600);
+
+/// The fewest and the most requests that a VM works on at once.
+pub const MAX_REQUESTS: RangeInclusive<usize> = 2..=100_000;
+
 /// The fewest and the most racks of a shard.
 pub const RACKS_PER_SHARD: RangeInclusive<u32> = 1..=1000;
 
@@ -100,6 +116,9 @@
             poll_interval: Duration::from_millis(500),
             racks_per_shard: basilbridge_common::worker::RACKS_PER_SHARD,
             default_wait: Duration::from_secs(10),
+            drain_grace: Duration::from_secs(2),
+            drain_limit: Duration::from_secs(30),
+            max_requests: 2048,
             bootstrap_key: None,
         }
     }
@@ -133,6 +152,13 @@
             self.default_wait,
             &DEFAULT_WAIT,
         ));
+        faults.extend(check_time("--drain-grace", self.drain_grace, &DRAIN_GRACE));
+        faults.extend(check_time("--drain-limit", self.drain_limit, &DRAIN_LIMIT));
+        faults.extend(check_range(
+            "--max-requests",
+            self.max_requests,
+            &MAX_REQUESTS,
+        ));
         if faults.is_empty() {
             Ok(())
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! through the platform's table service. `docs/ARCHITECTURE.md` shows the way of one request.
 
 pub mod acknowledgement;
+pub mod admission;
 pub mod allotment;
 pub mod audit;
 pub mod budget;
@@ -24,6 +25,7 @@
 pub mod owner;
 pub mod record;
 pub mod renewal;
+pub mod retry;
 pub mod router;
 pub mod seat;
 pub mod session;
--- a/src/node.rs
+++ b/src/node.rs
@@ -34,8 +34,14 @@
 };
 use basilbridge_platform::Platform;
 use basilbridge_server::{
-    gate::Gate,
-    listener::Server, //
+    gate::{
+        Gate,
+        Phase, //
+    },
+    listener::{
+        self,
+        Server, //
+    },
 };
 use futures_util::FutureExt;
 use slog::Logger;
@@ -49,6 +55,7 @@
 
 use crate::{
     acknowledgement::Messenger,
+    admission::Admission,
     commit::Committer,
     config::Config,
     directory::Directory,
@@ -61,6 +68,7 @@
     },
     operator,
     owner::Owner,
+    retry::Budget,
     router, seat,
     settings::Settings,
     summary,
@@ -86,6 +94,12 @@
     pub pool: Pool,
     /// The requests in flight.
     pub gate: Gate,
+    /// The submissions that this VM works on.
+    pub submissions: Admission,
+    /// The calls to other VMs that may be sent again.
+    pub retries: Budget,
+    /// The callers that wait for jobs here.
+    pub waits: Admission,
     /// Where metrics are sent.
     pub metrics: Metrics,
     /// Tells that work waits for an allotment of its team.
@@ -160,6 +174,9 @@
             directory: Directory::default(),
             pool,
             gate: Gate::default(),
+            submissions: Admission::new(config.max_requests),
+            waits: Admission::new(config.max_requests),
+            retries: Budget::default(),
             session,
             allotments: Arc::default(),
             metrics,
@@ -180,9 +197,10 @@
     pub async fn start(self: &Arc<Self>) -> io::Result<Running> {
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
-        let callers = Server::start(self.config.callers, caller_router).await?;
+        let settings = listener::Settings::new(self.timer.clone(), self.gate.clone());
+        let callers = Server::start(self.config.callers, caller_router, settings.clone()).await?;
         let operator_router = operators::route::router(operator::app(self));
-        let operators = Server::start(self.config.operators, operator_router).await?;
+        let operators = Server::start(self.config.operators, operator_router, settings).await?;
         let mut tasks = JoinSet::new();
         self.committer.start(&mut tasks);
         let committed = self.committer.committed();
@@ -302,13 +320,35 @@
 }
 
 impl Running {
-    /// Stops taking requests, waits for those in flight and ends.
-    pub async fn drain(mut self) {
-        self.node.gate.drain();
-        self.callers.stop_accepting();
-        self.operators.stop_accepting();
-        self.node.gate.idle().await;
-        self.peers.stop().await;
+    /// Ends the VM without cutting off a request; says whether all were answered in time.
+    ///
+    /// `docs/design/drain.md` has the order of the steps.
+    pub async fn drain(mut self) -> bool {
+        let (timer, limit) = (self.node.timer.clone(), self.node.config.drain_limit);
+        let answered = timer.timeout(limit, self.leave()).await.is_some();
         self.tasks.shutdown().await;
+        answered
+    }
+
+    async fn leave(&mut self) {
+        let node = Arc::clone(&self.node);
+        slog::info!(node.log, "drain begins");
+        node.gate.advance(Phase::Leaving);
+        node.timer.sleep(node.config.drain_grace).await;
+        // What comes in on open connections from here on goes to the next owners.
+        if !node.hand_over().await {
+            slog::warn!(
+                node.log,
+                "shards not handed over; they lapse with the session"
+            );
+        }
+        node.gate.advance(Phase::Closing);
+        self.callers.close();
+        self.operators.close();
+        node.gate.idle().await;
+        self.callers.closed().await;
+        self.operators.closed().await;
+        self.peers.stop().await;
+        slog::info!(node.log, "drain ends");
     }
 }
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -75,6 +75,7 @@
         renewals: 0,
         lease: INTERVAL,
         configuration: Version(0),
+        leaving: false,
     }
 }
 
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -6,7 +6,7 @@
 };
 
 use basilbridge::{
-    client::Client,
+    client,
     config::Config,
     embedded::{
         self,
@@ -27,31 +27,37 @@
     timer,
     unit::Resources,
 };
+use basilbridge_endpoints::Client;
+use basilbridge_standins::store::Store;
 
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 pub(crate) async fn one_vm() -> Embedded {
-    let config = Config::local("entry-0", "local");
+    first_vm(Config::local("entry-0", "local")).await
+}
+
+/// Starts an entry VM with a platform and workers.
+pub(crate) async fn first_vm(config: Config) -> Embedded {
     embedded::start(config, 16, log::silent(), Metrics::none())
         .await
         .unwrap()
 }
 
-/// Starts further entry VMs on the platform and workers of `first`.
-pub(crate) async fn further_vm(first: &Embedded, name: &str, data_centre: &str) -> Running {
+/// Starts a further entry VM on a platform with these workers.
+pub(crate) async fn further_vm(store: &Store, workers: Client, config: Config) -> Running {
     let node = Node::new(
-        Config::local(name, data_centre),
+        config,
         timer::Service::start(),
-        first.store.platform(),
-        first.fleet.client(),
+        store.platform(),
+        workers,
         log::silent(),
         Metrics::none(),
     );
     node.start().await.unwrap()
 }
 
-pub(crate) fn caller(address: SocketAddr) -> Client {
-    Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
+pub(crate) fn caller(address: SocketAddr) -> client::Client {
+    client::Client::new(address, Some(embedded::TEAM_KEY.to_owned()))
 }
 
 pub(crate) fn request(queue: &str, kind: Kind, payload: &str) -> Request {
