--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -69,6 +69,15 @@
         sizes
     }
 
+    /// Returns what all workers have together.
+    pub fn capacity(&self) -> Resources {
+        let current = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        let workers = current.values();
+        workers.fold(Resources::default(), |sum, worker| {
+            sum.plus(&worker.capacity)
+        })
+    }
+
     /// Returns the shards that have a worker large enough, or nothing if no workers are known.
     pub fn possible(&self, need: &Resources) -> Option<Vec<Shard>> {
         let sizes = self.sizes.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -51,7 +51,8 @@
 use basilbridge_platform::table::Service;
 use basilbridge_scheduler::{
     route::Summary,
-    shard, //
+    shard,
+    share::Team, //
 };
 use slog::Logger;
 use tokio::{
@@ -249,6 +250,18 @@
         (summary, uses)
     }
 
+    /// Sets the weights of teams, what they have outside this shard, and what the fleet has.
+    pub fn set_teams(&self, teams: Vec<Team>, fleet: Resources) {
+        self.lock().scheduler.set_teams(teams, Some(fleet));
+    }
+
+    /// Returns the teams that the shard knows, with what they have elsewhere.
+    pub fn teams(&self) -> Vec<Team> {
+        let inner = self.lock();
+        let accounts = inner.scheduler.teams();
+        accounts.map(|account| account.team.clone()).collect()
+    }
+
     /// Says whether the shard could ever run a task of this size.
     pub fn possible(&self, request: &Request) -> bool {
         let inner = self.lock();
@@ -297,6 +310,7 @@
             return Err(Error::new(Kind::NotOwner, "the shard is being handed over"));
         }
         let accepted = self.accepted(call, request);
+        self.check_load(&accepted)?;
         let id = accepted.job.clone();
         // A caller that goes away must not leave a job that is kept and not queued.
         let kept = tokio::spawn(Arc::clone(self).accept(accepted));
@@ -398,6 +412,18 @@
         }
     }
 
+    /// Refuses a job whose tasks would wait in vain.
+    fn check_load(&self, accepted: &Accepted) -> Result<()> {
+        let inner = self.lock();
+        let admitted = inner
+            .scheduler
+            .admit(accepted.request.kind, accepted.deadline, accepted.at);
+        admitted.map_err(|refusal| {
+            let message = "too much of this kind waits here already";
+            Error::new(Kind::Overloaded, message).retry_after(refusal.retry_after)
+        })
+    }
+
     fn next_job(&self) -> id::Job {
         let mut inner = self.lock();
         inner.next_job += 1;
@@ -583,7 +609,9 @@
         resources: accepted.request.resources,
         repeatable: accepted.request.repeatable,
         family: accepted.request.family.clone(),
+        run_time: accepted.request.run_time,
         accepted: accepted.at,
         deadline: accepted.deadline,
+        preempted: 0,
     })
 }
--- a/src/summary.rs
+++ b/src/summary.rs
@@ -45,6 +45,7 @@
         Summary,
         Table, //
     },
+    share,
     usage::{
         self,
         Usage, //
@@ -399,20 +400,52 @@
     }
 }
 
-/// Puts the state of the own shards on the board.
+/// Puts the state of the own shards on the board, and tells each what its teams have elsewhere.
 fn take_stock(node: &Node) {
-    let mut uses: BTreeMap<Name, Resources> = BTreeMap::new();
+    let mut totals = BTreeMap::new();
+    let mut own = Vec::new();
     for owner in node.owners() {
-        let (summary, used) = owner.summary();
-        for (team, used) in used {
-            let total = uses.entry(team).or_default();
-            *total = total.plus(&used);
-        }
-        let now = node.timer.now();
+        let (summary, uses) = owner.summary();
+        uses.iter()
+            .for_each(|(team, used)| add(&mut totals, team, used));
+        let (title, now) = (&owner.title, node.timer.now());
         node.board
-            .set_shard(&owner.title.shard, owner.title.epoch, summary, now);
+            .set_shard(&title.shard, title.epoch, summary, now);
+        own.push((owner, uses));
+    }
+    node.board.set_uses(&totals);
+    for (team, used) in node.board.elsewhere() {
+        add(&mut totals, &team, &used);
     }
-    node.board.set_uses(&uses);
+    let fleet = node.fleet.capacity();
+    for (owner, uses) in own {
+        owner.set_teams(teams(node, &totals, &uses), fleet);
+    }
+}
+
+fn add(totals: &mut BTreeMap<Name, Resources>, team: &Name, used: &Resources) {
+    let total = totals.entry(team.clone()).or_default();
+    *total = total.plus(used);
+}
+
+/// Returns the teams of the configuration as a shard that has `uses` is to see them.
+fn teams(
+    node: &Node,
+    totals: &BTreeMap<Name, Resources>,
+    uses: &[(Name, Resources)],
+) -> Vec<share::Team> {
+    let here: HashMap<_, _> = uses.iter().cloned().collect();
+    let configuration = node.settings.current();
+    let teams = configuration.teams.iter().map(|team| {
+        let total = totals.get(&team.name).copied().unwrap_or_default();
+        let used = here.get(&team.name).copied().unwrap_or_default();
+        share::Team {
+            name: team.name.clone(),
+            weight: team.share,
+            elsewhere: total.minus(&used),
+        }
+    });
+    teams.collect()
 }
 
 async fn swap(node: &Node, peer: &Record) {
