--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -15,6 +15,8 @@
 
 pub use generated::{
     Configuration,
+    Cursor,
     News,
-    Owned, //
+    Owned,
+    Use, //
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -42,6 +42,9 @@
 /// The longest such wait.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
 
+/// How often new work goes to another shard at once when an owner does not take it.
+const MOST_MOVES: u32 = 2;
+
 /// Handles a request that came from a caller.
 pub async fn route(node: &Node, request: callers::Request) -> Result<Status> {
     let team = authorize(node, &request)?;
@@ -110,33 +113,30 @@
     }
 }
 
-/// Chooses a shard for new work: one of our own that could run it, else any that could.
+/// Chooses a shard for new work among those that could run it.
 fn choose(node: &Node, request: &Request) -> Result<Shard> {
-    let own = node.owners();
-    let mut own: Vec<_> = own.iter().filter(|owner| owner.possible(request)).collect();
-    own.sort_by_key(|owner| owner.load());
-    if let Some(owner) = own.first() {
-        return Ok(owner.title.shard.clone());
-    }
-    let shards = node.fleet.shards();
-    let possible = shards.iter().find(|(_, workers)| {
-        workers
-            .iter()
-            .any(|worker| request.resources.fits(&worker.capacity))
-    });
-    if let Some((shard, _)) = possible {
-        return Ok(shard.clone());
-    }
-    if shards.is_empty() {
+    let Some(possible) = node.fleet.possible(&request.resources) else {
         let error = Error::new(error::Kind::Unreachable, "no workers are known yet");
         return Err(error.retry_after(node.config.poll_interval));
-    }
-    let message = "no worker of the fleet is large enough for a task of this size";
-    Err(Error::new(error::Kind::Impossible, message))
+    };
+    // A shard without an owner takes nothing for now, so it is the last resort.
+    let is_owned = |shard: &Shard| node.directory.find(shard).is_some();
+    let owned: Vec<_> = possible.iter().filter(|s| is_owned(s)).cloned().collect();
+    let candidates = if owned.is_empty() { possible } else { owned };
+    let now = node.timer.now();
+    let count = u64::from(request.count);
+    let chosen = node
+        .board
+        .choose(&candidates, &request.resources, count, now);
+    chosen.ok_or_else(|| {
+        let message = "no worker of the fleet is large enough for a task of this size";
+        Error::new(error::Kind::Impossible, message)
+    })
 }
 
 /// Hands a call to the owner of its shard, and to the next owner if the shard has moved.
-async fn forward(node: &Node, call: Call) -> Result<Status> {
+async fn forward(node: &Node, mut call: Call) -> Result<Status> {
+    let mut moves = 0;
     let deadline = node.timer.now().after(call.remaining);
     let mut backoff = Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF);
     node.retries.pay(&call.team);
@@ -150,6 +150,10 @@
             Err(error) if may_have_moved(&error) => error,
             result => return result,
         };
+        if moves < MOST_MOVES && move_on(node, &mut call) {
+            moves += 1;
+            continue;
+        }
         backoff.fail(node.timer.now(), rand::random());
         while owner_of(node, call.verb.shard()) == asked {
             let now = node.timer.now();
@@ -170,6 +174,20 @@
     (own, node.directory.find(shard))
 }
 
+/// Chooses another shard for new work that provably did not run; says whether there is one.
+fn move_on(node: &Node, call: &mut Call) -> bool {
+    let Verb::Submit(shard, request) = &mut call.verb else {
+        return false;
+    };
+    match choose(node, request) {
+        Ok(chosen) if chosen != *shard && node.retries.take(&call.team) => {
+            *shard = chosen;
+            true
+        }
+        _ => false,
+    }
+}
+
 fn may_have_moved(error: &Error) -> bool {
     matches!(error.kind, error::Kind::NotOwner | error::Kind::Unreachable)
         && error.kind.answer().ran == Ran::No
--- a/tests/limits.rs
+++ b/tests/shards.rs
@@ -1,4 +1,4 @@
-//! Upper limits of teams over several entry VMs and shards.
+//! Upper limits of teams and the spread of work over several entry VMs and shards.
 
 mod util;
 
@@ -18,6 +18,7 @@
         Node,
         Running, //
     },
+    owner::Owner,
 };
 use basilbridge_common::{
     job::{
@@ -178,3 +179,61 @@
     assert!(lowered, "{:?} runs", first.fleet.used());
     assert_eq!(first.fleet.violations(), Default::default());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_comes_to_one_vm_is_spread_over_the_shards_of_all() {
+    let cell = cell(cores(1000)).await;
+    let client = caller(cell.vms[0].callers.address);
+
+    for _ in 0..40 {
+        client.submit(&job(1, 60_000), PATIENCE).await.unwrap();
+    }
+
+    let owners = cell.vms.iter().flat_map(|vm| vm.node.owners());
+    let loads = owners.map(|owner| {
+        let (queued, running) = owner.load();
+        (queued + running, owner.title.shard.to_string())
+    });
+    let loads: Vec<_> = loads.collect();
+    let total: usize = loads.iter().map(|(load, _)| load).sum();
+    assert_eq!(total, 40);
+    assert!(loads.iter().all(|(load, _)| *load >= 2), "{loads:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_shard_hears_the_weight_of_a_team_and_what_it_runs_elsewhere() {
+    let cell = cell(cores(1000)).await;
+    let client = caller(cell.vms[0].callers.address);
+    for _ in 0..40 {
+        client.submit(&job(1, 60_000), PATIENCE).await.unwrap();
+    }
+
+    // A change by less than a twentieth of what a VM has told is not told.
+    let mut counted = Vec::new();
+    for _ in 0..1000 {
+        counted = cell
+            .vms
+            .iter()
+            .flat_map(|vm| vm.node.owners())
+            .map(|owner| fleet_use(&owner))
+            .collect();
+        if counted
+            .iter()
+            .all(|cores| (38_000..=42_000).contains(cores))
+        {
+            return;
+        }
+        let timer = &cell.vms[0].node.timer;
+        timer.sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{counted:?}");
+}
+
+/// What a shard counts the team with in the whole fleet, in thousandths of a core.
+fn fleet_use(owner: &Owner) -> u64 {
+    let (_, uses) = owner.summary();
+    let here = uses.iter().map(|(_, used)| used.cpu_millis);
+    let teams = owner.teams();
+    let elsewhere = teams.iter().map(|team| team.elsewhere.cpu_millis);
+    here.sum::<u64>() + elsewhere.sum::<u64>()
+}
