--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -285,7 +285,8 @@
     let known = row.value.as_deref().map(serde_json::from_str);
     let known = known.map(|claim| (claim.unwrap(), row.version));
     let session = Session(vm as u64);
-    let Ok(Some(title)) = session::claim(tables, session, &shard, known.as_ref()).await else {
+    let titles = session::claim(tables, session, &[(shard, known)]).await;
+    let Some(title) = titles.ok().and_then(|titles| titles.into_iter().next()) else {
         return;
     };
     let mut book = Book::default();
