Plan intents and confirm plans

Cause: an intent had no way into force that showed first what it changes. Change: plan and confirm for teams and queues; workloads are named as left out. Conclusion: starting workloads from an intent is left.

--- a/crates/operators/src/change.rs
+++ b/crates/operators/src/change.rs
@@ -45,7 +45,7 @@
 /// two operators who give keys to one team never disturb each other.
 #[data]
 pub enum Operation {
-    /// Sets the share and limit of a team, or removes it together with its keys.
+    /// Sets the share and limit of a team, or removes it once it has no key left.
     SetTeam(Name, Replacement<Terms>),
     /// Sets a queue, or removes it.
     SetQueue(Name, Replacement<Queue>),
@@ -304,8 +304,14 @@
             Operation::SetTeam(name, replacement) => {
                 let present = self.team(name).map(Team::terms);
                 expect(&key, &present, replacement)?;
+                // A key that was given since must not go without having been shown.
+                let key_left = self.team(name).and_then(|team| team.keys.first());
                 match replacement.after {
                     Some(terms) => self.insert(Item::Team(name.clone(), terms)),
+                    None if let Some(hash) = key_left => {
+                        let fingerprint = hash.fingerprint();
+                        return Err(format!("{key}: key {fingerprint} is still valid"));
+                    }
                     None => self.teams.retain(|team| team.name != *name),
                 }
             }
--- a/crates/operators/src/difference.rs
+++ b/crates/operators/src/difference.rs
@@ -26,10 +26,18 @@
                 before: before.map(Team::terms),
                 after: after.map(Team::terms),
             };
-            operations.push(Operation::SetTeam(name.clone(), terms));
-            if let Some(after) = after {
-                let old = before.map_or(&[][..], |team| &team.keys);
-                operations.extend(key_steps(&Holder::Team(name), old, &after.keys));
+            let holder = Holder::Team(name.clone());
+            let old = before.map_or(&[][..], |team| &team.keys);
+            let new = after.map_or(&[][..], |team| &team.keys);
+            let keys = key_steps(&holder, old, new);
+            let set = Operation::SetTeam(name, terms);
+            // A team has to be there for its keys to be given, and goes only without keys.
+            if after.is_some() {
+                operations.push(set);
+                operations.extend(keys);
+            } else {
+                operations.extend(keys);
+                operations.push(set);
             }
         }
         for name in names(&self.queues, &next.queues, |queue| &queue.name) {
--- a/crates/operators/src/route.rs
+++ b/crates/operators/src/route.rs
@@ -45,6 +45,11 @@
     after: u64,
 }
 
+#[derive(Deserialize, StateData, StaticResponseExtender)]
+struct PlanPath {
+    id: String,
+}
+
 /// Makes the router of the interface.
 pub fn router(app: App) -> Router {
     let pipeline = new_pipeline().add(StateMiddleware::new(app)).build();
@@ -53,6 +58,11 @@
         route.get("/v1/configuration").to_async(configuration);
         route.put("/v1/configuration").to_async(replace);
         route.post("/v1/edits").to_async(edit);
+        route.post("/v1/plans").to_async(plan);
+        route
+            .post("/v1/plans/:id/confirm")
+            .with_path_extractor::<PlanPath>()
+            .to_async(confirm);
         route
             .get("/v1/audit/:after")
             .with_path_extractor::<AuditPath>()
@@ -115,6 +125,27 @@
     answer(state, result)
 }
 
+async fn plan(mut state: State) -> HandlerResult {
+    let result = match authorized(&state) {
+        Ok((app, _)) => match body::read_json(&mut state).await {
+            Ok(request) => (app.plan)(request).await,
+            Err(error) => Err(error),
+        },
+        Err(error) => Err(error),
+    };
+    answer(state, result)
+}
+
+async fn confirm(mut state: State) -> HandlerResult {
+    let wait = wait(&state);
+    let id = PlanPath::take_from(&mut state).id;
+    let result = match authorized(&state) {
+        Ok((app, operator)) => (app.confirm)(id, operator, wait).await,
+        Err(error) => Err(error),
+    };
+    answer(state, result)
+}
+
 async fn audit(mut state: State) -> HandlerResult {
     let after = AuditPath::take_from(&mut state).after;
     let result = match authorized(&state) {
--- a/crates/operators/tests/audit.rs
+++ b/crates/operators/tests/audit.rs
@@ -194,11 +194,15 @@
         .apply(&edit("first", vec![set(None, Some(terms(1))), give]))
         .unwrap();
 
+    let withdraw = Operation::WithdrawKey(Holder::Team("workshop".into()), Hash::of("k"));
+
+    let refused = configuration.apply(&edit("second", vec![set(Some(terms(1)), None)]));
     let changes = configuration
-        .apply(&edit("second", vec![set(Some(terms(1)), None)]))
+        .apply(&edit("third", vec![withdraw, set(Some(terms(1)), None)]))
         .unwrap();
 
-    // A team that goes takes its keys with it.
+    // A team goes only together with each of its keys.
+    assert!(refused.is_err());
     assert_eq!(changes.len(), 2);
     assert!(changes.iter().all(|change| change.before.is_some()));
     assert!(changes.iter().all(|change| change.after.is_none()));
--- /dev/null
+++ b/crates/operators/tests/plan.rs
@@ -0,0 +1,211 @@
+//! Whatever operators want, a plan leads to it, and planning again finds nothing to do.
+
+use basilbridge_common::{
+    error::Kind,
+    unit::Resources, //
+};
+use basilbridge_operators::{
+    change::{
+        Edit,
+        Holder,
+        Operation, //
+    },
+    configuration::{
+        Configuration,
+        Queue,
+        Terms, //
+    },
+    intent::{
+        Intent,
+        Wanted, //
+    },
+    key::Hash,
+    plan::{
+        Plan,
+        Request, //
+    },
+};
+use quickcheck::{
+    Arbitrary,
+    Gen, //
+};
+
+const RUNS: u64 = 300;
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn some_names(random: &mut Gen) -> Vec<&'static str> {
+    let chosen = NAMES.into_iter().filter(|_| bool::arbitrary(random));
+    chosen.collect()
+}
+
+fn limit(random: &mut Gen) -> Option<Resources> {
+    bool::arbitrary(random).then(|| Resources {
+        cpu_millis: u64::from(u8::arbitrary(random)),
+        memory_mib: u64::from(u8::arbitrary(random)),
+        accelerators: 0,
+    })
+}
+
+fn request(random: &mut Gen) -> Request {
+    let teams = some_names(random).into_iter().map(|name| Wanted {
+        name: name.into(),
+        terms: Terms {
+            share: u32::from(u8::arbitrary(random) % 4 + 1),
+            limit: limit(random),
+        },
+    });
+    let teams: Vec<_> = teams.collect();
+    let queues = some_names(random).into_iter().map(|name| Queue {
+        name: name.into(),
+        open_for: None,
+    });
+    let queues = queues.collect();
+    Request {
+        name: "intent".to_owned(),
+        intent: Intent {
+            teams,
+            queues,
+            workloads: Vec::new(),
+        },
+    }
+}
+
+/// Changes the share of one team, or drops one queue.
+fn varied(base: &Request, random: &mut Gen) -> Request {
+    let mut varied = base.clone();
+    let share = u32::from(u8::arbitrary(random)) + 10;
+    match usize::arbitrary(random).checked_rem(base.intent.teams.len()) {
+        Some(team) if bool::arbitrary(random) => varied.intent.teams[team].terms.share = share,
+        _ => {
+            varied.intent.queues.pop();
+        }
+    }
+    varied
+}
+
+fn confirm(plan: &Plan, configuration: &mut Configuration) -> bool {
+    let applied = configuration.apply(&plan.edit);
+    if applied.is_ok() {
+        configuration.version.0 += 1;
+    }
+    applied.is_ok_and(|changes| changes == plan.changes)
+}
+
+fn give_keys(configuration: &mut Configuration) {
+    let operations = configuration.teams.iter().map(|team| {
+        let key = Hash::of(&format!("key of {}", team.name));
+        Operation::GiveKey(Holder::Team(team.name.clone()), key)
+    });
+    let edit = Edit {
+        id: "keys".into(),
+        operator: String::new(),
+        intent: String::new(),
+        base: None,
+        operations: operations.collect(),
+    };
+    configuration.apply(&edit).unwrap();
+}
+
+#[test]
+fn a_confirmed_plan_gives_the_state_that_was_wanted() {
+    for seed in 0..RUNS {
+        let mut random = Gen::from_size_and_seed(20, seed);
+        let mut configuration = Configuration::default();
+        for _ in 0..4 {
+            let request = request(&mut random);
+            let before = configuration.clone();
+            let plan = Plan::new(&request, &configuration).unwrap();
+
+            assert!(confirm(&plan, &mut configuration), "seed {seed}");
+
+            let wanted = request.intent.applied_to(&before);
+            assert_eq!(configuration.teams, wanted.teams, "seed {seed}");
+            assert_eq!(configuration.queues, wanted.queues, "seed {seed}");
+            give_keys(&mut configuration);
+        }
+    }
+}
+
+#[test]
+fn planning_twice_gives_the_same_plan_and_after_confirmation_none() {
+    for seed in 0..RUNS {
+        let mut random = Gen::from_size_and_seed(20, seed);
+        let mut configuration = Configuration::default();
+        let (first, request) = (request(&mut random), request(&mut random));
+        confirm(
+            &Plan::new(&first, &configuration).unwrap(),
+            &mut configuration,
+        );
+
+        let plan = Plan::new(&request, &configuration).unwrap();
+        let again = Plan::new(&request, &configuration).unwrap();
+        assert_eq!(plan, again, "seed {seed}");
+
+        confirm(&plan, &mut configuration);
+        let after = Plan::new(&request, &configuration).unwrap();
+        assert!(after.is_empty(), "seed {seed}");
+        assert_ne!(after.edit.id, plan.edit.id, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_team_whose_key_was_given_after_the_plan_does_not_go() {
+    let mut random = Gen::from_size_and_seed(20, 0);
+    let mut configuration = Configuration::default();
+    let mut wanted = request(&mut random);
+    wanted.intent.teams = vec![Wanted {
+        name: "a".into(),
+        terms: Terms {
+            share: 1,
+            limit: None,
+        },
+    }];
+    confirm(
+        &Plan::new(&wanted, &configuration).unwrap(),
+        &mut configuration,
+    );
+    wanted.intent.teams.clear();
+    let shown = Plan::new(&wanted, &configuration).unwrap();
+    give_keys(&mut configuration);
+
+    let refused = configuration.apply(&shown.edit).unwrap_err();
+    let again = Plan::new(&wanted, &configuration).unwrap();
+
+    assert_eq!(refused.kind, Kind::Conflict);
+    assert!(confirm(&again, &mut configuration));
+    assert_eq!(configuration.teams, []);
+}
+
+#[test]
+fn of_plans_from_one_state_that_touch_the_same_thing_only_the_first_is_taken() {
+    let (mut conflicts, mut both) = (0, 0);
+    for seed in 0..RUNS {
+        let mut random = Gen::from_size_and_seed(20, seed);
+        let mut configuration = Configuration::default();
+        let base = request(&mut random);
+        let base_plan = Plan::new(&base, &configuration).unwrap();
+        confirm(&base_plan, &mut configuration);
+        let plan = |request: &Request| Plan::new(request, &configuration).unwrap();
+        let first = plan(&varied(&base, &mut random));
+        let second = plan(&varied(&base, &mut random));
+        let touched = |plan: &Plan| {
+            let keys = plan.changes.iter().map(|change| change.key.clone());
+            keys.collect::<Vec<_>>()
+        };
+        let shared = touched(&first)
+            .iter()
+            .any(|key| touched(&second).contains(key));
+        assert!(confirm(&first, &mut configuration), "seed {seed}");
+        let between = configuration.clone();
+
+        let taken = configuration.apply(&second.edit).is_ok();
+
+        assert_eq!(taken, !shared, "seed {seed}");
+        if !taken {
+            assert_eq!(configuration, between, "seed {seed}");
+        }
+        conflicts += u32::from(!taken);
+        both += u32::from(taken);
+    }
+    assert!(conflicts > 20 && both > 20, "{conflicts} {both}");
+}
--- a/src/bin/basilbridge/app.rs
+++ b/src/bin/basilbridge/app.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     path::Path,
+    process::ExitCode,
     time::{
         Duration,
         Instant, //
@@ -33,6 +34,7 @@
         Submit, //
     },
     key,
+    plan,
     printer,
     teams, //
 };
@@ -43,7 +45,15 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Carries out the command that the arguments name.
-pub(crate) async fn run(arguments: &Arguments) -> Result<()> {
+pub(crate) async fn run(arguments: &Arguments) -> Result<ExitCode> {
+    if let Command::Plan { file } = &arguments.command {
+        let operator = Client::new(arguments.operators, arguments.operator_key.clone());
+        return plan::run(file, &operator, arguments).await;
+    }
+    command(arguments).await.map(|()| ExitCode::SUCCESS)
+}
+
+async fn command(arguments: &Arguments) -> Result<()> {
     let caller = Client::new(arguments.callers, arguments.key.clone());
     let operator = Client::new(arguments.operators, arguments.operator_key.clone());
     let timeout = arguments.timeout;
@@ -61,6 +71,9 @@
         Command::Wait { job } => show(wait(&caller, job, timeout).await?),
         Command::Cancel { job } => show(caller.cancel(job).await?),
         Command::Workers => printer::print(&*operator.workers().await?, json, printer::workers),
+        // It has an exit code of its own.
+        Command::Plan { .. } => Ok(()),
+        Command::Confirm { plan } => plan::confirm(plan, &operator, arguments).await,
         Command::Teams => teams::run(&operator, arguments).await,
         Command::Key(command) => key::run(command, &operator, arguments).await,
         Command::Audit(filter) => audit::run(filter, &operator, arguments).await,
--- a/src/bin/basilbridge/audit.rs
+++ b/src/bin/basilbridge/audit.rs
@@ -122,7 +122,8 @@
     printer::columns(["ENTRY", "TIME", "OPERATOR", "INTENT", "CHANGE"], rows)
 }
 
-fn describe(change: &Change) -> String {
+/// Shows a change in a line.
+pub(crate) fn describe(change: &Change) -> String {
     if let Some(Item::Key(_, hash)) = change.before.as_ref().or(change.after.as_ref()) {
         let verb = if change.after.is_some() {
             "given"
--- a/src/bin/basilbridge/clap_app.rs
+++ b/src/bin/basilbridge/clap_app.rs
@@ -80,6 +80,16 @@
     },
     /// List the workers.
     Workers,
+    /// Show what an intent would change; exits with 0 for nothing to do and 10 for changes.
+    Plan {
+        /// The intent, in TOML or JSON.
+        file: PathBuf,
+    },
+    /// Carry out a plan exactly as it was shown.
+    Confirm {
+        /// The id of the plan, or a file with its JSON document.
+        plan: String,
+    },
     /// List the teams.
     Teams,
     /// Give, withdraw or list keys.
--- a/src/bin/basilbridge/main.rs
+++ b/src/bin/basilbridge/main.rs
@@ -5,6 +5,7 @@
 mod clap_app;
 mod edit;
 mod key;
+mod plan;
 mod printer;
 mod teams;
 
@@ -28,7 +29,7 @@
         }
     };
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => fail(&error),
     }
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -28,6 +28,10 @@
         Edit, //
     },
     configuration::Configuration,
+    plan::{
+        self,
+        Plan, //
+    },
 };
 use bytes::Bytes;
 use http::{
@@ -109,6 +113,19 @@
             .await
     }
 
+    /// Plans an intent; nothing changes.
+    pub async fn plan(&self, request: &plan::Request) -> Result<Plan> {
+        self.send(Method::POST, "/v1/plans", Some(request), None)
+            .await
+    }
+
+    /// Confirms a plan and waits until it is in force, for at most `timeout`.
+    pub async fn confirm(&self, plan: &str, timeout: Duration) -> Result<Accepted> {
+        let path = format!("/v1/plans/{plan}/confirm");
+        self.send(Method::POST, &path, None::<&()>, Some(timeout))
+            .await
+    }
+
     /// Returns some entries of the audit trail after a position.
     pub async fn audit(&self, after: Version) -> Result<Page> {
         let path = format!("/v1/audit/{}", after.0);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod node;
 pub mod operator;
 pub mod owner;
+pub mod plan;
 pub mod record;
 pub mod renewal;
 pub mod router;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -21,13 +21,15 @@
 
 use crate::{
     audit,
-    node::Node, //
+    node::Node,
+    plan, //
 };
 
 /// Makes what stands behind the operators' interface of a VM.
 pub fn app(node: &Arc<Node>) -> App {
     let (authorizer, reader) = (Arc::clone(node), Arc::clone(node));
     let (writer, auditor) = (Arc::clone(node), Arc::clone(node));
+    let (planner, confirmer) = (Arc::clone(node), Arc::clone(node));
     let lister = Arc::clone(node);
     App {
         authorize: Arc::new(move |key| authorizer.settings.authorize_operator(key)),
@@ -36,6 +38,18 @@
             let node = Arc::clone(&writer);
             async move { commit(&node, edit, wait).await }.boxed()
         }),
+        plan: Arc::new(move |request| {
+            let node = Arc::clone(&planner);
+            async move { plan::make(&node, request).await }.boxed()
+        }),
+        confirm: Arc::new(move |id, operator, wait| {
+            let node = Arc::clone(&confirmer);
+            async move {
+                let edit = plan::find(&node, &id, operator).await?;
+                commit(&node, edit, wait).await
+            }
+            .boxed()
+        }),
         audit: Arc::new(move |after| {
             let node = Arc::clone(&auditor);
             async move { page(&node, after).await }.boxed()
--- /dev/null
+++ b/src/plan.rs
@@ -0,0 +1,62 @@
+//! Plans are kept in the object store until they are confirmed.
+
+use basilbridge_common::error::{
+    Error,
+    Kind,
+    Result, //
+};
+use basilbridge_operators::{
+    change::Edit,
+    plan::{
+        Plan,
+        Request, //
+    },
+};
+
+use crate::{
+    audit::KEPT_ENTRIES,
+    node::Node, //
+};
+
+/// Plans an intent on the configuration that is newest in the table service.
+pub async fn make(node: &Node, request: Request) -> Result<Plan> {
+    node.settings.refresh(&node.platform.tables).await?;
+    let plan = Plan::new(&request, &node.settings.current())?;
+    if !plan.is_empty() {
+        let body = serde_json::to_vec(&plan)
+            .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+        let objects = &node.platform.objects;
+        objects.put(key(&plan.edit.id), body.into()).await?;
+    }
+    Ok(plan)
+}
+
+/// Returns the edit that carries out a plan, in the name of an operator.
+pub async fn find(node: &Node, id: &str, operator: String) -> Result<Edit> {
+    let missing = || Error::new(Kind::NotFound, format!("there is no plan {id}"));
+    if !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(missing());
+    }
+    let body = node.platform.objects.get(key(id)).await?;
+    let plan: Plan = serde_json::from_slice(&body.ok_or_else(missing)?)
+        .map_err(|error| Error::new(Kind::Truncated, error.to_string()))?;
+    // The ids of older edits are forgotten, so such a plan could take effect a second time.
+    let oldest = node
+        .settings
+        .current()
+        .version
+        .0
+        .saturating_sub(KEPT_ENTRIES);
+    if plan.version.0 < oldest {
+        let message = "the plan is too old to be confirmed, plan again";
+        return Err(Error::new(Kind::Conflict, message));
+    }
+    Ok(Edit {
+        operator,
+        ..plan.edit
+    })
+}
+
+fn key(id: &str) -> String {
+    format!("plan-{id}")
+}
