--- a/src/acknowledgement.rs
+++ b/src/acknowledgement.rs
@@ -5,7 +5,7 @@
 //! [`MAX_AGE`] has passed. See `docs/design/configuration.md`.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -86,7 +86,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    peers: HashMap<Session, Peer>,
+    peers: BTreeMap<Session, Peer>,
     observed: Millis,
 }
 
@@ -202,7 +202,8 @@
     }
 }
 
-type Exchange = Arc<
+/// Swaps what both know of the configuration with the peer at an address.
+pub type Exchange = Arc<
     dyn Fn(SocketAddr, Configuration) -> BoxFuture<'static, Result<Configuration>> + Send + Sync,
 >;
 
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -116,8 +116,8 @@
                 address,
                 data_centre: self.config.data_centre.clone(),
                 renewals: 0,
-                configuration: Version(0),
                 lease: pace.lease,
+                configuration: Version(0),
             },
             version: Version(0),
             observer: Observer::default(),
@@ -155,12 +155,12 @@
         record.configuration = self.settings.current().version;
         match session::renew(&self.platform.tables, &record, keeper.version).await {
             Ok(version) => {
-                keeper.version = version;
-                keeper.record = record;
-                let lapsed = |last| now.since(last) >= keeper.pace.lease;
+                let lapsed = |renewed| now.since(renewed) >= keeper.record.lease;
                 if keeper.renewed.is_some_and(lapsed) {
                     self.messenger.tracker.lapsed();
                 }
+                keeper.version = version;
+                keeper.record = record;
                 keeper.renewed = Some(now);
                 keeper.record.lease = keeper.pace.lease;
             }
@@ -191,9 +191,9 @@
         let view = keeper.observer.observe(tables, now, longest_gap).await?;
         let vms = view.live.len().max(1);
         self.journals.set_vms(vms);
+        keeper.pace = Pace::new(self.config.poll_interval, self.config.session_lease, vms);
         let tracker = &self.messenger.tracker;
         tracker.observe(&view.live, self.session, now, keeper.pace.lease);
-        keeper.pace = Pace::new(self.config.poll_interval, self.config.session_lease, vms);
         keeper.rounds += 1;
         self.learn(&view);
         let shards = self.fleet.shards();
@@ -215,12 +215,13 @@
         view: &View,
         mut shards: Vec<(Shard, Vec<Worker>)>,
     ) -> Result<()> {
-        for (shard, workers) in &shards {
-            self.resume(view, shard, workers);
-        }
         shards.retain(|(shard, _)| {
-            let free = !view.is_owned(shard) && self.owner(shard).is_none();
-            free && view.preferred(shard) == Some(self.session)
+            // A claim of ours without an owner is one whose answer was lost. It is made anew,
+            // because an epoch stands for one owner only.
+            let (claim, _) = view.claims.get(shard).cloned().unzip();
+            let ours = claim.is_some_and(|claim| claim.session == Some(self.session));
+            let free = !view.is_owned(shard) && view.preferred(shard) == Some(self.session);
+            self.owner(shard).is_none() && (ours || free)
         });
         for chunk in shards.chunks(SHARDS_PER_WRITE) {
             let wanted: Vec<_> = chunk
@@ -235,21 +236,6 @@
         Ok(())
     }
 
-    /// Holds a shard that was claimed by a write whose answer was lost.
-    fn resume(self: &Arc<Self>, view: &View, shard: &Shard, workers: &[Worker]) {
-        let Some((claim, version)) = view.claims.get(shard) else {
-            return;
-        };
-        if claim.session == Some(self.session) && self.owner(shard).is_none() {
-            let title = Title {
-                shard: shard.clone(),
-                epoch: claim.epoch,
-                version: *version,
-            };
-            self.hold(title, workers.to_vec());
-        }
-    }
-
     /// Hands some shards over to VMs that have joined and would now be chosen for them.
     fn rebalance(self: &Arc<Self>, view: &View) {
         let owners = self.owners();
--- a/src/node.rs
+++ b/src/node.rs
@@ -138,6 +138,7 @@
         metrics: Metrics,
     ) -> Arc<Self> {
         let log = log.new(slog::o!("vm" => config.name.to_string()));
+        let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
         let settings = Settings::new(timer.clone(), config.bootstrap_key.clone());
         let settings = Arc::new(settings);
         let committer = Committer::new(Arc::clone(&settings), platform.clone(), timer.clone());
@@ -149,7 +150,6 @@
             platform.tables.clone(),
             timer.clone(),
         );
-        let (journals, writer) = journal::Log::new(platform.clone(), timer.clone());
         Arc::new(Self {
             settings,
             committer,
--- a/src/session.rs
+++ b/src/session.rs
@@ -83,13 +83,13 @@
     pub data_centre: Name,
     /// Grows with each renewal.
     pub renewals: u64,
-    /// The version of the configuration that the VM acts on.
-    #[serde(default)]
-    pub configuration: Version,
     /// How long the session lives without being renewed.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_ms")]
     pub lease: Duration,
+    /// The version of the configuration that the VM acts on.
+    #[serde(default)]
+    pub configuration: Version,
 }
 
 /// A shard's row.
--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -20,7 +20,15 @@
 };
 
 use basilbridge::{
-    acknowledgement::Messenger, commit, config::Config, embedded, log, metrics::Metrics, node::Node,
+    acknowledgement::{
+        Exchange,
+        Messenger, //
+    },
+    commit,
+    config::Config,
+    embedded, log,
+    metrics::Metrics,
+    node::Node,
 };
 use basilbridge_common::{
     error::{
@@ -163,21 +171,13 @@
             Metrics::none(),
         );
         let mut tasks = JoinSet::new();
-        tasks.spawn(Arc::clone(&node).keep_session(address));
-        let cell = self.clone();
         let messenger = Messenger {
-            exchange: Arc::new(move |address, told| {
-                let peer = cell.node(address);
-                async move {
-                    let lost = || Error::new(Kind::Unreachable, "no such VM, or paused");
-                    Ok(peer.ok_or_else(lost)?.messenger.clone().answer(told).await)
-                }
-                .boxed()
-            }),
+            exchange: self.exchange(&paused),
             ..node.messenger.clone()
         };
         let committed = node.committer.committed();
         messenger.start(&mut tasks, committed, node.config.poll_interval);
+        tasks.spawn(Arc::clone(&node).keep_session(address));
         let machine = Machine {
             node,
             clock,
@@ -277,6 +277,21 @@
         Client::new(Arc::new(move |worker, command| link((worker, command))))
     }
 
+    /// Swaps news of the configuration between the VMs.
+    fn exchange(&self, paused: &watch::Sender<bool>) -> Exchange {
+        let cell = self.clone();
+        let silent = || Error::new(Kind::Unreachable, "no answer came");
+        let link = self.link(paused, silent, move |(address, told)| {
+            let node = cell.node(address);
+            async move {
+                let node = node.ok_or_else(silent)?;
+                Ok(node.messenger.clone().answer(told).await)
+            }
+            .boxed()
+        });
+        Arc::new(move |address, told| link((address, told)))
+    }
+
     /// Carries calls over a network that delays and loses, from a VM that may be paused.
     fn link<I: Send + 'static, O: Send + 'static>(
         &self,
