--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! This package does no I/O. See `docs/ARCHITECTURE.md` for its place among the others.
 
+pub mod backoff;
 pub mod call;
 pub mod error;
+pub mod flag;
 pub mod id;
 pub mod job;
 pub mod timer;
--- a/tests/configuration/cell.rs
+++ b/tests/configuration/cell.rs
@@ -186,8 +186,9 @@
         address: SocketAddr::from(([127, 0, 0, 1], number as u16)),
         data_centre: "local".into(),
         renewals: 0,
-        configuration: Version(0),
         lease: LEASE,
+        leaving: false,
+        configuration: Version(0),
     }
 }
 
