--- a/src/acknowledgement.rs
+++ b/src/acknowledgement.rs
@@ -69,6 +69,9 @@
 /// How long one read of the configuration may take before the service counts as down.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The polls of all VMs together in a second.
+const READS_PER_SECOND: u32 = 200;
+
 #[derive(Debug, Clone)]
 struct Peer {
     name: Name,
@@ -258,7 +261,9 @@
     async fn poll(self, interval: Duration) {
         loop {
             self.refresh().await;
-            self.timer.sleep(interval).await;
+            let vms = self.tracker.peers().len() as u32 + 1;
+            let pace = Duration::from_secs(1) * vms / READS_PER_SECOND;
+            self.timer.sleep(interval.max(pace)).await;
         }
     }
 
