--- a/tests/cell/mod.rs
+++ b/tests/faults/cell.rs
@@ -4,9 +4,6 @@
 //! that a paused VM sees no time pass until it goes on. Each message travels in a task of its
 //! own, so that it arrives even when its sender has died.
 
-pub(crate) mod fault;
-pub(crate) mod work;
-
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -26,9 +23,11 @@
     },
     commit,
     config::Config,
-    embedded, log,
+    embedded,
+    log,
     metrics::Metrics,
     node::Node,
+    owner::Owner, //
 };
 use basilbridge_common::{
     error::{
@@ -71,12 +70,23 @@
 };
 
 const STEP: Duration = Duration::from_millis(5);
+const LONGEST_WAIT_STEPS: u32 = 40_000;
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long a worker may hold a renewal back, at the lease that the nodes here run with.
 const RENEWAL_WAIT: Duration = Duration::from_millis(1500);
 const LONGEST_DELAY_MS: u64 = 4000;
 
+/// Runs a future on a paused clock of its own; what it leaves behind ends with it.
+pub(crate) fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(future)
+}
+
 /// How messages fare, in thousandths of all messages.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Weather {
@@ -142,6 +152,35 @@
         self.lock().weather = weather;
     }
 
+    /// Waits until `done` holds, and returns how long that took.
+    pub(crate) async fn until(&self, done: impl Fn(&Self) -> bool) -> Duration {
+        let begin = self.timer.now();
+        for _ in 0..LONGEST_WAIT_STEPS {
+            if done(self) {
+                return self.timer.now().since(begin);
+            }
+            self.timer.sleep(STEP).await;
+        }
+        panic!("it took too long");
+    }
+
+    /// Waits until each shard has an owner that has settled all that was left to it.
+    pub(crate) async fn until_settled(&self) -> Duration {
+        self.until(|cell| {
+            let shards = cell.fleet.workers().len().div_ceil(2);
+            let owners = cell.owners();
+            owners.len() == shards && owners.iter().all(|owner| owner.is_settled())
+        })
+        .await
+    }
+
+    /// Returns the owners on all VMs.
+    pub(crate) fn owners(&self) -> Vec<Arc<Owner>> {
+        let shared = self.lock();
+        let machines = shared.machines.values();
+        machines.flat_map(|vm| vm.node.owners()).collect()
+    }
+
     /// Draws a number below `bound`.
     pub(crate) fn draw(&self, bound: u64) -> u64 {
         self.lock().random.random_range(0..bound)
--- /dev/null
+++ b/tests/faults/main.rs
@@ -0,0 +1,11 @@
+//! What holds while VMs, workers and the store fail, on one paused clock.
+
+mod cell;
+mod fault;
+mod fences;
+mod history;
+mod journal;
+mod outages;
+mod ownership;
+mod schedules;
+mod work;
