Believe a never-started answer only where the stop's sender compares the boot

A worker that had booted since noted the late stop as never started, and its next renewal or claim told that note for the attempt that had run on the boot before; only settle compared the boots.

Change: renewals and claims pass over such notes.

--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -316,6 +316,10 @@
 }
 
 fn hear(owner: &Arc<Owner>, worker: &Worker, report: Report) {
+    if report.phase == Phase::NeverStarted {
+        // Only who sent the stop knows which boot it was meant for.
+        return;
+    }
     let attempt = report.attempt();
     let mut inner = owner.lock();
     if inner.is_placed(&attempt) {
@@ -326,8 +330,7 @@
         // Nobody waits for it any more.
         let (owner, worker) = (Arc::clone(owner), worker.clone());
         tokio::spawn(async move { owner.stop(&attempt, &worker).await });
-    } else if report.phase != Phase::NeverStarted
-        && let Some(contact) = inner.contacts.get_mut(&worker.name)
+    } else if let Some(contact) = inner.contacts.get_mut(&worker.name)
         && !contact.acknowledged.contains(&attempt)
     {
         contact.acknowledged.push(attempt);
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -168,6 +168,10 @@
     }
     let mut foreign = Vec::new();
     for report in answer.tasks {
+        if report.phase == Phase::NeverStarted {
+            // Only who sent the stop knows which boot it was meant for.
+            continue;
+        }
         let attempt = report.attempt();
         if inner.is_decisive(&report) {
             inner.adopt(worker, attempt.clone(), report.phase == Phase::Running);
@@ -177,9 +181,7 @@
             tokio::spawn(async move { owner.report(&worker, report).await });
         } else if report.phase == Phase::Running {
             foreign.push(attempt);
-        } else if report.phase != Phase::NeverStarted
-            && let Some(contact) = inner.contacts.get_mut(&worker.name)
-        {
+        } else if let Some(contact) = inner.contacts.get_mut(&worker.name) {
             contact.acknowledged.push(attempt);
         }
     }
