--- a/examples/capacity/slopes.rs
+++ b/examples/capacity/slopes.rs
@@ -4,6 +4,7 @@
 //! that is counted here repeats to the last byte, so a test compares it with `docs/CAPACITY.md`.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{
@@ -27,6 +28,7 @@
         Call,
         Verb, //
     },
+    id::Session,
     job::{
         Kind,
         Request, //
@@ -56,6 +58,10 @@
 };
 use futures_util::FutureExt;
 use serde::Serialize;
+use tokio::task::JoinSet;
+
+/// A session id of the usual length.
+const FIRST_SESSION: u64 = 10_000_000_000_000_000_000;
 
 /// How long a cell runs before anything is counted.
 const WARM_UP: Duration = Duration::from_secs(10);
@@ -76,6 +82,8 @@
     pub(crate) jobs: u32,
     /// Teams in the configuration.
     pub(crate) teams: u32,
+    /// Entry VMs; only the first, which owns the shards, is counted.
+    pub(crate) vms: u32,
 }
 
 /// The cell from which one amount at a time is varied.
@@ -85,6 +93,7 @@
     waiting: 0,
     jobs: 0,
     teams: 10,
+    vms: 1,
 };
 
 /// What one entry VM sent and received while it was counted.
@@ -202,6 +211,7 @@
     counters: Arc<Counters>,
     load: Load,
     _running: basilbridge::node::Running,
+    _others: JoinSet<()>,
 }
 
 impl Cell {
@@ -223,7 +233,9 @@
         commit::replace(store.platform(), timer.clone(), &first)
             .await
             .expect("the stand-in takes the first configuration");
-        let node = Node::new(
+        // Another session's id would have another length.
+        let node = Node::with_session(
+            Session(FIRST_SESSION),
             Config::local("entry-0", "local"),
             timer.clone(),
             counted_platform(&store, &counters),
@@ -233,12 +245,14 @@
         );
         let running = node.start().await.expect("loopback ports can be bound");
         timer.sleep(WARM_UP).await;
+        let others = others(load.vms - 1, &store, &timer);
         let cell = Self {
             node,
             timer,
             counters,
             load,
             _running: running,
+            _others: others,
         };
         cell.fill().await;
         cell
@@ -311,6 +325,25 @@
     accelerators: 0,
 };
 
+/// Keeps the sessions of further VMs, which own no shard.
+fn others(count: u32, store: &Store, timer: &timer::Service) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    for number in 1..=count {
+        let node = Node::with_session(
+            Session(FIRST_SESSION + u64::from(number)),
+            Config::local(&format!("entry-{number}"), "elsewhere"),
+            timer.clone(),
+            store.platform(),
+            Fleet::new(timer.clone(), []).client(),
+            log::silent(),
+            Metrics::none(),
+        );
+        let address = SocketAddr::from(([127, 0, 0, 1], number as u16));
+        tasks.spawn(node.keep_session(address));
+    }
+    tasks
+}
+
 /// Returns a configuration of so many teams with one key each.
 pub(crate) fn configuration(teams: u32) -> Configuration {
     let team = |number: u32| Team {
@@ -324,3 +357,67 @@
         ..Configuration::default()
     }
 }
+
+/// A line of the table.
+pub(crate) struct Row {
+    /// What is varied.
+    pub(crate) varied: &'static str,
+    /// How much of it there is.
+    pub(crate) amount: u32,
+    /// The load.
+    pub(crate) load: Load,
+}
+
+/// Returns the lines of the table.
+pub(crate) fn rows() -> Vec<Row> {
+    let mut rows = Vec::new();
+    let mut add = |varied, amounts: [u32; 3], vary: fn(u32) -> Load| {
+        for amount in amounts {
+            let load = vary(amount);
+            rows.push(Row {
+                varied,
+                amount,
+                load,
+            });
+        }
+    };
+    add("workers", [64, 128, 256], |workers| Load {
+        workers,
+        ..BASE
+    });
+    add("running", [64, 128, 256], |running| Load {
+        running,
+        ..BASE
+    });
+    add("waiting", [1000, 2000, 4000], |waiting| Load {
+        waiting,
+        ..BASE
+    });
+    add("jobs a second", [10, 20, 40], |jobs| Load { jobs, ..BASE });
+    add("teams", [10, 100, 1000], |teams| Load { teams, ..BASE });
+    add("VMs", [1, 3, 9], |vms| Load { vms, ..BASE });
+    rows
+}
+
+/// The heading of the table.
+pub(crate) const HEADING: &str = "| varied | amount | writes/s | write B/s | reads/s | read B/s \
+    | commands/s | command B/s |\n|---|---|---|---|---|---|---|---|";
+
+impl Row {
+    /// Returns the line of the table.
+    pub(crate) fn line(&self, sent: &Sent) -> String {
+        let seconds = MEASURED.as_secs_f64();
+        let rate = |count: u64| count as f64 / seconds;
+        format!(
+            "| {} | {} | {:.2} | {:.0} | {:.2} | {:.0} | {:.2} | {:.0} |",
+            self.varied,
+            self.amount,
+            rate(sent.table_writes),
+            rate(sent.write_bytes),
+            rate(sent.table_reads),
+            rate(sent.read_bytes),
+            rate(sent.commands),
+            rate(sent.command_bytes),
+        )
+    }
+}
