--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -163,6 +163,7 @@
         owner.retry(&attempt).await;
         return;
     }
+    owner.tell_wait(&attempt);
     let boot = run.boot;
     let command = Command {
         epoch: attempt.epoch,
@@ -276,6 +277,15 @@
 }
 
 impl Owner {
+    fn tell_wait(&self, attempt: &Attempt) {
+        let now = self.tools.timer.now();
+        let inner = self.lock();
+        if let Some(job) = inner.jobs.get(&attempt.task.job) {
+            let waited = now.since(job.accepted);
+            self.tools.metrics.started(job.request.kind, waited);
+        }
+    }
+
     fn run_of(&self, attempt: &Attempt, worker: &Worker) -> Option<Run> {
         let inner = self.lock();
         if !inner.is_placed(attempt) {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -357,6 +357,7 @@
             journal: self.journals.open(title.clone()),
             tables: self.platform.tables.clone(),
             log,
+            metrics: self.metrics.clone(),
             task_lease: self.config.task_lease,
             allotments: Arc::clone(&self.allotments),
         };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,8 +74,8 @@
     PACKING = "shard.packing", "gauge", "Per mille of processors given to tasks in the shards that this VM owns.";
     /// The shards that this VM owns.
     SHARDS_OWNED = "shard.owned", "gauge", "Shards that this VM owns.";
-    /// How far the team that is farthest from its share is from it.
-    SHARE_DISTANCE = "team.share_distance", "gauge", "Per mille of the fleet between a team's use and its share, for the team with demand that is farthest below.";
+    /// How near the teams come to their shares.
+    NEARNESS = "team.nearness", "gauge", "Per mille of what waiting teams get for their shares on average that the one which gets least has, in the shard of this VM where that is lowest; sent while any team waits.";
     /// The processor time of this process.
     CONTROL_CPU = "control.cpu", "gauge", "Processor time of this process since its start, in milliseconds.";
     /// The memory of this process.
--- a/src/node.rs
+++ b/src/node.rs
@@ -290,6 +290,25 @@
         result
     }
 
+    fn report_shards(&self, owners: &[Arc<Owner>]) {
+        const PER_MILLE: f64 = 1000.0;
+        let packing = owners.iter().map(|owner| owner.packing());
+        let (given, capacity) = packing.fold((0, 0), |(given, capacity), shard| {
+            (
+                given + shard.given.cpu_millis,
+                capacity + shard.capacity.cpu_millis,
+            )
+        });
+        if let Some(packing) = (given * 1000).checked_div(capacity) {
+            self.metrics.gauge(metrics::PACKING, packing);
+        }
+        let nearness = owners.iter().filter_map(|owner| owner.nearness());
+        if let Some(least) = nearness.reduce(f64::min) {
+            let per_mille = (least * PER_MILLE).round() as u64;
+            self.metrics.gauge(metrics::NEARNESS, per_mille);
+        }
+    }
+
     /// Sends the gauges until the VM stops.
     async fn report(self: Arc<Self>) {
         loop {
@@ -301,6 +320,7 @@
             self.metrics.gauge(metrics::TASKS_RUNNING, running);
             self.metrics
                 .gauge(metrics::SHARDS_OWNED, owners.len() as u64);
+            self.report_shards(&owners);
             self.metrics.control();
             self.timer.sleep(metrics::GAUGE_INTERVAL).await;
         }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -72,6 +72,7 @@
         Started,
         Title, //
     },
+    metrics::Metrics,
     title::Check,
 };
 
@@ -84,6 +85,15 @@
 /// How much two clocks may drift apart over a lease, as a part of it.
 pub const DRIFT_PARTS: u32 = 100;
 
+/// What the workers of a shard have, and what of it is given to tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Packing {
+    /// What the workers have.
+    pub capacity: Resources,
+    /// What is given to tasks.
+    pub given: Resources,
+}
+
 /// What an owner works with.
 #[derive(Clone)]
 pub struct Tools {
@@ -97,6 +107,8 @@
     pub tables: Service,
     /// Where to log.
     pub log: Logger,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     /// How long a task goes on without word from its owner.
     pub task_lease: Duration,
     /// Tells that work waits for an allotment of its team.
@@ -285,6 +297,24 @@
         contacts.any(|contact| request.resources.fits(&contact.worker.capacity))
     }
 
+    /// Returns what the workers of the shard have, and what of it is given to tasks.
+    pub fn packing(&self) -> Packing {
+        let inner = self.lock();
+        inner
+            .scheduler
+            .slots()
+            .fold(Packing::default(), |sum, slot| Packing {
+                capacity: sum.capacity.plus(&slot.worker.capacity),
+                given: sum.given.plus(&slot.used),
+            })
+    }
+
+    /// Returns the least that a waiting team gets for its share, as a part of what waiting teams get
+    /// on average, if any waits.
+    pub fn nearness(&self) -> Option<f64> {
+        self.lock().scheduler.nearness()
+    }
+
     /// Says whether all that earlier owners left has been found or may be started anew.
     pub fn is_settled(&self) -> bool {
         self.lock().phase == Phase::Settled
