--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,11 +1,7 @@
 //! Stand-ins for workers.
 
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap,
-        HashSet, //
-    },
+    collections::HashMap,
     sync::{
         Arc,
         Mutex,
@@ -49,12 +45,20 @@
     },
 };
 use futures_util::FutureExt;
-use tokio::sync::{
-    Notify,
-    watch, //
-};
+use tokio::sync::watch;
 
-use crate::program::Program;
+use crate::{
+    ledger::{
+        Counts,
+        Ledger,
+        Violations, //
+    },
+    machine::{
+        Machine,
+        Running, //
+    },
+    program::Program,
+};
 
 /// What a test does to a worker.
 #[data]
@@ -69,64 +73,6 @@
     pub lose_answers: u32,
 }
 
-/// What must never happen, as the workers saw it.
-#[data]
-#[derive(Copy, Eq, Default)]
-pub struct Violations {
-    /// Starts that went over the worker's size or slots.
-    pub over_capacity: u64,
-    /// Starts of a task that ran in another place at that time.
-    pub double_runs: u64,
-    /// Second starts of a task that must not be repeated.
-    pub repeated: u64,
-}
-
-/// What the workers have counted.
-#[data]
-#[derive(Copy, Eq, Default)]
-pub struct Counts {
-    /// Tasks that were started.
-    pub starts: u64,
-    /// Commands that were refused for their epoch or boot.
-    pub stale: u64,
-    /// Commands that came in.
-    pub commands: u64,
-    /// The most that tasks had at once, on all workers together.
-    pub peak: Resources,
-}
-
-/// What all workers of a process saw together.
-#[derive(Default)]
-struct Ledger {
-    running: HashMap<Task, u32>,
-    started_once: HashSet<Task>,
-    /// When tasks were started, by their payloads.
-    starts: HashMap<String, Vec<Millis>>,
-    violations: Violations,
-    counts: Counts,
-    used: Resources,
-}
-
-struct Running {
-    report: Report,
-    lease_until: Millis,
-    done: watch::Sender<bool>,
-    /// Whether an answer to the owner has told of the end.
-    told: bool,
-}
-
-struct Machine {
-    worker: worker::Worker,
-    boot: Boot,
-    epoch: Epoch,
-    tasks: BTreeMap<Task, Running>,
-    /// The latest attempt of each task that was stopped before it had started under this epoch.
-    refused: BTreeMap<Task, Attempt>,
-    /// Wakes the renewals that wait for an end.
-    ends: Arc<Notify>,
-    switches: Switches,
-}
-
 /// Stand-in workers that share one ledger; clones share one fleet.
 #[derive(Clone)]
 pub struct Fleet {
@@ -437,166 +383,6 @@
     }
 }
 
-impl Machine {
-    fn new(worker: worker::Worker, boot: Boot) -> Self {
-        Self {
-            worker,
-            boot,
-            epoch: Epoch(0),
-            tasks: BTreeMap::new(),
-            refused: BTreeMap::new(),
-            ends: Arc::default(),
-            switches: Switches::default(),
-        }
-    }
-
-    fn extend_leases(&mut self, until: Millis) {
-        for running in self.tasks.values_mut() {
-            running.lease_until = running.lease_until.max(until);
-        }
-    }
-
-    /// Notes an attempt that never started, so that a start still under way is not carried out.
-    fn refuse_later_start(&mut self, attempt: &Attempt) {
-        if self.has_seen(attempt) || self.runs(&attempt.task) {
-            return;
-        }
-        let never_started = Running {
-            report: Report {
-                task: attempt.task.clone(),
-                phase: Phase::NeverStarted,
-                resources: Resources::default(),
-                usage: Resources::default(),
-                output: String::new(),
-                epoch: attempt.epoch,
-                attempt: attempt.number,
-            },
-            lease_until: Millis::default(),
-            done: watch::Sender::new(true),
-            told: true,
-        };
-        self.tasks.insert(attempt.task.clone(), never_started);
-        self.refused.insert(attempt.task.clone(), attempt.clone());
-    }
-
-    /// Drops the notes of attempts that the epoch alone now keeps from starting.
-    fn forget_never_started(&mut self) {
-        self.tasks
-            .retain(|_, running| running.report.phase != Phase::NeverStarted);
-        self.refused.clear();
-    }
-
-    fn has_seen(&self, attempt: &Attempt) -> bool {
-        self.tasks
-            .get(&attempt.task)
-            .is_some_and(|running| running.report.attempt() >= *attempt)
-            || self
-                .refused
-                .get(&attempt.task)
-                .is_some_and(|refused| refused >= attempt)
-    }
-
-    fn is_latest(&self, attempt: &Attempt) -> bool {
-        self.tasks
-            .get(&attempt.task)
-            .is_some_and(|running| running.report.attempt() <= *attempt)
-    }
-
-    fn runs(&self, task: &Task) -> bool {
-        self.tasks
-            .get(task)
-            .is_some_and(|running| running.report.phase == Phase::Running)
-    }
-
-    fn forget(&mut self, attempts: &[Attempt]) {
-        for attempt in attempts {
-            if self.is_latest(attempt) && !self.runs(&attempt.task) {
-                self.tasks.remove(&attempt.task);
-            }
-        }
-    }
-
-    fn answer(&self) -> Answer {
-        Answer {
-            boot: self.boot,
-            tasks: self
-                .tasks
-                .values()
-                .map(|running| running.report.clone())
-                .collect(),
-        }
-    }
-
-    fn has_untold_end(&self) -> bool {
-        self.tasks
-            .values()
-            .any(|running| running.report.phase != Phase::Running && !running.told)
-    }
-
-    /// Tells of the tasks that have ended, and of those that run where `list` asks for them.
-    fn answer_renewal(&mut self, list: bool) -> Answer {
-        let mut tasks = Vec::new();
-        for running in self.tasks.values_mut() {
-            let ended = running.report.phase != Phase::Running;
-            if ended || list {
-                running.told = ended;
-                tasks.push(running.report.clone());
-            }
-        }
-        Answer {
-            boot: self.boot,
-            tasks,
-        }
-    }
-
-    fn answer_one(&self, task: &Task) -> Result<Answer> {
-        let running = self
-            .tasks
-            .get(task)
-            .ok_or_else(|| Error::new(Kind::NotFound, format!("no task {task}")))?;
-        Ok(Answer {
-            boot: self.boot,
-            tasks: vec![running.report.clone()],
-        })
-    }
-}
-
-impl Ledger {
-    fn check_start(&mut self, machine: &Machine, run: &Run) {
-        let running = machine
-            .tasks
-            .values()
-            .filter(|running| running.report.phase == Phase::Running);
-        let (count, used) = running.fold((0, run.resources), |(count, used), running| {
-            (count + 1, used.plus(&running.report.resources))
-        });
-        if count >= machine.worker.slots || !used.fits(&machine.worker.capacity) {
-            self.violations.over_capacity += 1;
-        }
-        self.used = self.used.plus(&run.resources);
-        self.counts.peak = self.counts.peak.max(&self.used);
-        let places = self.running.entry(run.task.clone()).or_default();
-        *places += 1;
-        if *places > 1 {
-            self.violations.double_runs += 1;
-        }
-        let first = self.started_once.insert(run.task.clone());
-        if !first && !run.repeatable {
-            self.violations.repeated += 1;
-        }
-    }
-
-    fn leave(&mut self, task: &Task, need: &Resources) {
-        self.used = self.used.minus(need);
-        if let Some(places) = self.running.get_mut(task) {
-            *places -= 1;
-            if *places == 0 {
-                self.running.remove(task);
-            }
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/examples/edges/main.rs
+++ b/examples/edges/main.rs
@@ -25,7 +25,7 @@
     },
     timer,
 };
-use basilbridge_standins::worker::{
+use basilbridge_standins::ledger::{
     Counts,
     Violations, //
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod acknowledgement;
 pub mod admission;
 pub mod allotment;
+mod answer;
 pub mod audit;
 pub mod budget;
 pub mod client;
--- a/tests/faults/fences.rs
+++ b/tests/faults/fences.rs
@@ -7,7 +7,7 @@
     id::Shard,
     job::Kind, //
 };
-use basilbridge_standins::worker::Violations;
+use basilbridge_standins::ledger::Violations;
 
 use crate::{
     cell::{
