Show that a leaving worker gets nothing new after three seconds

Ruled out: a test over HTTP (wall time). Change: a test on the paused clock; the stand-in counts the starts on each worker. Before: no test. Conclusion: the point is proved for new work; moving what runs there is not built.

--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -54,6 +54,8 @@
     pub(crate) refused: BTreeMap<Task, Attempt>,
     /// Wakes the renewals that wait for an end.
     pub(crate) ends: Arc<Notify>,
+    /// Counts the tasks that were started, on all boots.
+    pub(crate) starts: u64,
     pub(crate) switches: Switches,
 }
 
@@ -66,6 +68,7 @@
             tasks: BTreeMap::new(),
             refused: BTreeMap::new(),
             ends: Arc::default(),
+            starts: 0,
             switches: Switches::default(),
         }
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -130,6 +130,13 @@
         ledger.starts.get(payload).cloned().unwrap_or_default()
     }
 
+    /// Returns how many tasks a worker has started.
+    pub fn starts_on(&self, name: &Name) -> u64 {
+        lock(&self.machines)
+            .get(name)
+            .map_or(0, |machine| machine.starts)
+    }
+
     /// Returns the tasks that run, in the order of their names.
     pub fn running(&self) -> Vec<Task> {
         let mut tasks: Vec<_> = lock(&self.ledger).running.keys().cloned().collect();
@@ -171,6 +178,7 @@
         let boot = Boot(machine.boot.0 + 1);
         let fresh = Machine::new(machine.worker.clone(), boot);
         let old = std::mem::replace(machine, fresh);
+        machine.starts = old.starts;
         old.ends.notify_waiters();
         let mut ledger = lock(&self.ledger);
         for (task, running) in old.tasks {
@@ -264,6 +272,7 @@
         }
         ledger.counts.starts += 1;
         ledger.check_start(machine, run);
+        machine.starts += 1;
         let starts = ledger.starts.entry(run.payload.clone()).or_default();
         starts.push(self.timer.now());
         drop(ledger);
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -5,6 +5,7 @@
 mod fences;
 mod history;
 mod journal;
+mod leaving;
 mod outages;
 mod ownership;
 mod schedules;
