--- /dev/null
+++ b/crates/cell/src/adviser.rs
@@ -0,0 +1,256 @@
+//! Asks the advice service through all VMs.
+//!
+//! The service serves each calling VM one call at a time, so the owner spreads its questions.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    error::Result,
+    id::Name,
+    unit::Millis, //
+};
+use basilbridge_peers::{
+    Advice,
+    Permit,
+    cell, //
+};
+use basilbridge_workflow::{
+    advice::{
+        self,
+        Load, //
+    },
+    order::Question,
+    policy,
+    schedule::{
+        Advised,
+        Good, //
+    },
+};
+use futures_util::FutureExt;
+
+use crate::{
+    node::Node,
+    owner::Owner, //
+};
+
+/// How much longer than all calls before it a call may take.
+const CALL_MARGIN: Duration = Duration::from_millis(600);
+
+/// For how long a VM that failed a call gets no other one.
+const REST: Duration = Duration::from_millis(1500);
+
+#[derive(Debug, Default)]
+struct Inner {
+    waiting: Vec<Question>,
+    loads: HashMap<Name, Load>,
+    resting: HashMap<Name, Millis>,
+}
+
+/// The questions that are open.
+pub(crate) struct Adviser {
+    own: Name,
+    inner: Mutex<Inner>,
+}
+
+impl Adviser {
+    pub(crate) fn new(node: &Node) -> Self {
+        Self {
+            own: node.config.name.clone(),
+            inner: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A VM through which a question goes; none stands for our own.
+#[derive(Debug, Clone)]
+struct Via {
+    name: Name,
+    address: Option<SocketAddr>,
+}
+
+impl Owner {
+    /// Asks a question as soon as a VM is free for it.
+    pub(crate) fn ask(self: Arc<Self>, question: Question) {
+        self.adviser.lock().waiting.push(question);
+        self.send_questions();
+    }
+
+    fn send_questions(self: &Arc<Self>) {
+        let now = self.now();
+        let vias = self.vias(now);
+        let mut inner = self.adviser.lock();
+        // A short call is for urgent work; questions of one length keep their order.
+        inner
+            .waiting
+            .sort_by_key(|question| question.cost() >= advice::LONG_CALL);
+        let waiting = std::mem::take(&mut inner.waiting);
+        for question in waiting {
+            let loads: Vec<Load> = vias
+                .iter()
+                .map(|via| inner.loads.get(&via.name).copied().unwrap_or_default())
+                .collect();
+            let cost = question.cost();
+            let Some(index) = advice::route(&loads, cost) else {
+                inner.waiting.push(question);
+                continue;
+            };
+            let via = vias[index].clone();
+            let load = inner.loads.entry(via.name.clone()).or_default();
+            load.pending += cost;
+            load.long += usize::from(cost >= advice::LONG_CALL);
+            let limit = load.pending + CALL_MARGIN;
+            tokio::spawn(Arc::clone(self).put_question(question, via, limit));
+        }
+    }
+
+    fn vias(&self, now: Millis) -> Vec<Via> {
+        let mut vias = vec![Via {
+            name: self.adviser.own.clone(),
+            address: None,
+        }];
+        let view = self.node.view();
+        let inner = self.adviser.lock();
+        for (name, address) in &view.nodes {
+            let rests = inner.resting.get(name).is_some_and(|until| *until > now);
+            if *name != self.adviser.own && !rests {
+                vias.push(Via {
+                    name: name.clone(),
+                    address: Some(*address),
+                });
+            }
+        }
+        vias
+    }
+
+    async fn put_question(self: Arc<Self>, question: Question, via: Via, limit: Duration) {
+        let cost = question.cost();
+        let begun = self.now();
+        let result = match via.address {
+            Some(address) => {
+                let wire = to_wire(&question);
+                let answer = self.node.pool.advise(address, wire, limit).await;
+                answer.map(from_wire)
+            }
+            None => (self.node.outside.advise)(question.clone()).await,
+        };
+        let now = self.now();
+        self.node.metrics.time("advice", now.since(begun));
+        {
+            let mut inner = self.adviser.lock();
+            if let Some(load) = inner.loads.get_mut(&via.name) {
+                load.pending = load.pending.saturating_sub(cost);
+                load.long -= usize::from(cost >= advice::LONG_CALL);
+            }
+            if result.is_err() && via.address.is_some() {
+                inner.resting.insert(via.name.clone(), now.after(REST));
+            }
+        }
+        self.note_answer(&question, &via, &result, now.since(begun));
+        self.engine().advised(&question, result.ok().as_ref(), now);
+        self.wake.notify_one();
+        self.send_questions();
+    }
+
+    fn note_answer(
+        &self,
+        question: &Question,
+        via: &Via,
+        result: &Result<Advised>,
+        took: Duration,
+    ) {
+        if !self.node.decisions.admit() {
+            return;
+        }
+        let asked = question.workers.len();
+        let took = took.as_millis() as u64;
+        let (job, step) = (&question.job, question.step);
+        match result {
+            Ok(advised) => slog::info!(self.node.log, "advice"; "job" => %job, "step" => step,
+                "asked" => asked, "good" => advised.good.len(), "took_ms" => took,
+                "via" => %via.name),
+            Err(error) => slog::warn!(self.node.log, "no advice"; "job" => %job, "step" => step,
+                "asked" => asked, "took_ms" => took, "via" => %via.name, "error" => %error),
+        }
+    }
+}
+
+/// Serves the questions of other VMs.
+pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<basilbridge_peers::server::Server> {
+    let advise = Arc::clone(&node.outside.advise);
+    let app = cell::App {
+        advise: Arc::new(move |wire| {
+            let advise = Arc::clone(&advise);
+            async move { advise(question_from_wire(wire)).await.map(answer_to_wire) }.boxed()
+        }),
+    };
+    cell::start(node.config.peers, app).await
+}
+
+fn to_wire(question: &Question) -> basilbridge_peers::Question {
+    basilbridge_peers::Question {
+        job: question.job.to_string(),
+        occurrence: question.occurrence,
+        step: question.step,
+        workers: question.workers.iter().map(ToString::to_string).collect(),
+        call_micros: question.advice.call.as_micros() as u64,
+        each_micros: question.advice.each.as_micros() as u64,
+        valid_ms: question.advice.valid.as_millis() as u64,
+    }
+}
+
+fn question_from_wire(wire: basilbridge_peers::Question) -> Question {
+    Question {
+        job: wire.job.into(),
+        occurrence: wire.occurrence,
+        step: wire.step,
+        workers: wire.workers.into_iter().map(Name::from).collect(),
+        advice: policy::Advice {
+            call: Duration::from_micros(wire.call_micros),
+            each: Duration::from_micros(wire.each_micros),
+            valid: Duration::from_millis(wire.valid_ms),
+        },
+    }
+}
+
+fn answer_to_wire(advised: Advised) -> Advice {
+    Advice {
+        permits: advised
+            .good
+            .into_iter()
+            .map(|good| Permit {
+                worker: good.worker.to_string(),
+                ticket: good.ticket.to_string(),
+            })
+            .collect(),
+        valid_ms: advised.valid.as_millis() as u64,
+    }
+}
+
+fn from_wire(wire: Advice) -> Advised {
+    Advised {
+        good: wire
+            .permits
+            .into_iter()
+            .map(|permit| Good {
+                worker: permit.worker.into(),
+                ticket: permit.ticket.into(),
+            })
+            .collect(),
+        valid: Duration::from_millis(wire.valid_ms),
+    }
+}
--- /dev/null
+++ b/crates/cell/src/dispatch.rs
@@ -0,0 +1,80 @@
+//! Sends orders, and tells the engine what came of them.
+
+use std::sync::Arc;
+
+use basilbridge_workflow::{
+    order::{
+        Order,
+        Pace,
+        Start,
+        Stop, //
+    },
+    report::Stopped,
+};
+
+use crate::owner::Owner;
+
+/// Sends an order in the background.
+pub(crate) fn send(owner: &Arc<Owner>, order: Order) {
+    let owner = Arc::clone(owner);
+    match order {
+        Order::Start(order) => {
+            tokio::spawn(start(owner, order));
+        }
+        Order::Stop(order) => {
+            tokio::spawn(stop(owner, order));
+        }
+        Order::Pace(order) => {
+            tokio::spawn(pace(owner, order));
+        }
+        Order::Ask(question) => Arc::clone(&owner).ask(question),
+    }
+}
+
+async fn start(owner: Arc<Owner>, order: Start) {
+    let gate = owner.gate(order.target.key);
+    // The gate is never closed.
+    let Ok(_permit) = gate.acquire().await else {
+        return;
+    };
+    if owner.is_over() {
+        return;
+    }
+    let (key, task, run) = (order.target.key, order.task.clone(), order.run);
+    let begun = owner.now();
+    let answer = (owner.node.outside.workers.start)(owner.epoch(), order).await;
+    let now = owner.now();
+    owner.node.metrics.time("start_call", now.since(begun));
+    owner.engine().started(key, &task, run, answer, now);
+    owner.wake.notify_one();
+}
+
+async fn stop(owner: Arc<Owner>, order: Stop) {
+    let gate = owner.gate(order.target.key);
+    // The gate is never closed.
+    let Ok(_permit) = gate.acquire().await else {
+        return;
+    };
+    if owner.is_over() {
+        return;
+    }
+    let (key, task, run) = (order.target.key, order.task.clone(), order.run);
+    let answer = (owner.node.outside.workers.stop)(owner.epoch(), order).await;
+    let now = owner.now();
+    owner.engine().stopped(key, &task, run, answer, now);
+    owner.wake.notify_one();
+}
+
+async fn pace(owner: Arc<Owner>, order: Pace) {
+    let gate = owner.gate(order.target.key);
+    // The gate is never closed.
+    let Ok(_permit) = gate.acquire().await else {
+        return;
+    };
+    let (key, task, run) = (order.target.key, order.task.clone(), order.run);
+    let percent = order.percent;
+    let answer = (owner.node.outside.workers.pace)(owner.epoch(), order).await;
+    if answer != Stopped::Taken {
+        owner.engine().not_paced(key, &task, run, percent);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/feed.rs
@@ -0,0 +1,108 @@
+//! Follows a table of the store.
+
+use std::time::Duration;
+
+use basilbridge_common::{
+    error::Result,
+    id::{
+        Name,
+        Version, //
+    },
+};
+use basilbridge_platform::table::Row;
+
+use crate::{
+    node::Node,
+    outside::{
+        Page,
+        Range, //
+    },
+};
+
+/// How long the store may hold a feed back: a connection that has gone silent is noticed within
+/// this and the store's time-out, inside the 2 s in which a configuration has to be in force.
+const WAIT: Duration = Duration::from_millis(1000);
+
+/// How long to wait after a call that failed.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// What a feed tells.
+pub(crate) enum News {
+    /// All rows of the table, and none besides.
+    All(Vec<Row>),
+    /// Rows that have changed.
+    Changed(Vec<Row>),
+}
+
+/// Reads all rows of `table`; the version is that from which on changes are to be followed.
+pub(crate) async fn read_all(node: &Node, table: &Name) -> Result<(Vec<Row>, Version)> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut first = None;
+    loop {
+        let from = rows.last().map(|row| format!("{}\0", row.key));
+        let range = Range {
+            table: table.clone(),
+            from,
+            to: None,
+        };
+        let Page {
+            version,
+            more,
+            rows: next,
+        } = node.read(range).await?;
+        let version = *first.get_or_insert(version);
+        let ended = !more || next.is_empty();
+        rows.extend(next);
+        if ended {
+            return Ok((rows, version));
+        }
+    }
+}
+
+/// Follows `table` until the future is dropped, from `start` on if the caller has read it.
+///
+/// A history that is gone is read anew in full; a gap is never taken for a removal.
+pub(crate) async fn follow(
+    node: &Node,
+    table: &Name,
+    start: Option<Version>,
+    mut apply: impl FnMut(News),
+) {
+    let mut known = start;
+    loop {
+        let Some(after) = known else {
+            match read_all(node, table).await {
+                // An answer from before what was seen already would take changes back.
+                Ok((_, version)) if version < node.seen() => {}
+                Ok((rows, version)) => {
+                    apply(News::All(rows));
+                    known = Some(version);
+                    continue;
+                }
+                Err(error) => node.note_store_failure(&error),
+            }
+            node.timer.sleep(RETRY).await;
+            continue;
+        };
+        match node.watch(table.clone(), after, WAIT).await {
+            Ok(Some(page)) => {
+                if page.version < after {
+                    node.timer.sleep(RETRY).await;
+                    continue;
+                }
+                known = Some(page.version);
+                if !page.rows.is_empty() {
+                    apply(News::Changed(page.rows));
+                }
+            }
+            Ok(None) => {
+                slog::info!(node.log, "history gone"; "table" => %table, "after" => after.0);
+                known = None;
+            }
+            Err(error) => {
+                node.note_store_failure(&error);
+                node.timer.sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/journal.rs
@@ -0,0 +1,117 @@
+//! Stores how far jobs are, and lets workers forget their ends after it.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use basilbridge_common::id::{
+    Name,
+    Version, //
+};
+use basilbridge_platform::table::{
+    Check,
+    Outcome,
+    Put,
+    Row, //
+};
+use basilbridge_workflow::journal::Batch;
+
+use crate::{
+    owner::Owner,
+    record::{
+        self,
+        CLAIM_KEY,
+        PROGRESS_TABLE, //
+    },
+};
+
+/// How long records are gathered, so that ends of several workers share a write.
+const GATHER: Duration = Duration::from_millis(5);
+
+/// How long to wait after a write that failed.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Stores batches until the future is dropped.
+pub(crate) async fn run(owner: Arc<Owner>) {
+    loop {
+        owner.unstored.notified().await;
+        owner.node.timer.sleep(GATHER).await;
+        loop {
+            let Some(batch) = owner.engine().batch() else {
+                break;
+            };
+            if !store(&owner, &batch).await {
+                owner.node.timer.sleep(RETRY).await;
+            }
+            owner.rounds.send_modify(|round| *round += 1);
+            if owner.is_over() {
+                return;
+            }
+        }
+    }
+}
+
+/// Stores one batch; says whether the store took it.
+async fn store(owner: &Owner, batch: &Batch) -> bool {
+    if batch.records.is_empty() {
+        owner.engine().stored(batch, Version(0));
+        return true;
+    }
+    let mut checks = vec![owner.title.check()];
+    let mut puts = Vec::with_capacity(batch.records.len());
+    for entry in &batch.records {
+        checks.push(Check {
+            table: PROGRESS_TABLE.into(),
+            key: entry.job.to_string(),
+            version: entry.replaces,
+        });
+        match record::encode(&entry.progress) {
+            Ok(value) => puts.push(Put {
+                table: PROGRESS_TABLE.into(),
+                key: entry.job.to_string(),
+                value: Some(value),
+            }),
+            Err(error) => {
+                slog::error!(owner.node.log, "progress can't be encoded";
+                    "job" => %entry.job, "error" => %error);
+            }
+        }
+    }
+    match owner.node.transact(checks, puts).await {
+        Ok(Outcome::Committed(version)) => {
+            owner.engine().stored(batch, version);
+            true
+        }
+        Ok(Outcome::Conflict(rows)) => {
+            conflict(owner, batch, &rows);
+            false
+        }
+        Err(error) => {
+            slog::info!(owner.node.log, "batch not stored"; "records" => batch.records.len(),
+                "error" => %error);
+            owner.engine().not_stored(batch, &[]);
+            false
+        }
+    }
+}
+
+/// Takes in that a condition did not hold: the title is lost, or a write whose answer was lost had
+/// taken effect.
+fn conflict(owner: &Owner, batch: &Batch, rows: &[Row]) {
+    let claim = rows.iter().find(|row| row.key == CLAIM_KEY);
+    if claim.is_some_and(|row| row.version != owner.title.version) {
+        owner.depose("the claim was replaced");
+        return;
+    }
+    let mut versions: Vec<(Name, Version)> = Vec::new();
+    for entry in &batch.records {
+        let found = rows.iter().find(|row| *row.key == *entry.job);
+        versions.push((
+            entry.job.clone(),
+            found.map_or(Version(0), |row| row.version),
+        ));
+    }
+    slog::info!(owner.node.log, "batch met other versions"; "records" => batch.records.len());
+    owner.engine().not_stored(batch, &versions);
+}
--- /dev/null
+++ b/crates/cell/src/log.rs
@@ -0,0 +1,128 @@
+//! The log of decisions, which is bounded and never blocks.
+
+use std::{
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    timer,
+    unit::Millis, //
+};
+use basilbridge_workflow::event::Event;
+use slog::Logger;
+
+/// The most lines a second that decisions may write: twice the starts and ends of a busy second
+/// of the users' deployments.
+const LINES_PER_SECOND: f64 = 600.0;
+
+/// For how long unwritten lines are saved up.
+const BURST: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+struct Budget {
+    left: f64,
+    at: Millis,
+    left_out: u64,
+}
+
+/// Writes decisions as long as they are not too many.
+pub struct Decisions {
+    log: Logger,
+    timer: timer::Service,
+    budget: Mutex<Budget>,
+}
+
+impl Decisions {
+    /// Makes a log of decisions that writes to `log`.
+    pub fn new(log: Logger, timer: timer::Service) -> Self {
+        let budget = Budget {
+            left: LINES_PER_SECOND,
+            at: timer.now(),
+            left_out: 0,
+        };
+        Self {
+            log,
+            timer,
+            budget: Mutex::new(budget),
+        }
+    }
+
+    /// Says whether one more line may be written, and tells how many were not.
+    pub fn admit(&self) -> bool {
+        let now = self.timer.now();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let passed = now.since(budget.at).as_secs_f64();
+        let most = LINES_PER_SECOND * BURST.as_secs_f64();
+        budget.left = (budget.left + passed * LINES_PER_SECOND).min(most);
+        budget.at = now;
+        if budget.left < 1.0 {
+            budget.left_out += 1;
+            return false;
+        }
+        budget.left -= 1.0;
+        let left_out = std::mem::take(&mut budget.left_out);
+        drop(budget);
+        if left_out > 0 {
+            slog::warn!(self.log, "lines left out"; "count" => left_out);
+        }
+        true
+    }
+
+    /// Writes a decision of the engine.
+    pub fn write(&self, event: &Event) {
+        if !self.admit() {
+            return;
+        }
+        let log = &self.log;
+        match event {
+            Event::Start {
+                task,
+                run,
+                worker,
+                waited,
+            } => slog::info!(log, "start";
+                "task" => %task, "run" => run, "worker" => %worker,
+                "waited_ms" => waited.as_millis() as u64),
+            Event::Refused {
+                task,
+                run,
+                worker,
+                answer,
+            } => slog::info!(log, "start refused";
+                "task" => %task, "run" => run, "worker" => %worker, "answer" => ?answer),
+            Event::Stop {
+                task,
+                run,
+                worker,
+                cause,
+            } => slog::info!(log, "stop";
+                "task" => %task, "run" => run, "worker" => %worker, "cause" => ?cause),
+            Event::End {
+                task,
+                run,
+                worker,
+                how,
+                ran,
+            } => slog::info!(log, "end";
+                "task" => %task, "run" => run, "worker" => %worker, "how" => ?how,
+                "ran_ms" => ran.as_millis() as u64),
+            Event::Lost {
+                task,
+                run,
+                worker,
+                evidence,
+            } => slog::info!(log, "run lost";
+                "task" => %task, "run" => run, "worker" => %worker, "evidence" => evidence),
+            Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
+                "task" => %task, "run" => run, "worker" => %worker),
+            Event::Final { job, state, after } => slog::info!(log, "job over";
+                "job" => %job, "state" => ?state, "after_ms" => after.as_millis() as u64),
+            Event::Worker { worker, belief } => slog::info!(log, "worker";
+                "worker" => %worker, "belief" => belief),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/looks.rs
@@ -0,0 +1,70 @@
+//! Looks at each worker, one after the other.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use basilbridge_workflow::worker;
+use tokio::task::JoinSet;
+
+use crate::{
+    outside::Looked,
+    owner::Owner, //
+};
+
+/// How long to wait after a look without an answer.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// How long a look waits for the ends of the last one to be stored, if the store is away: often
+/// enough to renew leases of seconds.
+const STORE_WAIT: Duration = Duration::from_millis(500);
+
+/// Starts to look at workers that nobody looks at yet.
+pub(crate) fn spawn_new(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
+    for key in owner.engine().unwatched() {
+        tasks.spawn(run(Arc::clone(owner), key));
+    }
+}
+
+async fn run(owner: Arc<Owner>, key: worker::Key) {
+    let timer = owner.node.timer.clone();
+    loop {
+        let mut rounds = owner.rounds.subscribe();
+        let now = owner.now();
+        let Some(look) = owner.engine().look(key, now) else {
+            return;
+        };
+        let name = look.target.name.clone();
+        owner.node.metrics.count("looks");
+        match (owner.node.outside.workers.look)(owner.epoch(), look).await {
+            Looked::Seen(seen) => {
+                let unstored = {
+                    let mut engine = owner.engine();
+                    engine.looked(key, now, owner.now(), &seen);
+                    engine.is_unstored(key)
+                };
+                owner.wake.notify_one();
+                if unstored {
+                    owner.unstored.notify_one();
+                    let stored = async {
+                        while owner.engine().is_unstored(key) && rounds.changed().await.is_ok() {}
+                    };
+                    // Without an answer of the store the next look goes on without waiting.
+                    let _ = timer.timeout(STORE_WAIT, stored).await;
+                }
+            }
+            Looked::Fenced => {
+                owner.depose("a worker knows a higher epoch");
+                return;
+            }
+            Looked::Silent(why) => {
+                owner.engine().not_looked(key);
+                if owner.node.decisions.admit() {
+                    slog::info!(owner.node.log, "worker silent"; "worker" => %name, "why" => why);
+                }
+                timer.sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/metrics.rs
@@ -0,0 +1,115 @@
+//! Counters and latency histograms, served as text.
+//!
+//! `docs/OPERATIONS.md` lists them.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use gotham::{
+    helpers::http::response::create_response,
+    middleware::state::StateMiddleware,
+    pipeline::{
+        new_pipeline,
+        single_pipeline, //
+    },
+    prelude::*,
+    router::{
+        Router,
+        build_router, //
+    },
+    state::State,
+};
+use hdrhistogram::Histogram;
+use http::StatusCode;
+use std::sync::Arc;
+
+/// The longest time that a histogram tells apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// The quantiles that are served.
+const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
+
+#[derive(Debug, Default)]
+struct Inner {
+    counters: BTreeMap<&'static str, u64>,
+    gauges: BTreeMap<&'static str, u64>,
+    times: BTreeMap<&'static str, Histogram<u64>>,
+}
+
+/// The metrics of a process; clones share them.
+#[derive(Debug, Clone, Default, StateData)]
+pub struct Metrics {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl std::panic::RefUnwindSafe for Metrics {}
+
+impl Metrics {
+    /// Counts one more of `name`.
+    pub fn count(&self, name: &'static str) {
+        *self.lock().counters.entry(name).or_default() += 1;
+    }
+
+    /// Sets the gauge `name`.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        self.lock().gauges.insert(name, value);
+    }
+
+    /// Takes in a time of `name`.
+    pub fn time(&self, name: &'static str, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(LONGEST_MICROS);
+        let mut inner = self.lock();
+        if let Some(histogram) = inner.times.get_mut(name) {
+            histogram.saturating_record(micros);
+        } else if let Ok(mut histogram) = Histogram::new_with_bounds(1, LONGEST_MICROS, 1) {
+            histogram.saturating_record(micros);
+            inner.times.insert(name, histogram);
+        }
+    }
+
+    /// Returns all metrics, a line each.
+    pub fn text(&self) -> String {
+        let inner = self.lock();
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        for (name, value) in inner.counters.iter().chain(&inner.gauges) {
+            let _ = writeln!(text, "basilbridge_{name} {value}");
+        }
+        for (name, times) in &inner.times {
+            for quantile in QUANTILES {
+                let seconds = times.value_at_quantile(quantile) as f64 / 1e6;
+                let _ = writeln!(
+                    text,
+                    "basilbridge_{name}_seconds{{quantile=\"{quantile}\"}} {seconds}"
+                );
+            }
+            let _ = writeln!(text, "basilbridge_{name}_seconds_count {}", times.len());
+        }
+        text
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Makes the router that serves `metrics`.
+pub fn router(metrics: Metrics) -> Router {
+    let pipeline = new_pipeline().add(StateMiddleware::new(metrics)).build();
+    let (chain, pipelines) = single_pipeline(pipeline);
+    build_router(chain, pipelines, |route| {
+        route.get("/metrics").to(|state: State| {
+            let text = Metrics::borrow_from(&state).text();
+            let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN_UTF_8, text);
+            (state, response)
+        });
+    })
+}
--- /dev/null
+++ b/crates/cell/src/owner.rs
@@ -0,0 +1,372 @@
+//! What the owner of the workers does as long as it holds the title.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+use basilbridge_platform::table::{
+    Outcome,
+    Row, //
+};
+use basilbridge_server::gate::Phase;
+use basilbridge_workflow::{
+    engine::{
+        self,
+        Engine, //
+    },
+    event::Event,
+    job::Accepted,
+    worker,
+};
+use tokio::{
+    sync::{
+        Notify,
+        Semaphore,
+        watch, //
+    },
+    task::JoinSet,
+};
+
+use crate::{
+    adviser::Adviser,
+    dispatch,
+    feed::{
+        self,
+        News, //
+    },
+    journal, load, looks,
+    node::Node,
+    record::{
+        self,
+        CLAIM_KEY,
+        Claim,
+        JOB_TABLE,
+        PULSE_KEY,
+        Pulse,
+        WORKERS_KEY, //
+    },
+    title::{
+        self,
+        Title, //
+    },
+};
+
+/// How often the owner gives a sign of life.
+const PULSE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The least time between two scheduling passes, which bounds what they cost.
+const PASS_INTERVAL: Duration = Duration::from_millis(4);
+
+/// How often a pass is made when nothing happens.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The most orders that are open at one worker at once, of its connections.
+const ORDERS_PER_WORKER: usize = 4;
+
+/// The owner of the workers.
+pub(crate) struct Owner {
+    pub(crate) node: Arc<Node>,
+    pub(crate) title: Title,
+    pub(crate) adviser: Adviser,
+    /// Something has happened that a scheduling pass may answer.
+    pub(crate) wake: Notify,
+    /// Something is to be stored.
+    pub(crate) unstored: Notify,
+    /// Counts the batches that were stored or given up.
+    pub(crate) rounds: watch::Sender<u64>,
+    engine: Mutex<Engine>,
+    over: watch::Sender<bool>,
+    gates: Mutex<HashMap<worker::Key, Arc<Semaphore>>>,
+}
+
+impl Owner {
+    pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.node.timer.now()
+    }
+
+    /// Returns the epoch that workers check.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.title.version.0
+    }
+
+    /// Ends the ownership: another VM holds the title.
+    pub(crate) fn depose(&self, evidence: &str) {
+        if !self.over.send_replace(true) {
+            slog::warn!(self.node.log, "title lost"; "epoch" => self.epoch(),
+                "evidence" => evidence);
+            self.node.metrics.count("titles_lost");
+        }
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        *self.over.borrow()
+    }
+
+    async fn ended(&self) {
+        // The sender lives as long as the owner that is borrowed here.
+        let _ = self.over.subscribe().wait_for(|over| *over).await;
+    }
+
+    /// Returns the gate that bounds the open orders of a worker.
+    pub(crate) fn gate(&self, key: worker::Key) -> Arc<Semaphore> {
+        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        let gate = gates
+            .entry(key)
+            .or_insert_with(|| Arc::new(Semaphore::new(ORDERS_PER_WORKER)));
+        Arc::clone(gate)
+    }
+
+    fn take_workers(&self, news: News) {
+        let now = self.now();
+        let decode = &self.node.outside.formats.worker;
+        let mut engine = self.engine();
+        let (rows, all) = match news {
+            News::All(rows) => (rows, true),
+            News::Changed(rows) => (rows, false),
+        };
+        let mut listed: HashSet<Name> = HashSet::new();
+        for row in rows {
+            let entry = row.value.as_deref().map(|text| decode(&row.key, text));
+            match entry {
+                Some(Some(entry)) => {
+                    listed.insert(entry.name.clone());
+                    engine.list(entry, now);
+                }
+                // A row that can't be read is some other writer's and tells nothing.
+                Some(None) => {
+                    listed.insert(row.key.as_str().into());
+                }
+                None => engine.unlist(&row.key, now),
+            }
+        }
+        if all {
+            let gone = engine.worker_names().into_iter();
+            let gone: Vec<Name> = gone.filter(|name| !listed.contains(name)).collect();
+            for name in gone {
+                engine.unlist(&name, now);
+            }
+        }
+        drop(engine);
+        self.wake.notify_one();
+    }
+
+    fn take_jobs(&self, news: News) {
+        let (News::All(rows) | News::Changed(rows)) = news;
+        let now = self.now();
+        let mut engine = self.engine();
+        for row in &rows {
+            take_job(&mut engine, row, now);
+        }
+        drop(engine);
+        self.wake.notify_one();
+    }
+}
+
+/// Takes in a row of the table of jobs.
+fn take_job(engine: &mut Engine, row: &Row, now: Millis) {
+    let Some(text) = row.value.as_deref() else {
+        return;
+    };
+    if let Some(id) = record::cancelled_job(&row.key) {
+        engine.cancel(id, now);
+    } else if let Ok(accepted) = record::decode::<Accepted>(text) {
+        engine.accept(&row.key.as_str().into(), accepted, None, false, now);
+    }
+}
+
+/// Acts as the owner until the title is lost or the VM leaves.
+pub(crate) async fn own(node: &Arc<Node>, title: Title) {
+    let settings = engine::Settings {
+        epoch: title.claim.epoch,
+        lease: node.config.lease(),
+        longest_lease: node.config.longest_lease,
+        gang_wait: node.config.gang_wait,
+    };
+    let policy = node.configuration().policy.clone();
+    let mut engine = Engine::new(settings, policy, node.timer.now());
+    engine.expect(title.workers.iter().cloned());
+    let owner = Arc::new(Owner {
+        node: Arc::clone(node),
+        title,
+        adviser: Adviser::new(node),
+        wake: Notify::new(),
+        unstored: Notify::new(),
+        rounds: watch::Sender::new(0),
+        engine: Mutex::new(engine),
+        over: watch::Sender::new(false),
+        gates: Mutex::default(),
+    });
+    let mut tasks = JoinSet::new();
+    tasks.spawn(pulse(Arc::clone(&owner)));
+    tokio::select! {
+        () = serve(&owner, &mut tasks) => {}
+        () = owner.ended() => {}
+        () = node.gate.reached(Phase::Leaving) => {}
+    }
+    let lost = owner.is_over();
+    owner.over.send_replace(true);
+    tasks.shutdown().await;
+    if !lost {
+        release(&owner).await;
+    }
+}
+
+async fn serve(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
+    let from = load::load(owner).await;
+    slog::info!(owner.node.log, "jobs loaded"; "epoch" => owner.epoch(),
+        "open" => owner.engine().load().0);
+    tasks.spawn(follow_workers(Arc::clone(owner), from.workers));
+    tasks.spawn(follow_jobs(Arc::clone(owner), from.jobs));
+    tasks.spawn(follow_policy(Arc::clone(owner)));
+    tasks.spawn(journal::run(Arc::clone(owner)));
+    looks::spawn_new(owner, tasks);
+    loop {
+        tokio::select! {
+            () = owner.wake.notified() => {}
+            () = owner.node.timer.sleep(IDLE_INTERVAL) => {}
+        }
+        pass(owner);
+        looks::spawn_new(owner, tasks);
+        while tasks.try_join_next().is_some() {}
+        owner.node.timer.sleep(PASS_INTERVAL).await;
+    }
+}
+
+/// Makes one scheduling pass and sends off what it wants done.
+fn pass(owner: &Arc<Owner>) {
+    let now = owner.now();
+    let (orders, events, fenced, unstored) = {
+        let mut engine = owner.engine();
+        engine.tick(now);
+        engine.schedule(now);
+        let orders = engine.take_orders();
+        (
+            orders,
+            engine.take_events(),
+            engine.is_fenced(),
+            engine.has_unstored(),
+        )
+    };
+    for event in &events {
+        count(owner, event);
+        owner.node.decisions.write(event);
+    }
+    for order in orders {
+        dispatch::send(owner, order);
+    }
+    if unstored {
+        owner.unstored.notify_one();
+    }
+    if fenced {
+        owner.depose("a worker knows a higher epoch");
+    }
+}
+
+fn count(owner: &Owner, event: &Event) {
+    let metrics = &owner.node.metrics;
+    match event {
+        Event::Start { waited, .. } => metrics.time("start_wait", *waited),
+        Event::Refused { .. } => metrics.count("starts_refused"),
+        Event::Stop { .. } => metrics.count("stops"),
+        Event::End { .. } => metrics.count("ends"),
+        Event::Lost { .. } => metrics.count("runs_lost"),
+        Event::Adopted { .. } => metrics.count("runs_taken_over"),
+        Event::Final { after, .. } => metrics.time("job", *after),
+        Event::Worker { .. } => metrics.count("worker_changes"),
+    }
+}
+
+async fn follow_workers(owner: Arc<Owner>, from: basilbridge_common::id::Version) {
+    let table = owner.node.outside.store.worker_table.clone();
+    let taker = Arc::clone(&owner);
+    feed::follow(&owner.node, &table, Some(from), move |news| {
+        taker.take_workers(news);
+    })
+    .await;
+}
+
+async fn follow_jobs(owner: Arc<Owner>, from: basilbridge_common::id::Version) {
+    let taker = Arc::clone(&owner);
+    feed::follow(&owner.node, &JOB_TABLE.into(), Some(from), move |news| {
+        taker.take_jobs(news);
+    })
+    .await;
+}
+
+async fn follow_policy(owner: Arc<Owner>) {
+    let mut configurations = owner.node.configurations();
+    loop {
+        let policy = configurations.borrow_and_update().policy.clone();
+        owner.engine().set_policy(policy);
+        owner.wake.notify_one();
+        if configurations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Gives signs of life, and tells with them which jobs have not begun.
+async fn pulse(owner: Arc<Owner>) {
+    let mut beat = 0;
+    let mut told: Vec<Name> = Vec::new();
+    loop {
+        let (unstarted, workers) = {
+            let engine = owner.engine();
+            (engine.unstarted(), engine.worker_names())
+        };
+        beat += 1;
+        let mut puts = Vec::new();
+        match record::encode(&Pulse { beat, unstarted }) {
+            Ok(value) => puts.push(title::put(PULSE_KEY, value)),
+            Err(error) => slog::error!(owner.node.log, "no sign"; "error" => %error),
+        }
+        if workers != told
+            && let Ok(value) = record::encode(&workers)
+        {
+            puts.push(title::put(WORKERS_KEY, value));
+        }
+        match owner.node.transact(vec![owner.title.check()], puts).await {
+            Ok(Outcome::Committed(_)) => told = workers,
+            Ok(Outcome::Conflict(_)) => {
+                owner.depose("the claim was replaced");
+                return;
+            }
+            // The store is asked again with the next sign.
+            Err(error) => slog::info!(owner.node.log, "sign not taken"; "error" => %error),
+        }
+        owner.node.timer.sleep(PULSE_INTERVAL).await;
+    }
+}
+
+/// Gives the title back, so that another VM takes it at once.
+async fn release(owner: &Owner) {
+    let claim = Claim {
+        released: true,
+        ..owner.title.claim.clone()
+    };
+    let Ok(value) = record::encode(&claim) else {
+        return;
+    };
+    let puts = vec![title::put(CLAIM_KEY, value)];
+    let outcome = owner.node.transact(vec![owner.title.check()], puts).await;
+    slog::info!(owner.node.log, "title released"; "epoch" => owner.epoch(),
+        "outcome" => ?outcome.map(|_| ()));
+}
--- /dev/null
+++ b/crates/cell/src/record.rs
@@ -0,0 +1,96 @@
+//! The rows that the entry VMs keep in the store. `docs/design/programs.md` lists them.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::Name,
+};
+use basilbridge_derives::data;
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+/// Who owns the workers, and what it has told of itself. All parts that an owner writes together
+/// share one part of the store, since its transactions cover one part.
+pub(crate) const TITLE_TABLE: &str = "title/0";
+
+/// Jobs as they were accepted, and which of them are cancelled.
+pub(crate) const JOB_TABLE: &str = "jobs/0";
+
+/// How far jobs are.
+pub(crate) const PROGRESS_TABLE: &str = "progress/0";
+
+/// The key of the claim.
+pub(crate) const CLAIM_KEY: &str = "claim";
+
+/// The key of the owner's sign of life.
+pub(crate) const PULSE_KEY: &str = "pulse";
+
+/// The key of the owner's list of workers.
+pub(crate) const WORKERS_KEY: &str = "workers";
+
+/// What the keys of entry VMs begin with.
+pub(crate) const NODE_PREFIX: &str = "node-";
+
+/// What the key of a cancellation ends in.
+const CANCEL_SUFFIX: &str = "/cancel";
+
+/// Who owns the workers.
+#[data]
+pub(crate) struct Claim {
+    /// The entry VM.
+    pub holder: Name,
+    /// A number that only this process knows, which tells its own claim from an earlier one.
+    pub nonce: u64,
+    /// How many owners there were before.
+    pub epoch: u32,
+    /// Whether the owner has given the title back.
+    #[serde(default)]
+    pub released: bool,
+}
+
+/// An owner's sign of life.
+#[data]
+#[derive(Default)]
+pub(crate) struct Pulse {
+    /// How many signs there were before.
+    pub beat: u64,
+    /// The jobs that have not begun, by queue.
+    pub unstarted: BTreeMap<Name, u64>,
+}
+
+/// Where an entry VM is reached by its peers.
+#[data]
+pub(crate) struct Node {
+    /// The address.
+    pub peers: SocketAddr,
+}
+
+/// Returns the key of the cancellation of a job.
+pub(crate) fn cancel_key(id: &str) -> String {
+    format!("{id}{CANCEL_SUFFIX}")
+}
+
+/// Returns the job that a key cancels, if it is such a key.
+pub(crate) fn cancelled_job(key: &str) -> Option<&str> {
+    key.strip_suffix(CANCEL_SUFFIX)
+}
+
+/// Encodes a row.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Result<String> {
+    serde_json::to_string(value).map_err(|error| Error::new(Kind::Internal, error.to_string()))
+}
+
+/// Decodes a row.
+pub(crate) fn decode<T: DeserializeOwned>(text: &str) -> Result<T> {
+    serde_json::from_str(text).map_err(|error| Error::new(Kind::Internal, error.to_string()))
+}
--- /dev/null
+++ b/crates/cell/src/title.rs
@@ -0,0 +1,299 @@
+//! Who owns the workers, and when another VM takes over.
+//!
+//! The version of the claim's row is the epoch that workers check, and each write of an owner is
+//! bound to it. A claim is also bound to the last sign of life that the claimant has seen, so an
+//! owner that still gives signs is never replaced by a VM that only hears them late.
+
+use std::{
+    collections::BTreeMap,
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    },
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
+};
+use basilbridge_platform::table::{
+    Check,
+    Outcome,
+    Put,
+    Row, //
+};
+use tokio::sync::Notify;
+
+use crate::{
+    feed::{
+        self,
+        News, //
+    },
+    node::Node,
+    owner,
+    record::{
+        self,
+        CLAIM_KEY,
+        Claim,
+        NODE_PREFIX,
+        PULSE_KEY,
+        Pulse,
+        TITLE_TABLE,
+        WORKERS_KEY, //
+    },
+};
+
+/// How long an owner may give no sign before it is replaced: three of its signs.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
+
+/// Over how long the claims of several VMs are spread, so that the first mostly meets no other.
+const CLAIM_SPREAD_MS: u64 = 250;
+
+/// How often a VM looks whether the title is free.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An owner's sign of life, and when it was seen.
+#[derive(Debug, Clone)]
+pub(crate) struct Sign {
+    pub(crate) pulse: Pulse,
+    pub(crate) version: Version,
+    pub(crate) seen: Millis,
+}
+
+/// What a VM knows of the title and of the other VMs.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) loaded: bool,
+    pub(crate) claim: Option<(Claim, Version)>,
+    pub(crate) sign: Option<Sign>,
+    pub(crate) nodes: BTreeMap<Name, SocketAddr>,
+    pub(crate) workers: Vec<Name>,
+}
+
+/// What a VM knows of the title, shared by its parts.
+#[derive(Debug, Default)]
+pub(crate) struct Board {
+    view: Mutex<View>,
+    changed: Notify,
+}
+
+impl Board {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A title that this VM holds.
+#[derive(Debug, Clone)]
+pub(crate) struct Title {
+    /// The version of the claim, which is the epoch that workers check.
+    pub(crate) version: Version,
+    /// The claim.
+    pub(crate) claim: Claim,
+    /// The workers that the owner before knew.
+    pub(crate) workers: Vec<Name>,
+}
+
+impl Title {
+    /// Returns the condition that this title still holds.
+    pub(crate) fn check(&self) -> Check {
+        check(CLAIM_KEY, self.version)
+    }
+}
+
+fn check(key: &str, version: Version) -> Check {
+    Check {
+        table: TITLE_TABLE.into(),
+        key: key.to_owned(),
+        version,
+    }
+}
+
+/// Returns a write to the table of titles.
+pub(crate) fn put(key: &str, value: String) -> Put {
+    Put {
+        table: TITLE_TABLE.into(),
+        key: key.to_owned(),
+        value: Some(value),
+    }
+}
+
+impl View {
+    fn apply(&mut self, news: News, now: Millis) {
+        let rows = match news {
+            News::All(rows) => {
+                self.loaded = true;
+                self.nodes.clear();
+                rows
+            }
+            News::Changed(rows) => rows,
+        };
+        for row in rows {
+            self.apply_row(&row, now);
+        }
+    }
+
+    fn apply_row(&mut self, row: &Row, now: Millis) {
+        let text = row.value.as_deref();
+        if let Some(name) = row.key.strip_prefix(NODE_PREFIX) {
+            match text.and_then(|text| record::decode::<record::Node>(text).ok()) {
+                Some(node) => self.nodes.insert(name.into(), node.peers),
+                None => self.nodes.remove(name),
+            };
+            return;
+        }
+        match (row.key.as_str(), text) {
+            (CLAIM_KEY, Some(text)) => {
+                if let Ok(claim) = record::decode(text) {
+                    self.claim = Some((claim, row.version));
+                    // A new owner gets its time for a first sign.
+                    if let Some(sign) = &mut self.sign {
+                        sign.seen = now;
+                    }
+                }
+            }
+            (PULSE_KEY, Some(text)) => {
+                let newer = self
+                    .sign
+                    .as_ref()
+                    .is_none_or(|sign| sign.version != row.version);
+                if let Ok(pulse) = record::decode(text)
+                    && newer
+                {
+                    self.sign = Some(Sign {
+                        pulse,
+                        version: row.version,
+                        seen: now,
+                    });
+                }
+            }
+            (WORKERS_KEY, Some(text)) => {
+                if let Ok(workers) = record::decode(text) {
+                    self.workers = workers;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Says whether the title may be claimed at `now` by a VM that waits `spread` longer than
+    /// others and has reached the store since `reachable`.
+    pub(crate) fn is_free(&self, now: Millis, reachable: Option<Millis>, spread: Duration) -> bool {
+        let (true, Some(reachable)) = (self.loaded, reachable) else {
+            return false;
+        };
+        let Some((claim, _)) = &self.claim else {
+            return now.since(reachable) >= spread;
+        };
+        if claim.released {
+            let since = self.sign.as_ref().map_or(reachable, |sign| sign.seen);
+            return now.since(since) >= spread;
+        }
+        let heard = self
+            .sign
+            .as_ref()
+            .map_or(reachable, |sign| sign.seen.max(reachable));
+        now.since(heard) >= SILENCE_LIMIT + spread
+    }
+}
+
+/// Follows the table of titles.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let board = Arc::clone(&node);
+    feed::follow(&node, &TITLE_TABLE.into(), None, move |news| {
+        board.title.lock().apply(news, board.timer.now());
+        board.title.changed.notify_waiters();
+    })
+    .await;
+}
+
+/// Claims the title whenever it is free, and acts as the owner while it is held.
+pub(crate) async fn contend(node: Arc<Node>) {
+    let mut hasher = DefaultHasher::new();
+    node.config.name.hash(&mut hasher);
+    let spread = Duration::from_millis(hasher.finish() % CLAIM_SPREAD_MS);
+    while !node.gate.is_draining() {
+        let configured = node.configuration().version > 0;
+        let free = {
+            let view = node.title.lock();
+            view.is_free(node.timer.now(), node.reachable_since(), spread)
+        };
+        if configured
+            && free
+            && let Some(title) = claim(&node).await
+        {
+            node.metrics.count("claims");
+            owner::own(&node, title).await;
+            continue;
+        }
+        tokio::select! {
+            () = node.title.changed.notified() => {}
+            () = node.timer.sleep(CHECK_INTERVAL) => {}
+        }
+    }
+}
+
+async fn claim(node: &Arc<Node>) -> Option<Title> {
+    let (before, sign, workers) = {
+        let view = node.title.lock();
+        let sign = view.sign.as_ref().map(|sign| sign.version);
+        (view.claim.clone(), sign, view.workers.clone())
+    };
+    let claim = Claim {
+        holder: node.config.name.clone(),
+        nonce: node.nonce,
+        epoch: before.as_ref().map_or(0, |(claim, _)| claim.epoch + 1),
+        released: false,
+    };
+    let held = before.as_ref().map_or(Version(0), |(_, version)| *version);
+    let checks = vec![
+        check(CLAIM_KEY, held),
+        check(PULSE_KEY, sign.unwrap_or_default()),
+    ];
+    let value = record::encode(&claim).ok()?;
+    let outcome = node.transact(checks, vec![put(CLAIM_KEY, value)]).await;
+    match &outcome {
+        Ok(Outcome::Conflict(rows)) => {
+            node.title
+                .lock()
+                .apply(News::Changed(rows.clone()), node.timer.now());
+        }
+        Err(error) => {
+            slog::info!(node.log, "claim not answered"; "error" => %error);
+        }
+        Ok(Outcome::Committed(_)) => {}
+    }
+    // The row tells both the version of a claim that was made and whether a lost answer was one.
+    let range = crate::outside::Range {
+        table: TITLE_TABLE.into(),
+        from: Some(CLAIM_KEY.to_owned()),
+        to: Some(format!("{CLAIM_KEY}\0")),
+    };
+    let page = node.read(range).await.ok()?;
+    let row = page.rows.into_iter().next()?;
+    let current: Claim = record::decode(row.value.as_deref()?).ok()?;
+    if current != claim {
+        return None;
+    }
+    let silent = node.title.lock().sign.as_ref().map(|sign| sign.seen);
+    let silent = silent.map(|seen| node.timer.now().since(seen).as_millis() as u64);
+    slog::info!(node.log, "title claimed"; "epoch" => row.version.0, "count" => claim.epoch,
+        "before" => ?before.map(|(claim, _)| claim.holder), "silent_ms" => ?silent);
+    Some(Title {
+        version: row.version,
+        claim,
+        workers,
+    })
+}
--- a/crates/common/src/error.rs
+++ b/crates/common/src/error.rs
@@ -80,6 +80,8 @@
     Forbidden = 403, 7, 68, No, false;
     /// There is no such thing.
     NotFound = 404, 5, 69, No, false;
+    /// There is no such job, or no longer.
+    Gone = 410, 5, 87, No, false;
     /// The method is not allowed on this path.
     MethodNotAllowed = 405, 12, 70, No, false;
     /// The state has changed since it was read.
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -34,8 +34,11 @@
 use crate::{
     convert,
     generated::{
+        Advice,
         Configuration,
         News,
+        Question,
+        cell_client::CellClient,
         peer_client::PeerClient, //
     },
 };
@@ -141,6 +144,25 @@
         }
     }
 
+    /// Lets the peer at `address` ask the advice service.
+    pub async fn advise(
+        &self,
+        address: SocketAddr,
+        question: Question,
+        limit: Duration,
+    ) -> Result<Advice> {
+        let mut client = CellClient::new(self.channel(address)?);
+        let exchange = client.advise(Request::new(question));
+        match self.timer.timeout(limit, exchange).await {
+            Some(Ok(advice)) => {
+                self.note_answer(address);
+                Ok(advice.into_inner())
+            }
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(Kind::Unreachable, "no advice in time")),
+        }
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
         let mut peers = self.lock();
         if let Some(peer) = peers.get(&address) {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,6 +3,7 @@
 //! A call carries the caller's document as it came, so that a new field of a request is added in
 //! one place. See `docs/design/peers.md`.
 
+pub mod cell;
 pub mod client;
 mod convert;
 pub mod server;
@@ -14,9 +15,12 @@
 }
 
 pub use generated::{
+    Advice,
     Configuration,
     Cursor,
     News,
     Owned,
+    Permit,
+    Question,
     Use, //
 };
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -91,11 +91,20 @@
 impl Server {
     /// Binds `address` and serves `app` there.
     pub async fn start(address: SocketAddr, app: App) -> io::Result<Self> {
+        let routes = tonic::service::Routes::new(PeerServer::new(app));
+        Self::start_with(address, routes).await
+    }
+
+    /// Binds `address` and serves `routes` there.
+    pub(crate) async fn start_with(
+        address: SocketAddr,
+        routes: tonic::service::Routes,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
         let server = tonic::transport::Server::builder()
-            .add_service(PeerServer::new(app))
+            .add_routes(routes)
             .serve_with_incoming_shutdown(
                 TcpIncoming::from(listener).with_nodelay(Some(true)),
                 async {
--- /dev/null
+++ b/crates/workflow/src/engine.rs
@@ -0,0 +1,634 @@
+//! All that one owner knows of its jobs and workers.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet,
+        VecDeque, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::{
+        Name,
+        Version, //
+    },
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+use slotmap::SlotMap;
+
+use crate::{
+    event::{
+        Cause,
+        Event, //
+    },
+    excess::Meter,
+    job::{
+        Accepted,
+        State,
+        TaskId, //
+    },
+    order::{
+        Look,
+        Order,
+        Stop,
+        Target, //
+    },
+    policy::{
+        Policy,
+        Queue, //
+    },
+    progress::Progress,
+    report::Entry,
+    stage::Stage,
+    worker::{
+        self,
+        JobKey,
+        Phase,
+        Place,
+        Worker, //
+    },
+};
+
+/// How many workers the objective of the users' queues counts in a call for advice.
+const ADVISED_WORKERS: usize = 30;
+
+/// By how much the run numbers of an epoch lie above those of the epoch before: an owner that knows
+/// no start of its predecessor still numbers its own higher.
+pub const RUNS_PER_EPOCH: u32 = 1000;
+
+/// How long an unanswered stop waits before it is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(400);
+
+/// How long a look may wait at the worker for something to end.
+const LOOK_WAIT: Duration = Duration::from_millis(1000);
+
+/// What the owner of a cell goes by.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How many owners there were before this one.
+    pub epoch: u32,
+    /// For how long a task goes on without a word from its owner.
+    pub lease: Duration,
+    /// The longest lease that a worker grants.
+    pub longest_lease: Duration,
+    /// For how long a member of a gang waits for the others.
+    pub gang_wait: Duration,
+}
+
+/// A job that was accepted.
+#[derive(Debug)]
+pub struct Job {
+    /// Its name.
+    pub id: Name,
+    /// What was accepted.
+    pub accepted: Accepted,
+    /// The steps of all occurrences, by occurrence and step.
+    pub stages: Vec<Stage>,
+    /// Where it stands for good, if it does.
+    pub over: Option<State>,
+    /// Whether a task has started.
+    pub begun: bool,
+    /// The version of its stored progress.
+    pub version: Version,
+    /// Whether its progress is to be stored.
+    pub dirty: bool,
+    /// Whether its end is stored.
+    pub final_stored: bool,
+    /// Whether an earlier owner may have started its tasks.
+    pub inherited: bool,
+    /// Whether it lies beyond what its team is owed.
+    pub excess: bool,
+}
+
+impl Job {
+    /// Returns where the job stands.
+    pub fn state(&self) -> State {
+        match (self.over, self.begun) {
+            (Some(state), _) => state,
+            (None, true) => State::Running,
+            (None, false) => State::Queued,
+        }
+    }
+
+    /// Returns what is stored of it.
+    pub fn progress(&self) -> Progress {
+        let stages = if self.over.is_some() {
+            Default::default()
+        } else {
+            let stages = self.stages.iter().enumerate();
+            stages
+                .filter_map(|(index, stage)| Some((index, stage.progress()?)))
+                .collect()
+        };
+        Progress {
+            state: self.state(),
+            stages,
+        }
+    }
+
+    /// Says whether all steps that a stage waits for are done.
+    pub fn is_ready(&self, stage: usize, now: Millis) -> bool {
+        let steps = self.accepted.spec.steps.len();
+        let first = stage / steps * steps;
+        let after = &self.accepted.spec.steps[stage % steps].after;
+        self.stages[stage].due <= now
+            && after
+                .iter()
+                .all(|before| self.stages[first + before].is_complete())
+    }
+
+    /// Returns the name of a task.
+    pub fn task(&self, stage: usize, index: usize) -> TaskId {
+        TaskId {
+            job: self.id.clone(),
+            occurrence: self.stages[stage].occurrence,
+            step: self.stages[stage].step as u32,
+            index: index as u32,
+        }
+    }
+}
+
+/// The jobs and workers of one owner.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) settings: Settings,
+    pub(crate) policy: Policy,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    pub(crate) ids: HashMap<Name, JobKey>,
+    pub(crate) workers: SlotMap<worker::Key, Worker>,
+    pub(crate) names: HashMap<Name, worker::Key>,
+    pub(crate) used: HashMap<Name, Resources>,
+    pub(crate) dirty: VecDeque<JobKey>,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) events: Vec<Event>,
+    pub(crate) meter: Meter,
+    pub(crate) started: Millis,
+    /// Workers that may run what an earlier owner started; none once the list is settled.
+    pub(crate) unsettled: Option<HashSet<Name>>,
+    /// The part of the workers that were good, by queue, of the answers so far.
+    pub(crate) good_part: HashMap<Name, f64>,
+    pub(crate) fenced: bool,
+}
+
+impl Engine {
+    /// Makes the engine of an owner that begins at `now`.
+    pub fn new(settings: Settings, policy: Policy, now: Millis) -> Self {
+        let first = settings.epoch == 0;
+        Self {
+            settings,
+            policy,
+            jobs: SlotMap::with_key(),
+            ids: HashMap::new(),
+            workers: SlotMap::with_key(),
+            names: HashMap::new(),
+            used: HashMap::new(),
+            dirty: VecDeque::new(),
+            orders: Vec::new(),
+            events: Vec::new(),
+            meter: Meter::default(),
+            started: now,
+            unsettled: (!first).then(HashSet::new),
+            good_part: HashMap::new(),
+            fenced: false,
+        }
+    }
+
+    /// Takes a new configuration.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Returns the orders since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns the decisions since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Says whether a worker has refused us because of a higher epoch.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Returns how many jobs are not over, and how many runs there are or may be.
+    pub fn load(&self) -> (usize, usize) {
+        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
+        let open = self.jobs.values().filter(|job| job.over.is_none()).count();
+        (open, runs)
+    }
+
+    /// Returns the job of this name.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(*self.ids.get(id)?)
+    }
+
+    /// Returns the worker of this name.
+    pub fn worker(&self, name: &str) -> Option<&Worker> {
+        self.workers.get(*self.names.get(name)?)
+    }
+
+    /// Returns the names of all workers that are listed or may run something.
+    pub fn worker_names(&self) -> Vec<Name> {
+        let mut names: Vec<Name> = self.names.keys().cloned().collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Takes in a job.
+    ///
+    /// `stored` is what an earlier owner has stored of it, `inherited` whether there was one.
+    pub fn accept(
+        &mut self,
+        id: &Name,
+        accepted: Accepted,
+        stored: Option<(Progress, Version)>,
+        inherited: bool,
+        now: Millis,
+    ) {
+        if self.ids.contains_key(id) {
+            return;
+        }
+        let (progress, version) = stored.unwrap_or_default();
+        if progress.state.is_final() {
+            return;
+        }
+        let excess = match accepted
+            .tenant
+            .as_ref()
+            .and_then(|name| self.policy.tenants.get(name))
+        {
+            Some(tenant) => self.meter.count(&tenant.name, tenant.weight, accepted.at),
+            None => false,
+        };
+        let stages = stages(&accepted, &progress, now);
+        let job = Job {
+            id: id.clone(),
+            accepted,
+            stages,
+            over: None,
+            begun: progress.state == State::Running,
+            version,
+            dirty: false,
+            final_stored: false,
+            inherited,
+            excess,
+        };
+        let key = self.jobs.insert(job);
+        self.ids.insert(id.clone(), key);
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: &str, now: Millis) {
+        if let Some(key) = self.ids.get(id).copied() {
+            self.end_job(key, State::Cancelled, now);
+        }
+    }
+
+    /// Takes in what a worker says of itself.
+    pub fn list(&mut self, entry: Entry, now: Millis) {
+        let Some(key) = self.names.get(&entry.name).copied() else {
+            let name = entry.name.clone();
+            self.note_worker(&name, "listed");
+            let key = self.workers.insert(Worker::new(entry));
+            self.names.insert(name, key);
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let rebooted = worker.entry.boot != entry.boot;
+        let began_to_leave = entry.leaving && !worker.entry.leaving;
+        let name = entry.name.clone();
+        worker.listed = true;
+        worker.entry = entry;
+        if rebooted {
+            worker.hurry = true;
+            if worker.boot.is_some() && worker.boot != Some(worker.entry.boot) {
+                self.drop_runs(key, "the worker booted", now);
+            }
+            self.note_worker(&name, "booted");
+        } else if began_to_leave {
+            self.note_worker(&name, "leaving");
+        }
+    }
+
+    /// Takes in that the list no longer names a worker.
+    ///
+    /// One that had said it would leave has left. Any other may still run what it has.
+    pub fn unlist(&mut self, name: &str, now: Millis) {
+        let Some(key) = self.names.get(name).copied() else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.listed = false;
+        let left = worker.entry.leaving;
+        let name = worker.entry.name.clone();
+        self.note_worker(&name, "unlisted");
+        if left {
+            self.drop_runs(key, "the worker left", now);
+        }
+        self.forget_worker(key);
+    }
+
+    /// Returns the next look at a worker, or nothing if the worker is gone.
+    pub fn look(&mut self, key: worker::Key, now: Millis) -> Option<Look> {
+        let lease = self.settings.lease;
+        let worker = self.workers.get_mut(key)?;
+        let hurry = std::mem::take(&mut worker.hurry);
+        let known = worker.boot.is_some() && worker.taken == worker.stored && !hurry;
+        Some(Look {
+            target: target(key, worker),
+            until: worker.lease(lease, now),
+            stored: worker.stored,
+            wait: if known { LOOK_WAIT } else { Duration::ZERO },
+        })
+    }
+
+    /// Returns the workers that this was not asked of before, for those who look at them.
+    pub fn unwatched(&mut self) -> Vec<worker::Key> {
+        let mut keys = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if !std::mem::replace(&mut worker.watched, true) {
+                keys.push(key);
+            }
+        }
+        keys
+    }
+
+    /// Takes note that a look was not answered.
+    pub fn not_looked(&mut self, key: worker::Key) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.hurry = true;
+        }
+    }
+
+    /// Takes note that a change of speed was not taken, so that it is ordered again.
+    pub fn not_paced(&mut self, key: worker::Key, task: &TaskId, run: u32, percent: u32) {
+        let worker = self.workers.get_mut(key);
+        let held = worker.and_then(|worker| worker.runs.get_mut(task));
+        if let Some(held) = held.filter(|held| held.run == run && held.pace == percent) {
+            held.pace = percent.saturating_add(1);
+        }
+    }
+
+    /// Says whether a worker has told ends that are not stored.
+    pub fn is_unstored(&self, key: worker::Key) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|worker| worker.taken > worker.stored)
+    }
+
+    /// Says whether anything is to be stored.
+    pub fn has_unstored(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Does what is due at `now`: sends stops again, and gives up what has surely ended.
+    pub fn tick(&mut self, now: Millis) {
+        self.settle(now);
+        let keys: Vec<_> = self.workers.keys().collect();
+        for key in keys {
+            let (longest, started) = (self.settings.longest_lease, self.started);
+            let worker = &self.workers[key];
+            if !worker.runs.is_empty() && now >= worker.lapse(longest, started) {
+                self.drop_runs(key, "the lease is over", now);
+            }
+            self.repeat_stops(key, now);
+            self.forget_worker(key);
+        }
+    }
+
+    fn repeat_stops(&mut self, key: worker::Key, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let target = target(key, worker);
+        for (task, run) in &mut worker.runs {
+            let unanswered = matches!(run.phase, Phase::Stopping(None));
+            let due = run
+                .stop_sent
+                .is_none_or(|sent| now.since(sent) >= STOP_RETRY);
+            if unanswered && due {
+                run.stop_sent = Some(now);
+                self.orders.push(Order::Stop(Stop {
+                    target: target.clone(),
+                    task: task.clone(),
+                    run: run.run,
+                }));
+            }
+        }
+    }
+
+    /// Stops a run, unless that was ordered before.
+    pub(crate) fn stop(&mut self, key: worker::Key, task: &TaskId, cause: Cause, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let target = target(key, worker);
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Stopping(_)) {
+            return;
+        }
+        run.phase = Phase::Stopping(None);
+        run.stop_sent = Some(now);
+        self.events.push(Event::Stop {
+            task: task.clone(),
+            run: run.run,
+            worker: target.name.clone(),
+            cause,
+        });
+        self.orders.push(Order::Stop(Stop {
+            target,
+            task: task.clone(),
+            run: run.run,
+        }));
+    }
+
+    /// Gives up all runs of a worker, which surely have ended.
+    pub(crate) fn drop_runs(&mut self, key: worker::Key, evidence: &'static str, now: Millis) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
+        for task in tasks {
+            self.lose(key, &task, evidence, now);
+        }
+    }
+
+    /// Gives up a run that has ended without being listed.
+    pub(crate) fn lose(
+        &mut self,
+        key: worker::Key,
+        task: &TaskId,
+        evidence: &'static str,
+        now: Millis,
+    ) {
+        let Some(run) = self.release(key, task) else {
+            return;
+        };
+        self.events.push(Event::Lost {
+            task: task.clone(),
+            run: run.run,
+            worker: self.workers[key].entry.name.clone(),
+            evidence,
+        });
+        if let Some(place) = run.place {
+            self.unplace(place, key, run.run, now);
+        }
+    }
+
+    /// Takes a run off its worker and its team's account.
+    pub(crate) fn release(&mut self, key: worker::Key, task: &TaskId) -> Option<worker::Run> {
+        let run = self.workers.get_mut(key)?.remove(task)?;
+        if let Some((tenant, room)) = &run.tenant
+            && let Some(used) = self.used.get_mut(tenant)
+        {
+            *used = used.minus(room);
+        }
+        Some(run)
+    }
+
+    /// Lets a task wait again, if `run` on `worker` is its latest.
+    pub(crate) fn unplace(&mut self, place: Place, worker: worker::Key, run: u32, now: Millis) {
+        let Some(job) = self.jobs.get_mut(place.job) else {
+            return;
+        };
+        let task = &mut job.stages[place.stage].tasks[place.index];
+        if task.placed == Some(worker) && task.run == run {
+            task.placed = None;
+            task.waiting = now;
+        }
+        self.forget_if_over(place.job);
+    }
+
+    /// Ends a job for good and stops what it runs.
+    pub(crate) fn end_job(&mut self, key: JobKey, state: State, now: Millis) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.over.is_some() {
+            return;
+        }
+        job.over = Some(state);
+        self.events.push(Event::Final {
+            job: job.id.clone(),
+            state,
+            after: now.since(job.accepted.at),
+        });
+        let mut placed = Vec::new();
+        for (stage, of_stage) in job.stages.iter().enumerate() {
+            for (index, task) in of_stage.tasks.iter().enumerate() {
+                if let Some(worker) = task.placed {
+                    placed.push((worker, job.task(stage, index)));
+                }
+            }
+        }
+        for (worker, task) in placed {
+            self.stop(worker, &task, Cause::JobOver, now);
+        }
+        self.touch(key);
+    }
+
+    /// Marks a job as one whose progress is to be stored.
+    pub(crate) fn touch(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key)
+            && !job.dirty
+        {
+            job.dirty = true;
+            self.dirty.push_back(key);
+        }
+    }
+
+    /// Forgets a job that is over, stored as such and runs nowhere.
+    pub(crate) fn forget_if_over(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let placed = || {
+            let mut tasks = job.stages.iter().flat_map(|stage| &stage.tasks);
+            tasks.any(|task| task.placed.is_some())
+        };
+        if job.final_stored && !job.dirty && !placed() {
+            self.ids.remove(&job.id);
+            self.jobs.remove(key);
+        }
+    }
+
+    fn forget_worker(&mut self, key: worker::Key) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if !worker.listed && worker.runs.is_empty() && worker.taken == worker.stored {
+            let name = worker.entry.name.clone();
+            self.names.remove(&name);
+            self.workers.remove(key);
+            if let Some(unsettled) = &mut self.unsettled {
+                unsettled.remove(&name);
+            }
+        }
+    }
+
+    pub(crate) fn note_worker(&mut self, name: &Name, belief: &'static str) {
+        self.events.push(Event::Worker {
+            worker: name.clone(),
+            belief,
+        });
+    }
+
+    /// Returns the queue of a job.
+    pub(crate) fn queue(&self, job: &Job) -> Option<&Queue> {
+        self.policy.queues.get(&job.accepted.queue)
+    }
+}
+
+/// Returns how long a job on `queue` may take and be on time.
+pub fn objective(queue: &Queue, accepted: &Accepted) -> Duration {
+    let overhead = queue
+        .advice
+        .map(|advice| advice.cost(ADVISED_WORKERS))
+        .unwrap_or_default();
+    accepted
+        .spec
+        .chain(overhead)
+        .mul_f64(queue.stretch.max(0.0))
+        + queue.slack
+}
+
+/// Returns how orders name a worker.
+pub(crate) fn target(key: worker::Key, worker: &Worker) -> Target {
+    Target {
+        key,
+        name: worker.entry.name.clone(),
+        address: worker.entry.address.clone(),
+    }
+}
+
+fn stages(accepted: &Accepted, progress: &Progress, now: Millis) -> Vec<Stage> {
+    let spec = &accepted.spec;
+    let mut stages = Vec::new();
+    for occurrence in 0..spec.occurrences() {
+        let due = spec.schedule.as_ref().map_or(Millis(0), |schedule| {
+            schedule.first.after(schedule.interval * occurrence)
+        });
+        for (number, step) in spec.steps.iter().enumerate() {
+            let mut stage = Stage::new(occurrence, number, step.count, due, now.max(due));
+            if let Some(stored) = progress.stages.get(&stages.len()) {
+                stage.restore(stored);
+            }
+            stages.push(stage);
+        }
+    }
+    stages
+}
--- /dev/null
+++ b/src/bin/basilbridged/cell.rs
@@ -0,0 +1,114 @@
+//! Runs an entry VM that schedules jobs of steps on the platform of a settings file.
+
+use std::{
+    path::Path,
+    process::ExitCode, //
+};
+
+use basilbridge::log;
+use basilbridge_adapter::settings::{
+    self,
+    Settings, //
+};
+use basilbridge_cell::node::{
+    Node,
+    Running, //
+};
+use basilbridge_common::timer;
+use miette::{
+    IntoDiagnostic,
+    Result,
+    WrapErr,
+    miette, //
+};
+use slog::Logger;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+use crate::{
+    EXIT_SETTINGS,
+    clap_app::Arguments, //
+};
+
+/// Reads and checks the settings, and runs until the process is told to stop.
+pub(crate) fn main(path: &Path, arguments: &Arguments) -> ExitCode {
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    let log = log::lines(arguments.log_level);
+    match run(path, settings, log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Settings> {
+    let settings = settings::read(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("{} can't be used", path.display()))?;
+    settings.cell.check().into_diagnostic()?;
+    Ok(settings)
+}
+
+fn run(path: &Path, settings: Settings, log: Logger) -> Result<()> {
+    // A VM has a part of one processor, where further threads only cost.
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()
+        .wrap_err("the runtime could not be started")?
+        .block_on(async {
+            let timer = timer::Service::start();
+            let outside = basilbridge_adapter::outside(&settings, &timer);
+            let node = Node::new(settings.cell.clone(), timer, outside, log.clone());
+            let running = node
+                .start()
+                .await
+                .into_diagnostic()
+                .wrap_err("the daemon could not start")?;
+            until_stopped(running, path, settings, &log).await
+        })
+}
+
+async fn until_stopped(
+    running: Running,
+    path: &Path,
+    settings: Settings,
+    log: &Logger,
+) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut reload = signal(SignalKind::hangup()).into_diagnostic()?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => note_reload(path, &settings, log),
+        }
+    }
+    match running.drain().await {
+        true => Ok(()),
+        false => Err(miette!("the drain was over before all calls were answered")),
+    }
+}
+
+/// Checks changed settings, which count from the next start on.
+fn note_reload(path: &Path, current: &Settings, log: &Logger) {
+    match read(path) {
+        Ok(settings) => slog::info!(log, "reload"; "changed" => settings != *current),
+        Err(report) => slog::error!(log, "reload failed"; "error" => %report),
+    }
+}
--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    path::PathBuf,
     time::Duration, //
 };
 
@@ -9,6 +10,7 @@
     Format,
     Level, //
 };
+use basilbridge_adapter::SETTINGS_VARIABLE;
 use clap::Parser;
 
 /// Schedules services, batch work and all-at-once jobs in one cell.
@@ -22,6 +24,11 @@
     #[arg(long)]
     pub(crate) embedded: bool,
 
+    /// Schedule jobs of steps on the platform that this settings file names; of the other
+    /// settings only those of the log count then.
+    #[arg(long, env = SETTINGS_VARIABLE, value_name = "FILE", conflicts_with = "embedded")]
+    pub(crate) cell: Option<PathBuf>,
+
     /// The stand-in workers of an embedded run.
     #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u32).range(1..=3000))]
     pub(crate) embedded_workers: u32,
@@ -54,7 +61,7 @@
     #[arg(
         long,
         env = "BASILBRIDGE_PLATFORM",
-        required_unless_present = "embedded",
+        required_unless_present_any = ["embedded", "cell"],
         conflicts_with = "embedded"
     )]
     pub(crate) platform: Option<SocketAddr>,
--- a/src/bin/basilbridged/main.rs
+++ b/src/bin/basilbridged/main.rs
@@ -1,6 +1,7 @@
 //! The daemon that every entry VM runs.
 
 mod app;
+mod cell;
 mod clap_app;
 
 use std::process::ExitCode;
@@ -18,10 +19,13 @@
 };
 
 /// The exit code for settings that can't be used.
-const EXIT_SETTINGS: u8 = 78;
+pub(crate) const EXIT_SETTINGS: u8 = 78;
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    if let Some(path) = &arguments.cell {
+        return cell::main(path, &arguments);
+    }
     let app = match App::new(&arguments) {
         Ok(app) => app,
         Err(faults) => {
--- a/src/log.rs
+++ b/src/log.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Makes a logger that writes JSON lines to the standard output stream.
+///
+/// Lines that come faster than they can be written are left out and counted, so that a slow reader
+/// never holds a decision up.
+pub fn lines(level: Level) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    root(drain, level.into())
+}
+
 /// Makes a logger that writes nothing.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
