Do not start jobs again that a feed tells twice, and take the newest configuration of several

Ruled out: old answers held up by the cut (the client had closed those connections), and stale reads after the compaction (the core was stable again).

Change: a job row counts only if it is newer than what was taken in; the last row of a key counts.

--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -91,5 +91,6 @@
             engine.cancel(id, now);
         }
     }
+    engine.taken_up_to(jobs);
     Ok(From { workers, jobs })
 }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -304,7 +304,8 @@
 
     fn take_configuration(&self, rows: &[Row]) {
         let key = &self.outside.store.configuration_key;
-        let row = rows.iter().find(|row| *row.key == **key);
+        // A feed that lagged tells each change of a row, the newest last.
+        let row = rows.iter().rfind(|row| *row.key == **key);
         let Some(text) = row.and_then(|row| row.value.as_deref()) else {
             return;
         };
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -175,6 +175,8 @@
         for row in &rows {
             take_job(&mut engine, row, now);
         }
+        let newest = rows.iter().map(|row| row.version).max();
+        engine.taken_up_to(newest.unwrap_or_default());
         drop(engine);
         self.wake.notify_one();
     }
@@ -188,7 +190,7 @@
     if let Some(id) = record::cancelled_job(&row.key) {
         engine.cancel(id, now);
     } else if let Ok(accepted) = record::decode::<Accepted>(text) {
-        engine.accept(&row.key.as_str().into(), accepted, None, false, now);
+        engine.accept_new(&row.key.as_str().into(), accepted, row.version, now);
     }
 }
 
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -173,6 +173,8 @@
     /// The part of the workers that were good, by queue, of the answers so far.
     pub(crate) good_part: HashMap<Name, f64>,
     pub(crate) fenced: bool,
+    /// The version of the store up to which jobs were taken in.
+    pub(crate) newest: Version,
 }
 
 impl Engine {
@@ -195,6 +197,7 @@
             unsettled: (!first).then(HashSet::new),
             good_part: HashMap::new(),
             fenced: false,
+            newest: Version(0),
         }
     }
 
@@ -242,6 +245,21 @@
         names
     }
 
+    /// Takes in a job from the feed of jobs, whose row has `version`.
+    ///
+    /// A feed that lost its place tells all rows again, also those of jobs that were over and
+    /// forgotten long ago. A row is written once, so one that is not newer is known.
+    pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
+        if version > self.newest {
+            self.accept(id, accepted, None, false, now);
+        }
+    }
+
+    /// Takes note that all jobs up to `version` of the store were taken in.
+    pub fn taken_up_to(&mut self, version: Version) {
+        self.newest = self.newest.max(version);
+    }
+
     /// Takes in a job.
     ///
     /// `stored` is what an earlier owner has stored of it, `inherited` whether there was one.
