Count failures by their run, and let the lease of a silent worker end

Ruled out: ends acknowledged before they were stored (the store was away, none was).

Change: failed runs are kept as a set; a silent worker's lease is not extended and it gets no new work.

--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -59,8 +59,8 @@
                 return;
             }
             Looked::Silent(why) => {
-                owner.engine().not_looked(key);
-                if owner.node.decisions.admit() {
+                let first = owner.engine().not_looked(key);
+                if first && owner.node.decisions.admit() {
                     slog::info!(owner.node.log, "worker silent"; "worker" => %name, "why" => why);
                 }
                 timer.sleep(RETRY).await;
--- a/crates/workflow/src/end.rs
+++ b/crates/workflow/src/end.rs
@@ -49,11 +49,13 @@
             }
         }
         let worker = &mut self.workers[key];
+        let name = worker.silent.then(|| worker.entry.name.clone());
         worker.read_clock(look.clock, now);
-        let fresh: Vec<&Ended> = {
-            let taken = worker.taken;
-            look.ended.iter().filter(|end| end.number > taken).collect()
-        };
+        let taken = worker.taken;
+        if let Some(name) = name {
+            self.note_worker(&name, "heard again");
+        }
+        let fresh: Vec<&Ended> = { look.ended.iter().filter(|end| end.number > taken).collect() };
         for end in fresh {
             self.ended(key, end, now);
             let worker = &mut self.workers[key];
@@ -257,7 +259,7 @@
             .policy
             .queues
             .get(&job.accepted.queue)
-            .map_or(u32::MAX, |queue| queue.attempts.max(1));
+            .map_or(usize::MAX, |queue| queue.attempts.max(1) as usize);
         let step = &job.accepted.spec.steps[job.stages[place.stage].step];
         let (gang, lasting) = (step.gang, step.lasting);
         let tasks = &mut job.stages[place.stage].tasks;
@@ -269,11 +271,8 @@
         let mut spent = false;
         for index in indexes {
             let task = &mut tasks[index];
-            if run > task.failed_run {
-                task.failed_run = run;
-                task.failed += 1;
-            }
-            spent |= task.failed >= attempts;
+            task.failed.insert(run);
+            spent |= task.failed.len() >= attempts;
         }
         tasks[place.index].failed_on.push(key);
         self.blame(key, &id, now);
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -238,6 +238,11 @@
         self.workers.get(*self.names.get(name)?)
     }
 
+    /// Returns the place of the worker of this name.
+    pub fn key(&self, name: &str) -> Option<worker::Key> {
+        self.names.get(name).copied()
+    }
+
     /// Returns the names of all workers that are listed or may run something.
     pub fn worker_names(&self) -> Vec<Name> {
         let mut names: Vec<Name> = self.names.keys().cloned().collect();
@@ -383,11 +388,13 @@
         keys
     }
 
-    /// Takes note that a look was not answered.
-    pub fn not_looked(&mut self, key: worker::Key) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.hurry = true;
-        }
+    /// Takes note that a look was not answered; says whether the one before was.
+    pub fn not_looked(&mut self, key: worker::Key) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return false;
+        };
+        worker.hurry = true;
+        !std::mem::replace(&mut worker.silent, true)
     }
 
     /// Takes note that a change of speed was not taken, so that it is ordered again.
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -11,11 +11,9 @@
 #[data]
 #[derive(Default)]
 pub struct Task {
-    /// The highest run of which the failure is counted.
-    pub run: u32,
-    /// How many runs failed.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub failed: u32,
+    /// The runs that failed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed: Vec<u32>,
     /// The newest checkpoint.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Name>,
@@ -47,10 +45,6 @@
     pub stages: BTreeMap<usize, Stage>,
 }
 
-fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
 fn is_false(flag: &bool) -> bool {
     !flag
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -1,6 +1,7 @@
 //! One occurrence of a step, and its tasks.
 
 use std::collections::{
+    BTreeSet,
     HashMap,
     HashSet, //
 };
@@ -35,10 +36,8 @@
     pub placed: Option<worker::Key>,
     /// Whether a run has ended well.
     pub done: bool,
-    /// How many runs failed.
-    pub failed: u32,
-    /// The highest run of which the failure is counted.
-    pub failed_run: u32,
+    /// The runs that failed; workers may tell of them in any order, and more than once.
+    pub failed: BTreeSet<u32>,
     /// The newest checkpoint.
     pub checkpoint: Option<Name>,
     /// The run that told the checkpoint.
@@ -135,10 +134,9 @@
         for (index, task) in (0_u32..).zip(&self.tasks) {
             if task.done {
                 stored.done.push(index);
-            } else if task.failed > 0 || task.checkpoint.is_some() {
+            } else if !task.failed.is_empty() || task.checkpoint.is_some() {
                 let entry = progress::Task {
-                    run: task.failed_run,
-                    failed: task.failed,
+                    failed: task.failed.iter().copied().collect(),
                     checkpoint: task.checkpoint.clone(),
                 };
                 stored.tasks.insert(index, entry);
@@ -156,9 +154,7 @@
         }
         for (index, entry) in &stored.tasks {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.run = entry.run;
-                task.failed = entry.failed;
-                task.failed_run = entry.run;
+                task.failed = entry.failed.iter().copied().collect();
                 task.checkpoint = entry.checkpoint.clone();
             }
         }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -111,6 +111,8 @@
     pub stored: u64,
     /// When it last answered.
     pub heard: Option<Millis>,
+    /// Whether the last look was not answered.
+    pub silent: bool,
     /// No new work before this moment.
     pub avoid: Millis,
     /// Whether somebody looks at it.
@@ -137,6 +139,7 @@
             taken: 0,
             stored: 0,
             heard: None,
+            silent: false,
             avoid: Millis(0),
             watched: false,
             hurry: true,
@@ -170,6 +173,7 @@
         self.listed
             && !self.entry.leaving
             && self.boot == Some(self.entry.boot)
+            && !self.silent
             && self.avoid <= now
             && self
                 .heard
@@ -180,12 +184,19 @@
     /// Takes note of the worker's clock, read at `at` or before.
     pub fn read_clock(&mut self, worker: u64, at: Millis) {
         self.heard = Some(at);
+        self.silent = false;
         self.reading = Some(Reading { worker, at });
     }
 
     /// Returns the end of a lease of `length` from `now` on, by the worker's clock.
+    ///
+    /// The lease of a silent worker is not made longer: each order may still arrive, and its runs
+    /// would never count as ended.
     pub fn lease(&mut self, length: Duration, now: Millis) -> Option<u64> {
         let reading = self.reading?;
+        if self.silent {
+            return Some(self.until);
+        }
         let until = reading.worker + (now.since(reading.at) + length).as_millis() as u64;
         self.until = self.until.max(until);
         Some(self.until)
--- /dev/null
+++ b/crates/workflow/tests/jobs.rs
@@ -0,0 +1,237 @@
+//! Jobs from acceptance to their end, on workers that keep their contract.
+
+mod util;
+
+use basilbridge_common::id::Version;
+use basilbridge_workflow::{
+    job::{
+        State,
+        TaskId, //
+    },
+    report::How,
+};
+
+use crate::util::{
+    CHECKS,
+    LASTING,
+    PLANS,
+    accepted,
+    cell::{
+        Cell,
+        Way, //
+    },
+    name,
+    step, //
+};
+
+const CORE: u64 = 1000;
+
+fn quick(_: &TaskId, _: u32) -> (u64, How, u64) {
+    (200, How::Done, CORE)
+}
+
+fn fails(_: &TaskId, _: u32) -> (u64, How, u64) {
+    (200, How::Failed, CORE)
+}
+
+fn long(_: &TaskId, _: u32) -> (u64, How, u64) {
+    (20_000, How::Done, CORE)
+}
+
+fn fills_a_worker(_: &TaskId, _: u32) -> (u64, How, u64) {
+    (400, How::Done, 64 * CORE)
+}
+
+#[test]
+fn a_job_is_completed_once_all_tasks_of_its_steps_are_done_in_order() {
+    let mut cell = Cell::new(&["w1", "w2"], quick);
+    let second = {
+        let mut second = step(2, CORE);
+        second.after = vec![0];
+        second
+    };
+
+    cell.submit(
+        "j1",
+        accepted(CHECKS, cell.now, vec![step(3, CORE), second]),
+    );
+    cell.run(1000);
+
+    assert_eq!(cell.state("j1"), State::Completed);
+    assert_eq!(cell.starts_of("j1"), 5);
+    let steps: Vec<u32> = cell.fleet.starts.iter().map(|start| start.1.step).collect();
+    assert_eq!(steps, [0, 0, 0, 1, 1]);
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_job_that_is_over_is_not_started_again_when_the_feed_tells_all_jobs_anew() {
+    let mut cell = Cell::new(&["w1"], quick);
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(1000);
+    let told_again = cell.jobs["j1"].clone();
+
+    cell.engine
+        .accept_new(&name("j1"), told_again, Version(1), cell.now);
+    cell.run(1000);
+
+    assert_eq!(cell.starts_of("j1"), 1);
+}
+
+#[test]
+fn a_task_that_fails_as_often_as_its_queue_allows_fails_its_job() {
+    let mut cell = Cell::new(&["w1", "w2"], fails);
+
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(8000);
+
+    assert_eq!(cell.state("j1"), State::Failed);
+    assert_eq!(cell.starts_of("j1"), 2);
+}
+
+#[test]
+fn failures_count_on_over_a_change_of_the_owner() {
+    let mut cell = Cell::new(&["w1", "w2"], fails);
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(250);
+
+    cell.take_over();
+    cell.run(8000);
+
+    assert_eq!(cell.state("j1"), State::Failed);
+    assert_eq!(cell.starts_of("j1"), 2);
+}
+
+#[test]
+fn failures_count_in_whatever_order_workers_tell_of_them() {
+    let mut cell = Cell::new(&["w1", "w2"], fails);
+    cell.store_away = true;
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(1000);
+    let second_first = cell.fleet.starts[0].3.clone();
+
+    cell.take_over();
+    cell.store_away = false;
+    cell.fleet.workers.get_mut(&second_first).unwrap().reachable = false;
+    cell.run(100);
+    cell.fleet.workers.get_mut(&second_first).unwrap().reachable = true;
+    cell.run(20_000);
+
+    assert_eq!(cell.state("j1"), State::Failed);
+    assert_eq!(cell.starts_of("j1"), 2);
+}
+
+#[test]
+fn a_new_owner_finds_what_runs_and_starts_nothing_twice() {
+    let mut cell = Cell::new(&["w1", "w2"], long);
+    cell.submit("j1", accepted(PLANS, cell.now, vec![step(4, CORE)]));
+    cell.run(1000);
+
+    cell.take_over();
+    cell.run(25_000);
+
+    assert_eq!(cell.state("j1"), State::Completed);
+    assert_eq!(cell.starts_of("j1"), 4);
+}
+
+#[test]
+fn a_new_owner_waits_for_the_leases_on_a_worker_that_it_can_not_reach() {
+    let mut cell = Cell::new(&["w1", "w2"], long);
+    cell.submit("j1", accepted(PLANS, cell.now, vec![step(40, CORE)]));
+    cell.run(500);
+
+    cell.take_over();
+    for worker in cell.fleet.workers.values_mut() {
+        worker.reachable = false;
+    }
+    cell.run(4000);
+    let while_leased = cell.starts_of("j1");
+    for worker in cell.fleet.workers.values_mut() {
+        worker.reachable = true;
+    }
+    cell.run(30_000);
+
+    assert_eq!(while_leased, 40);
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+}
+
+#[test]
+fn tasks_on_a_worker_that_falls_silent_are_started_elsewhere_once_its_lease_is_over() {
+    let mut cell = Cell::new(&["w1", "w2"], long);
+    cell.submit("j1", accepted(PLANS, cell.now, vec![step(4, CORE)]));
+    cell.run(1000);
+    let silent = cell.fleet.starts[0].3.clone();
+    cell.fleet.workers.get_mut(&silent).unwrap().reachable = false;
+
+    cell.run(5000);
+    let while_leased = cell.starts_of("j1");
+    cell.run(25_000);
+
+    assert_eq!(while_leased, 4);
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+}
+
+#[test]
+fn a_start_that_is_carried_out_late_runs_on_no_second_worker() {
+    let mut cell = Cell::new(&["w1", "w2"], long);
+    cell.submit("j1", accepted(PLANS, cell.now, vec![step(2, CORE)]));
+
+    cell.run_on(50, |_| Way::Late(4000));
+    cell.run(30_000);
+
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+}
+
+#[test]
+fn nothing_is_started_beyond_what_a_worker_can_give_while_stops_take_effect() {
+    let mut cell = Cell::new(&["w1"], fills_a_worker);
+    let whole = 64 * CORE;
+
+    for number in 0..5 {
+        cell.submit(
+            &format!("j{number}"),
+            accepted(CHECKS, cell.now, vec![step(1, whole)]),
+        );
+    }
+    cell.run(100);
+    cell.engine.cancel("j0", cell.now);
+    cell.run(6000);
+
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j4"), State::Completed);
+}
+
+#[test]
+fn a_lasting_task_is_started_again_however_it_ends() {
+    let mut cell = Cell::new(&["w1"], quick);
+    let lasting = {
+        let mut lasting = step(1, CORE);
+        lasting.lasting = true;
+        lasting
+    };
+
+    cell.submit("j1", accepted(LASTING, cell.now, vec![lasting]));
+    cell.run(3000);
+
+    assert!(cell.starts_of("j1") > 8);
+    assert!(!cell.state("j1").is_final());
+}
+
+#[test]
+fn ends_are_acknowledged_only_after_they_are_stored() {
+    let mut cell = Cell::new(&["w1"], quick);
+    cell.store_away = true;
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+
+    cell.run(2000);
+    let kept = cell.fleet.workers["w1"].ended.len();
+    cell.store_away = false;
+    cell.run(100);
+
+    assert_eq!(kept, 1);
+    assert_eq!(cell.fleet.workers["w1"].ended.len(), 0);
+    assert_eq!(cell.state("j1"), State::Completed);
+}
--- /dev/null
+++ b/crates/workflow/tests/schedules.rs
@@ -0,0 +1,116 @@
+//! Random loads and faults, by seed: no task runs in two places, none runs again after its end was
+//! acknowledged, no worker gets more than it can give, and all jobs end.
+
+mod util;
+
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+use basilbridge_workflow::{
+    job::TaskId,
+    report::How, //
+};
+use quickcheck::Gen;
+
+use crate::util::{
+    CHECKS,
+    PLANS,
+    accepted,
+    cell::{
+        Cell,
+        Way, //
+    },
+    step, //
+};
+
+/// How many schedules are played; `SCHEDULES` sets another count.
+const SCHEDULES: u64 = 40;
+
+const CORE: u64 = 1000;
+
+fn mixed(task: &TaskId, run: u32) -> (u64, How, u64) {
+    let takes = 100 + 400 * u64::from(task.index % 5);
+    let fails = task.index % 7 == 3 && run % 1000 == 1;
+    let how = if fails { How::Failed } else { How::Done };
+    (takes, how, 9 * CORE)
+}
+
+fn from_environment(name: &str, usual: u64) -> u64 {
+    let set = std::env::var(name).ok();
+    set.and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+fn one_of(random: &mut Gen, count: usize) -> usize {
+    let choices: Vec<usize> = (0..count).collect();
+    *random.choose(&choices).expect("the count is not zero")
+}
+
+fn disturb(cell: &mut Cell, random: &mut Gen) {
+    let names: Vec<Name> = cell.fleet.workers.keys().cloned().collect();
+    let name = random.choose(&names).expect("there are workers").clone();
+    match one_of(random, 8) {
+        0 => cell.take_over(),
+        1 => {
+            cell.fleet.reboot(&name, cell.now);
+            cell.list_all();
+        }
+        2 => {
+            let worker = cell.fleet.workers.get_mut(&name).expect("it is listed");
+            worker.reachable = !worker.reachable;
+        }
+        3 => cell.store_away = !cell.store_away,
+        _ => {}
+    }
+}
+
+fn play(seed: u64) -> Vec<String> {
+    let mut random = Gen::from_size_and_seed(100, seed);
+    let mut cell = Cell::new(&["w1", "w2", "w3"], mixed);
+    for number in 0..12 {
+        let queue = if number % 3 == 0 { PLANS } else { CHECKS };
+        let mut second = step(4, 9 * CORE);
+        second.after = vec![0];
+        let steps = vec![step(1 + number % 6, 9 * CORE), second];
+        cell.submit(&format!("j{number}"), accepted(queue, cell.now, steps));
+        let bad = one_of(&mut random, 10);
+        let late = 200 * one_of(&mut random, 20) as u64;
+        let mut count = 0;
+        cell.run_on(300, |_| {
+            count += 1;
+            match (bad, count % 5) {
+                (7, 0) => Way::NoAnswer,
+                (8, 0) => Way::NoOrder,
+                (9, 0) => Way::Late(late),
+                _ => Way::Open,
+            }
+        });
+        disturb(&mut cell, &mut random);
+    }
+    for worker in cell.fleet.workers.values_mut() {
+        worker.reachable = true;
+    }
+    cell.store_away = false;
+    cell.run(60_000);
+    let mut faults = std::mem::take(&mut cell.fleet.broken);
+    for id in cell.jobs.keys() {
+        let state = cell.state(id);
+        if !state.is_final() {
+            faults.push(format!("{id} is {state:?} at {:?}", Millis(cell.now.0)));
+        }
+    }
+    faults
+}
+
+#[test]
+fn no_schedule_of_loads_and_faults_breaks_what_must_hold() {
+    let first = from_environment("FIRST_SEED", 0);
+    let count = from_environment("SCHEDULES", SCHEDULES);
+
+    let broken: Vec<(u64, Vec<String>)> = (first..first + count)
+        .map(|seed| (seed, play(seed)))
+        .filter(|(_, faults)| !faults.is_empty())
+        .collect();
+
+    assert_eq!(broken, Vec::new());
+}
--- /dev/null
+++ b/crates/workflow/tests/util/fleet.rs
@@ -0,0 +1,268 @@
+//! Workers that keep the promises of the workers' contract, on a manual clock.
+
+use std::collections::BTreeMap;
+
+use basilbridge_common::{
+    id::Name,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+use basilbridge_workflow::{
+    job::TaskId,
+    order::{
+        Look,
+        Start,
+        Stop, //
+    },
+    report::{
+        self,
+        Ended,
+        How,
+        Running,
+        Started,
+        Stopped, //
+    },
+};
+
+use super::{
+    WORKER_CPU,
+    cpu, //
+};
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) run: u32,
+    pub(crate) begun: Millis,
+    pub(crate) ends: Millis,
+    pub(crate) how: How,
+    pub(crate) room: Resources,
+}
+
+/// One worker; its clock runs like the test's.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) boot: u64,
+    pub(crate) booted: Millis,
+    pub(crate) reachable: bool,
+    epoch: u64,
+    until: u64,
+    pub(crate) running: BTreeMap<TaskId, Held>,
+    highest: BTreeMap<TaskId, u32>,
+    pub(crate) ended: Vec<Ended>,
+    number: u64,
+}
+
+/// What a run does: how long it takes, how it ends and what it takes up.
+pub(crate) type Behave = fn(&TaskId, u32) -> (u64, How, u64);
+
+/// All workers, and what they saw.
+pub(crate) struct Fleet {
+    pub(crate) workers: BTreeMap<Name, Worker>,
+    pub(crate) behave: Behave,
+    /// Every start, in order, with its moment.
+    pub(crate) starts: Vec<(Millis, TaskId, u32, Name)>,
+    /// Tasks with an end that is done and that was acknowledged.
+    pub(crate) done: Vec<TaskId>,
+    /// What must not have happened.
+    pub(crate) broken: Vec<String>,
+}
+
+impl Fleet {
+    pub(crate) fn new(names: &[&str], behave: Behave) -> Self {
+        let workers = names.iter().map(|name| ((*name).into(), Worker::new(1)));
+        Self {
+            workers: workers.collect(),
+            behave,
+            starts: Vec::new(),
+            done: Vec::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    fn worker(&mut self, name: &Name) -> &mut Worker {
+        self.workers.get_mut(name).expect("the test made it")
+    }
+
+    /// Lets time pass on all workers.
+    pub(crate) fn advance(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            worker.advance(now);
+        }
+    }
+
+    /// Kills what a worker runs and lets it boot again.
+    pub(crate) fn reboot(&mut self, name: &Name, now: Millis) -> u64 {
+        let worker = self.worker(name);
+        let boot = worker.boot + 1;
+        *worker = Worker::new(boot);
+        worker.booted = now;
+        boot
+    }
+
+    pub(crate) fn look(&mut self, epoch: u64, look: &Look, now: Millis) -> Option<report::Look> {
+        let worker = self.workers.get_mut(&look.target.name)?;
+        worker.advance(now);
+        if epoch < worker.epoch {
+            return None;
+        }
+        worker.epoch = epoch;
+        worker.extend(look.until, now);
+        let forgotten = worker.ended.iter().filter(|end| end.number <= look.stored);
+        let done = forgotten.filter(|end| end.how == How::Done);
+        self.done.extend(done.map(|end| end.task.clone()));
+        worker.ended.retain(|end| end.number > look.stored);
+        Some(report::Look {
+            boot: worker.boot,
+            clock: now.since(worker.booted).as_millis() as u64,
+            running: worker
+                .running
+                .iter()
+                .map(|(task, held)| Running {
+                    task: task.clone(),
+                    run: held.run,
+                    checkpoint: None,
+                    percent: held.percent(now),
+                    figure: 0.0,
+                })
+                .collect(),
+            ended: worker.ended.clone(),
+        })
+    }
+
+    pub(crate) fn start(&mut self, epoch: u64, order: &Start, now: Millis) -> Started {
+        let (takes, how, room) = (self.behave)(&order.task, order.run);
+        let elsewhere: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(name, worker)| {
+                **name != order.target.name && worker.running.contains_key(&order.task)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        let is_done = self.done.contains(&order.task);
+        let worker = self.worker(&order.target.name);
+        worker.advance(now);
+        if epoch < worker.epoch {
+            return Started::Fenced;
+        }
+        worker.epoch = epoch;
+        worker.extend(Some(order.until), now);
+        if order.until <= now.since(worker.booted).as_millis() as u64 {
+            return Started::Late;
+        }
+        if worker.running.get(&order.task).map(|held| held.run) == Some(order.run) {
+            return Started::Running;
+        }
+        let highest = worker.highest.get(&order.task).copied().unwrap_or(0);
+        if order.run <= highest {
+            return Started::Old;
+        }
+        worker.highest.insert(order.task.clone(), order.run);
+        worker.running.insert(
+            order.task.clone(),
+            Held {
+                run: order.run,
+                begun: now,
+                ends: Millis(now.0 + takes),
+                how,
+                room: cpu(room),
+            },
+        );
+        let used: u64 = worker
+            .running
+            .values()
+            .map(|held| held.room.cpu_millis)
+            .sum();
+        let (task, name) = (order.task.clone(), order.target.name.clone());
+        self.starts.push((now, task, order.run, name.clone()));
+        if !elsewhere.is_empty() {
+            self.broken.push(format!(
+                "{} runs on {name} and on {elsewhere:?}",
+                order.task
+            ));
+        }
+        if is_done {
+            self.broken.push(format!("{} was done before", order.task));
+        }
+        if used > WORKER_CPU {
+            self.broken.push(format!("{name} runs {used}"));
+        }
+        Started::Running
+    }
+
+    pub(crate) fn stop(&mut self, epoch: u64, order: &Stop, now: Millis) -> Stopped {
+        let worker = self.worker(&order.target.name);
+        worker.advance(now);
+        if epoch < worker.epoch {
+            return Stopped::Fenced;
+        }
+        worker.epoch = epoch;
+        let highest = worker.highest.entry(order.task.clone()).or_default();
+        *highest = (*highest).max(order.run);
+        if let Some(held) = worker.running.get_mut(&order.task)
+            && held.run == order.run
+        {
+            held.ends = held.ends.min(Millis(now.0 + 300));
+            held.how = How::Stopped;
+        }
+        Stopped::Taken
+    }
+}
+
+impl Held {
+    fn percent(&self, now: Millis) -> f64 {
+        let whole = self.ends.since(self.begun).as_millis().max(1) as f64;
+        (now.since(self.begun).as_millis() as f64 / whole * 100.0).min(99.0)
+    }
+}
+
+impl Worker {
+    fn new(boot: u64) -> Self {
+        Self {
+            boot,
+            booted: Millis(0),
+            reachable: true,
+            epoch: 0,
+            until: 0,
+            running: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            ended: Vec::new(),
+            number: 0,
+        }
+    }
+
+    fn extend(&mut self, until: Option<u64>, now: Millis) {
+        let clock = now.since(self.booted).as_millis() as u64;
+        let until = until.unwrap_or(0).min(clock + 6000);
+        self.until = self.until.max(until);
+    }
+
+    fn advance(&mut self, now: Millis) {
+        let clock = now.since(self.booted).as_millis() as u64;
+        let lapsed = clock >= self.until;
+        let over: Vec<TaskId> = self
+            .running
+            .iter()
+            .filter(|(_, held)| lapsed || held.ends <= now)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in over {
+            let Some(held) = self.running.remove(&task) else {
+                continue;
+            };
+            let in_time = held.ends <= Millis(self.booted.0 + self.until);
+            let how = if in_time { held.how } else { How::Lapsed };
+            self.number += 1;
+            self.ended.push(Ended {
+                number: self.number,
+                task,
+                run: held.run,
+                how,
+                checkpoint: None,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/util/mod.rs
@@ -0,0 +1,151 @@
+//! Fixtures: jobs, a policy, and workers that run tasks on a manual clock.
+
+pub(crate) mod cell;
+pub(crate) mod fleet;
+
+use std::time::Duration;
+
+use basilbridge_common::{
+    id::Name,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+use basilbridge_workflow::{
+    engine::{
+        Engine,
+        Settings, //
+    },
+    job::{
+        Accepted,
+        Spec,
+        Step, //
+    },
+    policy::{
+        Advice,
+        Policy,
+        Queue,
+        Tenant, //
+    },
+    report::Entry,
+};
+
+pub(crate) const CHECKS: &str = "checks";
+pub(crate) const PLANS: &str = "plans";
+pub(crate) const LASTING: &str = "lasting";
+pub(crate) const TEAM: &str = "workshop";
+pub(crate) const POOL: &str = "planner";
+
+/// The core count of a worker, in thousandths.
+pub(crate) const WORKER_CPU: u64 = 64_000;
+
+pub(crate) fn settings(epoch: u32) -> Settings {
+    Settings {
+        epoch,
+        lease: Duration::from_millis(5500),
+        longest_lease: Duration::from_secs(6),
+        gang_wait: Duration::from_secs(3),
+    }
+}
+
+pub(crate) fn queue(name: &str, priority: u32, advice: Option<Advice>) -> Queue {
+    Queue {
+        name: name.into(),
+        pool: POOL.into(),
+        priority,
+        attempts: 2,
+        stretch: 1.5,
+        slack: Duration::from_millis(250),
+        advice,
+    }
+}
+
+/// Three queues without advice, and a team with a cap of `cap_cpu`; zero stands for no limit.
+pub(crate) fn policy(cap_cpu: u64) -> Policy {
+    let queues = [
+        queue(CHECKS, 0, None),
+        queue(LASTING, 1, None),
+        queue(PLANS, 2, None),
+    ];
+    let tenant = Tenant {
+        name: TEAM.into(),
+        weight: 100.0,
+        cap: cpu(cap_cpu),
+    };
+    Policy {
+        queues: queues
+            .into_iter()
+            .map(|queue| (queue.name.clone(), queue))
+            .collect(),
+        tenants: [(tenant.name.clone(), tenant)].into(),
+    }
+}
+
+pub(crate) fn cpu(cpu_millis: u64) -> Resources {
+    Resources {
+        cpu_millis,
+        memory_mib: 0,
+        accelerators: 0,
+    }
+}
+
+pub(crate) fn step(count: u32, cpu_millis: u64) -> Step {
+    Step {
+        count,
+        room: Resources {
+            cpu_millis,
+            memory_mib: 64,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(800),
+        after: Vec::new(),
+        checkpoints: false,
+        gang: false,
+        same_rack: false,
+        lasting: false,
+        fills: false,
+        label: None,
+        data_rack: None,
+        most_per_worker: None,
+        target: None,
+        may_miss: None,
+    }
+}
+
+pub(crate) fn accepted(queue: &str, at: Millis, steps: Vec<Step>) -> Accepted {
+    Accepted {
+        queue: queue.into(),
+        tenant: Some(TEAM.into()),
+        at,
+        spec: Spec {
+            text: "work".into(),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+pub(crate) fn entry(name: &str, boot: u64) -> Entry {
+    Entry {
+        name: name.into(),
+        address: format!("{name}:1").into(),
+        pool: POOL.into(),
+        boot,
+        capacity: Resources {
+            cpu_millis: WORKER_CPU,
+            memory_mib: 131_072,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), "r1".into()],
+        leaving: false,
+    }
+}
+
+pub(crate) fn engine(epoch: u32, now: Millis) -> Engine {
+    Engine::new(settings(epoch), policy(0), now)
+}
+
+pub(crate) fn name(text: &str) -> Name {
+    text.into()
+}
