Claim a title at once whose holder's process has ended

Ruled out: slow loading (10 ms) and looks (30 ms after the claim).

Change: each VM keeps a call open at the owner; an answer of another process, or a refused connection and one missed sign, frees the title. A VM that starts again takes its own title back.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -4,7 +4,6 @@
 
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -22,8 +21,7 @@
 };
 use basilbridge_peers::{
     Advice,
-    Permit,
-    cell, //
+    Permit, //
 };
 use basilbridge_workflow::{
     advice::{
@@ -37,7 +35,6 @@
         Good, //
     },
 };
-use futures_util::FutureExt;
 
 use crate::{
     node::Node,
@@ -189,18 +186,6 @@
     }
 }
 
-/// Serves the questions of other VMs.
-pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<basilbridge_peers::server::Server> {
-    let advise = Arc::clone(&node.outside.advise);
-    let app = cell::App {
-        advise: Arc::new(move |wire| {
-            let advise = Arc::clone(&advise);
-            async move { advise(question_from_wire(wire)).await.map(answer_to_wire) }.boxed()
-        }),
-    };
-    cell::start(node.config.peers, app).await
-}
-
 fn to_wire(question: &Question) -> basilbridge_peers::Question {
     basilbridge_peers::Question {
         job: question.job.to_string(),
@@ -213,7 +198,7 @@
     }
 }
 
-fn question_from_wire(wire: basilbridge_peers::Question) -> Question {
+pub(crate) fn question_from_wire(wire: basilbridge_peers::Question) -> Question {
     Question {
         job: wire.job.into(),
         occurrence: wire.occurrence,
@@ -227,7 +212,7 @@
     }
 }
 
-fn answer_to_wire(advised: Advised) -> Advice {
+pub(crate) fn answer_to_wire(advised: Advised) -> Advice {
     Advice {
         permits: advised
             .good
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod node;
 pub mod outside;
 mod owner;
+mod peer;
 mod record;
 mod title;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -49,7 +49,6 @@
 };
 
 use crate::{
-    adviser,
     config::Config,
     configuration::Configuration,
     feed::{
@@ -67,6 +66,7 @@
         Page,
         Range, //
     },
+    peer,
     record::{
         self,
         NODE_PREFIX,
@@ -161,7 +161,7 @@
     pub async fn start(self: &Arc<Self>) -> io::Result<Running> {
         let settings = Settings::new(self.timer.clone(), self.gate.clone());
         let app = ingress::App::new(self);
-        let peers = adviser::serve(self).await?;
+        let peers = peer::serve(self).await?;
         let ready = ingress::ready_router(app.clone());
         let ready = Server::start(self.config.ready, ready, settings.clone()).await?;
         let metrics = match self.config.metrics {
@@ -176,6 +176,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).follow_configuration());
         tasks.spawn(title::follow(Arc::clone(self)));
+        tasks.spawn(title::attend(Arc::clone(self)));
         tasks.spawn(title::contend(Arc::clone(self)));
         tasks.spawn(Arc::clone(self).enter());
         slog::info!(self.log, "start"; "vm" => %self.config.name,
--- /dev/null
+++ b/crates/cell/src/peer.rs
@@ -0,0 +1,51 @@
+//! What this VM does for the others of the cell.
+
+use std::{
+    io,
+    sync::Arc,
+    time::Duration, //
+};
+
+use basilbridge_peers::{
+    cell,
+    server::Server, //
+};
+use basilbridge_server::gate::Phase;
+use futures_util::FutureExt;
+
+use crate::{
+    adviser,
+    node::Node, //
+};
+
+/// How long a call that only waits for the end of this process is held.
+pub(crate) const ATTEND_TIME: Duration = Duration::from_secs(4);
+
+/// Serves the other VMs.
+pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<Server> {
+    let advise = Arc::clone(&node.outside.advise);
+    let attended = Arc::clone(node);
+    let app = cell::App {
+        advise: Arc::new(move |wire| {
+            let advise = Arc::clone(&advise);
+            async move {
+                let answer = advise(adviser::question_from_wire(wire)).await;
+                answer.map(adviser::answer_to_wire)
+            }
+            .boxed()
+        }),
+        attend: Arc::new(move |nonce| {
+            let node = Arc::clone(&attended);
+            async move {
+                if nonce == node.nonce {
+                    let leaving = node.gate.reached(Phase::Leaving);
+                    // Whichever comes first, the answer is the same.
+                    let _ = node.timer.timeout(ATTEND_TIME, leaving).await;
+                }
+                node.nonce
+            }
+            .boxed()
+        }),
+    };
+    cell::start(node.config.peers, app).await
+}
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -42,7 +42,7 @@
         News, //
     },
     node::Node,
-    owner,
+    owner, peer,
     record::{
         self,
         CLAIM_KEY,
@@ -58,6 +58,10 @@
 /// How long an owner may give no sign before it is replaced: three of its signs.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
 
+/// How long an owner may give no sign whose address refuses connections: one of its signs and the
+/// way of the next.
+const REFUSED_LIMIT: Duration = Duration::from_millis(650);
+
 /// Over how long the claims of several VMs are spread, so that the first mostly meets no other.
 const CLAIM_SPREAD_MS: u64 = 250;
 
@@ -80,6 +84,18 @@
     pub(crate) sign: Option<Sign>,
     pub(crate) nodes: BTreeMap<Name, SocketAddr>,
     pub(crate) workers: Vec<Name>,
+    /// What was found where the owner should answer.
+    pub(crate) absence: Option<Absence>,
+}
+
+/// What shows that an owner is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Absence {
+    /// Another process answers at its address, so the process with this number has ended.
+    Replaced(u64),
+    /// Nothing listens at the address of the process with this number; a path that refuses
+    /// connections looks the same.
+    Refused(u64),
 }
 
 /// What a VM knows of the title, shared by its parts.
@@ -188,24 +204,67 @@
         }
     }
 
-    /// Says whether the title may be claimed at `now` by a VM that waits `spread` longer than
-    /// others and has reached the store since `reachable`.
-    pub(crate) fn is_free(&self, now: Millis, reachable: Option<Millis>, spread: Duration) -> bool {
+    /// Says whether the title may be claimed at `now` by the VM `own`, which waits `spread` longer
+    /// than others and has reached the store since `reachable`.
+    pub(crate) fn is_free(
+        &self,
+        own: &str,
+        now: Millis,
+        reachable: Option<Millis>,
+        spread: Duration,
+    ) -> bool {
         let (true, Some(reachable)) = (self.loaded, reachable) else {
             return false;
         };
         let Some((claim, _)) = &self.claim else {
             return now.since(reachable) >= spread;
         };
-        if claim.released {
-            let since = self.sign.as_ref().map_or(reachable, |sign| sign.seen);
-            return now.since(since) >= spread;
+        // An earlier process of this VM is gone, or this one would not run.
+        if claim.released || *claim.holder == *own {
+            return true;
         }
         let heard = self
             .sign
             .as_ref()
             .map_or(reachable, |sign| sign.seen.max(reachable));
-        now.since(heard) >= SILENCE_LIMIT + spread
+        let limit = match self.absence {
+            Some(Absence::Replaced(nonce)) if nonce == claim.nonce => return true,
+            Some(Absence::Refused(nonce)) if nonce == claim.nonce => REFUSED_LIMIT,
+            _ => SILENCE_LIMIT,
+        };
+        now.since(heard) >= limit + spread
+    }
+}
+
+/// Watches the process of the owner, whose end then shows before its signs are missed.
+pub(crate) async fn attend(node: Arc<Node>) {
+    const RETRY: Duration = Duration::from_millis(40);
+    loop {
+        let owner = {
+            let view = node.title.lock();
+            view.claim.as_ref().and_then(|(claim, _)| {
+                let address = view.nodes.get(&claim.holder)?;
+                (claim.nonce != node.nonce && !claim.released).then_some((claim.nonce, *address))
+            })
+        };
+        let Some((nonce, address)) = owner else {
+            node.timer.sleep(CHECK_INTERVAL).await;
+            continue;
+        };
+        let limit = peer::ATTEND_TIME + CHECK_INTERVAL * 10;
+        let absence = match node.pool.attend(address, nonce, limit).await {
+            Ok(Some(found)) if found == nonce => None,
+            Ok(Some(_)) => Some(Absence::Replaced(nonce)),
+            Ok(None) => Some(Absence::Refused(nonce)),
+            // A path that is cut tells nothing of the process.
+            Err(_) => None,
+        };
+        let before = std::mem::replace(&mut node.title.lock().absence, absence);
+        if absence.is_some() && absence != before {
+            slog::info!(node.log, "owner gone"; "evidence" => ?absence);
+            node.title.changed.notify_waiters();
+        }
+        node.timer.sleep(RETRY).await;
     }
 }
 
@@ -228,7 +287,8 @@
         let configured = node.configuration().version > 0;
         let free = {
             let view = node.title.lock();
-            view.is_free(node.timer.now(), node.reachable_since(), spread)
+            let own = &node.config.name;
+            view.is_free(own, node.timer.now(), node.reachable_since(), spread)
         };
         if configured
             && free
--- a/crates/peers/src/cell.rs
+++ b/crates/peers/src/cell.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     generated::{
-        Advice, Question,
+        Advice, Attendance, Question,
         cell_server::{
             Cell,
             CellServer, //
@@ -25,6 +25,7 @@
     server::Server,
 };
 
+type Attend = Arc<dyn Fn(u64) -> BoxFuture<'static, u64> + Send + Sync>;
 type Advise = Arc<dyn Fn(Question) -> BoxFuture<'static, Result<Advice>> + Send + Sync>;
 
 /// What stands behind the protocol.
@@ -32,6 +33,8 @@
 pub struct App {
     /// Asks the advice service.
     pub advise: Advise,
+    /// Returns the number of this process, later if it is the one that was asked for.
+    pub attend: Attend,
 }
 
 #[tonic::async_trait]
@@ -45,6 +48,14 @@
             .map(Response::new)
             .map_err(|error| tonic::Status::unavailable(error.message))
     }
+
+    async fn attend(
+        &self,
+        request: Request<Attendance>,
+    ) -> std::result::Result<Response<Attendance>, tonic::Status> {
+        let nonce = (self.attend)(request.into_inner().nonce).await;
+        Ok(Response::new(Attendance { nonce }))
+    }
 }
 
 /// Binds `address` and serves `app` there.
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -35,6 +35,7 @@
     convert,
     generated::{
         Advice,
+        Attendance,
         Configuration,
         News,
         Question,
@@ -163,6 +164,31 @@
         }
     }
 
+    /// Asks which process answers at `address`, where `nonce` is expected to.
+    ///
+    /// Returns nothing where no process listens.
+    pub async fn attend(
+        &self,
+        address: SocketAddr,
+        nonce: u64,
+        limit: Duration,
+    ) -> Result<Option<u64>> {
+        let mut client = CellClient::new(self.channel(address)?);
+        let exchange = client.attend(Request::new(Attendance { nonce }));
+        match self.timer.timeout(limit, exchange).await {
+            Some(Ok(attendance)) => {
+                self.note_answer(address);
+                Ok(Some(attendance.into_inner().nonce))
+            }
+            Some(Err(status)) if is_refused_connection(&status) => {
+                self.note_refusal(address);
+                Ok(None)
+            }
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(Kind::Unreachable, "no word in time")),
+        }
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
         let mut peers = self.lock();
         if let Some(peer) = peers.get(&address) {
@@ -231,6 +257,15 @@
     })
 }
 
+/// Says whether a call failed because nothing listens at the address.
+fn is_refused_connection(status: &tonic::Status) -> bool {
+    causes(status).any(|error| {
+        error
+            .downcast_ref::<std::io::Error>()
+            .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    })
+}
+
 /// Says whether a peer that is stopping has refused a call unread.
 ///
 /// HTTP/2 fails with a graceful GOAWAY only the calls above the last one that the peer has read.
--- a/crates/workflow/tests/util/cell.rs
+++ b/crates/workflow/tests/engine/cell.rs
@@ -25,20 +25,19 @@
         Started,
         Stopped, //
     },
-    schedule::{
-        Advised,
-        Good, //
-    },
 };
 
-use super::{
-    entry,
+use crate::{
     fleet::{
         Behave,
         Fleet, //
     },
-    policy,
-    settings, //
+    util::{
+        self,
+        entry,
+        policy,
+        settings, //
+    },
 };
 
 /// How the way to a worker behaves.
@@ -84,7 +83,7 @@
         let mut cell = Self {
             now,
             epoch: 0,
-            engine: super::engine(0, now),
+            engine: util::engine(0, now),
             fleet: Fleet::new(workers, behave),
             jobs: BTreeMap::new(),
             stored: BTreeMap::new(),
@@ -291,21 +290,6 @@
         }
     }
 
-    /// Answers all open questions: all workers that were asked about are good.
-    pub(crate) fn advise_all(&mut self) {
-        for question in std::mem::take(&mut self.questions) {
-            let good = question.workers.iter().map(|worker| Good {
-                worker: worker.clone(),
-                ticket: "ticket".into(),
-            });
-            let answer = Advised {
-                good: good.collect(),
-                valid: question.advice.valid,
-            };
-            self.engine.advised(&question, Some(&answer), self.now);
-        }
-    }
-
     pub(crate) fn state(&self, id: &str) -> State {
         self.stored
             .get(id)
--- a/crates/workflow/tests/util/fleet.rs
+++ b/crates/workflow/tests/engine/fleet.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{
+use crate::util::{
     WORKER_CPU,
     cpu, //
 };
--- a/crates/workflow/tests/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -1,7 +1,5 @@
 //! Jobs from acceptance to their end, on workers that keep their contract.
 
-mod util;
-
 use basilbridge_common::id::Version;
 use basilbridge_workflow::{
     job::{
@@ -11,17 +9,19 @@
     report::How,
 };
 
-use crate::util::{
-    CHECKS,
-    LASTING,
-    PLANS,
-    accepted,
+use crate::{
     cell::{
         Cell,
         Way, //
     },
-    name,
-    step, //
+    util::{
+        CHECKS,
+        LASTING,
+        PLANS,
+        accepted,
+        name,
+        step, //
+    },
 };
 
 const CORE: u64 = 1000;
--- /dev/null
+++ b/crates/workflow/tests/engine/main.rs
@@ -0,0 +1,7 @@
+//! The engine against workers and a store that keep their contracts, on a manual clock.
+
+mod cell;
+mod fleet;
+mod jobs;
+mod schedules;
+mod util;
--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/engine/schedules.rs
@@ -1,8 +1,6 @@
 //! Random loads and faults, by seed: no task runs in two places, none runs again after its end was
 //! acknowledged, no worker gets more than it can give, and all jobs end.
 
-mod util;
-
 use basilbridge_common::{
     id::Name,
     unit::Millis, //
@@ -13,15 +11,17 @@
 };
 use quickcheck::Gen;
 
-use crate::util::{
-    CHECKS,
-    PLANS,
-    accepted,
+use crate::{
     cell::{
         Cell,
         Way, //
     },
-    step, //
+    util::{
+        CHECKS,
+        PLANS,
+        accepted,
+        step, //
+    },
 };
 
 /// How many schedules are played; `SCHEDULES` sets another count.
--- a/crates/workflow/tests/util/mod.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -1,8 +1,5 @@
 //! Fixtures: jobs, a policy, and workers that run tasks on a manual clock.
 
-pub(crate) mod cell;
-pub(crate) mod fleet;
-
 use std::time::Duration;
 
 use basilbridge_common::{
