Gather workers' entries and ends before they cost a call

Change: entries are gathered for 250 ms, ends for 10 ms; the end of a job is logged with its objective.

--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -26,6 +26,10 @@
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// The least time between two calls of a feed that may lag a little, so that the entries of many
+/// workers share an answer; a leaving worker has to be known within 2 s.
+pub(crate) const GATHER: Duration = Duration::from_millis(250);
+
 /// What a feed tells.
 pub(crate) enum News {
     /// All rows of the table, and none besides.
@@ -75,6 +79,7 @@
     table: &Name,
     parts: &[Name],
     start: Option<Version>,
+    gather: Duration,
     mut apply: impl FnMut(News),
 ) {
     let mut known = start;
@@ -102,6 +107,9 @@
                 known = Some(page.version);
                 if !page.rows.is_empty() {
                     apply(News::Changed(page.rows));
+                    if !gather.is_zero() {
+                        node.timer.sleep(gather).await;
+                    }
                 }
             }
             Ok(None) => {
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -27,7 +27,7 @@
 };
 
 /// How long records are gathered, so that ends of several workers share a write.
-const GATHER: Duration = Duration::from_millis(5);
+const GATHER: Duration = Duration::from_millis(10);
 
 /// How long to wait after a write that failed.
 const RETRY: Duration = Duration::from_millis(150);
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -119,8 +119,14 @@
                 "task" => %task, "run" => run, "worker" => %worker, "evidence" => evidence),
             Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
                 "task" => %task, "run" => run, "worker" => %worker),
-            Event::Final { job, state, after } => slog::info!(log, "job over";
-                "job" => %job, "state" => ?state, "after_ms" => after.as_millis() as u64),
+            Event::Final {
+                job,
+                state,
+                after,
+                objective,
+            } => slog::info!(log, "job over";
+                "job" => %job, "state" => ?state, "after_ms" => after.as_millis() as u64,
+                "objective_ms" => objective.as_millis() as u64),
             Event::Worker { worker, belief } => slog::info!(log, "worker";
                 "worker" => %worker, "belief" => belief),
         }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -297,7 +297,7 @@
         let table = self.outside.store.configuration_table.clone();
         let node = Arc::clone(&self);
         let parts = [table.clone()];
-        feed::follow(&self, &table, &parts, None, move |news| {
+        feed::follow(&self, &table, &parts, None, Duration::ZERO, move |news| {
             let (News::All(rows) | News::Changed(rows)) = news;
             node.take_configuration(&rows);
         })
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -300,18 +300,32 @@
     let table = owner.node.outside.store.worker_table.clone();
     let taker = Arc::clone(&owner);
     let parts = [table.clone()];
-    feed::follow(&owner.node, &table, &parts, Some(from), move |news| {
-        taker.take_workers(news);
-    })
+    feed::follow(
+        &owner.node,
+        &table,
+        &parts,
+        Some(from),
+        feed::GATHER,
+        move |news| {
+            taker.take_workers(news);
+        },
+    )
     .await;
 }
 
 async fn follow_jobs(owner: Arc<Owner>, from: basilbridge_common::id::Version) {
     let taker = Arc::clone(&owner);
     let (table, parts) = (JOB_TABLE.into(), record::job_tables());
-    feed::follow(&owner.node, &table, &parts, Some(from), move |news| {
-        taker.take_jobs(news);
-    })
+    feed::follow(
+        &owner.node,
+        &table,
+        &parts,
+        Some(from),
+        Duration::ZERO,
+        move |news| {
+            taker.take_jobs(news);
+        },
+    )
     .await;
 }
 
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -273,7 +273,7 @@
     let board = Arc::clone(&node);
     let table = TITLE_TABLE.into();
     let parts = [Name::clone(&table)];
-    feed::follow(&node, &table, &parts, None, move |news| {
+    feed::follow(&node, &table, &parts, None, Duration::ZERO, move |news| {
         board.title.lock().apply(news, board.timer.now());
         board.title.changed.notify_waiters();
     })
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -547,7 +547,11 @@
             return;
         }
         job.over = Some(state);
+        let queue = self.policy.queues.get(&job.accepted.queue);
         self.events.push(Event::Final {
+            objective: queue
+                .map(|queue| objective(queue, &job.accepted))
+                .unwrap_or_default(),
             job: job.id.clone(),
             state,
             after: now.since(job.accepted.at),
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -111,6 +111,8 @@
         state: State,
         /// The time since it was accepted.
         after: Duration,
+        /// The time within which it would have been on time.
+        objective: Duration,
     },
     /// What is believed of a worker has changed.
     Worker {
