--- a/crates/cell/src/ingress.rs
+++ b/crates/cell/src/ingress.rs
@@ -6,17 +6,12 @@
     time::Duration, //
 };
 
-use basilbridge_common::{
-    error::{
-        Error,
-        Kind,
-        Result, //
-    },
-    id::Name,
-    unit::Millis,
+use basilbridge_common::error::{
+    Error,
+    Kind,
+    Result, //
 };
 use basilbridge_server::body;
-use basilbridge_workflow::job::Accepted;
 use gotham::{
     handler::HandlerResult,
     middleware::state::StateMiddleware,
@@ -38,18 +33,14 @@
     Uri,
     header, //
 };
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::Value;
 
 use crate::{
-    configuration::{
-        Configuration,
-        Route, //
-    },
-    intake,
     node::Node,
+    request::{
+        self,
+        Request, //
+    },
 };
 
 /// The header that says for how many milliseconds the caller waits.
@@ -61,12 +52,6 @@
 /// The longest wait that a caller may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
-/// The longest name of a job.
-const MOST_ID_BYTES: usize = 64;
-
-/// When a caller may come back to a VM that has no configuration yet.
-const START_RETRY: Duration = Duration::from_secs(1);
-
 /// What the interface stands on.
 #[derive(Clone, StateData)]
 pub struct App {
@@ -113,123 +98,43 @@
     body::answer(state, StatusCode::OK, result)
 }
 
-/// A call, once its queue and its team are known.
-struct Call {
-    node: Arc<Node>,
-    queue: Name,
-    tenant: Option<Name>,
-    id: String,
-    deadline: Millis,
-}
-
 async fn handle(mut state: State) -> HandlerResult {
     let node = Arc::clone(&App::borrow_from(&state).node);
-    let method = Method::borrow_from(&state).clone();
     let begun = node.timer.now();
-    let configuration = node.configuration();
-    let version = configuration.version;
-    let call = resolve(&state, &node, &configuration, begun);
-    let id = call
-        .as_ref()
-        .map(|call| call.id.clone())
-        .unwrap_or_default();
-    let result = match call {
-        Ok(call) if method == Method::POST => submit(&mut state, call, &configuration).await,
-        Ok(call) => ask(&method, &call).await,
+    let limits = node.configuration().limits;
+    let result = match read_request(&mut state, limits.body_bytes).await {
+        Ok(request) => {
+            let result = request::answer(&node, &request).await;
+            note(&node, &request, node.timer.now().since(begun), &result);
+            result
+        }
         Err(error) => Err(error),
     };
-    let took = node.timer.now().since(begun);
-    note(&node, &method, &id, version, took, &result);
     body::answer(state, StatusCode::OK, result)
 }
 
-fn resolve(
-    state: &State,
-    node: &Arc<Node>,
-    configuration: &Configuration,
-    now: Millis,
-) -> Result<Call> {
-    if configuration.version == 0 {
-        let error = Error::new(Kind::StaleConfiguration, "there is no configuration yet");
-        return Err(error.retry_after(START_RETRY));
-    }
+async fn read_request(state: &mut State, body_limit: usize) -> Result<Request> {
+    let body = body::read(state, body_limit).await?;
     let headers = HeaderMap::borrow_from(state);
-    let path = Uri::borrow_from(state).path();
-    let route = find(configuration, headers, path)?;
-    let tenant = configuration.authorize(route, body::bearer(state).as_deref())?;
-    let id = path[route.prefix.len()..].to_owned();
-    if id.len() > MOST_ID_BYTES || !id.bytes().all(|byte| byte.is_ascii_alphanumeric()) {
-        return Err(Error::new(
-            Kind::Malformed,
-            "the name of the job is malformed",
-        ));
-    }
-    let wait = headers
-        .get(DEADLINE_HEADER)
-        .and_then(|value| value.to_str().ok()?.parse().ok())
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let host = text(header::HOST.as_str()).unwrap_or_default();
+    let wait = text(DEADLINE_HEADER)
+        .and_then(|millis| millis.parse().ok())
         .map_or(USUAL_WAIT, Duration::from_millis);
-    Ok(Call {
-        node: Arc::clone(node),
-        queue: route.queue.clone(),
-        tenant,
-        id,
-        deadline: now.after(wait.min(LONGEST_WAIT)),
+    Ok(Request {
+        method: Method::borrow_from(state).clone(),
+        host: host.split(':').next().unwrap_or_default().to_owned(),
+        path: Uri::borrow_from(state).path().to_owned(),
+        key: body::bearer(state),
+        wait: wait.min(LONGEST_WAIT),
+        body,
     })
 }
 
-fn find<'a>(
-    configuration: &'a Configuration,
-    headers: &HeaderMap,
-    path: &str,
-) -> Result<&'a Route> {
-    let host = headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    configuration.route(host, path)
-}
-
-async fn submit(state: &mut State, call: Call, configuration: &Configuration) -> Result<Value> {
-    let body = body::read(state, configuration.limits.body_bytes).await?;
-    let spec = (call.node.outside.formats.job)(&body)?;
-    if call.id.is_empty() {
-        return Err(Error::new(Kind::Malformed, "the job has no name"));
-    }
-    let accepted = Accepted {
-        queue: call.queue,
-        tenant: call.tenant,
-        at: call.node.timer.now(),
-        spec,
-    };
-    intake::accept(&call.node, &call.id, &accepted, call.deadline).await?;
-    Ok(json!({}))
-}
-
-async fn ask(method: &Method, call: &Call) -> Result<Value> {
-    let node = &call.node;
-    let formats = &node.outside.formats;
-    if *method == Method::DELETE {
-        intake::cancel(node, &call.id, call.deadline).await?;
-        return Ok(json!({}));
-    }
-    if call.id.is_empty() {
-        let count = intake::waiting(node, &call.queue).await?;
-        return Ok((formats.waiting)(count));
-    }
-    let state = intake::state(node, &call.id, call.deadline).await?;
-    Ok((formats.state)(state))
-}
-
-fn note(
-    node: &Node,
-    method: &Method,
-    id: &str,
-    version: u64,
-    took: Duration,
-    result: &Result<Value>,
-) {
+fn note(node: &Node, request: &Request, took: Duration, result: &Result<Value>) {
     node.metrics.time("call", took);
+    let (method, version) = (&request.method, node.configuration().version);
+    let id = request.path.rsplit('/').next().unwrap_or_default();
     let took = took.as_millis() as u64;
     match result {
         Ok(_) => {
--- a/crates/cell/src/intake.rs
+++ b/crates/cell/src/intake.rs
@@ -44,9 +44,9 @@
 };
 
 /// When a caller may come back after the store could not be reached: other VMs may reach it.
-const STORE_RETRY: Duration = Duration::from_secs(1);
+pub(crate) const STORE_RETRY: Duration = Duration::from_secs(1);
 
-/// How long to wait before a write without an answer is sent again.
+/// How long to wait before a read that told an old state is made again.
 const RETRY: Duration = Duration::from_millis(80);
 
 /// What is kept of a caller's time for the answer to reach it.
@@ -69,38 +69,24 @@
 }
 
 /// Writes a row, unless it is there already: then it was written by the same call, sent before.
-///
-/// A refusal is returned only if no write was sent whose outcome is not known.
-async fn create(node: &Node, checks: &[Check], put: &Put, deadline: Millis) -> Result<()> {
-    let mut unknown = false;
-    loop {
-        match node.transact(checks.to_vec(), vec![put.clone()]).await {
-            Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => return Ok(()),
-            Err(error) if error.kind == Kind::WriteUnknown => unknown = true,
-            Err(error) if !unknown => return Err(unavailable(&error)),
-            Err(_) => {}
-        }
-        if node.timer.now().after(RETRY + ANSWER_TIME) >= deadline {
-            let message = "the store did not tell whether it took the write";
-            return Err(Error::new(Kind::OutcomeUnknown, message));
+async fn create(node: &Node, checks: Vec<Check>, put: Put) -> Result<()> {
+    match node.transact(checks, vec![put]).await {
+        Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => Ok(()),
+        Err(error) if error.kind == Kind::WriteUnknown => {
+            Err(Error::new(Kind::OutcomeUnknown, error.message))
         }
-        node.timer.sleep(RETRY).await;
+        Err(error) => Err(unavailable(&error)),
     }
 }
 
 /// Accepts a job, once, however often it is sent.
-pub(crate) async fn accept(
-    node: &Node,
-    id: &str,
-    accepted: &Accepted,
-    deadline: Millis,
-) -> Result<()> {
+pub(crate) async fn accept(node: &Node, id: &str, accepted: &Accepted) -> Result<()> {
     let put = Put {
         table: record::job_table(id),
         key: id.to_owned(),
         value: Some(record::encode(accepted)?),
     };
-    create(node, &[job_row(id, id, Version(0))], &put, deadline).await
+    create(node, vec![job_row(id, id, Version(0))], put).await
 }
 
 /// Reads one row, or nothing where there is surely none.
@@ -158,13 +144,13 @@
         .await?
         .ok_or_else(gone)?;
     let key = record::cancel_key(id);
-    let checks = [job_row(id, id, job.version), job_row(id, &key, Version(0))];
+    let checks = vec![job_row(id, id, job.version), job_row(id, &key, Version(0))];
     let put = Put {
         table: record::job_table(id),
         key,
         value: Some("{}".to_owned()),
     };
-    create(node, &checks, &put, deadline).await
+    create(node, checks, put).await
 }
 
 /// Returns how many jobs of a queue have not begun.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,4 +21,5 @@
 mod owner;
 mod peer;
 mod record;
+mod request;
 mod title;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
@@ -79,8 +80,8 @@
 };
 
 /// For how long the store may stay silent before callers are sent to other VMs; a feed answers
-/// every second.
-const CONTACT_LIMIT: Duration = Duration::from_millis(2500);
+/// every second, or later by the time of a slow answer.
+const CONTACT_LIMIT: Duration = Duration::from_millis(1500);
 
 /// How long connections are still taken after readiness went off: the platform needs two misses, a
 /// second apart.
@@ -176,9 +177,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).follow_configuration());
         tasks.spawn(title::follow(Arc::clone(self)));
-        tasks.spawn(title::attend(Arc::clone(self)));
+        tasks.spawn(title::watch_owner(Arc::clone(self)));
         tasks.spawn(title::contend(Arc::clone(self)));
-        tasks.spawn(Arc::clone(self).enter());
+        tasks.spawn(Arc::clone(self).enter(peers.address));
         slog::info!(self.log, "start"; "vm" => %self.config.name,
             "data_centre" => %self.config.data_centre);
         Ok(Running {
@@ -199,6 +200,17 @@
             && self.timer.now().since(heard) < CONTACT_LIMIT
     }
 
+    /// Says whether this VM knows where the VM `name` is reached.
+    pub fn knows_peer(&self, name: &str) -> bool {
+        self.view().nodes.contains_key(name)
+    }
+
+    /// Says whether the store answers this VM.
+    pub fn is_in_contact(&self) -> bool {
+        let contact = *self.lock_contact();
+        contact.since.is_some() && self.timer.now().since(contact.last) < CONTACT_LIMIT
+    }
+
     /// Returns the newest configuration; version zero stands for none.
     pub fn configuration(&self) -> Arc<Configuration> {
         Arc::clone(&self.configuration.borrow())
@@ -327,11 +339,9 @@
     }
 
     /// Tells the other VMs where this one is reached.
-    async fn enter(self: Arc<Self>) {
+    async fn enter(self: Arc<Self>, peers: SocketAddr) {
         const RETRY: Duration = Duration::from_millis(300);
-        let entry = record::Node {
-            peers: self.config.peers,
-        };
+        let entry = record::Node { peers };
         let value = match record::encode(&entry) {
             Ok(value) => value,
             Err(error) => {
@@ -368,6 +378,11 @@
 }
 
 impl Running {
+    /// Returns where callers reach this VM.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address
+    }
+
     /// Ends the VM without cutting off a call; says whether all were answered in time.
     pub async fn drain(mut self) -> bool {
         let node = Arc::clone(&self.node);
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -68,6 +68,13 @@
 /// How often the owner gives a sign of life.
 const PULSE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How soon a sign that was not taken is given again.
+const PULSE_RETRY: Duration = Duration::from_millis(100);
+
+/// After which time without a sign that was taken the owner looks for a VM that reaches the store:
+/// one sign and a slow answer to it.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(750);
+
 /// The least time between two scheduling passes, which bounds what they cost.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
 
@@ -341,9 +348,30 @@
     }
 }
 
+/// Looks for a VM that reaches the store and takes over; without one the store is away for all, and
+/// the owner goes on.
+async fn hand_over(owner: &Owner) -> bool {
+    const ANSWER_TIME: Duration = Duration::from_millis(300);
+    let node = &owner.node;
+    let others: Vec<_> = {
+        let view = node.view();
+        let others = view
+            .nodes
+            .iter()
+            .filter(|(name, _)| **name != node.config.name);
+        others.map(|(_, address)| *address).collect()
+    };
+    let asked = others
+        .into_iter()
+        .map(|address| node.pool.hand_over(address, node.nonce, ANSWER_TIME));
+    let answers = futures_util::future::join_all(asked).await;
+    answers.into_iter().any(|answer| answer.unwrap_or(false))
+}
+
 /// Gives signs of life, and tells with them which jobs have not begun.
 async fn pulse(owner: Arc<Owner>) {
     let mut beat = 0;
+    let mut taken = owner.now();
     let mut told: Vec<Name> = Vec::new();
     loop {
         let (unstarted, workers) = {
@@ -362,13 +390,24 @@
             puts.push(title::put(WORKERS_KEY, value));
         }
         match owner.node.transact(vec![owner.title.check()], puts).await {
-            Ok(Outcome::Committed(_)) => told = workers,
+            Ok(Outcome::Committed(_)) => {
+                told = workers;
+                taken = owner.now();
+            }
             Ok(Outcome::Conflict(_)) => {
                 owner.depose("the claim was replaced");
                 return;
             }
-            // The store is asked again with the next sign.
-            Err(error) => slog::info!(owner.node.log, "sign not taken"; "error" => %error),
+            Err(error) => {
+                slog::info!(owner.node.log, "sign not taken"; "error" => %error);
+                let silent = owner.now().since(taken);
+                if silent >= HAND_OVER_AFTER && hand_over(&owner).await {
+                    owner.depose("a peer that reaches the store takes over");
+                    return;
+                }
+                owner.node.timer.sleep(PULSE_RETRY).await;
+                continue;
+            }
         }
         owner.node.timer.sleep(PULSE_INTERVAL).await;
     }
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -15,16 +15,18 @@
 
 use crate::{
     adviser,
-    node::Node, //
+    node::Node,
+    request,
+    title, //
 };
 
 /// How long a call that only waits for the end of this process is held.
-pub(crate) const ATTEND_TIME: Duration = Duration::from_secs(4);
+pub(crate) const WATCH_TIME: Duration = Duration::from_secs(4);
 
 /// Serves the other VMs.
 pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<Server> {
     let advise = Arc::clone(&node.outside.advise);
-    let attended = Arc::clone(node);
+    let (watched, heir, forwarder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     let app = cell::App {
         advise: Arc::new(move |wire| {
             let advise = Arc::clone(&advise);
@@ -34,18 +36,23 @@
             }
             .boxed()
         }),
-        attend: Arc::new(move |nonce| {
-            let node = Arc::clone(&attended);
+        watch_process: Arc::new(move |nonce| {
+            let node = Arc::clone(&watched);
             async move {
                 if nonce == node.nonce {
                     let leaving = node.gate.reached(Phase::Leaving);
                     // Whichever comes first, the answer is the same.
-                    let _ = node.timer.timeout(ATTEND_TIME, leaving).await;
+                    let _ = node.timer.timeout(WATCH_TIME, leaving).await;
                 }
                 node.nonce
             }
             .boxed()
         }),
+        hand_over: Arc::new(move |nonce| title::accept_hand_over(&heir, nonce)),
+        forward_request: Arc::new(move |wire| {
+            let node = Arc::clone(&forwarder);
+            async move { request::answer_forwarded(&node, wire).await }.boxed()
+        }),
     };
     cell::start(node.config.peers, app).await
 }
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -236,8 +236,27 @@
     }
 }
 
+/// Takes over from the owner with this number if this VM reaches the store and knows of no later
+/// one; says whether it will.
+pub(crate) fn accept_hand_over(node: &Node, nonce: u64) -> bool {
+    let heard = node.is_in_contact();
+    let mut view = node.title.lock();
+    let current = view
+        .claim
+        .as_ref()
+        .is_some_and(|(claim, _)| claim.nonce == nonce);
+    if !heard || !current || node.gate.is_draining() {
+        return false;
+    }
+    view.absence = Some(Absence::Replaced(nonce));
+    drop(view);
+    slog::info!(node.log, "owner hands over");
+    node.title.changed.notify_waiters();
+    true
+}
+
 /// Watches the process of the owner, whose end then shows before its signs are missed.
-pub(crate) async fn attend(node: Arc<Node>) {
+pub(crate) async fn watch_owner(node: Arc<Node>) {
     const RETRY: Duration = Duration::from_millis(40);
     loop {
         let owner = {
@@ -251,15 +270,22 @@
             node.timer.sleep(CHECK_INTERVAL).await;
             continue;
         };
-        let limit = peer::ATTEND_TIME + CHECK_INTERVAL * 10;
-        let absence = match node.pool.attend(address, nonce, limit).await {
+        let limit = peer::WATCH_TIME + CHECK_INTERVAL * 10;
+        let absence = match node.pool.watch_process(address, nonce, limit).await {
             Ok(Some(found)) if found == nonce => None,
             Ok(Some(_)) => Some(Absence::Replaced(nonce)),
             Ok(None) => Some(Absence::Refused(nonce)),
             // A path that is cut tells nothing of the process.
             Err(_) => None,
         };
-        let before = std::mem::replace(&mut node.title.lock().absence, absence);
+        let before = {
+            let mut view = node.title.lock();
+            // An owner that has handed over is still there.
+            match view.absence {
+                Some(Absence::Replaced(gone)) if gone == nonce => view.absence,
+                _ => std::mem::replace(&mut view.absence, absence),
+            }
+        };
         if absence.is_some() && absence != before {
             slog::info!(node.log, "owner gone"; "evidence" => ?absence);
             node.title.changed.notify_waiters();
--- /dev/null
+++ b/crates/cell/tests/cell/main.rs
@@ -0,0 +1,6 @@
+//! Entry VMs against a store and workers in memory.
+
+mod outside;
+mod requests;
+mod titles;
+mod vm;
--- /dev/null
+++ b/crates/cell/tests/cell/outside.rs
@@ -0,0 +1,558 @@
+//! A store, workers and an advice service in memory, with the faults that a test sets.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use basilbridge_cell::{
+    configuration::{
+        Configuration,
+        Limits,
+        Route, //
+    },
+    outside::{
+        Formats,
+        Looked,
+        Outside,
+        Page,
+        Range,
+        Store,
+        Workers, //
+    },
+};
+use basilbridge_common::{
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Resources,
+};
+use basilbridge_platform::table::{
+    Outcome,
+    Row,
+    Transaction, //
+};
+use basilbridge_workflow::{
+    job::{
+        Spec,
+        Step,
+        TaskId, //
+    },
+    order::{
+        Look,
+        Start, //
+    },
+    policy::{
+        Policy,
+        Queue,
+        Tenant, //
+    },
+    report::{
+        self,
+        Ended,
+        Entry,
+        How,
+        Running,
+        Started,
+        Stopped, //
+    },
+    schedule::Advised,
+};
+use futures_util::FutureExt;
+use serde_json::json;
+use tokio::{
+    sync::Notify,
+    time::Instant, //
+};
+
+pub(crate) const KEY: &str = "key-of-binders";
+pub(crate) const HOST: &str = "planner.example";
+pub(crate) const PREFIX: &str = "/checks/";
+
+/// How the store treats a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Access {
+    /// Calls are answered.
+    #[default]
+    Open,
+    /// Calls are refused, and nothing is done.
+    Refused,
+    /// Writes are done and their answers are lost, and feeds hear nothing.
+    Deaf,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<(Name, String), (u64, String)>,
+    history: Vec<Row>,
+    forgotten: u64,
+    access: BTreeMap<Name, Access>,
+}
+
+#[derive(Debug)]
+struct Held {
+    run: u32,
+    ends: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    epoch: u64,
+    running: BTreeMap<TaskId, Held>,
+    ended: Vec<Ended>,
+    number: u64,
+    starts: Vec<TaskId>,
+}
+
+/// All that is outside, shared by the VMs of a test.
+#[derive(Clone)]
+pub(crate) struct World {
+    rows: Arc<Mutex<Rows>>,
+    changed: Arc<Notify>,
+    workers: Arc<Mutex<BTreeMap<Name, Worker>>>,
+    begun: Instant,
+}
+
+/// How long each task runs.
+const RUN_TIME: Duration = Duration::from_millis(120);
+
+impl World {
+    /// Makes a world with `workers` workers and a first configuration.
+    pub(crate) fn new(workers: &[&str]) -> Self {
+        let world = Self {
+            rows: Arc::default(),
+            changed: Arc::default(),
+            workers: Arc::default(),
+            begun: Instant::now(),
+        };
+        for name in workers {
+            world
+                .lock_workers()
+                .insert((*name).into(), Worker::default());
+            world.write("workers", name, "ready");
+        }
+        world.write("operator", "configuration", "2");
+        world
+    }
+
+    /// Writes a row as operators and workers do.
+    pub(crate) fn write(&self, table: &str, key: &str, value: &str) {
+        let mut rows = self.lock();
+        rows.version += 1;
+        rows.put(table, key, Some(value.to_owned()));
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    /// Lets the store forget its history.
+    pub(crate) fn compact(&self) {
+        let mut rows = self.lock();
+        rows.forgotten = rows.version;
+        rows.history.clear();
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets how the store treats a VM.
+    pub(crate) fn set_access(&self, vm: &str, access: Access) {
+        self.lock().access.insert(vm.into(), access);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the value of a row.
+    pub(crate) fn value(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.lock();
+        let entry = rows.rows.get(&(table.into(), key.to_owned()));
+        entry.map(|(_, value)| value.clone())
+    }
+
+    /// Returns how often tasks of a job were started.
+    pub(crate) fn starts(&self, job: &str) -> usize {
+        let workers = self.lock_workers();
+        let starts = workers.values().flat_map(|worker| &worker.starts);
+        starts.filter(|task| *task.job == *job).count()
+    }
+
+    /// Returns what the VM `vm` sees of this world.
+    pub(crate) fn outside(&self, vm: &str) -> Outside {
+        let vm: Name = vm.into();
+        let (writer, reader, watcher) = (self.clone(), self.clone(), self.clone());
+        let (writes, reads, watches) = (vm.clone(), vm.clone(), vm);
+        let (looks, starts, stops) = (self.clone(), self.clone(), self.clone());
+        Outside {
+            store: Store {
+                transact: Arc::new(move |transaction| {
+                    let (world, vm) = (writer.clone(), writes.clone());
+                    async move { world.transact(&vm, &transaction) }.boxed()
+                }),
+                read: Arc::new(move |range| {
+                    let (world, vm) = (reader.clone(), reads.clone());
+                    async move { world.read(&vm, &range) }.boxed()
+                }),
+                watch: Arc::new(move |table, after, wait| {
+                    let (world, vm) = (watcher.clone(), watches.clone());
+                    async move { world.watch(&vm, &table, after, wait).await }.boxed()
+                }),
+                configuration_table: "operator".into(),
+                configuration_key: "configuration".into(),
+                worker_table: "workers".into(),
+            },
+            workers: Workers {
+                look: Arc::new(move |epoch, order| {
+                    let world = looks.clone();
+                    async move { world.look(epoch, &order).await }.boxed()
+                }),
+                start: Arc::new(move |epoch, order| {
+                    let world = starts.clone();
+                    async move { world.start(epoch, &order) }.boxed()
+                }),
+                stop: Arc::new(move |epoch, order| {
+                    let world = stops.clone();
+                    async move {
+                        let mut workers = world.lock_workers();
+                        match workers.get_mut(&order.target.name) {
+                            Some(worker) if epoch < worker.epoch => Stopped::Fenced,
+                            Some(_) => Stopped::Taken,
+                            None => Stopped::Unknown,
+                        }
+                    }
+                    .boxed()
+                }),
+                pace: Arc::new(|_, _| async { Stopped::Taken }.boxed()),
+            },
+            advise: Arc::new(|question| {
+                let valid = question.advice.valid;
+                let good = Vec::new();
+                async move { Ok(Advised { good, valid }) }.boxed()
+            }),
+            formats: formats(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_workers(&self) -> MutexGuard<'_, BTreeMap<Name, Worker>> {
+        self.workers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64
+    }
+
+    fn transact(&self, vm: &Name, transaction: &Transaction) -> Result<Outcome> {
+        let mut rows = self.lock();
+        let access = rows.access.get(vm).copied().unwrap_or_default();
+        if access == Access::Refused {
+            return Err(refused());
+        }
+        let current = |rows: &Rows, table: &Name, key: &str| {
+            let entry = rows.rows.get(&(table.clone(), key.to_owned()));
+            entry.map_or(0, |(version, _)| *version)
+        };
+        let holds = transaction
+            .checks
+            .iter()
+            .all(|check| current(&rows, &check.table, &check.key) == check.version.0);
+        if !holds {
+            let found = transaction.checks.iter().map(|check| {
+                let entry = rows.rows.get(&(check.table.clone(), check.key.clone()));
+                Row {
+                    table: check.table.clone(),
+                    key: check.key.clone(),
+                    version: Version(entry.map_or(0, |(version, _)| *version)),
+                    value: entry.map(|(_, value)| value.clone()),
+                }
+            });
+            return Ok(Outcome::Conflict(found.collect()));
+        }
+        rows.version += 1;
+        for put in &transaction.puts {
+            rows.put(&put.table, &put.key, put.value.clone());
+        }
+        let version = Version(rows.version);
+        drop(rows);
+        self.changed.notify_waiters();
+        match access {
+            Access::Deaf => Err(Error::new(Kind::WriteUnknown, "no answer")),
+            Access::Open | Access::Refused => Ok(Outcome::Committed(version)),
+        }
+    }
+
+    fn read(&self, vm: &Name, range: &Range) -> Result<Page> {
+        let rows = self.lock();
+        if rows.access.get(vm) == Some(&Access::Refused) {
+            return Err(refused());
+        }
+        let inside = |key: &String| {
+            range.from.as_ref().is_none_or(|from| key >= from)
+                && range.to.as_ref().is_none_or(|to| key < to)
+        };
+        let found = rows
+            .rows
+            .iter()
+            .filter(|((table, key), _)| *table == range.table && inside(key))
+            .map(|((table, key), (version, value))| Row {
+                table: table.clone(),
+                key: key.clone(),
+                version: Version(*version),
+                value: Some(value.clone()),
+            });
+        Ok(Page {
+            version: Version(rows.version),
+            rows: found.collect(),
+            more: false,
+        })
+    }
+
+    async fn watch(
+        &self,
+        vm: &Name,
+        table: &Name,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Page>> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let rows = self.lock();
+                if rows.access.get(vm) == Some(&Access::Refused) {
+                    return Err(refused());
+                }
+                if after.0 < rows.forgotten {
+                    return Ok(None);
+                }
+                let deaf = rows.access.get(vm) == Some(&Access::Deaf);
+                // A feed covers all parts of a table.
+                let of_table = |row: &&Row| row.table.split('/').next() == table.split('/').next();
+                let news = rows.history.iter().filter(|row| row.version > after);
+                let news: Vec<Row> = news.filter(of_table).cloned().collect();
+                if deaf && Instant::now() >= until {
+                    return Ok(Some(Page {
+                        version: after,
+                        ..Page::default()
+                    }));
+                }
+                if !deaf && (!news.is_empty() || Instant::now() >= until) {
+                    return Ok(Some(Page {
+                        version: Version(rows.version),
+                        rows: news,
+                        more: false,
+                    }));
+                }
+            }
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
+        }
+    }
+
+    async fn look(&self, epoch: u64, order: &Look) -> Looked {
+        let until = Instant::now() + order.wait;
+        loop {
+            let next = {
+                let mut workers = self.lock_workers();
+                let Some(worker) = workers.get_mut(&order.target.name) else {
+                    return Looked::Silent("there is no such worker".to_owned());
+                };
+                if epoch < worker.epoch {
+                    return Looked::Fenced;
+                }
+                worker.epoch = epoch;
+                worker.ended.retain(|end| end.number > order.stored);
+                worker.advance();
+                if !worker.ended.is_empty() || Instant::now() >= until {
+                    return Looked::Seen(worker.told(self.clock()));
+                }
+                worker.running.values().map(|held| held.ends).min()
+            };
+            tokio::time::sleep_until(next.unwrap_or(until).min(until)).await;
+        }
+    }
+
+    fn start(&self, epoch: u64, order: &Start) -> Started {
+        let mut workers = self.lock_workers();
+        let Some(worker) = workers.get_mut(&order.target.name) else {
+            return Started::Unsent;
+        };
+        if epoch < worker.epoch {
+            return Started::Fenced;
+        }
+        worker.epoch = epoch;
+        worker.starts.push(order.task.clone());
+        let held = Held {
+            run: order.run,
+            ends: Instant::now() + RUN_TIME,
+        };
+        worker.running.insert(order.task.clone(), held);
+        Started::Running
+    }
+}
+
+impl Rows {
+    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        let version = self.version;
+        let entry = (Name::from(table), key.to_owned());
+        match &value {
+            Some(value) => self.rows.insert(entry, (version, value.clone())),
+            None => self.rows.remove(&entry),
+        };
+        self.history.push(Row {
+            table: table.into(),
+            key: key.to_owned(),
+            version: Version(version),
+            value,
+        });
+    }
+}
+
+impl Worker {
+    fn advance(&mut self) {
+        let now = Instant::now();
+        let over = self.running.iter().filter(|(_, held)| held.ends <= now);
+        let over: Vec<TaskId> = over.map(|(task, _)| task.clone()).collect();
+        for task in over {
+            if let Some(held) = self.running.remove(&task) {
+                self.number += 1;
+                self.ended.push(Ended {
+                    number: self.number,
+                    task,
+                    run: held.run,
+                    how: How::Done,
+                    checkpoint: None,
+                });
+            }
+        }
+    }
+
+    fn told(&self, clock: u64) -> report::Look {
+        let running = self.running.iter().map(|(task, held)| Running {
+            task: task.clone(),
+            run: held.run,
+            checkpoint: None,
+            percent: 50.0,
+            figure: 0.0,
+        });
+        report::Look {
+            boot: 1,
+            clock,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+fn refused() -> Error {
+    Error::new(Kind::StoreUnavailable, "the store takes no calls")
+}
+
+fn formats() -> Formats {
+    Formats {
+        configuration: Arc::new(configuration),
+        worker: Arc::new(|name, state| {
+            let entry = Entry {
+                name: name.into(),
+                address: format!("{name}:1").into(),
+                pool: "planner".into(),
+                boot: 1,
+                capacity: Resources {
+                    cpu_millis: 64_000,
+                    memory_mib: 64_000,
+                    accelerators: 0,
+                },
+                labels: vec!["r1".into()],
+                leaving: state == "leaving",
+            };
+            (state != "foreign").then_some(entry)
+        }),
+        job: Arc::new(|body| {
+            let count = std::str::from_utf8(body)
+                .ok()
+                .and_then(|text| text.parse().ok());
+            let count = count.ok_or_else(|| Error::new(Kind::Malformed, "no count"))?;
+            Ok(job(count))
+        }),
+        state: Arc::new(|state| json!({ "state": state })),
+        waiting: Arc::new(|count| json!({ "waiting": count })),
+    }
+}
+
+fn job(count: u32) -> Spec {
+    Spec {
+        text: "work".into(),
+        steps: vec![Step {
+            count,
+            room: Resources {
+                cpu_millis: 1000,
+                memory_mib: 64,
+                accelerators: 0,
+            },
+            estimate: RUN_TIME,
+            after: Vec::new(),
+            checkpoints: false,
+            gang: false,
+            same_rack: false,
+            lasting: false,
+            fills: false,
+            label: None,
+            data_rack: None,
+            most_per_worker: None,
+            target: None,
+            may_miss: None,
+        }],
+        schedule: None,
+    }
+}
+
+/// The row holds the version; from version ten on the key is withdrawn.
+fn configuration(text: &str) -> Result<Configuration> {
+    let version = text
+        .parse()
+        .map_err(|_| Error::new(Kind::Malformed, "no version"))?;
+    let queue = Queue {
+        name: "checks".into(),
+        pool: "planner".into(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        slack: Duration::from_millis(250),
+        advice: None,
+    };
+    let tenant = Tenant {
+        name: "binders".into(),
+        weight: 10.0,
+        cap: Resources::default(),
+    };
+    let keys = (version < 10).then(|| (KEY.to_owned(), tenant.name.clone()));
+    Ok(Configuration {
+        version,
+        routes: vec![Route {
+            queue: queue.name.clone(),
+            host: HOST.to_owned(),
+            prefix: PREFIX.to_owned(),
+            open: false,
+        }],
+        keys: keys.into_iter().collect(),
+        limits: Limits::default(),
+        policy: Policy {
+            queues: [(queue.name.clone(), queue)].into(),
+            tenants: [(tenant.name.clone(), tenant)].into(),
+        },
+    })
+}
--- /dev/null
+++ b/crates/cell/tests/cell/titles.rs
@@ -0,0 +1,136 @@
+//! Who owns the workers, and how the title changes hands.
+
+use crate::{
+    outside::{
+        Access,
+        World, //
+    },
+    vm::{
+        start,
+        state,
+        submit,
+        until, //
+    },
+};
+
+fn holder(world: &World) -> Option<String> {
+    let claim = world.value("title/0", "claim")?;
+    let claim: serde_json::Value = serde_json::from_str(&claim).expect("a claim is JSON");
+    let released = claim["released"].as_bool().unwrap_or(false);
+    (!released).then(|| claim["holder"].as_str().unwrap_or_default().to_owned())
+}
+
+#[tokio::test]
+async fn the_title_of_a_vm_that_leaves_goes_to_another() {
+    let world = World::new(&["w1"]);
+    let first = start(&world, "a").await;
+    until("a claim", async || holder(&world).is_some()).await;
+    let second = start(&world, "b").await;
+    until("readiness", async || second.node.is_ready()).await;
+
+    let answered = first.drain().await;
+
+    assert!(answered);
+    until("the change", async || {
+        holder(&world).as_deref() == Some("b")
+    })
+    .await;
+    submit(&second, "j1").await;
+    until("the end", async || {
+        state(&second, "j1").await.contains("completed")
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_owner_that_the_store_turns_away_hands_over_to_a_peer() {
+    let world = World::new(&["w1"]);
+    let first = start(&world, "a").await;
+    until("a claim", async || holder(&world).is_some()).await;
+    let second = start(&world, "b").await;
+    until("the peer", async || {
+        first.node.knows_peer("b") && second.node.is_ready()
+    })
+    .await;
+    submit(&second, "j1").await;
+
+    world.set_access("a", Access::Refused);
+
+    until("the change", async || {
+        holder(&world).as_deref() == Some("b")
+    })
+    .await;
+    until("the end", async || {
+        state(&second, "j1").await.contains("completed")
+    })
+    .await;
+    assert_eq!(world.starts("j1"), 3);
+}
+
+#[tokio::test]
+async fn an_owner_goes_on_while_the_store_is_away_for_all() {
+    let world = World::new(&["w1"]);
+    let (first, second) = (start(&world, "a").await, start(&world, "b").await);
+    until("a claim", async || holder(&world).is_some()).await;
+    until("readiness", async || {
+        first.node.is_ready() && second.node.is_ready()
+    })
+    .await;
+    let before = holder(&world);
+    submit(&first, "j1").await;
+
+    for vm in ["a", "b"] {
+        world.set_access(vm, Access::Refused);
+    }
+    until("the loss", async || !first.node.is_in_contact()).await;
+    until("the starts", async || world.starts("j1") == 3).await;
+    for vm in ["a", "b"] {
+        world.set_access(vm, Access::Open);
+    }
+    until("the end", async || {
+        state(&first, "j1").await.contains("completed")
+    })
+    .await;
+
+    assert_eq!(holder(&world), before);
+    assert_eq!(world.starts("j1"), 3);
+}
+
+#[tokio::test]
+async fn the_newest_of_several_configurations_that_a_feed_tells_is_in_force() {
+    let world = World::new(&["w1"]);
+    let vm = start(&world, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    world.set_access("a", Access::Refused);
+    until("the loss", async || !vm.node.is_in_contact()).await;
+
+    for version in ["3", "4", "5"] {
+        world.write("operator", "configuration", version);
+    }
+    world.set_access("a", Access::Open);
+
+    until("the news", async || vm.node.configuration().version > 2).await;
+    assert_eq!(vm.node.configuration().version, 5);
+}
+
+#[tokio::test]
+async fn a_history_that_is_gone_starts_no_job_again() {
+    let world = World::new(&["w1"]);
+    let vm = start(&world, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    submit(&vm, "j1").await;
+    until("the end", async || {
+        state(&vm, "j1").await.contains("completed")
+    })
+    .await;
+
+    world.compact();
+    submit(&vm, "j2").await;
+    until("the end", async || {
+        state(&vm, "j2").await.contains("completed")
+    })
+    .await;
+
+    assert_eq!(world.starts("j1"), 3);
+    assert_eq!(world.starts("j2"), 3);
+}
--- /dev/null
+++ b/crates/cell/tests/cell/vm.rs
@@ -0,0 +1,121 @@
+//! Entry VMs on loopback, and a caller.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use basilbridge_cell::{
+    config::Config,
+    node::{
+        Node,
+        Running, //
+    },
+};
+use basilbridge_common::timer;
+use bytes::Bytes;
+use http::{
+    Method,
+    Request,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper_util::{
+    client::legacy::Client,
+    rt::TokioExecutor, //
+};
+
+use crate::outside::{
+    HOST,
+    KEY,
+    PREFIX,
+    World, //
+};
+
+/// How long a test waits before it takes what it waits for as lost; no bound of the system.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// How long the caller waits for an answer.
+const CALLER_WAIT: Duration = Duration::from_secs(3);
+
+pub(crate) fn config(name: &str) -> Config {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    Config {
+        name: name.into(),
+        data_centre: "local".into(),
+        callers: any,
+        ready: any,
+        peers: any,
+        metrics: Some(any),
+        longest_lease: Duration::from_secs(6),
+        gang_wait: Duration::from_secs(3),
+        drain_limit: Duration::from_secs(6),
+    }
+}
+
+/// Starts a VM.
+pub(crate) async fn start(world: &World, name: &str) -> Running {
+    let timer = timer::Service::start();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let node = Node::new(config(name), timer, world.outside(name), log);
+    node.start().await.expect("loopback takes connections")
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, wait).await;
+    assert!(waited.is_ok(), "{what} did not come");
+}
+
+/// Sends a request about a job as a caller does.
+pub(crate) async fn call(
+    vm: &Running,
+    method: Method,
+    id: &str,
+    body: &str,
+) -> (StatusCode, String) {
+    call_path(vm, method, &format!("{PREFIX}{id}"), body).await
+}
+
+/// Sends a request as a caller does.
+pub(crate) async fn call_path(
+    vm: &Running,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> (StatusCode, String) {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{}{path}", vm.callers_address()))
+        .header("host", HOST)
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("deadline-ms", CALLER_WAIT.as_millis().to_string())
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("the request is well formed");
+    let response = client.request(request).await.expect("the VM answers");
+    let status = response.status();
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .expect("the answer is whole");
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    (status, text)
+}
+
+pub(crate) async fn submit(vm: &Running, id: &str) -> StatusCode {
+    call(vm, Method::POST, id, "3").await.0
+}
+
+pub(crate) async fn state(vm: &Running, id: &str) -> String {
+    call(vm, Method::GET, id, "").await.1
+}
--- a/crates/peers/src/cell.rs
+++ b/crates/peers/src/cell.rs
@@ -15,8 +15,9 @@
 };
 
 use crate::{
+    convert,
     generated::{
-        Advice, Attendance, Question,
+        Advice, ClientReply, ClientRequest, Process, Question,
         cell_server::{
             Cell,
             CellServer, //
@@ -25,7 +26,10 @@
     server::Server,
 };
 
-type Attend = Arc<dyn Fn(u64) -> BoxFuture<'static, u64> + Send + Sync>;
+type WatchProcess = Arc<dyn Fn(u64) -> BoxFuture<'static, u64> + Send + Sync>;
+type HandOver = Arc<dyn Fn(u64) -> bool + Send + Sync>;
+type ForwardRequest =
+    Arc<dyn Fn(ClientRequest) -> BoxFuture<'static, Result<serde_json::Value>> + Send + Sync>;
 type Advise = Arc<dyn Fn(Question) -> BoxFuture<'static, Result<Advice>> + Send + Sync>;
 
 /// What stands behind the protocol.
@@ -34,7 +38,11 @@
     /// Asks the advice service.
     pub advise: Advise,
     /// Returns the number of this process, later if it is the one that was asked for.
-    pub attend: Attend,
+    pub watch_process: WatchProcess,
+    /// Takes over from the owner with this number, if this VM can.
+    pub hand_over: HandOver,
+    /// Answers a call that another VM can't.
+    pub forward_request: ForwardRequest,
 }
 
 #[tonic::async_trait]
@@ -49,12 +57,31 @@
             .map_err(|error| tonic::Status::unavailable(error.message))
     }
 
-    async fn attend(
+    async fn watch_process(
         &self,
-        request: Request<Attendance>,
-    ) -> std::result::Result<Response<Attendance>, tonic::Status> {
-        let nonce = (self.attend)(request.into_inner().nonce).await;
-        Ok(Response::new(Attendance { nonce }))
+        request: Request<Process>,
+    ) -> std::result::Result<Response<Process>, tonic::Status> {
+        let nonce = (self.watch_process)(request.into_inner().nonce).await;
+        Ok(Response::new(Process { nonce }))
+    }
+
+    async fn hand_over(
+        &self,
+        request: Request<Process>,
+    ) -> std::result::Result<Response<Process>, tonic::Status> {
+        let asked = request.into_inner().nonce;
+        let nonce = if (self.hand_over)(asked) { asked } else { 0 };
+        Ok(Response::new(Process { nonce }))
+    }
+
+    async fn forward_request(
+        &self,
+        request: Request<ClientRequest>,
+    ) -> std::result::Result<Response<ClientReply>, tonic::Status> {
+        let result = (self.forward_request)(request.into_inner()).await;
+        convert::client_reply_to_wire(&result)
+            .map(Response::new)
+            .map_err(|error| tonic::Status::internal(error.message))
     }
 }
 
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -35,9 +35,10 @@
     convert,
     generated::{
         Advice,
-        Attendance,
+        ClientRequest,
         Configuration,
         News,
+        Process,
         Question,
         cell_client::CellClient,
         peer_client::PeerClient, //
@@ -167,18 +168,18 @@
     /// Asks which process answers at `address`, where `nonce` is expected to.
     ///
     /// Returns nothing where no process listens.
-    pub async fn attend(
+    pub async fn watch_process(
         &self,
         address: SocketAddr,
         nonce: u64,
         limit: Duration,
     ) -> Result<Option<u64>> {
         let mut client = CellClient::new(self.channel(address)?);
-        let exchange = client.attend(Request::new(Attendance { nonce }));
+        let exchange = client.watch_process(Request::new(Process { nonce }));
         match self.timer.timeout(limit, exchange).await {
-            Some(Ok(attendance)) => {
+            Some(Ok(process)) => {
                 self.note_answer(address);
-                Ok(Some(attendance.into_inner().nonce))
+                Ok(Some(process.into_inner().nonce))
             }
             Some(Err(status)) if is_refused_connection(&status) => {
                 self.note_refusal(address);
@@ -189,6 +190,44 @@
         }
     }
 
+    /// Asks the peer at `address` to take over from the owner with this number; says whether it will.
+    pub async fn hand_over(
+        &self,
+        address: SocketAddr,
+        nonce: u64,
+        limit: Duration,
+    ) -> Result<bool> {
+        let mut client = CellClient::new(self.channel(address)?);
+        let exchange = client.hand_over(Request::new(Process { nonce }));
+        match self.timer.timeout(limit, exchange).await {
+            Some(Ok(answer)) => Ok(answer.into_inner().nonce == nonce),
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(Kind::Unreachable, "no word in time")),
+        }
+    }
+
+    /// Hands a call on to the peer at `address`.
+    pub async fn forward_request(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        limit: Duration,
+    ) -> Result<serde_json::Value> {
+        let mut client = CellClient::new(self.channel(address)?);
+        let exchange = client.forward_request(Request::new(request));
+        match self.timer.timeout(limit, exchange).await {
+            Some(Ok(reply)) => {
+                self.note_answer(address);
+                convert::client_reply_from_wire(reply.into_inner())
+            }
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(
+                Kind::OutcomeUnknown,
+                format!("the peer at {address} did not answer in time"),
+            )),
+        }
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
         let mut peers = self.lock();
         if let Some(peer) = peers.get(&address) {
--- a/crates/peers/src/convert.rs
+++ b/crates/peers/src/convert.rs
@@ -18,8 +18,10 @@
 
 use crate::generated::{
     Call,
+    ClientReply,
     Reply,
     call::Verb,
+    client_reply,
     reply::Outcome, //
 };
 
@@ -75,6 +77,24 @@
     }
 }
 
+pub(crate) fn client_reply_to_wire(result: &Result<serde_json::Value>) -> Result<ClientReply> {
+    let outcome = match result {
+        Ok(value) => client_reply::Outcome::Value(write(value)?),
+        Err(error) => client_reply::Outcome::Error(write(error)?),
+    };
+    Ok(ClientReply {
+        outcome: Some(outcome),
+    })
+}
+
+pub(crate) fn client_reply_from_wire(reply: ClientReply) -> Result<serde_json::Value> {
+    match reply.outcome {
+        Some(client_reply::Outcome::Value(value)) => read(&value),
+        Some(client_reply::Outcome::Error(error)) => Err(read(&error)?),
+        None => Err(Error::new(Kind::Truncated, "the reply has no outcome")),
+    }
+}
+
 fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T> {
     text.parse()
         .map_err(|error| Error::new(Kind::Malformed, format!("{error}")))
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use generated::{
     Advice,
+    ClientRequest,
     Configuration,
     Cursor,
     News,
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -228,6 +228,11 @@
         (open, runs)
     }
 
+    /// Returns what a team has running.
+    pub fn used_by(&self, tenant: &str) -> Resources {
+        self.used.get(tenant).copied().unwrap_or_default()
+    }
+
     /// Returns the job of this name.
     pub fn job(&self, id: &str) -> Option<&Job> {
         self.jobs.get(*self.ids.get(id)?)
--- a/crates/workflow/src/policy.rs
+++ b/crates/workflow/src/policy.rs
@@ -10,6 +10,8 @@
     unit::Resources, //
 };
 
+use crate::reserve;
+
 /// What a call to the advice service costs, and how long its tickets hold.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Advice {
@@ -59,12 +61,17 @@
 }
 
 impl Tenant {
-    /// Says whether `used` is within the cap.
-    pub fn allows(&self, used: &Resources) -> bool {
+    /// Says whether `used` is within the cap, or within what it leaves to work that is not urgent.
+    pub fn allows(&self, used: &Resources, urgent: bool) -> bool {
+        let cap = if urgent {
+            self.cap
+        } else {
+            reserve::shared_part(&self.cap)
+        };
         let within = |used: u64, cap: u64| cap == 0 || used <= cap;
-        within(used.cpu_millis, self.cap.cpu_millis)
-            && within(used.memory_mib, self.cap.memory_mib)
-            && within(used.accelerators, self.cap.accelerators)
+        within(used.cpu_millis, cap.cpu_millis)
+            && within(used.memory_mib, cap.memory_mib)
+            && within(used.accelerators, cap.accelerators)
     }
 }
 
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -81,6 +81,9 @@
     free: Resources,
     /// What is free less what earlier stages of this pass have asked for.
     open: Resources,
+    /// What is free or will be when the stops so far take effect, less what earlier stages of this
+    /// pass count on.
+    coming: Resources,
     /// What would be free if all that may be preempted for the most urgent work were gone.
     soft: Resources,
     suspect: bool,
@@ -200,6 +203,7 @@
                 boot: worker.entry.boot,
                 free: worker.free(),
                 open: worker.free(),
+                coming: worker.free(),
                 soft: worker.free(),
                 suspect: !worker.failures.is_empty(),
                 serves: false,
@@ -213,8 +217,11 @@
                 let step = &job.accepted.spec.steps[stage];
                 slot.serves |= step.target.is_some();
                 slot.fills |= step.fills;
-                let frees = matches!(run.phase, Phase::Stopping(_));
-                if frees || (self.priority(job) > urgent && is_preemptable(step, run)) {
+                let stops = matches!(run.phase, Phase::Stopping(_));
+                if stops {
+                    slot.coming = slot.coming.plus(&run.charge);
+                }
+                if stops || self.may_preempt(run, urgent) {
                     slot.soft = slot.soft.plus(&run.charge);
                 }
             }
@@ -249,6 +256,16 @@
         if waiting == 0 {
             return;
         }
+        let tenant = self.jobs[entry.job].accepted.tenant.clone();
+        let takes_all = is_urgent || step.lasting;
+        if let Some(tenant) = tenant
+            && !self.tenant_allows(Some(&tenant), &step.room, takes_all)
+        {
+            if is_urgent && entry.rank.band <= Band::OnTime {
+                self.preempt_own(&tenant, &step.room.times(waiting as u64), now);
+            }
+            return;
+        }
         if advised {
             self.ask(entry, &step, waiting, pool, is_urgent, now);
         }
@@ -272,6 +289,7 @@
             return;
         }
         let count = self.jobs[entry.job].stages[entry.stage].tasks.len();
+        let takes_all = is_urgent || step.lasting;
         let mut on_worker = self.members(entry);
         for index in 0..count {
             let job = &self.jobs[entry.job];
@@ -279,12 +297,11 @@
             if !task.is_waiting() {
                 continue;
             }
-            if !self.tenant_allows(job.accepted.tenant.as_ref(), &step.room) {
+            if !self.tenant_allows(job.accepted.tenant.as_ref(), &step.room, takes_all) {
                 return;
             }
-            let keeps_reserve = is_urgent
-                || step.lasting
-                || reserve::admits(pool.free_cpu, pool.capacity_cpu, charge.cpu_millis);
+            let keeps_reserve =
+                takes_all || reserve::admits(pool.free_cpu, pool.capacity_cpu, charge.cpu_millis);
             if !keeps_reserve {
                 return;
             }
@@ -322,7 +339,7 @@
         let charge = step.charge();
         let count = self.jobs[entry.job].stages[entry.stage].tasks.len();
         let tenant = self.jobs[entry.job].accepted.tenant.clone();
-        if !self.tenant_allows(tenant.as_ref(), &step.room.times(count as u64)) {
+        if !self.tenant_allows(tenant.as_ref(), &step.room.times(count as u64), true) {
             return;
         }
         let all = self.candidates(entry, step, pool, advised, now);
@@ -412,7 +429,7 @@
         counts
     }
 
-    fn tenant_allows(&self, tenant: Option<&Name>, room: &Resources) -> bool {
+    fn tenant_allows(&self, tenant: Option<&Name>, room: &Resources, urgent: bool) -> bool {
         let Some(name) = tenant else {
             return true;
         };
@@ -420,7 +437,7 @@
         self.policy
             .tenants
             .get(name)
-            .is_none_or(|tenant| tenant.allows(&used.plus(room)))
+            .is_none_or(|tenant| tenant.allows(&used.plus(room), urgent))
     }
 
     fn start(
@@ -628,60 +645,103 @@
         entry: Ready,
         step: &Step,
         waiting: usize,
-        pool: &Pool,
+        pool: &mut Pool,
         advised: bool,
         now: Millis,
     ) {
         let charge = step.charge();
         let mut missing = waiting;
-        for candidate in self.candidates(entry, step, pool, advised, now) {
-            if missing == 0 {
-                return;
-            }
-            let worker = &self.workers[candidate.key];
-            let mut room = candidate.free;
-            for run in worker.runs.values() {
-                if matches!(run.phase, Phase::Stopping(_)) {
-                    room = room.plus(&run.charge);
-                }
+        let candidates = self.candidates(entry, step, pool, advised, now);
+        for candidate in candidates {
+            let Some(slot) = pool.slots.iter_mut().find(|slot| slot.key == candidate.key) else {
+                continue;
+            };
+            while missing > 0 && (charge.fits(&slot.coming) || self.make_room(slot, &charge, now)) {
+                slot.coming = slot.coming.minus(&charge);
+                missing -= 1;
             }
+        }
+    }
+
+    /// Stops as many less urgent runs of a worker as `charge` needs; says whether there were enough.
+    fn make_room(&mut self, slot: &mut Slot, charge: &Resources, now: Millis) -> bool {
+        let urgent = self.urgent_priority();
+        let mut victims: Vec<(Millis, TaskId, Resources)> = self.workers[slot.key]
+            .runs
+            .iter()
+            .filter(|(_, run)| self.may_preempt(run, urgent))
+            .map(|(task, run)| (run.since, task.clone(), run.charge))
+            .collect();
+        // The youngest run has the least work to lose.
+        victims.sort_by_key(|victim| std::cmp::Reverse(victim.0));
+        let mut room = slot.coming;
+        let mut chosen = Vec::new();
+        for (_, task, frees) in victims {
             if charge.fits(&room) {
-                missing -= fit_count(&room, &charge).min(missing);
-                continue;
+                break;
             }
-            let urgent = self.urgent_priority();
-            let mut victims: Vec<(Millis, TaskId, Resources)> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| {
-                    let Some(job) = run.place.and_then(|place| self.jobs.get(place.job)) else {
-                        return false;
-                    };
-                    let stage = run.place.map_or(0, |place| job.stages[place.stage].step);
-                    self.priority(job) > urgent
-                        && is_preemptable(&job.accepted.spec.steps[stage], run)
-                })
-                .map(|(task, run)| (run.since, task.clone(), run.charge))
-                .collect();
-            // The youngest run has the least work to lose.
-            victims.sort_by_key(|victim| std::cmp::Reverse(victim.0));
-            let mut chosen = Vec::new();
-            for (_, task, frees) in victims {
-                if charge.fits(&room) {
-                    break;
+            room = room.plus(&frees);
+            chosen.push(task);
+        }
+        if !charge.fits(&room) {
+            return false;
+        }
+        slot.coming = room;
+        for task in chosen {
+            self.stop(slot.key, &task, Cause::Preempted, now);
+        }
+        true
+    }
+
+    /// Stops less urgent runs of a team that is at its cap, so that `room` of its urgent work fits.
+    fn preempt_own(&mut self, tenant: &Name, room: &Resources, now: Millis) {
+        let Some(cap) = self.policy.tenants.get(tenant).map(|tenant| tenant.cap) else {
+            return;
+        };
+        let used = self.used.get(tenant).copied().unwrap_or_default();
+        let mut missing = used.plus(room).minus(&cap);
+        let urgent = self.urgent_priority();
+        let mut victims = Vec::new();
+        for (key, worker) in &self.workers {
+            for (task, run) in &worker.runs {
+                let Some((_, takes)) = run.tenant.as_ref().filter(|(name, _)| name == tenant)
+                else {
+                    continue;
+                };
+                if matches!(run.phase, Phase::Stopping(_)) {
+                    missing = missing.minus(takes);
+                } else if self.may_preempt(run, urgent) {
+                    victims.push((run.since, key, task.clone(), *takes));
                 }
-                room = room.plus(&frees);
-                chosen.push(task);
             }
-            if charge.fits(&room) {
-                missing -= fit_count(&room, &charge).min(missing);
-                for task in chosen {
-                    self.stop(candidate.key, &task, Cause::Preempted, now);
-                }
+        }
+        let over = |missing: &Resources| {
+            (cap.cpu_millis > 0 && missing.cpu_millis > 0)
+                || (cap.memory_mib > 0 && missing.memory_mib > 0)
+                || (cap.accelerators > 0 && missing.accelerators > 0)
+        };
+        // The youngest run has the least work to lose.
+        victims.sort_by_key(|victim| std::cmp::Reverse(victim.0));
+        for (_, key, task, takes) in victims {
+            if !over(&missing) {
+                return;
             }
+            missing = missing.minus(&takes);
+            self.stop(key, &task, Cause::Preempted, now);
         }
     }
 
+    fn may_preempt(&self, run: &Run, urgent: u32) -> bool {
+        let Some((place, job)) = run
+            .place
+            .and_then(|place| Some((place, self.jobs.get(place.job)?)))
+        else {
+            return false;
+        };
+        let step = &job.accepted.spec.steps[job.stages[place.stage].step];
+        self.priority(job) > urgent && is_preemptable(step, run)
+    }
+
     /// Stops runs that stand still, so that they start anew elsewhere.
     fn stop_stalled(&mut self, now: Millis) {
         let mut stalled = Vec::new();
@@ -741,6 +801,7 @@
         slot.free = slot.free.minus(charge);
         slot.open = slot.open.minus(charge);
         slot.soft = slot.soft.minus(charge);
+        slot.coming = slot.coming.minus(charge);
     }
     for candidate in candidates
         .iter_mut()
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -3,5 +3,6 @@
 mod cell;
 mod fleet;
 mod jobs;
+mod overload;
 mod schedules;
 mod util;
