--- a/crates/cell/src/intake.rs
+++ b/crates/cell/src/intake.rs
@@ -34,7 +34,7 @@
 };
 
 use crate::{
-    feed,
+    announce, feed,
     node::Node,
     outside::Range,
     record::{
@@ -69,9 +69,12 @@
 }
 
 /// Writes a row, unless it is there already: then it was written by the same call, sent before.
-async fn create(node: &Node, checks: Vec<Check>, put: Put) -> Result<()> {
+///
+/// Returns the version if this call wrote it.
+async fn create(node: &Node, checks: Vec<Check>, put: Put) -> Result<Option<Version>> {
     match node.transact(checks, vec![put]).await {
-        Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => Ok(()),
+        Ok(Outcome::Committed(version)) => Ok(Some(version)),
+        Ok(Outcome::Conflict(_)) => Ok(None),
         Err(error) if error.kind == Kind::WriteUnknown => {
             Err(Error::new(Kind::OutcomeUnknown, error.message))
         }
@@ -80,13 +83,17 @@
 }
 
 /// Accepts a job, once, however often it is sent.
-pub(crate) async fn accept(node: &Node, id: &str, accepted: &Accepted) -> Result<()> {
+pub(crate) async fn accept(node: &Arc<Node>, id: &str, accepted: &Accepted) -> Result<()> {
     let put = Put {
         table: record::job_table(id),
         key: id.to_owned(),
         value: Some(record::encode(accepted)?),
     };
-    create(node, vec![job_row(id, id, Version(0))], put).await
+    let created = create(node, vec![job_row(id, id, Version(0))], put).await?;
+    if let Some(version) = created {
+        announce::send(node, id, version, Some(accepted));
+    }
+    Ok(())
 }
 
 /// Reads one row, or nothing where there is surely none.
@@ -139,7 +146,7 @@
 }
 
 /// Cancels a job, unless it is over.
-pub(crate) async fn cancel(node: &Node, id: &str, deadline: Millis) -> Result<()> {
+pub(crate) async fn cancel(node: &Arc<Node>, id: &str, deadline: Millis) -> Result<()> {
     let job = get(node, &record::job_table(id), id, deadline)
         .await?
         .ok_or_else(gone)?;
@@ -150,7 +157,10 @@
         key,
         value: Some("{}".to_owned()),
     };
-    create(node, checks, put).await
+    if let Some(version) = create(node, checks, put).await? {
+        announce::send(node, id, version, None);
+    }
+    Ok(())
 }
 
 /// Returns how many jobs of a queue have not begun.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -5,6 +5,7 @@
 //! silent. `docs/design/programs.md` shows the programs and what they write.
 
 mod adviser;
+mod announce;
 pub mod config;
 pub mod configuration;
 mod dispatch;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -5,9 +5,9 @@
     time::Duration, //
 };
 
-use basilbridge_common::{
-    error::Result,
-    id::Version, //
+use basilbridge_common::id::{
+    Name,
+    Version, //
 };
 use basilbridge_platform::table::Row;
 use basilbridge_workflow::{
@@ -33,11 +33,11 @@
     pub(crate) jobs: Version,
 }
 
-/// Reads workers, jobs and their progress into the engine.
-pub(crate) async fn load(owner: &Owner) -> From {
+/// Reads a table until all its parts have answered.
+async fn read(owner: &Owner, table: Name) -> (Vec<Row>, Version) {
     loop {
-        match try_load(owner).await {
-            Ok(from) => return from,
+        match feed::read_all(&owner.node, std::slice::from_ref(&table)).await {
+            Ok(read) => return read,
             Err(error) => {
                 owner.node.note_store_failure(&error);
                 owner.node.timer.sleep(RETRY).await;
@@ -46,17 +46,23 @@
     }
 }
 
-async fn try_load(owner: &Owner) -> Result<From> {
+async fn read_parts(owner: &Owner, parts: Vec<Name>) -> (Vec<Row>, Version) {
+    let reads = parts.into_iter().map(|part| read(owner, part));
+    let parts = futures_util::future::join_all(reads).await;
+    let version = parts.iter().map(|(_, version)| *version).min();
+    let rows = parts.into_iter().flat_map(|(rows, _)| rows).collect();
+    (rows, version.unwrap_or_default())
+}
+
+/// Reads workers, jobs and their progress into the engine.
+pub(crate) async fn load(owner: &Owner) -> From {
     let node = &owner.node;
-    let worker_table = [node.outside.store.worker_table.clone()];
-    let (job_tables, progress_table) = (record::job_tables(), [PROGRESS_TABLE.into()]);
-    let (jobs, progress, workers) = tokio::join!(
-        feed::read_all(node, &job_tables),
-        feed::read_all(node, &progress_table),
-        feed::read_all(node, &worker_table),
+    let worker_table = node.outside.store.worker_table.clone();
+    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers)) = tokio::join!(
+        read_parts(owner, record::job_tables()),
+        read(owner, PROGRESS_TABLE.into()),
+        read(owner, worker_table),
     );
-    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers)) =
-        (jobs?, progress?, workers?);
     let now = owner.now();
     let decode = &node.outside.formats.worker;
     let mut engine = owner.engine();
@@ -91,5 +97,5 @@
         }
     }
     engine.taken_up_to(jobs);
-    Ok(From { workers, jobs })
+    From { workers, jobs }
 }
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use basilbridge_workflow::worker;
+use basilbridge_workflow::{
+    order::Look,
+    worker, //
+};
 use tokio::task::JoinSet;
 
 use crate::{
@@ -27,6 +30,31 @@
     }
 }
 
+/// Looks at workers at once, beside the looks that wait there.
+pub(crate) fn hurry(owner: &Arc<Owner>) {
+    for key in owner.engine().hurried() {
+        tokio::spawn(look_once(Arc::clone(owner), key));
+    }
+}
+
+async fn look_once(owner: Arc<Owner>, key: worker::Key) {
+    let sent = owner.now();
+    let look = owner.engine().look(key, sent);
+    let Some(look) = look.map(|look| Look {
+        wait: Duration::ZERO,
+        ..look
+    }) else {
+        return;
+    };
+    owner.node.metrics.count("looks");
+    // An answer that does not come is left to the look that waits.
+    if let Looked::Seen(seen) = (owner.node.outside.workers.look)(owner.epoch(), look).await {
+        owner.engine().looked(key, sent, owner.now(), &seen);
+        owner.unstored.notify_one();
+        owner.wake.notify_one();
+    }
+}
+
 async fn run(owner: Arc<Owner>, key: worker::Key) {
     let timer = owner.node.timer.clone();
     loop {
@@ -59,11 +87,13 @@
                 return;
             }
             Looked::Silent(why) => {
-                let first = owner.engine().not_looked(key);
+                let first = owner.engine().not_looked(key, owner.now());
                 if first && owner.node.decisions.admit() {
                     slog::info!(owner.node.log, "worker silent"; "worker" => %name, "why" => why);
                 }
-                timer.sleep(RETRY).await;
+                if !first {
+                    timer.sleep(RETRY).await;
+                }
             }
         }
     }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -67,6 +67,7 @@
         Page,
         Range, //
     },
+    owner::Owner,
     peer,
     record::{
         self,
@@ -118,6 +119,7 @@
     /// A number that only this process knows.
     pub(crate) nonce: u64,
     pub(crate) title: title::Board,
+    owner: Mutex<Weak<Owner>>,
     configuration: watch::Sender<Arc<Configuration>>,
     contact: Mutex<Contact>,
     seen: AtomicU64,
@@ -145,6 +147,7 @@
             pool: Pool::new(timer.clone()),
             nonce: rand::random(),
             title: title::Board::default(),
+            owner: Mutex::default(),
             configuration: watch::Sender::default(),
             contact: Mutex::new(Contact {
                 last: now,
@@ -371,6 +374,11 @@
         }
     }
 
+    /// Returns the owner of the workers, if it is this VM.
+    pub(crate) fn owner(&self) -> MutexGuard<'_, Weak<Owner>> {
+        self.owner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns what this VM knows of the title.
     pub(crate) fn view(&self) -> MutexGuard<'_, View> {
         self.title.lock()
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -15,8 +15,11 @@
 };
 
 use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 use basilbridge_platform::table::{
     Outcome,
@@ -189,6 +192,24 @@
     }
 }
 
+/// Takes in a job or a cancellation that the VM which stored it announces.
+pub(crate) fn take_announced(
+    owner: &Owner,
+    id: &Name,
+    version: Version,
+    accepted: Option<Accepted>,
+) {
+    let now = owner.now();
+    {
+        let mut engine = owner.engine();
+        match accepted {
+            Some(accepted) => engine.announce(id, accepted, version, now),
+            None => engine.cancel(id, now),
+        }
+    }
+    owner.wake.notify_one();
+}
+
 /// Takes in a row of the table of jobs.
 fn take_job(engine: &mut Engine, row: &Row, now: Millis) {
     let Some(text) = row.value.as_deref() else {
@@ -223,6 +244,7 @@
         over: watch::Sender::new(false),
         gates: Mutex::default(),
     });
+    *node.owner() = Arc::downgrade(&owner);
     let mut tasks = JoinSet::new();
     tasks.spawn(pulse(Arc::clone(&owner)));
     tokio::select! {
@@ -254,6 +276,7 @@
         }
         pass(owner);
         looks::spawn_new(owner, tasks);
+        looks::hurry(owner);
         while tasks.try_join_next().is_some() {}
         owner.node.timer.sleep(PASS_INTERVAL).await;
     }
@@ -303,7 +326,7 @@
     }
 }
 
-async fn follow_workers(owner: Arc<Owner>, from: basilbridge_common::id::Version) {
+async fn follow_workers(owner: Arc<Owner>, from: Version) {
     let table = owner.node.outside.store.worker_table.clone();
     let taker = Arc::clone(&owner);
     let parts = [table.clone()];
@@ -320,7 +343,7 @@
     .await;
 }
 
-async fn follow_jobs(owner: Arc<Owner>, from: basilbridge_common::id::Version) {
+async fn follow_jobs(owner: Arc<Owner>, from: Version) {
     let taker = Arc::clone(&owner);
     let (table, parts) = (JOB_TABLE.into(), record::job_tables());
     feed::follow(
@@ -328,7 +351,7 @@
         &table,
         &parts,
         Some(from),
-        Duration::ZERO,
+        feed::GATHER,
         move |news| {
             taker.take_jobs(news);
         },
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     adviser,
+    announce,
     node::Node,
     request,
     title, //
@@ -27,6 +28,7 @@
 pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<Server> {
     let advise = Arc::clone(&node.outside.advise);
     let (watched, heir, forwarder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
+    let listener = Arc::clone(node);
     let app = cell::App {
         advise: Arc::new(move |wire| {
             let advise = Arc::clone(&advise);
@@ -49,6 +51,7 @@
             .boxed()
         }),
         hand_over: Arc::new(move |nonce| title::accept_hand_over(&heir, nonce)),
+        announce: Arc::new(move |stored| announce::take(&listener, &stored)),
         forward_request: Arc::new(move |wire| {
             let node = Arc::clone(&forwarder);
             async move { request::answer_forwarded(&node, wire).await }.boxed()
--- a/crates/peers/src/cell.rs
+++ b/crates/peers/src/cell.rs
@@ -17,7 +17,7 @@
 use crate::{
     convert,
     generated::{
-        Advice, ClientReply, ClientRequest, Process, Question,
+        Advice, ClientReply, ClientRequest, Process, Question, Stored,
         cell_server::{
             Cell,
             CellServer, //
@@ -30,6 +30,7 @@
 type HandOver = Arc<dyn Fn(u64) -> bool + Send + Sync>;
 type ForwardRequest =
     Arc<dyn Fn(ClientRequest) -> BoxFuture<'static, Result<serde_json::Value>> + Send + Sync>;
+type Announce = Arc<dyn Fn(Stored) + Send + Sync>;
 type Advise = Arc<dyn Fn(Question) -> BoxFuture<'static, Result<Advice>> + Send + Sync>;
 
 /// What stands behind the protocol.
@@ -41,6 +42,8 @@
     pub watch_process: WatchProcess,
     /// Takes over from the owner with this number, if this VM can.
     pub hand_over: HandOver,
+    /// Takes in what another VM has stored of a job.
+    pub announce: Announce,
     /// Answers a call that another VM can't.
     pub forward_request: ForwardRequest,
 }
@@ -74,6 +77,14 @@
         Ok(Response::new(Process { nonce }))
     }
 
+    async fn announce(
+        &self,
+        request: Request<Stored>,
+    ) -> std::result::Result<Response<Process>, tonic::Status> {
+        (self.announce)(request.into_inner());
+        Ok(Response::new(Process::default()))
+    }
+
     async fn forward_request(
         &self,
         request: Request<ClientRequest>,
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -40,6 +40,7 @@
         News,
         Process,
         Question,
+        Stored,
         cell_client::CellClient,
         peer_client::PeerClient, //
     },
@@ -206,6 +207,22 @@
         }
     }
 
+    /// Announces to the peer at `address` what was stored of a job.
+    pub async fn announce(
+        &self,
+        address: SocketAddr,
+        stored: Stored,
+        limit: Duration,
+    ) -> Result<()> {
+        let mut client = CellClient::new(self.channel(address)?);
+        let exchange = client.announce(Request::new(stored));
+        match self.timer.timeout(limit, exchange).await {
+            Some(Ok(_)) => Ok(()),
+            Some(Err(status)) => Err(self.failed(address, &status)),
+            None => Err(Error::new(Kind::Unreachable, "no word in time")),
+        }
+    }
+
     /// Hands a call on to the peer at `address`.
     pub async fn forward_request(
         &self,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -23,5 +23,6 @@
     Owned,
     Permit,
     Question,
+    Stored,
     Use, //
 };
--- a/crates/workflow/src/end.rs
+++ b/crates/workflow/src/end.rs
@@ -49,6 +49,9 @@
             }
         }
         let worker = &mut self.workers[key];
+        if worker.is_older(look.clock) {
+            return;
+        }
         let name = worker.silent.then(|| worker.entry.name.clone());
         worker.read_clock(look.clock, now);
         let taken = worker.taken;
@@ -362,6 +365,7 @@
         match answer {
             Started::Running => {}
             Started::Unknown => {
+                self.unanswered = Some(now);
                 worker.avoid = worker.avoid.max(now.after(REFUSED_AVOID));
                 self.stop(key, task, Cause::Unanswered, now);
             }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -67,6 +67,13 @@
 /// How long a look may wait at the worker for something to end.
 const LOOK_WAIT: Duration = Duration::from_millis(1000);
 
+/// How long it may wait while orders go unanswered: an unanswered look hides all ends on its worker
+/// until it is given up, and a third of an urgent job's spare time may be lost with it.
+const DOUBTFUL_LOOK_WAIT: Duration = Duration::from_millis(300);
+
+/// For how long an unanswered order makes others doubtful.
+const DOUBT_TIME: Duration = Duration::from_secs(5);
+
 /// What the owner of a cell goes by.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -175,6 +182,10 @@
     pub(crate) fenced: bool,
     /// The version of the store up to which jobs were taken in.
     pub(crate) newest: Version,
+    /// Jobs that were announced and of which the feed has not told yet.
+    pub(crate) announced: HashSet<Name>,
+    /// When an order or a look last went unanswered.
+    pub(crate) unanswered: Option<Millis>,
 }
 
 impl Engine {
@@ -198,6 +209,8 @@
             good_part: HashMap::new(),
             fenced: false,
             newest: Version(0),
+            announced: HashSet::new(),
+            unanswered: None,
         }
     }
 
@@ -260,7 +273,17 @@
     /// A feed that lost its place tells all rows again, also those of jobs that were over and
     /// forgotten long ago. A row is written once, so one that is not newer is known.
     pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
-        if version > self.newest {
+        let announced = self.announced.remove(id);
+        if version > self.newest && !announced {
+            self.accept(id, accepted, None, false, now);
+        }
+    }
+
+    /// Takes in a job that the VM which stored it announces, before the feed tells of it.
+    ///
+    /// The feed will tell of it later, when it may be over and forgotten.
+    pub fn announce(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
+        if version > self.newest && self.announced.insert(id.clone()) {
             self.accept(id, accepted, None, false, now);
         }
     }
@@ -372,13 +395,20 @@
     pub fn look(&mut self, key: worker::Key, now: Millis) -> Option<Look> {
         let lease = self.settings.lease;
         let worker = self.workers.get_mut(key)?;
-        let hurry = std::mem::take(&mut worker.hurry);
-        let known = worker.boot.is_some() && worker.taken == worker.stored && !hurry;
+        let known = worker.boot.is_some() && worker.taken == worker.stored && !worker.silent;
+        let doubtful = self
+            .unanswered
+            .is_some_and(|last| now.since(last) < DOUBT_TIME);
+        let wait = if doubtful {
+            DOUBTFUL_LOOK_WAIT
+        } else {
+            LOOK_WAIT
+        };
         Some(Look {
             target: target(key, worker),
             until: worker.lease(lease, now),
             stored: worker.stored,
-            wait: if known { LOOK_WAIT } else { Duration::ZERO },
+            wait: if known { wait } else { Duration::ZERO },
         })
     }
 
@@ -393,12 +423,23 @@
         keys
     }
 
+    /// Returns the workers that are to be looked at now, beside the look that waits there.
+    pub fn hurried(&mut self) -> Vec<worker::Key> {
+        let mut keys = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if worker.boot.is_some() && std::mem::take(&mut worker.hurry) {
+                keys.push(key);
+            }
+        }
+        keys
+    }
+
     /// Takes note that a look was not answered; says whether the one before was.
-    pub fn not_looked(&mut self, key: worker::Key) -> bool {
+    pub fn not_looked(&mut self, key: worker::Key, now: Millis) -> bool {
+        self.unanswered = Some(now);
         let Some(worker) = self.workers.get_mut(key) else {
             return false;
         };
-        worker.hurry = true;
         !std::mem::replace(&mut worker.silent, true)
     }
 
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -181,6 +181,13 @@
             && self.runs.values().all(|run| run.place.is_some())
     }
 
+    /// Says whether an answer that shows this clock is older than one that was taken in.
+    ///
+    /// Answers on different connections may overtake each other.
+    pub fn is_older(&self, clock: u64) -> bool {
+        self.reading.is_some_and(|reading| clock < reading.worker)
+    }
+
     /// Takes note of the worker's clock, read at `at` or before.
     pub fn read_clock(&mut self, worker: u64, at: Millis) {
         self.heard = Some(at);
--- a/crates/workflow/tests/engine/cell.rs
+++ b/crates/workflow/tests/engine/cell.rs
@@ -261,7 +261,7 @@
                 continue;
             };
             if self.way(&name, way) != Way::Open {
-                self.engine.not_looked(key);
+                self.engine.not_looked(key, self.now);
                 continue;
             }
             let epoch = u64::from(self.epoch) + 1;
