Take over in turns, and see ends while the store is slow

Looks waited up to 0.5 s for the store before the next ends were seen.

Ruled out: processor time (5 % of a core at the owner's busiest).

--- a/crates/cell/src/announce.rs
+++ b/crates/cell/src/announce.rs
@@ -31,7 +31,7 @@
     let address = {
         let view = node.view();
         let claim = view.claim.as_ref();
-        claim.and_then(|(claim, _)| view.nodes.get(&claim.holder).copied())
+        claim.and_then(|held| view.nodes.get(&held.claim.holder).copied())
     };
     let encoded = accepted.map(record::encode).transpose();
     let (Some(address), Ok(accepted)) = (address, encoded) else {
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -19,9 +19,9 @@
 /// How long to wait after a look without an answer.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// How long a look waits for the ends of the last one to be stored, if the store is away: often
-/// enough to renew leases of seconds.
-const STORE_WAIT: Duration = Duration::from_millis(500);
+/// How long a look waits for the ends of the last one to be stored: until then the worker answers
+/// each look at once, but ends that came since must not stay unseen while the store is slow.
+const STORE_WAIT: Duration = Duration::from_millis(100);
 
 /// Starts to look at workers that nobody looks at yet.
 pub(crate) fn spawn_new(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -97,6 +97,8 @@
     last: Millis,
     /// Since when it has answered without a failure in between.
     since: Option<Millis>,
+    /// How long the store takes to answer, as a moving mean.
+    time: Duration,
 }
 
 /// An entry VM.
@@ -152,6 +154,7 @@
             contact: Mutex::new(Contact {
                 last: now,
                 since: None,
+                time: Duration::ZERO,
             }),
             seen: AtomicU64::new(0),
             config,
@@ -229,6 +232,11 @@
         self.lock_contact().since
     }
 
+    /// Returns how long the store takes to answer a call, of late.
+    pub(crate) fn store_time(&self) -> Duration {
+        self.lock_contact().time
+    }
+
     /// Returns the highest version of the store that this VM has seen.
     pub(crate) fn seen(&self) -> Version {
         Version(self.seen.load(Ordering::Relaxed))
@@ -237,10 +245,12 @@
     /// Reads rows.
     pub(crate) async fn read(&self, range: Range) -> Result<Page> {
         self.metrics.count("store_reads");
+        let begun = self.timer.now();
         let result = (self.outside.store.read)(range).await;
         if let Ok(page) = &result {
             self.note_store_answer(page.version);
         }
+        self.note_store_time(begun);
         result
     }
 
@@ -276,11 +286,17 @@
             Ok(Outcome::Conflict(_)) => self.note_store_answer(Version(0)),
             Err(error) => self.note_store_failure(error),
         }
-        self.metrics
-            .time("store_write", self.timer.now().since(begun));
+        self.note_store_time(begun);
         result
     }
 
+    fn note_store_time(&self, begun: Millis) {
+        let time = self.timer.now().since(begun);
+        self.metrics.time("store_call", time);
+        let mut contact = self.lock_contact();
+        contact.time = (contact.time * 3 + time) / 4;
+    }
+
     fn note_store_answer(&self, version: Version) {
         self.seen.fetch_max(version.0, Ordering::Relaxed);
         let now = self.timer.now();
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -255,7 +255,7 @@
     let lost = owner.is_over();
     owner.over.send_replace(true);
     tasks.shutdown().await;
-    if !lost {
+    if !lost && !hand_over(&owner).await {
         release(&owner).await;
     }
 }
@@ -371,8 +371,7 @@
     }
 }
 
-/// Looks for a VM that reaches the store and takes over; without one the store is away for all, and
-/// the owner goes on.
+/// Looks for a VM that reaches the store and takes over; without one the store is away for all.
 async fn hand_over(owner: &Owner) -> bool {
     const ANSWER_TIME: Duration = Duration::from_millis(300);
     let node = &owner.node;
@@ -384,11 +383,12 @@
             .filter(|(name, _)| **name != node.config.name);
         others.map(|(_, address)| *address).collect()
     };
-    let asked = others
-        .into_iter()
-        .map(|address| node.pool.hand_over(address, node.nonce, ANSWER_TIME));
-    let answers = futures_util::future::join_all(asked).await;
-    answers.into_iter().any(|answer| answer.unwrap_or(false))
+    for address in others {
+        if let Ok(true) = node.pool.hand_over(address, node.nonce, ANSWER_TIME).await {
+            return true;
+        }
+    }
+    false
 }
 
 /// Gives signs of life, and tells with them which jobs have not begun.
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -6,11 +6,6 @@
 
 use std::{
     collections::BTreeMap,
-    hash::{
-        DefaultHasher,
-        Hash,
-        Hasher, //
-    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -62,8 +57,12 @@
 /// way of the next.
 const REFUSED_LIMIT: Duration = Duration::from_millis(650);
 
-/// Over how long the claims of several VMs are spread, so that the first mostly meets no other.
-const CLAIM_SPREAD_MS: u64 = 250;
+/// The least time between the claims of two VMs: a claim and the way of the news of it.
+const CLAIM_STEP: Duration = Duration::from_millis(30);
+
+/// A VM takes over from an owner that misses the store only if the store answers it faster than
+/// this; a store that is slow for all is no reason to.
+const QUICK_STORE: Duration = Duration::from_millis(100);
 
 /// How often a VM looks whether the title is free.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -80,12 +79,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct View {
     pub(crate) loaded: bool,
-    pub(crate) claim: Option<(Claim, Version)>,
+    pub(crate) claim: Option<Held>,
     pub(crate) sign: Option<Sign>,
     pub(crate) nodes: BTreeMap<Name, SocketAddr>,
     pub(crate) workers: Vec<Name>,
-    /// What was found where the owner should answer.
-    pub(crate) absence: Option<Absence>,
+    /// What was found where the owner should answer, and when.
+    pub(crate) absence: Option<(Absence, Millis)>,
+    /// The number of the owner that has asked this VM to take over.
+    pub(crate) appointed: Option<u64>,
+}
+
+/// A claim as it lies in the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) claim: Claim,
+    pub(crate) version: Version,
+    pub(crate) seen: Millis,
 }
 
 /// What shows that an owner is gone.
@@ -173,7 +182,11 @@
         match (row.key.as_str(), text) {
             (CLAIM_KEY, Some(text)) => {
                 if let Ok(claim) = record::decode(text) {
-                    self.claim = Some((claim, row.version));
+                    self.claim = Some(Held {
+                        claim,
+                        version: row.version,
+                        seen: now,
+                    });
                     // A new owner gets its time for a first sign.
                     if let Some(sign) = &mut self.sign {
                         sign.seen = now;
@@ -204,51 +217,80 @@
         }
     }
 
-    /// Says whether the title may be claimed at `now` by the VM `own`, which waits `spread` longer
-    /// than others and has reached the store since `reachable`.
-    pub(crate) fn is_free(
+    /// Returns when the VM `own`, which has reached the store since `reachable`, may claim the title,
+    /// unless something is heard before; nothing stands for not at all.
+    ///
+    /// VMs that see the same are kept apart by `step`, so that one claim is known before the next
+    /// is made: under a slow store many claims at once would only wait for each other.
+    pub(crate) fn claim_time(
         &self,
-        own: &str,
-        now: Millis,
+        own: &Name,
         reachable: Option<Millis>,
-        spread: Duration,
-    ) -> bool {
-        let (true, Some(reachable)) = (self.loaded, reachable) else {
-            return false;
-        };
-        let Some((claim, _)) = &self.claim else {
-            return now.since(reachable) >= spread;
+        step: Duration,
+    ) -> Option<Millis> {
+        let reachable = reachable.filter(|_| self.loaded)?;
+        let Some(held) = &self.claim else {
+            return Some(reachable.after(step * self.turn(own, None)));
         };
+        let claim = &held.claim;
         // An earlier process of this VM is gone, or this one would not run.
-        if claim.released || *claim.holder == *own {
-            return true;
+        if claim.holder == *own || self.appointed == Some(claim.nonce) {
+            return Some(reachable);
         }
         let heard = self
             .sign
             .as_ref()
             .map_or(reachable, |sign| sign.seen.max(reachable));
-        let limit = match self.absence {
-            Some(Absence::Replaced(nonce)) if nonce == claim.nonce => return true,
-            Some(Absence::Refused(nonce)) if nonce == claim.nonce => REFUSED_LIMIT,
-            _ => SILENCE_LIMIT,
+        let free = match self.absence {
+            _ if claim.released => held.seen,
+            Some((Absence::Replaced(nonce), seen)) if nonce == claim.nonce => seen,
+            Some((Absence::Refused(nonce), _)) if nonce == claim.nonce => {
+                heard.after(REFUSED_LIMIT)
+            }
+            _ => heard.after(SILENCE_LIMIT),
         };
-        now.since(heard) >= limit + spread
+        Some(
+            free.max(reachable)
+                .after(step * self.turn(own, Some(&claim.holder))),
+        )
+    }
+
+    /// Returns how many VMs go before `own`, counted from the one after the holder.
+    fn turn(&self, own: &Name, holder: Option<&Name>) -> u32 {
+        let after = self
+            .nodes
+            .keys()
+            .filter(|name| holder.is_none_or(|holder| *name > holder));
+        let before = self
+            .nodes
+            .keys()
+            .filter(|name| holder.is_some_and(|holder| *name < holder));
+        let mut order = after.chain(before);
+        match order.position(|name| name == own) {
+            Some(position) => position as u32,
+            // The list does not name this VM yet; VMs that start together are spread by their names.
+            None => {
+                own.bytes()
+                    .fold(0, |sum, byte| sum * 31 % 8 + u32::from(byte) % 8)
+                    % 8
+            }
+        }
     }
 }
 
 /// Takes over from the owner with this number if this VM reaches the store and knows of no later
 /// one; says whether it will.
 pub(crate) fn accept_hand_over(node: &Node, nonce: u64) -> bool {
-    let heard = node.is_in_contact();
+    let heard = node.is_in_contact() && node.store_time() < QUICK_STORE;
     let mut view = node.title.lock();
     let current = view
         .claim
         .as_ref()
-        .is_some_and(|(claim, _)| claim.nonce == nonce);
+        .is_some_and(|held| held.claim.nonce == nonce);
     if !heard || !current || node.gate.is_draining() {
         return false;
     }
-    view.absence = Some(Absence::Replaced(nonce));
+    view.appointed = Some(nonce);
     drop(view);
     slog::info!(node.log, "owner hands over");
     node.title.changed.notify_waiters();
@@ -261,7 +303,8 @@
     loop {
         let owner = {
             let view = node.title.lock();
-            view.claim.as_ref().and_then(|(claim, _)| {
+            view.claim.as_ref().and_then(|held| {
+                let claim = &held.claim;
                 let address = view.nodes.get(&claim.holder)?;
                 (claim.nonce != node.nonce && !claim.released).then_some((claim.nonce, *address))
             })
@@ -280,11 +323,11 @@
         };
         let before = {
             let mut view = node.title.lock();
-            // An owner that has handed over is still there.
-            match view.absence {
-                Some(Absence::Replaced(gone)) if gone == nonce => view.absence,
-                _ => std::mem::replace(&mut view.absence, absence),
+            let before = view.absence.map(|(absence, _)| absence);
+            if before != absence {
+                view.absence = absence.map(|absence| (absence, node.timer.now()));
             }
+            before
         };
         if absence.is_some() && absence != before {
             slog::info!(node.log, "owner gone"; "evidence" => ?absence);
@@ -308,27 +351,26 @@
 
 /// Claims the title whenever it is free, and acts as the owner while it is held.
 pub(crate) async fn contend(node: Arc<Node>) {
-    let mut hasher = DefaultHasher::new();
-    node.config.name.hash(&mut hasher);
-    let spread = Duration::from_millis(hasher.finish() % CLAIM_SPREAD_MS);
     while !node.gate.is_draining() {
         let configured = node.configuration().version > 0;
-        let free = {
+        let step = CLAIM_STEP.max(node.store_time() * 2);
+        let due = {
             let view = node.title.lock();
-            let own = &node.config.name;
-            view.is_free(own, node.timer.now(), node.reachable_since(), spread)
+            view.claim_time(&node.config.name, node.reachable_since(), step)
         };
+        let now = node.timer.now();
         if configured
-            && free
+            && due.is_some_and(|due| due <= now)
             && let Some(title) = claim(&node).await
         {
             node.metrics.count("claims");
             owner::own(&node, title).await;
             continue;
         }
+        let wait = due.map_or(CHECK_INTERVAL, |due| due.since(node.timer.now()));
         tokio::select! {
             () = node.title.changed.notified() => {}
-            () = node.timer.sleep(CHECK_INTERVAL) => {}
+            () = node.timer.sleep(wait.clamp(CLAIM_STEP, CHECK_INTERVAL)) => {}
         }
     }
 }
@@ -342,10 +384,10 @@
     let claim = Claim {
         holder: node.config.name.clone(),
         nonce: node.nonce,
-        epoch: before.as_ref().map_or(0, |(claim, _)| claim.epoch + 1),
+        epoch: before.as_ref().map_or(0, |held| held.claim.epoch + 1),
         released: false,
     };
-    let held = before.as_ref().map_or(Version(0), |(_, version)| *version);
+    let held = before.as_ref().map_or(Version(0), |held| held.version);
     let checks = vec![
         check(CLAIM_KEY, held),
         check(PULSE_KEY, sign.unwrap_or_default()),
@@ -378,7 +420,7 @@
     let silent = node.title.lock().sign.as_ref().map(|sign| sign.seen);
     let silent = silent.map(|seen| node.timer.now().since(seen).as_millis() as u64);
     slog::info!(node.log, "title claimed"; "epoch" => row.version.0, "count" => claim.epoch,
-        "before" => ?before.map(|(claim, _)| claim.holder), "silent_ms" => ?silent);
+        "before" => ?before.map(|held| held.claim.holder), "silent_ms" => ?silent);
     Some(Title {
         version: row.version,
         claim,
