--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -542,8 +542,7 @@
             let fit = fit_count(&room, &charge).min(most).min(waiting);
             let unknown = !stage.good.contains(&slot.key);
             let asked_for = stage.ticket(slot.key, slot.boot, holds).is_some();
-            if fit > 0
-                && !asked_for
+            if !asked_for
                 && !stage.bad.contains(&slot.key)
                 && !slot.suspect
                 && self.has_label(slot.key, step)
@@ -551,27 +550,19 @@
                 fits.push((unknown, fit, slot.key));
             }
         }
-        // Those that are known to be good come first, then those with the most room.
-        fits.sort_by_key(|(unknown, fit, key)| (*unknown, std::cmp::Reverse(*fit), *key));
-        let known: Vec<_> = fits.iter().filter(|(unknown, ..)| !unknown).collect();
-        let known_fit: usize = known.iter().map(|(_, fit, _)| fit).sum();
-        let count = if known_fit >= waiting {
-            advice::count(
-                waiting,
-                &known.iter().map(|fit| fit.1).collect::<Vec<_>>(),
-                1.0,
-            )
-        } else {
-            advice::count(
-                waiting,
-                &fits.iter().map(|fit| fit.1).collect::<Vec<_>>(),
-                good_part,
-            )
-        };
-        if count == 0 {
+        let known_fit: usize = fits.iter().filter(|fit| !fit.0).map(|fit| fit.1).sum();
+        let any_fit = fits.iter().any(|fit| fit.1 > 0);
+        if !any_fit {
             return;
         }
-        let asked: Vec<worker::Key> = fits[..count].iter().map(|fit| fit.2).collect();
+        if known_fit >= waiting {
+            fits.retain(|fit| !fit.0 && fit.1 > 0);
+        }
+        // Those that are known to be good come first, then those with the most room. A worker
+        // without room may have some as long as its ticket holds.
+        fits.sort_by_key(|(unknown, fit, key)| (*unknown, std::cmp::Reverse(*fit), *key));
+        fits.truncate(advice::MOST_WORKERS);
+        let asked: Vec<worker::Key> = fits.iter().map(|fit| fit.2).collect();
         claim(pool, &asked, &charge, waiting, good_part);
         let question = Question {
             job: job.id.clone(),
