Miss an owner without power sooner, and count as late what can't be on time

Ruled out: pulses delayed by the store (both limits now grow with its time).

Change: calls that watch the owner are held 0.3 s instead of 4 s, and an unanswered one with a missed pulse frees the title; half of the estimated work left counts as time that has passed.

--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -21,8 +21,9 @@
     title, //
 };
 
-/// How long a call that only waits for the end of this process is held.
-pub(crate) const WATCH_TIME: Duration = Duration::from_secs(4);
+/// How long a call that only waits for the end of this process is held: a VM without power shows
+/// by the next call without an answer.
+pub(crate) const WATCH_TIME: Duration = Duration::from_millis(300);
 
 /// Serves the other VMs.
 pub(crate) async fn serve(node: &Arc<Node>) -> io::Result<Server> {
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -53,9 +53,12 @@
 /// How long an owner may give no sign before it is replaced: three of its signs.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
 
-/// How long an owner may give no sign whose address refuses connections: one of its signs and the
-/// way of the next.
-const REFUSED_LIMIT: Duration = Duration::from_millis(650);
+/// How much longer than it is held a call to the owner's process may take.
+const WATCH_MARGIN: Duration = Duration::from_millis(250);
+
+/// How long an owner may give no sign that does not answer its peers: one of its signs and the way
+/// of the next.
+const UNANSWERED_LIMIT: Duration = Duration::from_millis(650);
 
 /// The least time between the claims of two VMs: a claim and the way of the news of it.
 const CLAIM_STEP: Duration = Duration::from_millis(30);
@@ -102,9 +105,9 @@
 pub(crate) enum Absence {
     /// Another process answers at its address, so the process with this number has ended.
     Replaced(u64),
-    /// Nothing listens at the address of the process with this number; a path that refuses
-    /// connections looks the same.
-    Refused(u64),
+    /// Nothing answers at the address of the process with this number; a path that is cut looks the
+    /// same.
+    Silent(u64),
 }
 
 /// What a VM knows of the title, shared by its parts.
@@ -244,10 +247,10 @@
         let free = match self.absence {
             _ if claim.released => held.seen,
             Some((Absence::Replaced(nonce), seen)) if nonce == claim.nonce => seen,
-            Some((Absence::Refused(nonce), _)) if nonce == claim.nonce => {
-                heard.after(REFUSED_LIMIT)
+            Some((Absence::Silent(nonce), _)) if nonce == claim.nonce => {
+                heard.after(UNANSWERED_LIMIT + step)
             }
-            _ => heard.after(SILENCE_LIMIT),
+            _ => heard.after(SILENCE_LIMIT + step),
         };
         Some(
             free.max(reachable)
@@ -313,13 +316,11 @@
             node.timer.sleep(CHECK_INTERVAL).await;
             continue;
         };
-        let limit = peer::WATCH_TIME + CHECK_INTERVAL * 10;
+        let limit = peer::WATCH_TIME + WATCH_MARGIN;
         let absence = match node.pool.watch_process(address, nonce, limit).await {
             Ok(Some(found)) if found == nonce => None,
             Ok(Some(_)) => Some(Absence::Replaced(nonce)),
-            Ok(None) => Some(Absence::Refused(nonce)),
-            // A path that is cut tells nothing of the process.
-            Err(_) => None,
+            Ok(None) | Err(_) => Some(Absence::Silent(nonce)),
         };
         let before = {
             let mut view = node.title.lock();
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -149,6 +149,27 @@
                 .all(|before| self.stages[first + before].is_complete())
     }
 
+    /// Returns the longest chain of estimated work in the occurrences that are not done.
+    pub fn left(&self) -> Duration {
+        let spec = &self.accepted.spec;
+        let mut longest = Duration::ZERO;
+        for stages in self.stages.chunks(spec.steps.len().max(1)) {
+            let mut ends: Vec<Duration> = Vec::with_capacity(stages.len());
+            for (stage, step) in stages.iter().zip(&spec.steps) {
+                let before = step.after.iter().filter_map(|index| ends.get(*index)).max();
+                let start = before.copied().unwrap_or_default();
+                let takes = if stage.is_complete() {
+                    Duration::ZERO
+                } else {
+                    step.estimate
+                };
+                ends.push(start + takes);
+            }
+            longest = longest.max(ends.into_iter().max().unwrap_or_default());
+        }
+        longest
+    }
+
     /// Returns the name of a task.
     pub fn task(&self, stage: usize, index: usize) -> TaskId {
         TaskId {
--- a/crates/workflow/src/rank.rs
+++ b/crates/workflow/src/rank.rs
@@ -12,6 +12,10 @@
 /// rules.
 pub const LATE_FACTOR: u32 = 3;
 
+/// The part of the work that an estimate says is left which surely takes that long: the submitters'
+/// estimates are off by a factor of two either way.
+const SURE_PART: f64 = 0.5;
+
 /// How long a lasting task may wait before it goes ahead of everything: a third of the 3 s within
 /// which the users' rules want it at work again.
 pub const LASTING_WAIT: Duration = Duration::from_millis(1000);
@@ -55,6 +59,8 @@
     pub lasting: bool,
     /// Since when its first task waits.
     pub waiting: Millis,
+    /// The longest chain of estimated work that is left.
+    pub left: Duration,
     /// Whether the job is beyond what its team is owed.
     pub excess: bool,
 }
@@ -69,7 +75,9 @@
             deadline: claim.waiting,
         };
     }
-    let age = now.since(claim.start);
+    // What can't be done in time any more is as late as if its time were over; estimates are
+    // rough, so only a part of them counts.
+    let age = now.since(claim.start) + claim.left.mul_f64(SURE_PART);
     let band = if claim.excess {
         Band::Excess
     } else if age <= claim.objective {
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -173,6 +173,7 @@
                     objective: objective(queue, &job.accepted),
                     lasting: step.lasting,
                     waiting: first.map(|task| task.waiting).min().unwrap_or(now),
+                    left: job.left(),
                     excess: job.excess,
                 };
                 ready.push(Ready {
--- a/src/log.rs
+++ b/src/log.rs
@@ -72,6 +72,7 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain).build().fuse();
+    // The usual 128 lines are less than a takeover writes at once.
+    let drain = slog_async::Async::new(drain).chan_size(2048).build().fuse();
     Logger::root(drain.filter_level(level).fuse(), o!())
 }
