Ask for advice in the order of the work that waits

Ruled out: room (tickets came and were used at once).

Change: questions carry the rank of their step, lasting ones go first; without short calls in the last second all VMs take long ones.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -30,6 +30,7 @@
     },
     order::Question,
     policy,
+    rank::Rank,
     schedule::{
         Advised,
         Good, //
@@ -47,11 +48,20 @@
 /// For how long a VM that failed a call gets no other one.
 const REST: Duration = Duration::from_millis(1500);
 
+/// For how long after a short question others are expected.
+const SHORT_TIME: Duration = Duration::from_secs(1);
+
+fn is_long(question: &Question) -> bool {
+    question.cost() >= advice::LONG_CALL
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     waiting: Vec<Question>,
     loads: HashMap<Name, Load>,
     resting: HashMap<Name, Millis>,
+    /// When a short question was last asked.
+    last_short: Option<Millis>,
 }
 
 /// The questions that are open.
@@ -91,25 +101,28 @@
         let now = self.now();
         let vias = self.vias(now);
         let mut inner = self.adviser.lock();
-        // A short call is for urgent work; questions of one length keep their order.
-        inner
-            .waiting
-            .sort_by_key(|question| question.cost() >= advice::LONG_CALL);
+        inner.waiting.sort_by_key(|question| question.rank);
         let waiting = std::mem::take(&mut inner.waiting);
+        if waiting.iter().any(|question| !is_long(question)) {
+            inner.last_short = Some(now);
+        }
+        let shared = inner
+            .last_short
+            .is_some_and(|last| now.since(last) < SHORT_TIME);
         for question in waiting {
             let loads: Vec<Load> = vias
                 .iter()
                 .map(|via| inner.loads.get(&via.name).copied().unwrap_or_default())
                 .collect();
             let cost = question.cost();
-            let Some(index) = advice::route(&loads, cost) else {
+            let Some(index) = advice::route(&loads, cost, shared) else {
                 inner.waiting.push(question);
                 continue;
             };
             let via = vias[index].clone();
             let load = inner.loads.entry(via.name.clone()).or_default();
             load.pending += cost;
-            load.long += usize::from(cost >= advice::LONG_CALL);
+            load.long += usize::from(is_long(&question));
             let limit = load.pending + CALL_MARGIN;
             tokio::spawn(Arc::clone(self).put_question(question, via, limit));
         }
@@ -151,7 +164,7 @@
             let mut inner = self.adviser.lock();
             if let Some(load) = inner.loads.get_mut(&via.name) {
                 load.pending = load.pending.saturating_sub(cost);
-                load.long -= usize::from(cost >= advice::LONG_CALL);
+                load.long -= usize::from(is_long(&question));
             }
             if result.is_err() && via.address.is_some() {
                 inner.resting.insert(via.name.clone(), now.after(REST));
@@ -209,6 +222,8 @@
             each: Duration::from_micros(wire.each_micros),
             valid: Duration::from_millis(wire.valid_ms),
         },
+        // The owner has kept the order already.
+        rank: Rank::default(),
     }
 }
 
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -30,8 +30,9 @@
 ///
 /// Half of the VMs take no long calls, and no VM takes two, so that a long call waits here, where a
 /// more urgent one may overtake it, and short calls find a VM without one.
-pub fn route(loads: &[Load], cost: Duration) -> Option<usize> {
-    let short_only = loads.len() / 2;
+/// `shared` says that short calls come too; without them all VMs take long ones.
+pub fn route(loads: &[Load], cost: Duration, shared: bool) -> Option<usize> {
+    let short_only = if shared { loads.len() / 2 } else { 0 };
     let long = cost >= LONG_CALL;
     loads
         .iter()
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -7,6 +7,7 @@
 use crate::{
     job::TaskId,
     policy::Advice,
+    rank::Rank,
     worker, //
 };
 
@@ -77,6 +78,8 @@
     pub workers: Vec<Name>,
     /// What the call costs, by the queue.
     pub advice: Advice,
+    /// The place of the step in the order of waiting work.
+    pub rank: Rank,
 }
 
 impl Question {
--- a/crates/workflow/src/rank.rs
+++ b/crates/workflow/src/rank.rs
@@ -21,11 +21,12 @@
 pub const LASTING_WAIT: Duration = Duration::from_millis(1000);
 
 /// The band that a job is in; lower ones come first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum Band {
     /// A lasting task that has waited long.
     Overdue,
     /// The job can still meet its objective.
+    #[default]
     OnTime,
     /// The job has missed its objective and is still worth something.
     Late,
@@ -36,7 +37,7 @@
 }
 
 /// The place in the order; lower ones come first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Rank {
     /// The band.
     pub band: Band,
@@ -46,6 +47,18 @@
     pub deadline: Millis,
 }
 
+impl Rank {
+    /// Returns the same place ahead of all that is not overdue: a lasting task has to be at work
+    /// within seconds, and its question may wait as long as its start.
+    #[must_use]
+    pub fn ahead(self) -> Self {
+        Self {
+            band: Band::Overdue,
+            ..self
+        }
+    }
+}
+
 /// What the place in the order depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -574,6 +574,11 @@
                 .map(|key| self.workers[*key].entry.name.clone())
                 .collect(),
             advice,
+            rank: if step.lasting {
+                entry.rank.ahead()
+            } else {
+                entry.rank
+            },
         };
         self.jobs[entry.job].stages[entry.stage].asked = asked;
         self.orders.push(Order::Ask(question));
