--- /dev/null
+++ b/crates/workflow/tests/engine/advice.rs
@@ -0,0 +1,108 @@
+//! Which calls for advice go first, through which VM, and about whom.
+
+use std::time::Duration;
+
+use basilbridge_workflow::{
+    advice::{
+        self,
+        Load, //
+    },
+    job::TaskId,
+    policy::Advice,
+    rank::Band,
+    report::How, //
+};
+
+use crate::{
+    cell::Cell,
+    util::{
+        CHECKS,
+        LASTING,
+        accepted,
+        policy,
+        queue,
+        step, //
+    },
+};
+
+const CORE: u64 = 1000;
+const SHORT: Duration = Duration::from_millis(33);
+const LONG: Duration = Duration::from_millis(530);
+
+fn quick(_: &TaskId, _: u32) -> (u64, How, u64) {
+    (200, How::Done, CORE)
+}
+
+fn slow_advice() -> Advice {
+    Advice {
+        call: Duration::from_millis(450),
+        each: Duration::from_micros(6500),
+        valid: Duration::from_millis(2500),
+    }
+}
+
+fn with_long_call() -> Load {
+    Load {
+        pending: LONG,
+        long: 1,
+    }
+}
+
+#[test]
+fn a_short_call_finds_a_vm_without_a_long_one_under_any_number_of_long_ones() {
+    let mut loads = vec![Load::default(); 7];
+    while let Some(vm) = advice::route(&loads, LONG, true) {
+        loads[vm] = with_long_call();
+    }
+
+    let vm = advice::route(&loads, SHORT, true).unwrap();
+
+    assert_eq!(loads[vm].long, 0);
+    assert_eq!(loads.iter().filter(|load| load.long > 0).count(), 4);
+}
+
+#[test]
+fn without_short_calls_all_vms_take_long_ones_and_none_takes_two() {
+    let mut loads = vec![Load::default(); 7];
+    while let Some(vm) = advice::route(&loads, LONG, false) {
+        loads[vm] = with_long_call();
+    }
+
+    assert!(loads.iter().all(|load| load.long == 1));
+}
+
+#[test]
+fn a_call_names_workers_without_room_too_so_that_one_call_suffices() {
+    let mut cell = Cell::new(&["w1", "w2", "w3", "w4"], quick);
+    let mut advised = policy(0);
+    let checks = queue(CHECKS, 0, Some(slow_advice()));
+    advised.queues.insert(checks.name.clone(), checks);
+    cell.engine.set_policy(advised);
+
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(2, CORE)]));
+    cell.run(100);
+
+    assert_eq!(cell.questions.len(), 1);
+    assert_eq!(cell.questions[0].workers.len(), 4);
+}
+
+#[test]
+fn the_question_of_a_lasting_task_goes_ahead_of_those_of_jobs_that_end() {
+    let mut cell = Cell::new(&["w1"], quick);
+    let mut advised = policy(0);
+    for (name, priority) in [(CHECKS, 0), (LASTING, 1)] {
+        let queue = queue(name, priority, Some(slow_advice()));
+        advised.queues.insert(queue.name.clone(), queue);
+    }
+    cell.engine.set_policy(advised);
+    let mut lasting = step(1, CORE);
+    lasting.lasting = true;
+
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.submit("j2", accepted(LASTING, cell.now, vec![lasting]));
+    cell.run(100);
+
+    cell.questions.sort_by_key(|question| question.rank);
+    assert_eq!(&*cell.questions[0].job, "j2");
+    assert_eq!(cell.questions[0].rank.band, Band::Overdue);
+}
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -78,6 +78,43 @@
     assert_eq!(cell.starts_of("j1"), 1);
 }
 
+#[test]
+fn a_job_that_is_announced_before_the_feed_tells_of_it_is_started_once() {
+    let mut cell = Cell::new(&["w1"], quick);
+    let job = accepted(CHECKS, cell.now, vec![step(1, CORE)]);
+    cell.jobs.insert("j1".into(), job.clone());
+
+    cell.engine
+        .announce(&name("j1"), job.clone(), Version(7), cell.now);
+    cell.run(1000);
+    cell.engine
+        .accept_new(&name("j1"), job.clone(), Version(7), cell.now);
+    cell.engine.taken_up_to(Version(7));
+    cell.engine.announce(&name("j1"), job, Version(7), cell.now);
+    cell.run(1000);
+
+    assert_eq!(cell.starts_of("j1"), 1);
+    assert_eq!(cell.state("j1"), State::Completed);
+}
+
+#[test]
+fn an_answer_that_was_overtaken_by_a_newer_one_brings_no_ended_run_back() {
+    let mut cell = Cell::new(&["w1"], quick);
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(100);
+    let key = cell.engine.key("w1").unwrap();
+    let look = cell.engine.look(key, cell.now).unwrap();
+    let overtaken = cell.fleet.look(1, &look, cell.now).unwrap();
+    cell.run(1000);
+
+    cell.engine.looked(key, cell.now, cell.now, &overtaken);
+    cell.run(100);
+
+    assert_eq!(overtaken.running.len(), 1);
+    assert!(cell.engine.worker("w1").unwrap().runs.is_empty());
+    assert_eq!(cell.starts_of("j1"), 1);
+}
+
 #[test]
 fn a_task_that_fails_as_often_as_its_queue_allows_fails_its_job() {
     let mut cell = Cell::new(&["w1", "w2"], fails);
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -1,8 +1,10 @@
 //! The engine against workers and a store that keep their contracts, on a manual clock.
 
+mod advice;
 mod cell;
 mod fleet;
 mod jobs;
 mod overload;
+mod ranks;
 mod schedules;
 mod util;
