Remove the rows of jobs whose state is owed no more

Cause: rows of jobs that were over stayed in the store for good, and a new owner read them all.

Change: the owner removes jobs, then their progress, once they have been over for the time that the settings give; a job row goes first, since one without progress would be taken for new.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -33,6 +33,8 @@
     pub longest_lease: Duration,
     /// For how long a member of a gang waits for the others.
     pub gang_wait: Duration,
+    /// For how long a job that is over is known.
+    pub retention: Duration,
     /// How long the end of the VM may take.
     pub drain_limit: Duration,
 }
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -55,7 +55,7 @@
 /// Stores one batch; says whether the store took it.
 async fn store(owner: &Owner, batch: &Batch) -> bool {
     if batch.records.is_empty() {
-        owner.engine().stored(batch, Version(0));
+        owner.engine().stored(batch, Version(0), owner.now());
         return true;
     }
     let mut checks = vec![owner.title.check()];
@@ -80,7 +80,7 @@
     }
     match owner.node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => {
-            owner.engine().stored(batch, version);
+            owner.engine().stored(batch, version, owner.now());
             true
         }
         Ok(Outcome::Conflict(rows)) => {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -23,4 +23,5 @@
 mod peer;
 mod record;
 mod request;
+mod sweep;
 mod title;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -91,6 +91,10 @@
         let progress = stored.remove(row.key.as_str());
         engine.accept(&row.key.as_str().into(), accepted, progress, true, now);
     }
+    // A job whose removal was cut off has only its progress left.
+    for id in stored.into_keys() {
+        engine.retire(&id.into(), now);
+    }
     for row in &job_rows {
         if let Some(id) = record::cancelled_job(&row.key) {
             engine.cancel(id, now);
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -62,6 +62,7 @@
         Pulse,
         WORKERS_KEY, //
     },
+    sweep,
     title::{
         self,
         Title, //
@@ -268,6 +269,7 @@
     tasks.spawn(follow_jobs(Arc::clone(owner), from.jobs));
     tasks.spawn(follow_policy(Arc::clone(owner)));
     tasks.spawn(journal::run(Arc::clone(owner)));
+    tasks.spawn(sweep::run(Arc::clone(owner)));
     looks::spawn_new(owner, tasks);
     loop {
         tokio::select! {
--- a/crates/cell/tests/cell/outside.rs
+++ b/crates/cell/tests/cell/outside.rs
@@ -179,6 +179,15 @@
         entry.map(|(_, value)| value.clone())
     }
 
+    /// Returns how many rows there are about a job.
+    pub(crate) fn rows_about(&self, job: &str) -> usize {
+        let rows = self.lock();
+        rows.rows
+            .keys()
+            .filter(|(_, key)| key.starts_with(job))
+            .count()
+    }
+
     /// Returns how often tasks of a job were started.
     pub(crate) fn starts(&self, job: &str) -> usize {
         let workers = self.lock_workers();
--- a/crates/cell/tests/cell/titles.rs
+++ b/crates/cell/tests/cell/titles.rs
@@ -1,5 +1,7 @@
 //! Who owns the workers, and how the title changes hands.
 
+use std::time::Duration;
+
 use crate::{
     outside::{
         Access,
@@ -7,6 +9,7 @@
     },
     vm::{
         start,
+        start_with,
         state,
         submit,
         until, //
@@ -134,3 +137,19 @@
     assert_eq!(world.starts("j1"), 3);
     assert_eq!(world.starts("j2"), 3);
 }
+
+#[tokio::test]
+async fn rows_of_a_job_are_removed_once_its_state_is_owed_no_more() {
+    let world = World::new(&["w1"]);
+    let vm = start_with(&world, "a", |config| config.retention = Duration::ZERO).await;
+    until("readiness", async || vm.node.is_ready()).await;
+
+    submit(&vm, "j1").await;
+    until("the removal", async || {
+        state(&vm, "j1").await.contains("gone")
+    })
+    .await;
+
+    assert_eq!(world.rows_about("j1"), 0);
+    assert_eq!(world.starts("j1"), 3);
+}
--- a/crates/cell/tests/cell/vm.rs
+++ b/crates/cell/tests/cell/vm.rs
@@ -52,15 +52,27 @@
         metrics: Some(any),
         longest_lease: Duration::from_secs(6),
         gang_wait: Duration::from_secs(3),
+        retention: Duration::from_secs(120),
         drain_limit: Duration::from_secs(6),
     }
 }
 
 /// Starts a VM.
 pub(crate) async fn start(world: &World, name: &str) -> Running {
+    start_with(world, name, |_| {}).await
+}
+
+/// Starts a VM with other settings.
+pub(crate) async fn start_with(
+    world: &World,
+    name: &str,
+    change: impl FnOnce(&mut Config),
+) -> Running {
     let timer = timer::Service::start();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let node = Node::new(config(name), timer, world.outside(name), log);
+    let mut config = config(name);
+    change(&mut config);
+    let node = Node::new(config, timer, world.outside(name), log);
     node.start().await.expect("loopback takes connections")
 }
 
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -207,6 +207,8 @@
     pub(crate) announced: HashSet<Name>,
     /// When an order or a look last went unanswered.
     pub(crate) unanswered: Option<Millis>,
+    /// Jobs that are over and stored as such, and since when.
+    pub(crate) retired: VecDeque<(Millis, Name)>,
 }
 
 impl Engine {
@@ -232,6 +234,7 @@
             newest: Version(0),
             announced: HashSet::new(),
             unanswered: None,
+            retired: VecDeque::new(),
         }
     }
 
@@ -330,6 +333,7 @@
         }
         let (progress, version) = stored.unwrap_or_default();
         if progress.state.is_final() {
+            self.retire(id, now);
             return;
         }
         let excess = match accepted
@@ -357,6 +361,26 @@
         self.ids.insert(id.clone(), key);
     }
 
+    /// Takes note that a job is over and stored as such.
+    pub fn retire(&mut self, id: &Name, now: Millis) {
+        self.retired.push_back((now, id.clone()));
+    }
+
+    /// Returns at most `most` jobs that have been over for `retention`, oldest first; their rows may
+    /// be removed.
+    pub fn expired(&self, retention: Duration, most: usize, now: Millis) -> Vec<Name> {
+        let expired = self
+            .retired
+            .iter()
+            .take_while(|(since, _)| now.since(*since) >= retention);
+        expired.take(most).map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Takes note that the rows of these jobs are removed.
+    pub fn removed(&mut self, ids: &[Name]) {
+        self.retired.retain(|(_, id)| !ids.contains(id));
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, id: &str, now: Millis) {
         if let Some(key) = self.ids.get(id).copied() {
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -1,8 +1,11 @@
 //! What is to be stored, and which ends may be acknowledged after it.
 
-use basilbridge_common::id::{
-    Name,
-    Version, //
+use basilbridge_common::{
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 
 use crate::{
@@ -82,14 +85,18 @@
     }
 
     /// Takes note that a batch is stored under `version`.
-    pub fn stored(&mut self, batch: &Batch, version: Version) {
+    pub fn stored(&mut self, batch: &Batch, version: Version, now: Millis) {
         for record in &batch.records {
             let Some(key) = self.ids.get(&record.job).copied() else {
                 continue;
             };
             if let Some(job) = self.jobs.get_mut(key) {
                 job.version = version;
-                job.final_stored |= record.progress.state.is_final();
+                let ends = record.progress.state.is_final() && !job.final_stored;
+                job.final_stored |= ends;
+                if ends {
+                    self.retire(&record.job, now);
+                }
             }
             self.forget_if_over(key);
         }
--- a/crates/workflow/tests/engine/cell.rs
+++ b/crates/workflow/tests/engine/cell.rs
@@ -286,7 +286,7 @@
                 let entry = (record.progress.clone(), Version(self.version));
                 self.stored.insert(record.job.clone(), entry);
             }
-            self.engine.stored(&batch, Version(self.version));
+            self.engine.stored(&batch, Version(self.version), self.now);
         }
     }
 
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -1,6 +1,11 @@
 //! Jobs from acceptance to their end, on workers that keep their contract.
 
-use basilbridge_common::id::Version;
+use std::time::Duration;
+
+use basilbridge_common::id::{
+    Name,
+    Version, //
+};
 use basilbridge_workflow::{
     job::{
         State,
@@ -115,6 +120,24 @@
     assert_eq!(cell.starts_of("j1"), 1);
 }
 
+#[test]
+fn a_job_is_kept_for_as_long_as_its_state_is_owed_and_expires_then() {
+    let retention = Duration::from_secs(120);
+    let mut cell = Cell::new(&["w1"], quick);
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(1000);
+    cell.take_over();
+
+    let before = cell.engine.expired(retention, 10, cell.now);
+    let later = cell.now.after(retention);
+    let after = cell.engine.expired(retention, 10, later);
+    cell.engine.removed(&after);
+
+    assert_eq!(before, Vec::<Name>::new());
+    assert_eq!(after, [name("j1")]);
+    assert!(cell.engine.expired(retention, 10, later).is_empty());
+}
+
 #[test]
 fn a_task_that_fails_as_often_as_its_queue_allows_fails_its_job() {
     let mut cell = Cell::new(&["w1", "w2"], fails);
