--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -28,13 +28,13 @@
         self,
         Load, //
     },
-    order::Question,
-    policy,
-    rank::Rank,
-    schedule::{
+    ask::{
         Advised,
         Good, //
     },
+    order::Question,
+    policy,
+    rank::Rank,
 };
 
 use crate::{
--- a/crates/cell/src/outside.rs
+++ b/crates/cell/src/outside.rs
@@ -20,6 +20,7 @@
     Transaction, //
 };
 use basilbridge_workflow::{
+    ask::Advised,
     job::{
         Spec,
         State, //
@@ -37,7 +38,6 @@
         Started,
         Stopped, //
     },
-    schedule::Advised,
 };
 use futures_util::future::BoxFuture;
 
--- a/crates/cell/tests/cell/outside.rs
+++ b/crates/cell/tests/cell/outside.rs
@@ -45,6 +45,7 @@
     Transaction, //
 };
 use basilbridge_workflow::{
+    ask::Advised,
     job::{
         Spec,
         Step,
@@ -68,7 +69,6 @@
         Started,
         Stopped, //
     },
-    schedule::Advised,
 };
 use futures_util::FutureExt;
 use serde_json::json;
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -5,7 +5,9 @@
 //! does no I/O and has no clock, so a test can replay any load or fault. `docs/design/programs.md`
 //! shows the programs round it.
 
+pub mod active;
 pub mod advice;
+pub mod ask;
 pub mod choice;
 pub mod end;
 pub mod engine;
@@ -15,7 +17,10 @@
 pub mod journal;
 pub mod order;
 pub mod pace;
+mod place;
 pub mod policy;
+mod pool;
+mod preempt;
 pub mod progress;
 pub mod rank;
 pub mod report;
