Log rows that can't be read, and claim by the version that the write returned

Cause: rows that could not be decoded were passed over without a word; a job whose progress can't be read would have been started anew. A claim was read back before it counted, which a slow store makes 0.24 s longer, and a claim that was made but not read back was nobody's for 1.6 s.

Change: one function decodes rows and logs; jobs with unreadable progress are left alone; only an unanswered claim is read back; a VM takes its own title back at once only from an earlier process of itself.

--- a/crates/cell/src/intake.rs
+++ b/crates/cell/src/intake.rs
@@ -195,9 +195,8 @@
     let waiting = jobs.iter().filter(|row| !past.contains(row.key.as_str()));
     let mut count = 0;
     for row in waiting {
-        let text = row.value.as_deref().unwrap_or_default();
         if record::cancelled_job(&row.key).is_none()
-            && let Ok(accepted) = record::decode::<Accepted>(text)
+            && let Some(accepted) = record::read::<Accepted>(&node.log, row)
             && accepted.queue == *queue
         {
             count += 1;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -1,7 +1,10 @@
 //! What a new owner reads before it acts.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     time::Duration, //
 };
 
@@ -74,16 +77,23 @@
         }
     }
     let mut stored: HashMap<&str, (Progress, Version)> = HashMap::new();
+    // A job of which the progress can't be read may have run, and is not started again.
+    let mut unreadable: HashSet<&str> = HashSet::new();
     for row in &progress_rows {
-        let text = row.value.as_deref();
-        if let Some(progress) = text.and_then(|text| record::decode(text).ok()) {
-            stored.insert(&row.key, (progress, row.version));
+        match record::read(&node.log, row) {
+            Some(progress) => {
+                stored.insert(&row.key, (progress, row.version));
+            }
+            None => {
+                unreadable.insert(&row.key);
+            }
         }
     }
     let mut accepted: Vec<(&Row, Accepted)> = job_rows
         .iter()
         .filter(|row| record::cancelled_job(&row.key).is_none())
-        .filter_map(|row| Some((row, record::decode(row.value.as_deref()?).ok()?)))
+        .filter(|row| !unreadable.contains(row.key.as_str()))
+        .filter_map(|row| Some((row, record::read(&node.log, row)?)))
         .collect();
     // What a team is owed is counted in the order of acceptance.
     accepted.sort_by_key(|(row, accepted)| (accepted.at, row.version));
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -35,6 +35,7 @@
     job::Accepted,
     worker,
 };
+use slog::Logger;
 use tokio::{
     sync::{
         Notify,
@@ -184,7 +185,7 @@
         let now = self.now();
         let mut engine = self.engine();
         for row in &rows {
-            take_job(&mut engine, row, now);
+            take_job(&self.node.log, &mut engine, row, now);
         }
         let newest = rows.iter().map(|row| row.version).max();
         engine.taken_up_to(newest.unwrap_or_default());
@@ -212,13 +213,13 @@
 }
 
 /// Takes in a row of the table of jobs.
-fn take_job(engine: &mut Engine, row: &Row, now: Millis) {
-    let Some(text) = row.value.as_deref() else {
+fn take_job(log: &Logger, engine: &mut Engine, row: &Row, now: Millis) {
+    if row.value.is_none() {
         return;
-    };
+    }
     if let Some(id) = record::cancelled_job(&row.key) {
         engine.cancel(id, now);
-    } else if let Ok(accepted) = record::decode::<Accepted>(text) {
+    } else if let Some(accepted) = record::read::<Accepted>(log, row) {
         engine.accept_new(&row.key.as_str().into(), accepted, row.version, now);
     }
 }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -14,10 +14,12 @@
     id::Name,
 };
 use basilbridge_derives::data;
+use basilbridge_platform::table::Row;
 use serde::{
     Serialize,
     de::DeserializeOwned, //
 };
+use slog::Logger;
 
 /// Who owns the workers, and what it has told of itself. All parts that an owner writes together
 /// share one part of the store, since its transactions cover one part.
@@ -106,6 +108,18 @@
     key.strip_suffix(CANCEL_SUFFIX)
 }
 
+/// Decodes the value of a row, and logs where it can't be read; a row without a value is nothing.
+pub(crate) fn read<T: DeserializeOwned>(log: &Logger, row: &Row) -> Option<T> {
+    match decode(row.value.as_deref()?) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            slog::error!(log, "row can't be read"; "table" => %row.table, "key" => &row.key,
+                "version" => row.version.0, "error" => %error);
+            None
+        }
+    }
+}
+
 /// Encodes a row.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Result<String> {
     serde_json::to_string(value).map_err(|error| Error::new(Kind::Internal, error.to_string()))
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -29,6 +29,7 @@
     Put,
     Row, //
 };
+use slog::Logger;
 use tokio::sync::Notify;
 
 use crate::{
@@ -37,6 +38,7 @@
         News, //
     },
     node::Node,
+    outside::Range,
     owner, peer,
     record::{
         self,
@@ -159,7 +161,7 @@
 }
 
 impl View {
-    fn apply(&mut self, news: News, now: Millis) {
+    fn apply(&mut self, log: &Logger, news: News, now: Millis) {
         let rows = match news {
             News::All(rows) => {
                 self.loaded = true;
@@ -169,50 +171,31 @@
             News::Changed(rows) => rows,
         };
         for row in rows {
-            self.apply_row(&row, now);
+            self.apply_row(log, &row, now);
         }
     }
 
-    fn apply_row(&mut self, row: &Row, now: Millis) {
-        let text = row.value.as_deref();
+    fn apply_row(&mut self, log: &Logger, row: &Row, now: Millis) {
         if let Some(name) = row.key.strip_prefix(NODE_PREFIX) {
-            match text.and_then(|text| record::decode::<record::Node>(text).ok()) {
+            match record::read::<record::Node>(log, row) {
                 Some(node) => self.nodes.insert(name.into(), node.peers),
                 None => self.nodes.remove(name),
             };
             return;
         }
-        match (row.key.as_str(), text) {
-            (CLAIM_KEY, Some(text)) => {
-                if let Ok(claim) = record::decode(text) {
-                    self.claim = Some(Held {
-                        claim,
-                        version: row.version,
-                        seen: now,
-                    });
-                    // A new owner gets its time for a first sign.
-                    if let Some(sign) = &mut self.sign {
-                        sign.seen = now;
-                    }
+        match row.key.as_str() {
+            CLAIM_KEY => {
+                if let Some(claim) = record::read(log, row) {
+                    self.take_claim(claim, row.version, now);
                 }
             }
-            (PULSE_KEY, Some(text)) => {
-                let newer = self
-                    .sign
-                    .as_ref()
-                    .is_none_or(|sign| sign.version != row.version);
-                if let Ok(pulse) = record::decode(text)
-                    && newer
-                {
-                    self.sign = Some(Sign {
-                        pulse,
-                        version: row.version,
-                        seen: now,
-                    });
+            PULSE_KEY => {
+                if let Some(pulse) = record::read(log, row) {
+                    self.take_pulse(pulse, row.version, now);
                 }
             }
-            (WORKERS_KEY, Some(text)) => {
-                if let Ok(workers) = record::decode(text) {
+            WORKERS_KEY => {
+                if let Some(workers) = record::read(log, row) {
                     self.workers = workers;
                 }
             }
@@ -220,6 +203,32 @@
         }
     }
 
+    fn take_claim(&mut self, claim: Claim, version: Version, now: Millis) {
+        self.claim = Some(Held {
+            claim,
+            version,
+            seen: now,
+        });
+        // A new owner gets its time for a first sign.
+        if let Some(sign) = &mut self.sign {
+            sign.seen = now;
+        }
+    }
+
+    fn take_pulse(&mut self, pulse: Pulse, version: Version, now: Millis) {
+        let known = self
+            .sign
+            .as_ref()
+            .is_some_and(|sign| sign.version == version);
+        if !known {
+            self.sign = Some(Sign {
+                pulse,
+                version,
+                seen: now,
+            });
+        }
+    }
+
     /// Returns when the VM `own`, which has reached the store since `reachable`, may claim the title,
     /// unless something is heard before; nothing stands for not at all.
     ///
@@ -228,6 +237,7 @@
     pub(crate) fn claim_time(
         &self,
         own: &Name,
+        nonce: u64,
         reachable: Option<Millis>,
         step: Duration,
     ) -> Option<Millis> {
@@ -237,7 +247,8 @@
         };
         let claim = &held.claim;
         // An earlier process of this VM is gone, or this one would not run.
-        if claim.holder == *own || self.appointed == Some(claim.nonce) {
+        let earlier = claim.holder == *own && claim.nonce != nonce;
+        if earlier || self.appointed == Some(claim.nonce) {
             return Some(reachable);
         }
         let heard = self
@@ -344,7 +355,10 @@
     let table = TITLE_TABLE.into();
     let parts = [Name::clone(&table)];
     feed::follow(&node, &table, &parts, None, Duration::ZERO, move |news| {
-        board.title.lock().apply(news, board.timer.now());
+        board
+            .title
+            .lock()
+            .apply(&board.log, news, board.timer.now());
         board.title.changed.notify_waiters();
     })
     .await;
@@ -357,7 +371,7 @@
         let step = CLAIM_STEP.max(node.store_time() * 2);
         let due = {
             let view = node.title.lock();
-            view.claim_time(&node.config.name, node.reachable_since(), step)
+            view.claim_time(&node.config.name, node.nonce, node.reachable_since(), step)
         };
         let now = node.timer.now();
         if configured
@@ -394,37 +408,45 @@
         check(PULSE_KEY, sign.unwrap_or_default()),
     ];
     let value = record::encode(&claim).ok()?;
-    let outcome = node.transact(checks, vec![put(CLAIM_KEY, value)]).await;
-    match &outcome {
+    let version = match node.transact(checks, vec![put(CLAIM_KEY, value)]).await {
+        Ok(Outcome::Committed(version)) => version,
         Ok(Outcome::Conflict(rows)) => {
-            node.title
-                .lock()
-                .apply(News::Changed(rows.clone()), node.timer.now());
+            let now = node.timer.now();
+            let mut view = node.title.lock();
+            view.apply(&node.log, News::Changed(rows), now);
+            return None;
         }
         Err(error) => {
             slog::info!(node.log, "claim not answered"; "error" => %error);
+            settle_claim(node, &claim).await?
         }
-        Ok(Outcome::Committed(_)) => {}
-    }
-    // The row tells both the version of a claim that was made and whether a lost answer was one.
-    let range = crate::outside::Range {
-        table: TITLE_TABLE.into(),
-        from: Some(CLAIM_KEY.to_owned()),
-        to: Some(format!("{CLAIM_KEY}\0")),
     };
-    let page = node.read(range).await.ok()?;
-    let row = page.rows.into_iter().next()?;
-    let current: Claim = record::decode(row.value.as_deref()?).ok()?;
-    if current != claim {
-        return None;
-    }
     let silent = node.title.lock().sign.as_ref().map(|sign| sign.seen);
     let silent = silent.map(|seen| node.timer.now().since(seen).as_millis() as u64);
-    slog::info!(node.log, "title claimed"; "epoch" => row.version.0, "count" => claim.epoch,
+    slog::info!(node.log, "title claimed"; "epoch" => version.0, "count" => claim.epoch,
         "before" => ?before.map(|held| held.claim.holder), "silent_ms" => ?silent);
     Some(Title {
-        version: row.version,
+        version,
         claim,
         workers,
     })
 }
+
+/// Reads whether a claim without an answer was made, and under which version.
+async fn settle_claim(node: &Node, claim: &Claim) -> Option<Version> {
+    let range = Range {
+        table: TITLE_TABLE.into(),
+        from: Some(CLAIM_KEY.to_owned()),
+        to: Some(format!("{CLAIM_KEY}\0")),
+    };
+    let page = match node.read(range).await {
+        Ok(page) => page,
+        Err(error) => {
+            slog::info!(node.log, "claim not read"; "error" => %error);
+            return None;
+        }
+    };
+    let row = page.rows.into_iter().next()?;
+    let current: Claim = record::read(&node.log, &row)?;
+    (current == *claim).then_some(row.version)
+}
