--- a/crates/cell/src/announce.rs
+++ b/crates/cell/src/announce.rs
@@ -33,10 +33,17 @@
         let claim = view.claim.as_ref();
         claim.and_then(|held| view.nodes.get(&held.claim.holder).copied())
     };
-    let encoded = accepted.map(record::encode).transpose();
-    let (Some(address), Ok(accepted)) = (address, encoded) else {
+    // Without an owner the feed tells the next one.
+    let Some(address) = address else {
         return;
     };
+    let accepted = match accepted.map(record::encode).transpose() {
+        Ok(accepted) => accepted,
+        Err(error) => {
+            slog::error!(node.log, "job can't be encoded"; "job" => %id, "error" => %error);
+            return;
+        }
+    };
     let stored = Stored {
         job: id.to_string(),
         version: version.0,
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -31,8 +31,6 @@
     pub metrics: Option<SocketAddr>,
     /// The longest lease that workers grant.
     pub longest_lease: Duration,
-    /// For how long a member of a gang waits for the others.
-    pub gang_wait: Duration,
     /// For how long a job that is over is known.
     pub retention: Duration,
     /// How long the end of the VM may take.
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -230,7 +230,6 @@
         epoch: title.claim.epoch,
         lease: node.config.lease(),
         longest_lease: node.config.longest_lease,
-        gang_wait: node.config.gang_wait,
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -84,8 +84,6 @@
     pub lease: Duration,
     /// The longest lease that a worker grants.
     pub longest_lease: Duration,
-    /// For how long a member of a gang waits for the others.
-    pub gang_wait: Duration,
 }
 
 /// The jobs and workers of one owner.
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -133,7 +133,6 @@
     pub(crate) fn members(&self, entry: Ready) -> BTreeMap<worker::Key, u32> {
         let mut counts = BTreeMap::new();
         // A run that was given up in favour of another still counts on its worker.
-        let job = &self.jobs[entry.job];
         for (key, worker) in &self.workers {
             let here = worker.runs.values().filter(|run| {
                 run.place
@@ -144,7 +143,6 @@
                 counts.insert(key, count);
             }
         }
-        debug_assert!(job.stages.len() > entry.stage);
         counts
     }
 }
