Let large VMs own the workers, and let a peer take the title only if it reaches it

Change: VMs tell their processor time, the largest claim first, a small owner steps aside; a peer reads the claim before it takes over; counts are told once the jobs are read; what is away is kept by part of the store. A pass finds slots and verdicts by key and goes through all runs every 40 ms only.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -135,12 +135,12 @@
         }];
         let view = self.node.view();
         let inner = self.adviser.lock();
-        for (name, address) in &view.nodes {
+        for (name, peer) in &view.nodes {
             let rests = inner.resting.get(name).is_some_and(|until| *until > now);
             if *name != self.adviser.own && !rests {
                 vias.push(Via {
                     name: name.clone(),
-                    address: Some(*address),
+                    address: Some(peer.peers),
                 });
             }
         }
--- a/crates/cell/src/announce.rs
+++ b/crates/cell/src/announce.rs
@@ -31,7 +31,7 @@
     let address = {
         let view = node.view();
         let claim = view.claim.as_ref();
-        claim.and_then(|held| view.nodes.get(&held.claim.holder).copied())
+        claim.and_then(|held| Some(view.nodes.get(&held.claim.holder)?.peers))
     };
     // Without an owner the feed tells the next one.
     let Some(address) = address else {
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -35,6 +35,8 @@
     pub retention: Duration,
     /// How long the end of the VM may take.
     pub drain_limit: Duration,
+    /// The processor time of the VM in thousandths of a core; zero where it is not known.
+    pub cpu_millis: u32,
 }
 
 impl Config {
--- a/crates/cell/src/intake.rs
+++ b/crates/cell/src/intake.rs
@@ -170,7 +170,8 @@
         let view = node.view();
         let sign = view.sign.as_ref();
         sign.filter(|sign| now.since(sign.seen) < COUNT_AGE)
-            .map(|sign| sign.pulse.unstarted.get(queue).copied().unwrap_or(0))
+            .and_then(|sign| sign.pulse.unstarted.as_ref())
+            .map(|counts| counts.get(queue).copied().unwrap_or(0))
     };
     match told {
         Some(count) => Ok(count),
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -1,6 +1,7 @@
 //! One entry VM of a cell.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
@@ -84,6 +85,9 @@
 /// every second, or later by the time of a slow answer.
 const CONTACT_LIMIT: Duration = Duration::from_millis(1500);
 
+/// For how long a part of the store counts as away after a call about it failed.
+const PART_RETRY: Duration = Duration::from_millis(500);
+
 /// How long connections are still taken after readiness went off: the platform needs two misses, a
 /// second apart.
 const LEAVE_TIME: Duration = Duration::from_millis(2500);
@@ -91,7 +95,7 @@
 /// What is left of the drain limit for the last answers to leave.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Contact {
     /// When the store last answered.
     last: Millis,
@@ -99,6 +103,8 @@
     since: Option<Millis>,
     /// How long the store takes to answer, as a moving mean.
     time: Duration,
+    /// The parts of the store whose last call failed, and when: the store may be away in part.
+    failed: HashMap<Name, Millis>,
 }
 
 /// An entry VM.
@@ -155,6 +161,7 @@
                 last: now,
                 since: None,
                 time: Duration::ZERO,
+                failed: HashMap::new(),
             }),
             seen: AtomicU64::new(0),
             config,
@@ -213,7 +220,7 @@
 
     /// Says whether the store answers this VM.
     pub fn is_in_contact(&self) -> bool {
-        let contact = *self.lock_contact();
+        let contact = self.lock_contact();
         contact.since.is_some() && self.timer.now().since(contact.last) < CONTACT_LIMIT
     }
 
@@ -232,6 +239,26 @@
         self.lock_contact().since
     }
 
+    /// Says whether a call about this part of the store is better made by a peer: the store has not
+    /// answered this VM of late, or the last call about that part failed.
+    pub(crate) fn is_away(&self, part: &Name) -> bool {
+        let now = self.timer.now();
+        let contact = self.lock_contact();
+        let lost = contact.since.is_none() && now.since(contact.last) >= CONTACT_LIMIT;
+        let failed = contact.failed.get(part);
+        lost || failed.is_some_and(|at| now.since(*at) < PART_RETRY)
+    }
+
+    fn note_part(&self, part: &Name, answered: bool) {
+        let now = self.timer.now();
+        let mut contact = self.lock_contact();
+        if answered {
+            contact.failed.remove(part);
+        } else {
+            contact.failed.insert(part.clone(), now);
+        }
+    }
+
     /// Returns how long the store takes to answer a call, of late.
     pub(crate) fn store_time(&self) -> Duration {
         self.lock_contact().time
@@ -246,7 +273,9 @@
     pub(crate) async fn read(&self, range: Range) -> Result<Page> {
         self.metrics.count("store_reads");
         let begun = self.timer.now();
+        let part = range.table.clone();
         let result = (self.outside.store.read)(range).await;
+        self.note_part(&part, result.is_ok());
         if let Ok(page) = &result {
             self.note_store_answer(page.version);
         }
@@ -275,12 +304,16 @@
     pub(crate) async fn transact(&self, checks: Vec<Check>, puts: Vec<Put>) -> Result<Outcome> {
         self.metrics.count("store_writes");
         let begun = self.timer.now();
+        let part = puts.first().map(|put| put.table.clone());
         let transaction = Transaction {
             write_id: String::new(),
             checks,
             puts,
         };
         let result = (self.outside.store.transact)(transaction).await;
+        if let Some(part) = part {
+            self.note_part(&part, result.is_ok());
+        }
         match &result {
             Ok(Outcome::Committed(version)) => self.note_store_answer(*version),
             Ok(Outcome::Conflict(_)) => self.note_store_answer(Version(0)),
@@ -360,7 +393,10 @@
     /// Tells the other VMs where this one is reached.
     async fn enter(self: Arc<Self>, peers: SocketAddr) {
         const RETRY: Duration = Duration::from_millis(300);
-        let entry = record::Node { peers };
+        let entry = record::Node {
+            peers,
+            cpu_millis: self.config.cpu_millis,
+        };
         let value = match record::encode(&entry) {
             Ok(value) => value,
             Err(error) => {
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -5,11 +5,13 @@
         HashMap,
         HashSet, //
     },
+    net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -33,6 +35,10 @@
     },
     event::Event,
     job::Accepted,
+    succession::{
+        self,
+        Candidate, //
+    },
     worker,
 };
 use slog::Logger;
@@ -80,6 +86,17 @@
 /// one sign and a slow answer to it.
 const HAND_OVER_AFTER: Duration = Duration::from_millis(750);
 
+/// How long a peer may take to say whether it takes over: a read of the claim from a store that is
+/// not slow, and the way.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// How many peers are asked in one round: of those that the store turns away a third, so that all
+/// of them miss it one time in four hundred.
+const PEERS_ASKED: usize = 6;
+
+/// How often an owner looks for a larger VM to leave the title to.
+const ASIDE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The least time between two scheduling passes, which bounds what they cost.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
 
@@ -102,6 +119,8 @@
     pub(crate) rounds: watch::Sender<u64>,
     engine: Mutex<Engine>,
     over: watch::Sender<bool>,
+    /// Whether the jobs were read.
+    loaded: AtomicBool,
     gates: Mutex<HashMap<worker::Key, Arc<Semaphore>>>,
 }
 
@@ -243,6 +262,7 @@
         rounds: watch::Sender::new(0),
         engine: Mutex::new(engine),
         over: watch::Sender::new(false),
+        loaded: AtomicBool::new(false),
         gates: Mutex::default(),
     });
     *node.owner() = Arc::downgrade(&owner);
@@ -256,13 +276,14 @@
     let lost = owner.is_over();
     owner.over.send_replace(true);
     tasks.shutdown().await;
-    if !lost && !hand_over(&owner).await {
+    if !lost && !hand_over(&owner, |_| true).await {
         release(&owner).await;
     }
 }
 
 async fn serve(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
     let from = load::load(owner).await;
+    owner.loaded.store(true, Ordering::Release);
     slog::info!(owner.node.log, "jobs loaded"; "epoch" => owner.epoch(),
         "open" => owner.engine().load().0);
     tasks.spawn(follow_workers(Arc::clone(owner), from.workers));
@@ -373,19 +394,20 @@
     }
 }
 
-/// Looks for a VM that reaches the store and takes over; without one the store is away for all.
-async fn hand_over(owner: &Owner) -> bool {
-    const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Looks for a VM that reaches the store and takes over, the largest first; without one the store is
+/// away for all.
+async fn hand_over(owner: &Owner, may_take: impl Fn(&Candidate) -> bool) -> bool {
     let node = &owner.node;
-    let others: Vec<_> = {
+    let addresses: Vec<SocketAddr> = {
         let view = node.view();
-        let others = view
-            .nodes
-            .iter()
-            .filter(|(name, _)| **name != node.config.name);
-        others.map(|(_, address)| *address).collect()
+        let successors = view.successors(Some(&node.config.name)).into_iter();
+        successors
+            .filter(|candidate| candidate.name != node.config.name && may_take(candidate))
+            .filter_map(|candidate| Some(view.nodes.get(&candidate.name)?.peers))
+            .take(PEERS_ASKED)
+            .collect()
     };
-    for address in others {
+    for address in addresses {
         if let Ok(true) = node.pool.hand_over(address, node.nonce, ANSWER_TIME).await {
             return true;
         }
@@ -398,10 +420,13 @@
     let mut beat = 0;
     let mut taken = owner.now();
     let mut told: Vec<Name> = Vec::new();
+    let mut offered = owner.now();
     loop {
+        // Before the jobs are read their count is not known, and none is not nought.
+        let loaded = owner.loaded.load(Ordering::Acquire);
         let (unstarted, workers) = {
             let engine = owner.engine();
-            (engine.unstarted(), engine.worker_names())
+            (loaded.then(|| engine.unstarted()), engine.worker_names())
         };
         beat += 1;
         let mut puts = Vec::new();
@@ -418,6 +443,15 @@
             Ok(Outcome::Committed(_)) => {
                 told = workers;
                 taken = owner.now();
+                if taken.since(offered) >= ASIDE_INTERVAL {
+                    offered = taken;
+                    let own = owner.node.config.cpu_millis;
+                    let larger = |other: &Candidate| succession::steps_aside(own, other.cpu_millis);
+                    if hand_over(&owner, larger).await {
+                        owner.depose("a larger VM takes over");
+                        return;
+                    }
+                }
             }
             Ok(Outcome::Conflict(_)) => {
                 owner.depose("the claim was replaced");
@@ -426,7 +460,7 @@
             Err(error) => {
                 slog::info!(owner.node.log, "sign not taken"; "error" => %error);
                 let silent = owner.now().since(taken);
-                if silent >= HAND_OVER_AFTER && hand_over(&owner).await {
+                if silent >= HAND_OVER_AFTER && hand_over(&owner, |_| true).await {
                     owner.depose("a peer that reaches the store takes over");
                     return;
                 }
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -51,7 +51,10 @@
             }
             .boxed()
         }),
-        hand_over: Arc::new(move |nonce| title::accept_hand_over(&heir, nonce)),
+        hand_over: Arc::new(move |nonce| {
+            let node = Arc::clone(&heir);
+            async move { title::accept_hand_over(&node, nonce).await }.boxed()
+        }),
         announce: Arc::new(move |stored| announce::take(&listener, &stored)),
         forward_request: Arc::new(move |wire| {
             let node = Arc::clone(&forwarder);
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -73,15 +73,19 @@
 pub(crate) struct Pulse {
     /// How many signs there were before.
     pub beat: u64,
-    /// The jobs that have not begun, by queue.
-    pub unstarted: BTreeMap<Name, u64>,
+    /// The jobs that have not begun, by queue; none before the owner has read the jobs.
+    #[serde(default)]
+    pub unstarted: Option<BTreeMap<Name, u64>>,
 }
 
-/// Where an entry VM is reached by its peers.
+/// Where an entry VM is reached by its peers, and what it can carry.
 #[data]
 pub(crate) struct Node {
     /// The address.
     pub peers: SocketAddr,
+    /// Its processor time in thousandths of a core; zero where it is not known.
+    #[serde(default)]
+    pub cpu_millis: u32,
 }
 
 /// Returns the part of the table of jobs that holds a job.
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -28,7 +28,8 @@
 use crate::{
     configuration::Configuration,
     intake,
-    node::Node, //
+    node::Node,
+    record, //
 };
 
 /// The longest name of a job.
@@ -78,6 +79,11 @@
         }
     }
 
+    /// Returns the part of the store that the request is about; its path ends in the name of a job.
+    fn part(&self) -> Name {
+        record::job_table(self.path.rsplit('/').next().unwrap_or_default())
+    }
+
     fn from_wire(wire: ClientRequest) -> Result<Self> {
         let method = wire.method.parse();
         Ok(Self {
@@ -99,8 +105,9 @@
 pub(crate) async fn answer(node: &Arc<Node>, request: &Request) -> Result<Value> {
     let deadline = node.timer.now().after(request.wait);
     let mut unknown = false;
+    let part = request.part();
     loop {
-        let failure = if node.reachable_since().is_some() {
+        let failure = if !node.is_away(&part) {
             match answer_here(node, request, deadline).await {
                 Err(error) if is_store_failure(error.kind) => error,
                 result => return settle(unknown, result),
@@ -140,7 +147,7 @@
 /// Answers a request that another VM has handed on; it is never handed on again.
 pub(crate) async fn answer_forwarded(node: &Arc<Node>, wire: ClientRequest) -> Result<Value> {
     let request = Request::from_wire(wire)?;
-    if node.reachable_since().is_none() {
+    if node.is_away(&request.part()) {
         let message = "this VM does not reach the store either";
         return Err(Error::new(Kind::StoreUnavailable, message));
     }
@@ -166,7 +173,7 @@
         .nodes
         .iter()
         .filter(|(name, _)| **name != node.config.name);
-    let addresses = others.map(|(_, address)| *address);
+    let addresses = others.map(|(_, peer)| peer.peers);
     addresses.choose_multiple(&mut rand::rng(), PEERS_TRIED)
 }
 
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -6,7 +6,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     sync::{
         Arc,
         Mutex,
@@ -17,6 +16,7 @@
 };
 
 use basilbridge_common::{
+    error::Result,
     id::{
         Name,
         Version, //
@@ -29,6 +29,10 @@
     Put,
     Row, //
 };
+use basilbridge_workflow::succession::{
+    self,
+    Candidate, //
+};
 use slog::Logger;
 use tokio::sync::Notify;
 
@@ -86,7 +90,7 @@
     pub(crate) loaded: bool,
     pub(crate) claim: Option<Held>,
     pub(crate) sign: Option<Sign>,
-    pub(crate) nodes: BTreeMap<Name, SocketAddr>,
+    pub(crate) nodes: BTreeMap<Name, record::Node>,
     pub(crate) workers: Vec<Name>,
     /// What was found where the owner should answer, and when.
     pub(crate) absence: Option<(Absence, Millis)>,
@@ -178,7 +182,7 @@
     fn apply_row(&mut self, log: &Logger, row: &Row, now: Millis) {
         if let Some(name) = row.key.strip_prefix(NODE_PREFIX) {
             match record::read::<record::Node>(log, row) {
-                Some(node) => self.nodes.insert(name.into(), node.peers),
+                Some(node) => self.nodes.insert(name.into(), node),
                 None => self.nodes.remove(name),
             };
             return;
@@ -247,7 +251,9 @@
         };
         let claim = &held.claim;
         // An earlier process of this VM is gone, or this one would not run.
-        let earlier = claim.holder == *own && claim.nonce != nonce;
+        let earlier = claim.holder == *own
+            && claim.nonce != nonce
+            && succession::takes_back(self.cpu_millis(own), &self.successors(None));
         if earlier || self.appointed == Some(claim.nonce) {
             return Some(reachable);
         }
@@ -269,18 +275,10 @@
         )
     }
 
-    /// Returns how many VMs go before `own`, counted from the one after the holder.
+    /// Returns how many VMs go before `own` when the title of `holder` is free.
     fn turn(&self, own: &Name, holder: Option<&Name>) -> u32 {
-        let after = self
-            .nodes
-            .keys()
-            .filter(|name| holder.is_none_or(|holder| *name > holder));
-        let before = self
-            .nodes
-            .keys()
-            .filter(|name| holder.is_some_and(|holder| *name < holder));
-        let mut order = after.chain(before);
-        match order.position(|name| name == own) {
+        let order = self.successors(holder);
+        match order.iter().position(|candidate| candidate.name == *own) {
             Some(position) => position as u32,
             // The list does not name this VM yet; VMs that start together are spread by their names.
             None => {
@@ -290,22 +288,44 @@
             }
         }
     }
+
+    fn cpu_millis(&self, name: &Name) -> u32 {
+        self.nodes.get(name).map_or(0, |node| node.cpu_millis)
+    }
+
+    /// Returns the VMs by who goes first when the title of `holder` is free.
+    pub(crate) fn successors(&self, holder: Option<&Name>) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> = self
+            .nodes
+            .iter()
+            .map(|(name, node)| Candidate {
+                name: name.clone(),
+                cpu_millis: node.cpu_millis,
+            })
+            .collect();
+        succession::sort(&mut candidates, holder);
+        candidates
+    }
 }
 
-/// Takes over from the owner with this number if this VM reaches the store and knows of no later
-/// one; says whether it will.
-pub(crate) fn accept_hand_over(node: &Node, nonce: u64) -> bool {
-    let heard = node.is_in_contact() && node.store_time() < QUICK_STORE;
-    let mut view = node.title.lock();
-    let current = view
-        .claim
-        .as_ref()
-        .is_some_and(|held| held.claim.nonce == nonce);
-    if !heard || !current || node.gate.is_draining() {
+/// Takes over from the owner with this number if this VM reaches the title in the store and knows of
+/// no later owner; says whether it will.
+///
+/// The store may be away in part, so only a read of the claim itself shows that this VM could write
+/// it: an owner that leaves to a VM that can't claim leaves the workers to nobody.
+pub(crate) async fn accept_hand_over(node: &Node, nonce: u64) -> bool {
+    if !node.is_in_contact() || node.gate.is_draining() {
+        return false;
+    }
+    let begun = node.timer.now();
+    let read = node.timer.timeout(QUICK_STORE, read_claim(node)).await;
+    let current = matches!(read, Some(Ok(Some((claim, _)))) if claim.nonce == nonce);
+    if !current || node.gate.is_draining() {
+        slog::info!(node.log, "owner not relieved"; "current" => current,
+            "read_ms" => node.timer.now().since(begun).as_millis() as u64);
         return false;
     }
-    view.appointed = Some(nonce);
-    drop(view);
+    node.title.lock().appointed = Some(nonce);
     slog::info!(node.log, "owner hands over");
     node.title.changed.notify_waiters();
     true
@@ -319,8 +339,8 @@
             let view = node.title.lock();
             view.claim.as_ref().and_then(|held| {
                 let claim = &held.claim;
-                let address = view.nodes.get(&claim.holder)?;
-                (claim.nonce != node.nonce && !claim.released).then_some((claim.nonce, *address))
+                let address = view.nodes.get(&claim.holder)?.peers;
+                (claim.nonce != node.nonce && !claim.released).then_some((claim.nonce, address))
             })
         };
         let Some((nonce, address)) = owner else {
@@ -434,19 +454,23 @@
 
 /// Reads whether a claim without an answer was made, and under which version.
 async fn settle_claim(node: &Node, claim: &Claim) -> Option<Version> {
+    match read_claim(node).await {
+        Ok(found) => found.and_then(|(current, version)| (current == *claim).then_some(version)),
+        Err(error) => {
+            slog::info!(node.log, "claim not read"; "error" => %error);
+            None
+        }
+    }
+}
+
+/// Reads the claim and its version.
+async fn read_claim(node: &Node) -> Result<Option<(Claim, Version)>> {
     let range = Range {
         table: TITLE_TABLE.into(),
         from: Some(CLAIM_KEY.to_owned()),
         to: Some(format!("{CLAIM_KEY}\0")),
     };
-    let page = match node.read(range).await {
-        Ok(page) => page,
-        Err(error) => {
-            slog::info!(node.log, "claim not read"; "error" => %error);
-            return None;
-        }
-    };
-    let row = page.rows.into_iter().next()?;
-    let current: Claim = record::read(&node.log, &row)?;
-    (current == *claim).then_some(row.version)
+    let page = node.read(range).await?;
+    let row = page.rows.into_iter().next();
+    Ok(row.and_then(|row| Some((record::read(&node.log, &row)?, row.version))))
 }
--- a/crates/cell/tests/cell/outside.rs
+++ b/crates/cell/tests/cell/outside.rs
@@ -91,6 +91,14 @@
     Refused,
     /// Writes are done and their answers are lost, and feeds hear nothing.
     Deaf,
+    /// Calls about this table are refused, those about others are answered.
+    Without(&'static str),
+}
+
+impl Access {
+    fn hides(self, table: &Name) -> bool {
+        matches!(self, Self::Without(hidden) if table.starts_with(hidden))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -266,7 +274,8 @@
     fn transact(&self, vm: &Name, transaction: &Transaction) -> Result<Outcome> {
         let mut rows = self.lock();
         let access = rows.access.get(vm).copied().unwrap_or_default();
-        if access == Access::Refused {
+        let mut tables = transaction.puts.iter().map(|put| &put.table);
+        if access == Access::Refused || tables.any(|table| access.hides(table)) {
             return Err(refused());
         }
         let current = |rows: &Rows, table: &Name, key: &str| {
@@ -298,13 +307,14 @@
         self.changed.notify_waiters();
         match access {
             Access::Deaf => Err(Error::new(Kind::WriteUnknown, "no answer")),
-            Access::Open | Access::Refused => Ok(Outcome::Committed(version)),
+            Access::Open | Access::Refused | Access::Without(_) => Ok(Outcome::Committed(version)),
         }
     }
 
     fn read(&self, vm: &Name, range: &Range) -> Result<Page> {
         let rows = self.lock();
-        if rows.access.get(vm) == Some(&Access::Refused) {
+        let access = rows.access.get(vm).copied().unwrap_or_default();
+        if access == Access::Refused || access.hides(&range.table) {
             return Err(refused());
         }
         let inside = |key: &String| {
@@ -340,7 +350,8 @@
             let changed = self.changed.notified();
             {
                 let rows = self.lock();
-                if rows.access.get(vm) == Some(&Access::Refused) {
+                let access = rows.access.get(vm).copied().unwrap_or_default();
+                if access == Access::Refused || access.hides(table) {
                     return Err(refused());
                 }
                 if after.0 < rows.forgotten {
--- a/crates/cell/tests/cell/titles.rs
+++ b/crates/cell/tests/cell/titles.rs
@@ -12,7 +12,8 @@
         start_with,
         state,
         submit,
-        until, //
+        until,
+        waiting, //
     },
 };
 
@@ -70,6 +71,80 @@
     assert_eq!(world.starts("j1"), 3);
 }
 
+/// While the part of the store that holds the title is away, no peer could claim it.
+#[tokio::test]
+async fn an_owner_goes_on_while_the_title_is_away_for_all_and_other_rows_are_not() {
+    let world = World::new(&["w1"]);
+    let (first, second) = (start(&world, "a").await, start(&world, "b").await);
+    until("a claim", async || holder(&world).is_some()).await;
+    until("the peers", async || {
+        first.node.knows_peer("b") && second.node.knows_peer("a")
+    })
+    .await;
+    let (before, epoch) = (holder(&world), world.value("title/0", "claim"));
+    let owner = if before.as_deref() == Some("a") {
+        &first
+    } else {
+        &second
+    };
+
+    for vm in ["a", "b"] {
+        world.set_access(vm, Access::Without("title"));
+    }
+    let begun = tokio::time::Instant::now();
+    until("three signs missed", async || {
+        begun.elapsed().as_millis() > 1600
+    })
+    .await;
+    submit(owner, "j1").await;
+
+    until("the starts", async || world.starts("j1") == 3).await;
+    assert_eq!(holder(&world), before);
+    assert_eq!(world.value("title/0", "claim"), epoch);
+}
+
+#[tokio::test]
+async fn an_owner_that_has_not_read_the_jobs_does_not_tell_that_none_waits() {
+    let world = World::new(&[]);
+    let first = start(&world, "a").await;
+    until("readiness", async || first.node.is_ready()).await;
+    submit(&first, "j1").await;
+    until("the count", async || waiting(&first).await.contains('1')).await;
+    assert!(first.drain().await);
+    world.set_access("b", Access::Without("progress"));
+
+    let second = start(&world, "b").await;
+    until("the change", async || {
+        holder(&world).as_deref() == Some("b")
+    })
+    .await;
+    let begun = tokio::time::Instant::now();
+    until("a sign", async || begun.elapsed().as_millis() > 700).await;
+
+    let told = waiting(&second).await;
+    assert!(!told.contains("\"waiting\":0"), "{told}");
+}
+
+#[tokio::test]
+async fn a_small_owner_leaves_the_title_to_a_large_vm() {
+    let world = World::new(&["w1"]);
+    let small = start_with(&world, "a", |config| config.cpu_millis = 120).await;
+    until("a claim", async || holder(&world).as_deref() == Some("a")).await;
+    submit(&small, "j1").await;
+
+    let large = start_with(&world, "b", |config| config.cpu_millis = 500).await;
+
+    until("the change", async || {
+        holder(&world).as_deref() == Some("b")
+    })
+    .await;
+    until("the end", async || {
+        state(&large, "j1").await.contains("completed")
+    })
+    .await;
+    assert_eq!(world.starts("j1"), 3);
+}
+
 #[tokio::test]
 async fn an_owner_goes_on_while_the_store_is_away_for_all() {
     let world = World::new(&["w1"]);
--- a/crates/cell/tests/cell/vm.rs
+++ b/crates/cell/tests/cell/vm.rs
@@ -53,6 +53,7 @@
         longest_lease: Duration::from_secs(6),
         retention: Duration::from_secs(120),
         drain_limit: Duration::from_secs(6),
+        cpu_millis: 0,
     }
 }
 
@@ -130,3 +131,8 @@
 pub(crate) async fn state(vm: &Running, id: &str) -> String {
     call(vm, Method::GET, id, "").await.1
 }
+
+/// Asks how many jobs of the queue wait.
+pub(crate) async fn waiting(vm: &Running) -> String {
+    call(vm, Method::GET, "", "").await.1
+}
--- a/crates/peers/src/cell.rs
+++ b/crates/peers/src/cell.rs
@@ -27,7 +27,7 @@
 };
 
 type WatchProcess = Arc<dyn Fn(u64) -> BoxFuture<'static, u64> + Send + Sync>;
-type HandOver = Arc<dyn Fn(u64) -> bool + Send + Sync>;
+type HandOver = Arc<dyn Fn(u64) -> BoxFuture<'static, bool> + Send + Sync>;
 type ForwardRequest =
     Arc<dyn Fn(ClientRequest) -> BoxFuture<'static, Result<serde_json::Value>> + Send + Sync>;
 type Announce = Arc<dyn Fn(Stored) + Send + Sync>;
@@ -73,7 +73,8 @@
         request: Request<Process>,
     ) -> std::result::Result<Response<Process>, tonic::Status> {
         let asked = request.into_inner().nonce;
-        let nonce = if (self.hand_over)(asked) { asked } else { 0 };
+        let taken = (self.hand_over)(asked).await;
+        let nonce = if taken { asked } else { 0 };
         Ok(Response::new(Process { nonce }))
     }
 
--- /dev/null
+++ b/crates/workflow/examples/passes.rs
@@ -0,0 +1,215 @@
+//! Measures what a scheduling pass costs, by workers and waiting jobs.
+//!
+//! `cargo run --release -p basilbridge-workflow --example passes`; docs/CAPACITY.md has the figures.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use basilbridge_common::{
+    id::Name,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+use basilbridge_workflow::{
+    ask::{
+        Advised,
+        Good, //
+    },
+    engine::{
+        Engine,
+        Settings, //
+    },
+    job::{
+        Accepted,
+        Spec,
+        Step, //
+    },
+    order::Order,
+    policy::{
+        Advice,
+        Policy,
+        Queue, //
+    },
+    report::{
+        Entry,
+        Look,
+        Started, //
+    },
+};
+
+/// How many passes one figure is the mean of.
+const PASSES: u64 = 400;
+
+/// How many tasks each job has.
+const TASKS: u32 = 14;
+
+fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.into(),
+        pool: "pool".into(),
+        priority,
+        attempts: 2,
+        stretch: 1.5,
+        slack: Duration::from_millis(300),
+        advice: Some(Advice {
+            call: Duration::from_millis(25),
+            each: Duration::from_micros(360),
+            valid: Duration::from_millis(2500),
+        }),
+    }
+}
+
+fn engine(workers: u32) -> Engine {
+    let queues = [queue("checks", 0), queue("plans", 2)];
+    let policy = Policy {
+        queues: queues
+            .into_iter()
+            .map(|queue| (queue.name.clone(), queue))
+            .collect(),
+        tenants: [].into(),
+    };
+    let settings = Settings {
+        epoch: 0,
+        lease: Duration::from_millis(5500),
+        longest_lease: Duration::from_secs(6),
+    };
+    let mut engine = Engine::new(settings, policy, Millis(0));
+    for number in 0..workers {
+        let name: Name = format!("worker-{number}").into();
+        let entry = Entry {
+            name: name.clone(),
+            address: name.clone(),
+            pool: "pool".into(),
+            boot: 1,
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mib: 131_072,
+                accelerators: 0,
+            },
+            labels: vec!["a".into(), format!("rack-{}", number / 8).into()],
+            leaving: false,
+        };
+        engine.list(entry, Millis(0));
+        look(&mut engine, &name, Millis(0));
+    }
+    engine
+}
+
+fn look(engine: &mut Engine, name: &Name, now: Millis) {
+    let Some(key) = engine.key(name) else {
+        return;
+    };
+    let seen = Look {
+        boot: 1,
+        clock: now.0 + 1,
+        ..Look::default()
+    };
+    engine.looked(key, now, now, &seen);
+}
+
+fn submit(engine: &mut Engine, name: String, queue: &str, now: Millis) {
+    let step = Step {
+        count: TASKS,
+        room: Resources {
+            cpu_millis: 9_000,
+            memory_mib: 13_000,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(800),
+        after: Vec::new(),
+        checkpoints: true,
+        gang: false,
+        same_rack: false,
+        lasting: false,
+        fills: false,
+        label: None,
+        data_rack: None,
+        most_per_worker: None,
+        target: None,
+        may_miss: None,
+    };
+    let accepted = Accepted {
+        queue: queue.into(),
+        tenant: None,
+        at: now,
+        spec: Spec {
+            text: "work".into(),
+            steps: vec![step],
+            schedule: None,
+        },
+    };
+    engine.accept(&name.into(), accepted, None, false, now);
+}
+
+/// Answers all orders at once: questions with two workers of three, starts with yes.
+fn answer(engine: &mut Engine, now: Millis) {
+    for order in engine.take_orders() {
+        match order {
+            Order::Ask(question) => {
+                let good = question
+                    .workers
+                    .iter()
+                    .enumerate()
+                    .filter(|(at, _)| at % 3 > 0);
+                let good = good.map(|(_, worker)| Good {
+                    worker: worker.clone(),
+                    ticket: "ticket".into(),
+                });
+                let advised = Advised {
+                    good: good.collect(),
+                    valid: question.advice.valid,
+                };
+                engine.advised(&question, Some(&advised), now);
+            }
+            Order::Start(start) => {
+                engine.started(
+                    start.target.key,
+                    &start.task,
+                    start.run,
+                    Started::Running,
+                    now,
+                );
+            }
+            Order::Stop(_) | Order::Pace(_) => {}
+        }
+    }
+    engine.take_events();
+}
+
+fn main() {
+    println!("workers  jobs waiting  time of a pass");
+    for (workers, waiting) in [(50, 25), (100, 50), (350, 100), (350, 300), (1000, 300)] {
+        let mut engine = engine(workers);
+        let mut now = Millis(10);
+        // Seven tasks fill a worker; what is beyond that waits.
+        let filling = workers * 7 / TASKS;
+        for number in 0..filling + waiting {
+            let queue = if number % 4 == 0 { "plans" } else { "checks" };
+            submit(&mut engine, format!("job-{number}"), queue, now);
+        }
+        for _ in 0..600 {
+            now = now.after(Duration::from_millis(4));
+            engine.tick(now);
+            engine.schedule(now);
+            answer(&mut engine, now);
+        }
+        let mut spent = Duration::ZERO;
+        for _ in 0..PASSES {
+            now = now.after(Duration::from_millis(4));
+            let begun = Instant::now();
+            engine.tick(now);
+            engine.schedule(now);
+            spent += begun.elapsed();
+            answer(&mut engine, now);
+        }
+        let each = spent / PASSES as u32;
+        println!(
+            "{workers:7}  {waiting:12}  {:9.1} us",
+            each.as_secs_f64() * 1e6
+        );
+    }
+}
--- a/crates/workflow/src/ask.rs
+++ b/crates/workflow/src/ask.rs
@@ -20,6 +20,7 @@
     },
     pool::{
         Pool,
+        Slot,
         claim,
         fit_count, //
     },
@@ -27,13 +28,20 @@
         Ready,
         TICKET_MARGIN, //
     },
-    stage::Ticket,
+    stage::{
+        Ticket,
+        Verdict, //
+    },
     worker, //
 };
 
 /// How long to wait before advice is asked for again after a call that failed or found nothing.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
+/// How long to wait before the workers are gone through again for one to ask about: room comes free
+/// every few milliseconds, and a pass goes through all workers for each stage that waits.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
 /// By how much one answer of the advice service moves the learned share of good workers.
 const GOOD_PART_GAIN: f64 = 0.2;
 
@@ -86,25 +94,26 @@
         }
         let holds = now.after(TICKET_MARGIN);
         let most = step.most_per_worker.unwrap_or(u32::MAX) as usize;
-        let mut fits: Vec<(bool, usize, worker::Key)> = Vec::new();
-        for slot in &pool.slots {
+        let fit = |slot: &Slot| {
             let room = if is_urgent { slot.soft } else { slot.open };
-            let fit = fit_count(&room, &charge).min(most).min(waiting);
-            let unknown = !stage.good.contains(&slot.key);
-            let asked_for = stage.ticket(slot.key, slot.boot, holds).is_some();
-            if !asked_for
-                && !stage.bad.contains(&slot.key)
+            fit_count(&room, &charge).min(most).min(waiting)
+        };
+        let may_ask = |slot: &Slot| {
+            stage.ticket(slot.key, slot.boot, holds).is_none()
+                && stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
                 && !slot.suspect
                 && self.has_label(slot.key, step)
-            {
-                fits.push((unknown, fit, slot.key));
-            }
-        }
-        let known_fit: usize = fits.iter().filter(|fit| !fit.0).map(|fit| fit.1).sum();
-        let any_fit = fits.iter().any(|fit| fit.1 > 0);
-        if !any_fit {
+        };
+        let mut slots = pool.slots.iter();
+        if !slots.any(|slot| fit(slot) > 0 && may_ask(slot)) {
+            self.jobs[entry.job].stages[entry.stage].ask_after = now.after(LOOK_AGAIN);
             return;
         }
+        let slots = pool.slots.iter().filter(|slot| may_ask(slot));
+        let mut fits: Vec<(bool, usize, worker::Key)> = slots
+            .map(|slot| (!stage.verdicts.contains_key(slot.key), fit(slot), slot.key))
+            .collect();
+        let known_fit: usize = fits.iter().filter(|fit| !fit.0).map(|fit| fit.1).sum();
         if known_fit >= waiting {
             fits.retain(|fit| !fit.0 && fit.1 > 0);
         }
@@ -160,16 +169,15 @@
             match answer.good.iter().find(|good| good.worker == *name) {
                 Some(good) => {
                     found += 1;
-                    stage.good.insert(*key);
                     let ticket = Ticket {
                         text: good.ticket.clone(),
                         boot: worker.entry.boot,
                         until: now.after(answer.valid),
                     };
-                    stage.tickets.insert(*key, ticket);
+                    stage.verdicts.insert(*key, Verdict::Good(ticket));
                 }
                 None => {
-                    stage.bad.insert(*key);
+                    stage.verdicts.insert(*key, Verdict::Bad);
                 }
             }
         }
--- a/crates/workflow/src/choice.rs
+++ b/crates/workflow/src/choice.rs
@@ -22,9 +22,12 @@
 /// Returns the candidate that a task with `charge` goes to.
 ///
 /// Of those with room, the tightest fit is taken, which keeps large gaps for large tasks.
-pub fn best(candidates: &[Candidate], charge: &Resources) -> Option<worker::Key> {
+pub fn best(
+    candidates: impl IntoIterator<Item = Candidate>,
+    charge: &Resources,
+) -> Option<worker::Key> {
     candidates
-        .iter()
+        .into_iter()
         .filter(|candidate| charge.fits(&candidate.free))
         .min_by_key(|candidate| {
             (
--- a/crates/workflow/src/end.rs
+++ b/crates/workflow/src/end.rs
@@ -377,7 +377,7 @@
                 if let Some(place) = place
                     && let Some(job) = self.jobs.get_mut(place.job)
                 {
-                    job.stages[place.stage].tickets.remove(&key);
+                    job.stages[place.stage].end_ticket(key);
                 }
                 self.lose(key, task, "refused", now);
             }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -62,6 +62,10 @@
 /// no start of its predecessor still numbers its own higher.
 pub const RUNS_PER_EPOCH: u32 = 1000;
 
+/// How often all runs are gone through: a fraction of the times that this serves, the shortest of
+/// which is that of an unanswered stop.
+const TICK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// How long an unanswered stop waits before it is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(400);
 
@@ -101,6 +105,8 @@
     pub(crate) events: Vec<Event>,
     pub(crate) meter: Meter,
     pub(crate) started: Millis,
+    /// When all runs are gone through again.
+    pub(crate) next_tick: Millis,
     /// Workers that may run what an earlier owner started; none once the list is settled.
     pub(crate) unsettled: Option<HashSet<Name>>,
     /// The part of the workers that were good, by queue, of the answers so far.
@@ -133,6 +139,7 @@
             events: Vec::new(),
             meter: Meter::default(),
             started: now,
+            next_tick: now,
             unsettled: (!first).then(HashSet::new),
             good_part: HashMap::new(),
             fenced: false,
@@ -414,8 +421,14 @@
         !self.dirty.is_empty()
     }
 
-    /// Does what is due at `now`: sends stops again, and gives up what has surely ended.
+    /// Does what is due at `now`: sends stops again, stops what stands still, and gives up what has
+    /// surely ended.
     pub fn tick(&mut self, now: Millis) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now.after(TICK_INTERVAL);
+        self.stop_stalled(now);
         self.settle(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod reserve;
 pub mod schedule;
 pub mod stage;
+pub mod succession;
 pub mod takeover;
 pub mod worker;
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -28,6 +28,7 @@
     },
     pool::{
         Pool,
+        Slot,
         take, //
     },
     reserve,
@@ -50,13 +51,17 @@
         now: Millis,
     ) {
         let charge = step.charge();
-        let mut candidates = self.candidates(entry, step, pool, advised, now);
+        let has_room = |slot: &Slot| charge.fits(&slot.free);
+        let mut candidates = self.candidates(entry, step, pool, advised, has_room, now);
         if candidates.is_empty() {
             return;
         }
         let count = self.jobs[entry.job].stages[entry.stage].tasks.len();
         let takes_all = is_urgent || step.lasting;
-        let mut on_worker = self.members(entry);
+        let mut on_worker = match step.most_per_worker {
+            Some(_) => self.members(entry),
+            None => BTreeMap::new(),
+        };
         for index in 0..count {
             let job = &self.jobs[entry.job];
             let task = &job.stages[entry.stage].tasks[index];
@@ -71,7 +76,7 @@
             if !keeps_reserve {
                 return;
             }
-            let usable: Vec<Candidate> = candidates
+            let usable = candidates
                 .iter()
                 .filter(|candidate| {
                     let most = step.most_per_worker.unwrap_or(u32::MAX);
@@ -80,9 +85,8 @@
                 .map(|candidate| Candidate {
                     suspect: candidate.suspect || task.failed_on.contains(&candidate.key),
                     ..*candidate
-                })
-                .collect();
-            let Some(key) = choice::best(&usable, &charge) else {
+                });
+            let Some(key) = choice::best(usable, &charge) else {
                 return;
             };
             let epoch_first = self.settings.epoch * RUNS_PER_EPOCH + 1;
@@ -108,7 +112,8 @@
         if !self.tenant_allows(tenant.as_ref(), &step.room.times(count as u64), true) {
             return;
         }
-        let all = self.candidates(entry, step, pool, advised, now);
+        let has_room = |slot: &Slot| charge.fits(&slot.free);
+        let all = self.candidates(entry, step, pool, advised, has_room, now);
         let mut choices: Vec<Vec<Candidate>> = Vec::new();
         if step.same_rack {
             let mut racks: BTreeMap<Option<Name>, Vec<Candidate>> = BTreeMap::new();
@@ -231,7 +236,7 @@
 ) -> Option<Vec<worker::Key>> {
     let mut chosen: Vec<worker::Key> = Vec::with_capacity(count);
     for _ in 0..count {
-        let key = choice::best(&candidates, charge)?;
+        let key = choice::best(candidates.iter().copied(), charge)?;
         chosen.push(key);
         let here = chosen.iter().filter(|other| **other == key).count() as u32;
         if here >= most {
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -10,6 +10,8 @@
     },
 };
 
+use slotmap::SecondaryMap;
+
 use crate::{
     choice::Candidate,
     engine::Engine,
@@ -43,13 +45,34 @@
 }
 
 /// The workers of one pool.
+///
+/// A pass comes to hundreds of slots for each of hundreds of stages, so a slot is found by its key.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     pub(crate) slots: Vec<Slot>,
+    places: SecondaryMap<worker::Key, usize>,
     pub(crate) capacity_cpu: u64,
     pub(crate) free_cpu: u64,
 }
 
+impl Pool {
+    fn push(&mut self, slot: Slot) {
+        self.places.insert(slot.key, self.slots.len());
+        self.slots.push(slot);
+    }
+
+    /// Returns the slot of a worker, if the worker takes new work.
+    pub(crate) fn slot(&self, key: worker::Key) -> Option<&Slot> {
+        self.places.get(key).map(|place| &self.slots[*place])
+    }
+
+    /// Returns the slot of a worker for a change, if the worker takes new work.
+    pub(crate) fn slot_mut(&mut self, key: worker::Key) -> Option<&mut Slot> {
+        let place = *self.places.get(key)?;
+        self.slots.get_mut(place)
+    }
+}
+
 impl Engine {
     pub(crate) fn pools(&self, urgent: u32, now: Millis) -> BTreeMap<Name, Pool> {
         let mut pools: BTreeMap<Name, Pool> = BTreeMap::new();
@@ -87,7 +110,7 @@
             }
             pool.capacity_cpu += worker.entry.capacity.cpu_millis;
             pool.free_cpu += slot.free.cpu_millis;
-            pool.slots.push(slot);
+            pool.push(slot);
         }
         pools
     }
@@ -104,28 +127,38 @@
             .is_some_and(|rack| !self.workers[key].entry.labels.contains(rack))
     }
 
-    /// Returns the workers that may run a stage now, whether or not they have room.
+    /// Returns the workers that may run a stage now and have room for it by `has_room`.
     pub(crate) fn candidates(
         &self,
         entry: Ready,
         step: &Step,
         pool: &Pool,
         advised: bool,
+        has_room: impl Fn(&Slot) -> bool,
         now: Millis,
     ) -> Vec<Candidate> {
         let stage = &self.jobs[entry.job].stages[entry.stage];
         let holds = now.after(TICKET_MARGIN);
-        pool.slots
-            .iter()
-            .filter(|slot| !advised || stage.ticket(slot.key, slot.boot, holds).is_some())
+        let candidate = |slot: &Slot| Candidate {
+            key: slot.key,
+            free: slot.free,
+            far: self.is_far(slot.key, step),
+            suspect: slot.suspect,
+            disturbs: disturbs(slot, step),
+        };
+        if !advised {
+            let slots = pool.slots.iter();
+            return slots
+                .filter(|slot| has_room(slot) && self.has_label(slot.key, step))
+                .map(candidate)
+                .collect();
+        }
+        let slots = stage.verdicts.keys().filter_map(|key| pool.slot(key));
+        slots
+            .filter(|slot| has_room(slot))
+            .filter(|slot| stage.ticket(slot.key, slot.boot, holds).is_some())
             .filter(|slot| self.has_label(slot.key, step))
-            .map(|slot| Candidate {
-                key: slot.key,
-                free: slot.free,
-                far: self.is_far(slot.key, step),
-                suspect: slot.suspect,
-                disturbs: disturbs(slot, step),
-            })
+            .map(candidate)
             .collect()
     }
 
@@ -168,7 +201,7 @@
     charge: &Resources,
 ) {
     pool.free_cpu = pool.free_cpu.saturating_sub(charge.cpu_millis);
-    for slot in pool.slots.iter_mut().filter(|slot| slot.key == key) {
+    if let Some(slot) = pool.slot_mut(key) {
         slot.free = slot.free.minus(charge);
         slot.open = slot.open.minus(charge);
         slot.soft = slot.soft.minus(charge);
@@ -193,8 +226,8 @@
 ) {
     let good = (asked.len() as f64 * good_part).max(1.0);
     let each = (waiting as f64 / good).ceil() as u64;
-    for slot in &mut pool.slots {
-        if asked.contains(&slot.key) {
+    for key in asked {
+        if let Some(slot) = pool.slot_mut(*key) {
             let likely = charge.times(each.min(fit_count(&slot.open, charge) as u64));
             slot.open = slot.open.minus(&likely);
         }
--- a/crates/workflow/src/preempt.rs
+++ b/crates/workflow/src/preempt.rs
@@ -51,9 +51,11 @@
     ) {
         let charge = step.charge();
         let mut missing = waiting;
-        let candidates = self.candidates(entry, step, pool, advised, now);
+        // Without this a pass would go through the runs of each worker for each stage.
+        let may_have_room = |slot: &Slot| charge.fits(&slot.soft);
+        let candidates = self.candidates(entry, step, pool, advised, may_have_room, now);
         for candidate in candidates {
-            let Some(slot) = pool.slots.iter_mut().find(|slot| slot.key == candidate.key) else {
+            let Some(slot) = pool.slot_mut(candidate.key) else {
                 continue;
             };
             while missing > 0 && (charge.fits(&slot.coming) || self.make_room(slot, &charge, now)) {
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -35,7 +35,6 @@
 impl Engine {
     /// Starts what can be started, and asks and stops what that needs.
     pub fn schedule(&mut self, now: Millis) {
-        self.stop_stalled(now);
         let ready = self.ready(now);
         if ready.is_empty() {
             return;
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -1,16 +1,14 @@
 //! One occurrence of a step, and its tasks.
 
-use std::collections::{
-    BTreeSet,
-    HashMap,
-    HashSet, //
-};
+use std::collections::BTreeSet;
 
 use basilbridge_common::{
     id::Name,
     unit::Millis, //
 };
 
+use slotmap::SecondaryMap;
+
 use crate::{
     progress,
     worker, //
@@ -27,6 +25,15 @@
     pub until: Millis,
 }
 
+/// What the advice service has said of a worker; it does not change, only tickets end.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// The worker may run the step, with this ticket.
+    Good(Ticket),
+    /// The worker may not.
+    Bad,
+}
+
 /// A task and its latest run.
 #[derive(Debug, Clone, Default)]
 pub struct Task {
@@ -68,12 +75,9 @@
     pub tasks: Vec<Task>,
     /// How many tasks are done.
     pub done: u32,
-    /// The tickets, by worker.
-    pub tickets: HashMap<worker::Key, Ticket>,
-    /// The workers that may run the step.
-    pub good: HashSet<worker::Key>,
-    /// The workers that may not.
-    pub bad: HashSet<worker::Key>,
+    /// What the advice service has said of workers. A pass goes through these for each stage that
+    /// waits, so they are found by their place instead of a hash.
+    pub verdicts: SecondaryMap<worker::Key, Verdict>,
     /// The workers that the advice service is asked about now.
     pub asked: Vec<worker::Key>,
     /// When the advice service may be asked again.
@@ -117,9 +121,17 @@
 
     /// Returns the ticket for `worker` in its boot, if it still holds at `now`.
     pub fn ticket(&self, worker: worker::Key, boot: u64, now: Millis) -> Option<&Ticket> {
-        self.tickets
-            .get(&worker)
-            .filter(|ticket| ticket.boot == boot && ticket.until > now)
+        match self.verdicts.get(worker)? {
+            Verdict::Good(ticket) => (ticket.boot == boot && ticket.until > now).then_some(ticket),
+            Verdict::Bad => None,
+        }
+    }
+
+    /// Takes note that a worker did not take its ticket, so that it is asked about again.
+    pub fn end_ticket(&mut self, worker: worker::Key) {
+        if let Some(Verdict::Good(ticket)) = self.verdicts.get_mut(worker) {
+            ticket.until = Millis(0);
+        }
     }
 
     /// Returns what is stored of the stage, if anything is to be.
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -7,4 +7,5 @@
 mod overload;
 mod ranks;
 mod schedules;
+mod succession;
 mod util;
--- /dev/null
+++ b/crates/workflow/tests/engine/succession.rs
@@ -0,0 +1,64 @@
+//! Who owns the workers next where VMs differ in size.
+
+use basilbridge_common::id::Name;
+use basilbridge_workflow::succession::{
+    self,
+    Candidate, //
+};
+
+/// Two large VMs among small ones, as on the grown deployments.
+fn candidates() -> Vec<Candidate> {
+    [
+        ("a1", 500),
+        ("a2", 120),
+        ("b1", 120),
+        ("b2", 500),
+        ("c1", 120),
+    ]
+    .map(|(name, cpu_millis)| Candidate {
+        name: name.into(),
+        cpu_millis,
+    })
+    .into()
+}
+
+fn sorted(holder: Option<&str>) -> Vec<String> {
+    let holder: Option<Name> = holder.map(Into::into);
+    let mut candidates = candidates();
+    succession::sort(&mut candidates, holder.as_ref());
+    candidates
+        .into_iter()
+        .map(|candidate| candidate.name.to_string())
+        .collect()
+}
+
+#[test]
+fn large_vms_go_first_and_take_turns_after_the_holder() {
+    assert_eq!(sorted(None), ["a1", "b2", "a2", "b1", "c1"]);
+    assert_eq!(sorted(Some("a1")), ["b2", "a1", "a2", "b1", "c1"]);
+    assert_eq!(sorted(Some("b1")), ["b2", "a1", "c1", "a2", "b1"]);
+}
+
+#[test]
+fn owners_stopped_one_after_the_other_never_leave_the_title_to_a_small_vm() {
+    let mut holder = "a1".to_owned();
+    for _ in 0..20 {
+        holder = sorted(Some(&holder)).remove(0);
+        assert!(["a1", "b2"].contains(&holder.as_str()), "{holder}");
+    }
+}
+
+#[test]
+fn a_small_owner_steps_aside_for_a_much_larger_vm_only() {
+    assert!(succession::steps_aside(120, 500));
+    assert!(!succession::steps_aside(500, 120));
+    assert!(!succession::steps_aside(250, 250));
+    assert!(!succession::steps_aside(250, 400));
+    assert!(!succession::steps_aside(0, 500), "its size is not known");
+}
+
+#[test]
+fn a_vm_that_starts_again_takes_its_title_back_unless_a_much_larger_one_is_there() {
+    assert!(succession::takes_back(500, &candidates()));
+    assert!(!succession::takes_back(120, &candidates()));
+}
