--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -32,8 +32,9 @@
 pub(crate) const JOB_TABLE: &str = "jobs";
 
 /// The parts of the table of jobs. At the sixtyfold slowness of the users' troubles a part makes
-/// five transactions a second, and sixteen take the 80 jobs a second of their largest bursts.
-const JOB_PARTS: u32 = 16;
+/// five transactions a second; 48 take the 80 jobs a second of their largest bursts with a third of
+/// that, so that few wait for each other.
+const JOB_PARTS: u32 = 48;
 
 /// How far jobs are.
 pub(crate) const PROGRESS_TABLE: &str = "progress/0";
