--- /dev/null
+++ b/tests/soak/cell.rs
@@ -0,0 +1,186 @@
+//! A cell of real processes, with a store and workers behind proxies.
+
+use std::{
+    fs,
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc, //
+};
+
+use basilbridge_adapter_standins::{
+    documents,
+    fleet::{
+        Fleet,
+        Manner, //
+    },
+    store::{
+        Access,
+        Door,
+        Store, //
+    },
+};
+use basilbridge_server::listener::Server;
+use rustix::process::Signal;
+
+use crate::{
+    caller::{
+        HOST,
+        KEY,
+        PREFIX, //
+    },
+    fault::{
+        Fault,
+        Kind, //
+    },
+    proxy::{
+        Mode,
+        Proxy, //
+    },
+    vm::Vm,
+};
+
+const VMS: usize = 3;
+const WORKERS: usize = 5;
+
+/// Births are counted up from here, in Unix milliseconds.
+const FIRST_BIRTH: u64 = 1_700_000_000_000;
+
+struct Worker {
+    name: String,
+    path: Proxy,
+    born: u64,
+}
+
+/// All that runs.
+pub(crate) struct Cell {
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) fleet: Arc<Fleet>,
+    store: Arc<Store>,
+    doors: Vec<Door>,
+    paths: Vec<Proxy>,
+    workers: Vec<Worker>,
+    _servers: Vec<Server>,
+}
+
+fn any(ip: &str) -> SocketAddr {
+    format!("{ip}:0").parse().expect("an address of loopback")
+}
+
+impl Cell {
+    /// Starts a cell on addresses of its own, so that several run beside each other.
+    pub(crate) async fn start(number: u64) -> io::Result<Self> {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{number}"));
+        fs::create_dir_all(&folder)?;
+        let net = format!("127.{}.{}", 20 + number / 250 % 200, number % 250);
+        let (store, fleet) = (Arc::<Store>::default(), Arc::<Fleet>::default());
+        let mut cell = Self {
+            vms: Vec::new(),
+            fleet,
+            store,
+            doors: Vec::new(),
+            paths: Vec::new(),
+            workers: Vec::new(),
+            _servers: Vec::new(),
+        };
+        for index in 0..WORKERS {
+            let name = format!("worker-{index}");
+            let server = cell.fleet.serve(&name, any(&format!("{net}.1"))).await?;
+            let path = Proxy::start(any(&format!("{net}.2")), server.address).await?;
+            cell.workers.push(Worker {
+                name,
+                path,
+                born: FIRST_BIRTH,
+            });
+            cell._servers.push(server);
+            cell.boot_worker(index);
+        }
+        let configuration = documents::configuration(3, HOST, PREFIX, KEY);
+        cell.store.write("op", "config", Some(&configuration));
+        for index in 0..VMS {
+            let door = Door::default();
+            let address = any(&format!("{net}.1"));
+            let server = cell.store.serve(address, Arc::clone(&door)).await?;
+            let path = Proxy::start(any(&format!("{net}.2")), server.address).await?;
+            let ip = format!("{net}.{}", 10 + index);
+            let vm = Vm::start(&folder, &format!("vm-{index}"), &ip, path.address)?;
+            cell.vms.push(vm);
+            cell.doors.push(door);
+            cell.paths.push(path);
+            cell._servers.push(server);
+        }
+        Ok(cell)
+    }
+
+    fn boot_worker(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        worker.born += 1;
+        self.fleet.boot(&worker.name, worker.born);
+        let entry = documents::worker(worker.path.address, worker.born);
+        self.store.write("servers", &worker.name, Some(&entry));
+    }
+
+    fn set_door(&self, index: usize, access: Access) {
+        *self.doors[index].lock().expect("no holder has panicked") = access;
+    }
+
+    /// Begins a fault.
+    pub(crate) fn begin(&mut self, fault: &Fault) {
+        let (vm, worker) = (fault.place % VMS, fault.place % WORKERS);
+        if let Some(signal) = fault.kind.signal() {
+            self.vms[vm].signal(signal);
+        }
+        match fault.kind {
+            Kind::Kill | Kind::Terminate | Kind::Pause | Kind::Reload => {}
+            Kind::StorePath(mode) => self.paths[vm].set(mode),
+            Kind::Store { access, all } => {
+                for index in (0..VMS).filter(|index| all || *index == vm) {
+                    self.set_door(index, access);
+                }
+            }
+            Kind::Compact => self.store.compact(),
+            Kind::WorkerPath(mode) => self.workers[worker].path.set(mode),
+            Kind::Worker(manner) => {
+                self.fleet.set_manner(&self.workers[worker].name, manner);
+            }
+            Kind::Reboot => self.boot_worker(worker),
+        }
+    }
+
+    /// Ends a fault.
+    pub(crate) fn end(&mut self, fault: &Fault) -> io::Result<()> {
+        let (vm, worker) = (fault.place % VMS, fault.place % WORKERS);
+        match fault.kind {
+            Kind::Kill | Kind::Terminate => self.vms[vm].boot()?,
+            Kind::Pause => self.vms[vm].signal(Signal::CONT),
+            Kind::StorePath(_) => self.paths[vm].set(Mode::Open),
+            Kind::Store { all, .. } => {
+                for index in (0..VMS).filter(|index| all || *index == vm) {
+                    self.set_door(index, Access::Open);
+                }
+            }
+            Kind::WorkerPath(_) => self.workers[worker].path.set(Mode::Open),
+            Kind::Worker(_) => {
+                self.fleet
+                    .set_manner(&self.workers[worker].name, Manner::Sound);
+            }
+            Kind::Reload | Kind::Compact | Kind::Reboot => {}
+        }
+        Ok(())
+    }
+
+    /// Ends all faults and starts what does not run.
+    pub(crate) fn heal(&mut self) -> io::Result<()> {
+        for index in 0..VMS {
+            self.vms[index].signal(Signal::CONT);
+            self.vms[index].boot()?;
+            self.paths[index].set(Mode::Open);
+            self.set_door(index, Access::Open);
+        }
+        for worker in &self.workers {
+            worker.path.set(Mode::Open);
+            self.fleet.set_manner(&worker.name, Manner::Sound);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/soak/fault.rs
@@ -0,0 +1,114 @@
+//! Faults by seed. They come in series and overlap; each ends by itself.
+
+use std::time::Duration;
+
+use basilbridge_adapter_standins::{
+    fleet::Manner,
+    store::Access, //
+};
+use rand::{
+    Rng,
+    rngs::SmallRng, //
+};
+use rustix::process::Signal;
+
+use crate::proxy::Mode;
+
+/// What is done to one part of the cell.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Kind {
+    /// A process is killed; it is started again when the fault ends.
+    Kill,
+    /// A process is told to end; it is started again when the fault ends.
+    Terminate,
+    /// A process stands still.
+    Pause,
+    /// Its settings file is said to have changed.
+    Reload,
+    /// The connections of a VM to the store.
+    StorePath(Mode),
+    /// How the store treats a VM, or all of them.
+    Store { access: Access, all: bool },
+    /// The store forgets its history.
+    Compact,
+    /// The connections to a worker.
+    WorkerPath(Mode),
+    /// How a worker treats its calls.
+    Worker(Manner),
+    /// A worker loses all it had and starts again.
+    Reboot,
+}
+
+impl Kind {
+    /// Returns the signal that begins the fault, if one does.
+    pub(crate) fn signal(self) -> Option<Signal> {
+        match self {
+            Self::Kill => Some(Signal::KILL),
+            Self::Terminate => Some(Signal::TERM),
+            Self::Pause => Some(Signal::STOP),
+            Self::Reload => Some(Signal::HUP),
+            _ => None,
+        }
+    }
+}
+
+/// A fault, its place and its time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fault {
+    pub(crate) at: Duration,
+    pub(crate) lasts: Duration,
+    pub(crate) kind: Kind,
+    /// Which VM or worker, counted from zero and beyond their number.
+    pub(crate) place: usize,
+}
+
+/// Draws the faults of a run that lasts `length`.
+pub(crate) fn draw(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < length {
+        let place = random.random_range(0..60);
+        faults.push(Fault {
+            at,
+            lasts: Duration::from_millis(random.random_range(100..3500)),
+            kind: kind(random),
+            place,
+        });
+        // A third come right behind the one before.
+        let pause = if random.random_range(0..3) == 0 {
+            random.random_range(0..60)
+        } else {
+            random.random_range(200..1200)
+        };
+        at += Duration::from_millis(pause);
+    }
+    faults
+}
+
+fn kind(random: &mut SmallRng) -> Kind {
+    let mode = [
+        Mode::Delayed(Duration::from_millis(random.random_range(5..300))),
+        Mode::Silent,
+        Mode::Deaf,
+        Mode::Closed,
+    ][random.random_range(0..4)];
+    let access = [
+        Access::Refused,
+        Access::Lost,
+        Access::Slow(Duration::from_millis(random.random_range(20..400))),
+    ][random.random_range(0..3)];
+    match random.random_range(0..16) {
+        0..=2 => Kind::Kill,
+        3 => Kind::Terminate,
+        4..=5 => Kind::Pause,
+        6 => Kind::Reload,
+        7..=8 => Kind::StorePath(mode),
+        9 => Kind::Store { access, all: false },
+        10 => Kind::Store { access, all: true },
+        11 => Kind::Compact,
+        12 => Kind::WorkerPath(mode),
+        13 => Kind::Worker(Manner::Mute),
+        14 => Kind::Worker([Manner::Late, Manner::Failing][random.random_range(0..2)]),
+        _ => Kind::Reboot,
+    }
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,324 @@
+//! One run: callers and faults for a while, then quiet, then what is owed.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use basilbridge_adapter_standins::{
+    documents,
+    fleet::{
+        Asked,
+        Fleet, //
+    },
+};
+use basilbridge_common::timer;
+use http::{
+    Method,
+    StatusCode, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+use crate::{
+    caller::{
+        Caller,
+        KEY, //
+    },
+    cell::Cell,
+    fault,
+};
+
+/// How long after the last fault an accepted job may take to be done: `finish_s` of the users'
+/// bounds.
+const FINISH_TIME: Duration = Duration::from_secs(14);
+
+/// For how long a cell may start before the first caller comes, as on the users' platform.
+const LEAD_TIME: Duration = Duration::from_secs(10);
+
+/// The most VMs that a caller tries with one job.
+const TRIES: usize = 4;
+
+/// How a submission ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Accepted,
+    /// All answers said that it does not run.
+    Refused,
+    Unknown,
+}
+
+/// What a run saw.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    accepted: usize,
+    refused: usize,
+    unknown: usize,
+    cancelled: usize,
+    faults: usize,
+    pub(crate) broken: Vec<String>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} accepted, {} refused, {} unknown, {} cancelled, {} faults, broken: {:?}",
+            self.accepted, self.refused, self.unknown, self.cancelled, self.faults, self.broken
+        )
+    }
+}
+
+/// What callers know of their jobs.
+#[derive(Debug, Default)]
+struct Book {
+    fates: BTreeMap<String, Fate>,
+    cancelled: BTreeMap<String, bool>,
+    broken: Vec<String>,
+}
+
+#[derive(Clone)]
+struct Crowd {
+    caller: Caller,
+    fleet: Arc<Fleet>,
+    vms: Arc<[SocketAddr]>,
+    timer: timer::Service,
+    book: Arc<Mutex<Book>>,
+}
+
+impl Crowd {
+    fn book(&self) -> std::sync::MutexGuard<'_, Book> {
+        self.book.lock().expect("no holder has panicked")
+    }
+
+    async fn submit(&self, id: String, asked: Asked, first: usize, cancels: bool) {
+        let body = documents::job(&asked).to_string();
+        self.fleet.ask(&id, asked);
+        let mut fate = Fate::Refused;
+        for turn in 0..TRIES {
+            let vm = self.vms[(first + turn) % self.vms.len()];
+            let answer = self
+                .caller
+                .call(vm, Method::POST, &id, KEY, body.clone())
+                .await;
+            match answer.map(|(status, _)| status) {
+                Some(status) if status.is_success() => {
+                    fate = Fate::Accepted;
+                    break;
+                }
+                Some(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {}
+                _ => fate = Fate::Unknown,
+            }
+            self.timer.sleep(Duration::from_millis(100)).await;
+        }
+        self.book().fates.insert(id.clone(), fate);
+        if cancels && fate == Fate::Accepted {
+            let vm = self.vms[first % self.vms.len()];
+            let answer = self
+                .caller
+                .call(vm, Method::DELETE, &id, KEY, String::new())
+                .await;
+            let taken = answer.is_some_and(|(status, _)| status.is_success());
+            self.book().cancelled.insert(id, taken);
+        }
+    }
+
+    /// Asks for the state of a job, and checks what is told of it.
+    async fn look(&self, id: &str, vm: SocketAddr) -> Option<String> {
+        let (status, text) = self
+            .caller
+            .call(vm, Method::GET, id, KEY, String::new())
+            .await?;
+        if status == StatusCode::GONE {
+            self.broken(format!("LOST: {id} is not known at {vm}"));
+        }
+        if text.contains("completed") && !self.fleet.is_done(id) {
+            self.broken(format!("MIXED: {id} is shown as completed"));
+        }
+        let cancelled = self.book().cancelled.contains_key(id);
+        if text.contains("failed") || (text.contains("cancelled") && !cancelled) {
+            self.broken(format!("LOST: {id} is shown as {text}"));
+        }
+        (status == StatusCode::OK).then_some(text)
+    }
+
+    async fn try_wrong_key(&self, vm: SocketAddr) {
+        let answer = self
+            .caller
+            .call(vm, Method::GET, "0000", "no-such-key", String::new())
+            .await;
+        if let Some((status, _)) = answer
+            && status != StatusCode::UNAUTHORIZED
+            && !status.is_server_error()
+        {
+            self.broken(format!("ROUTE: a wrong key is answered {status}"));
+        }
+    }
+
+    fn broken(&self, what: String) {
+        self.book().broken.push(what);
+    }
+
+    /// Sends jobs until `length` is over.
+    async fn press(&self, mut random: SmallRng, length: Duration) {
+        let begun = Instant::now();
+        let mut open = Vec::new();
+        let mut sent: Vec<String> = Vec::new();
+        while begun.elapsed() < length {
+            let id = format!("{:016x}", random.random::<u64>());
+            let count = random.random_range(1..3);
+            let steps = (0..count).map(|_| random.random_range(1..4)).collect();
+            let asked = Asked {
+                text: random.random_range(20..400).to_string(),
+                steps,
+                cpu: random.random_range(500..2000),
+            };
+            let first = random.random_range(0..self.vms.len());
+            let cancels = random.random_range(0..10) == 0;
+            sent.push(id.clone());
+            let crowd = self.clone();
+            open.push(tokio::spawn(async move {
+                crowd.submit(id, asked, first, cancels).await;
+            }));
+            let known = sent[random.random_range(0..sent.len())].clone();
+            let vm = self.vms[random.random_range(0..self.vms.len())];
+            let wrong_key = random.random_range(0..10) == 0;
+            let crowd = self.clone();
+            open.push(tokio::spawn(async move {
+                let accepted = crowd.book().fates.get(&known) == Some(&Fate::Accepted);
+                if accepted {
+                    crowd.look(&known, vm).await;
+                }
+                if wrong_key {
+                    crowd.try_wrong_key(vm).await;
+                }
+            }));
+            self.timer
+                .sleep(Duration::from_millis(random.random_range(20..80)))
+                .await;
+        }
+        for call in open {
+            call.await.expect("a caller does not panic");
+        }
+    }
+
+    /// Waits until all accepted jobs are over, and says which are not in time.
+    async fn settle(&self) {
+        let accepted: Vec<String> = {
+            let book = self.book();
+            let fates = book.fates.iter();
+            fates
+                .filter(|(_, fate)| **fate == Fate::Accepted)
+                .map(|(id, _)| id.clone())
+                .collect()
+        };
+        let begun = Instant::now();
+        let mut open = accepted;
+        let mut turn = 0;
+        while !open.is_empty() && begun.elapsed() < FINISH_TIME {
+            let mut left = Vec::new();
+            for id in open {
+                turn += 1;
+                let vm = self.vms[turn % self.vms.len()];
+                let state = self.look(&id, vm).await.unwrap_or_default();
+                if !state.contains("completed") && !state.contains("cancelled") {
+                    left.push(id);
+                }
+            }
+            open = left;
+            self.timer.sleep(Duration::from_millis(50)).await;
+        }
+        for id in open {
+            self.broken(format!("LOST: {id} is not over"));
+        }
+    }
+
+    async fn ready(&self) {
+        let begun = Instant::now();
+        for vm in self.vms.iter() {
+            while begun.elapsed() < LEAD_TIME {
+                let answer = self
+                    .caller
+                    .call(*vm, Method::GET, "0000", KEY, String::new())
+                    .await;
+                if answer.is_some_and(|(status, _)| status == StatusCode::GONE) {
+                    break;
+                }
+                self.timer.sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Runs one seed.
+pub(crate) async fn run(seed: u64, length: Duration) -> Report {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let timer = timer::Service::start();
+    let mut cell = Cell::start(seed).await.expect("a cell starts on loopback");
+    let crowd = Crowd {
+        caller: Caller::new(),
+        fleet: Arc::clone(&cell.fleet),
+        vms: cell.vms.iter().map(|vm| vm.callers).collect(),
+        timer: timer.clone(),
+        book: Arc::default(),
+    };
+    crowd.ready().await;
+    let faults = fault::draw(&mut random, length);
+    let callers = {
+        let crowd = crowd.clone();
+        tokio::spawn(async move { crowd.press(random, length).await })
+    };
+    let begun = Instant::now();
+    let mut steps: Vec<(Duration, bool, usize)> = Vec::new();
+    for (index, fault) in faults.iter().enumerate() {
+        steps.push((fault.at, true, index));
+        steps.push((fault.at + fault.lasts, false, index));
+    }
+    steps.sort();
+    for (at, begins, index) in steps {
+        timer.sleep(at.saturating_sub(begun.elapsed())).await;
+        if begins {
+            cell.begin(&faults[index]);
+        } else {
+            cell.end(&faults[index]).expect("a process starts");
+        }
+    }
+    callers.await.expect("the callers do not panic");
+    cell.heal().expect("a process starts");
+    crowd.settle().await;
+    report(&crowd, &cell, faults.len())
+}
+
+fn report(crowd: &Crowd, cell: &Cell, faults: usize) -> Report {
+    let book = crowd.book();
+    let count = |wanted: Fate| book.fates.values().filter(|fate| **fate == wanted).count();
+    let mut broken = cell.fleet.broken();
+    broken.extend(book.broken.iter().cloned());
+    let refused = book
+        .fates
+        .iter()
+        .filter(|(_, fate)| **fate == Fate::Refused);
+    for (id, _) in refused.filter(|(id, _)| cell.fleet.has_started(id)) {
+        broken.push(format!("REFUSED: {id} has run"));
+    }
+    Report {
+        accepted: count(Fate::Accepted),
+        refused: count(Fate::Refused),
+        unknown: count(Fate::Unknown),
+        cancelled: book.cancelled.values().filter(|taken| **taken).count(),
+        faults,
+        broken,
+    }
+}
