Wait for the worker that may run what an earlier owner heard of too

While the store loses answers an earlier owner goes on for seconds, hears of new jobs and starts them. Its successor took such jobs for its own when the feed told of them; it stopped runs and acknowledged ends of jobs that it did not know yet; and a worker whose entry lapsed before it had answered counted as settled.

--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -111,5 +111,6 @@
         }
     }
     engine.taken_up_to(jobs);
+    engine.loaded(now);
     From { workers, jobs }
 }
--- a/crates/workflow/src/end.rs
+++ b/crates/workflow/src/end.rs
@@ -138,6 +138,55 @@
         }
     }
 
+    /// Links what workers have told of a job before it was known here.
+    pub(crate) fn meet(&mut self, id: &Name, now: Millis) {
+        if !self.expects_news(now) {
+            return;
+        }
+        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        for key in keys {
+            let worker = &mut self.workers[key];
+            let of_job = |end: &mut Ended| end.task.job == *id;
+            let ends: Vec<Ended> = worker.orphans.extract_if(.., of_job).collect();
+            let unplaced = worker.runs.iter().filter(|(task, run)| {
+                task.job == *id && run.place.is_none() && matches!(run.phase, Phase::Confirmed(_))
+            });
+            let runs: Vec<Running> = unplaced
+                .map(|(task, run)| Running {
+                    task: task.clone(),
+                    run: run.run,
+                    checkpoint: None,
+                    percent: run.percent,
+                    figure: run.figure,
+                })
+                .collect();
+            for end in ends {
+                self.ended(key, &end, now);
+            }
+            for running in runs {
+                self.release(key, &running.task);
+                self.adopt(key, &running, now);
+            }
+        }
+    }
+
+    /// Stops the runs and gives up the ends of jobs that never came.
+    pub(crate) fn drop_unknown(&mut self, now: Millis) {
+        if self.expects_news(now) || std::mem::replace(&mut self.news_over, true) {
+            return;
+        }
+        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        for key in keys {
+            let worker = &mut self.workers[key];
+            worker.orphans.clear();
+            let unplaced = worker.runs.iter().filter(|(_, run)| run.place.is_none());
+            let tasks: Vec<TaskId> = unplaced.map(|(task, _)| task.clone()).collect();
+            for task in tasks {
+                self.stop(key, &task, Cause::Unknown, now);
+            }
+        }
+    }
+
     /// Takes over a run that an earlier owner has started, or stops it.
     fn adopt(&mut self, key: worker::Key, running: &Running, now: Millis) {
         let place = self.place(&running.task);
@@ -189,6 +238,7 @@
                 });
             }
             Some(_) => self.stop(key, &running.task, Cause::Superseded, now),
+            None if self.expects_news(now) => {}
             None => self.stop(key, &running.task, Cause::Unknown, now),
         }
     }
@@ -210,6 +260,9 @@
                 .unwrap_or_default(),
         });
         let Some(place) = self.place(&end.task) else {
+            if self.expects_news(now) {
+                self.workers[key].orphans.push(end.clone());
+            }
             return;
         };
         self.keep_checkpoint(place, end.run, end.checkpoint.as_ref());
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -109,6 +109,12 @@
     pub(crate) next_tick: Millis,
     /// Workers that may run what an earlier owner started; none once the list is settled.
     pub(crate) unsettled: Option<HashSet<Name>>,
+    /// How many such workers there were at first, and when most of them had answered.
+    pub(crate) expected: usize,
+    pub(crate) most_answered: Option<Millis>,
+    /// When the jobs were read, and whether those that came meanwhile have surely been told.
+    pub(crate) loaded: Option<Millis>,
+    pub(crate) news_over: bool,
     /// The part of the workers that were good, by queue, of the answers so far.
     pub(crate) good_part: HashMap<Name, f64>,
     pub(crate) fenced: bool,
@@ -141,6 +147,10 @@
             started: now,
             next_tick: now,
             unsettled: (!first).then(HashSet::new),
+            expected: 0,
+            most_answered: None,
+            loaded: None,
+            news_over: false,
             good_part: HashMap::new(),
             fenced: false,
             newest: Version(0),
@@ -211,7 +221,7 @@
     pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
         let announced = self.announced.remove(id);
         if version > self.newest && !announced {
-            self.accept(id, accepted, None, false, now);
+            self.accept(id, accepted, None, self.may_be_shared(now), now);
         }
     }
 
@@ -220,7 +230,7 @@
     /// The feed will tell of it later, when it may be over and forgotten.
     pub fn announce(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
         if version > self.newest && self.announced.insert(id.clone()) {
-            self.accept(id, accepted, None, false, now);
+            self.accept(id, accepted, None, self.may_be_shared(now), now);
         }
     }
 
@@ -229,9 +239,14 @@
         self.newest = self.newest.max(version);
     }
 
+    /// Takes note that all jobs that were stored when this owner began were taken in.
+    pub fn loaded(&mut self, now: Millis) {
+        self.loaded = Some(now);
+    }
+
     /// Takes in a job.
     ///
-    /// `stored` is what an earlier owner has stored of it, `inherited` whether there was one.
+    /// `stored` is what an earlier owner has stored of it, `inherited` whether one may have started it.
     pub fn accept(
         &mut self,
         id: &Name,
@@ -271,6 +286,7 @@
         };
         let key = self.jobs.insert(job);
         self.ids.insert(id.clone(), key);
+        self.meet(id, now);
     }
 
     /// Takes note that a job is over and stored as such.
@@ -431,6 +447,7 @@
         }
         self.next_tick = now.after(TICK_INTERVAL);
         self.stop_stalled(now);
+        self.drop_unknown(now);
         self.settle(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
@@ -610,7 +627,15 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        if !worker.listed && worker.runs.is_empty() && worker.taken == worker.stored {
+        // The list may lose a worker for a while that goes on with what an earlier owner gave it.
+        let may_run = worker.boot.is_none()
+            && !worker.entry.leaving
+            && self
+                .unsettled
+                .as_ref()
+                .is_some_and(|names| names.contains(&worker.entry.name));
+        let idle = worker.runs.is_empty() && worker.taken == worker.stored;
+        if !worker.listed && idle && !may_run {
             let name = worker.entry.name.clone();
             self.names.remove(&name);
             self.workers.remove(key);
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -72,12 +72,12 @@
             let untold = self
                 .workers
                 .iter()
-                .filter(|(_, worker)| worker.taken > worker.stored);
+                .filter(|(_, worker)| worker.settled_end() > worker.stored);
             batch.covered = untold
                 .map(|(key, worker)| Covered {
                     worker: key,
                     boot: worker.boot.unwrap_or_default(),
-                    number: worker.taken,
+                    number: worker.settled_end(),
                 })
                 .collect();
         }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -15,7 +15,10 @@
 
 use crate::{
     job::TaskId,
-    report::Entry, //
+    report::{
+        Ended,
+        Entry, //
+    },
 };
 
 slotmap::new_key_type! {
@@ -125,6 +128,8 @@
     pub asides: u32,
     /// When the list told of a boot that has not answered a look yet.
     pub restarted: Option<Millis>,
+    /// Ends of jobs that are not known yet, oldest first.
+    pub orphans: Vec<Ended>,
     reading: Option<Reading>,
     until: u64,
 }
@@ -148,6 +153,7 @@
             failures: Vec::new(),
             asides: 0,
             restarted: None,
+            orphans: Vec::new(),
             reading: None,
             until: 0,
         }
@@ -163,6 +169,13 @@
         self.failures.clear();
         self.asides = 0;
         self.restarted = None;
+        self.orphans.clear();
+    }
+
+    /// Returns the last end that may be acknowledged once what is known is stored.
+    pub fn settled_end(&self) -> u64 {
+        let orphan = self.orphans.iter().map(|end| end.number).min();
+        orphan.map_or(self.taken, |number| self.taken.min(number - 1))
     }
 
     /// Returns what is free.
--- a/crates/workflow/tests/engine/cell.rs
+++ b/crates/workflow/tests/engine/cell.rs
@@ -130,6 +130,7 @@
                 .accept(id, accepted.clone(), stored, true, self.now);
         }
         self.engine.taken_up_to(Version(self.version));
+        self.engine.loaded(self.now);
     }
 
     /// Lets `millis` pass in steps of ten, with a scheduling pass and looks in each.
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -336,3 +336,97 @@
     assert_eq!(cell.fleet.broken, Vec::<String>::new());
     assert_eq!(cell.state("j1"), State::Completed);
 }
+
+/// An owner whose answers from the store are lost goes on for seconds while its successor reads the
+/// jobs, and hears of new ones. Hunt on the grown Spine & Leaf site, mix seed 143463025834.
+#[test]
+fn a_job_that_the_earlier_owner_heard_of_too_waits_for_the_worker_that_may_run_it() {
+    let mut cell = Cell::new(&["w1", "w2", "w3"], |_, _| (3000, How::Done, CORE));
+    cell.run(50);
+    let job = accepted(CHECKS, cell.now, vec![step(1, CORE)]);
+    cell.submit("j1", job.clone());
+    cell.run(50);
+    let (_, _, _, on) = cell.fleet.starts[0].clone();
+    cell.jobs.clear();
+    cell.take_over();
+    let way = |name: &Name| if *name == on { Way::NoOrder } else { Way::Open };
+    cell.run_on(50, way);
+
+    cell.submit("j1", job);
+    cell.run_on(500, way);
+    cell.run(4000);
+
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+    assert_eq!(cell.starts_of("j1"), 1);
+}
+
+#[test]
+fn a_job_that_comes_once_the_earlier_owner_has_noticed_does_not_wait_for_a_silent_worker() {
+    let mut cell = Cell::new(&["w1", "w2", "w3"], quick);
+    cell.run(50);
+    cell.take_over();
+    let way = |name: &Name| {
+        if &**name == "w1" {
+            Way::NoOrder
+        } else {
+            Way::Open
+        }
+    };
+    cell.run_on(1600, way);
+
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run_on(500, way);
+
+    assert_eq!(cell.state("j1"), State::Completed);
+}
+
+/// Entries of workers lapse while the store loses writes, and come back. Hunt on the grown Spine &
+/// Leaf site, mix seed 143463025834.
+#[test]
+fn a_worker_that_the_list_loses_before_it_has_answered_the_new_owner_may_still_run_what_it_had() {
+    let mut cell = Cell::new(&["w1", "w2"], |_, _| (3000, How::Done, CORE));
+    cell.run(50);
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run(50);
+    let (_, _, _, on) = cell.fleet.starts[0].clone();
+    cell.take_over();
+
+    cell.engine.unlist(&on, cell.now);
+    cell.run_on(
+        500,
+        |name| {
+            if *name == on { Way::NoOrder } else { Way::Open }
+        },
+    );
+    cell.list_all();
+    cell.run(4000);
+
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+    assert_eq!(cell.starts_of("j1"), 1);
+}
+
+/// A job that came while the new owner read the others: workers tell of it before the feed does.
+#[test]
+fn what_workers_tell_of_a_job_that_is_not_known_yet_counts_once_it_comes() {
+    let mut cell = Cell::new(&["w1", "w2"], |task, _| {
+        let takes = if task.index == 0 { 60 } else { 3000 };
+        (takes, How::Done, CORE)
+    });
+    cell.run(50);
+    let job = accepted(CHECKS, cell.now, vec![step(2, CORE)]);
+    cell.submit("j1", job.clone());
+    cell.pass(&mut |_| Way::Open);
+    cell.fleet.advance(Millis(cell.now.0 + 100));
+    cell.jobs.clear();
+    cell.take_over();
+    cell.run(500);
+
+    cell.submit("j1", job);
+    cell.run(4000);
+
+    assert_eq!(cell.fleet.broken, Vec::<String>::new());
+    assert_eq!(cell.state("j1"), State::Completed);
+    assert_eq!(cell.starts_of("j1"), 2);
+}
