--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -1,6 +1,10 @@
 //! The log of decisions, which is bounded and never blocks.
+//!
+//! The starts of one step in one pass share a line. Where lines are short, ends that went as wanted
+//! give way to all else: what failed, was refused or lost is what an explanation needs.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Mutex,
         PoisonError, //
@@ -9,10 +13,14 @@
 };
 
 use basilbridge_common::{
+    id::Name,
     timer,
     unit::Millis, //
 };
-use basilbridge_workflow::event::Event;
+use basilbridge_workflow::{
+    event::Event,
+    report::How, //
+};
 use slog::Logger;
 
 /// The most lines a second that decisions may write: twice the starts and ends of a busy second
@@ -29,6 +37,23 @@
     left_out: u64,
 }
 
+/// The starts of one step in one pass, as `INDEX/RUN@WORKER`, and the longest wait of them.
+#[derive(Debug, Default)]
+struct Starts {
+    runs: String,
+    waited: Duration,
+}
+
+impl Starts {
+    fn add(&mut self, index: u32, run: u32, worker: &Name, waited: Duration) {
+        if !self.runs.is_empty() {
+            self.runs.push(' ');
+        }
+        self.runs.push_str(&format!("{index}/{run}@{worker}"));
+        self.waited = self.waited.max(waited);
+    }
+}
+
 /// Writes decisions as long as they are not too many.
 pub struct Decisions {
     log: Logger,
@@ -40,7 +65,7 @@
     /// Makes a log of decisions that writes to `log`.
     pub fn new(log: Logger, timer: timer::Service) -> Self {
         let budget = Budget {
-            left: LINES_PER_SECOND,
+            left: LINES_PER_SECOND * BURST.as_secs_f64(),
             at: timer.now(),
             left_out: 0,
         };
@@ -53,13 +78,18 @@
 
     /// Says whether one more line may be written, and tells how many were not.
     pub fn admit(&self) -> bool {
+        self.admit_above(0.0)
+    }
+
+    /// Does the same for a line that leaves `kept` lines to others.
+    fn admit_above(&self, kept: f64) -> bool {
         let now = self.timer.now();
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         let passed = now.since(budget.at).as_secs_f64();
         let most = LINES_PER_SECOND * BURST.as_secs_f64();
         budget.left = (budget.left + passed * LINES_PER_SECOND).min(most);
         budget.at = now;
-        if budget.left < 1.0 {
+        if budget.left < kept + 1.0 {
             budget.left_out += 1;
             return false;
         }
@@ -72,21 +102,45 @@
         true
     }
 
-    /// Writes a decision of the engine.
-    pub fn write(&self, event: &Event) {
-        if !self.admit() {
-            return;
-        }
-        let log = &self.log;
-        match event {
-            Event::Start {
+    /// Writes the decisions of one pass of the engine.
+    pub fn write(&self, events: &[Event]) {
+        let mut starts: BTreeMap<(Name, u32, u32), Starts> = BTreeMap::new();
+        for event in events {
+            if let Event::Start {
                 task,
                 run,
                 worker,
                 waited,
-            } => slog::info!(log, "start";
-                "task" => %task, "run" => run, "worker" => %worker,
-                "waited_ms" => waited.as_millis() as u64),
+            } = event
+            {
+                let step = (task.job.clone(), task.occurrence, task.step);
+                starts
+                    .entry(step)
+                    .or_default()
+                    .add(task.index, *run, worker, *waited);
+            } else {
+                self.write_one(event);
+            }
+        }
+        for ((job, occurrence, step), starts) in starts {
+            if self.admit() {
+                slog::info!(self.log, "start";
+                    "step" => format!("{job}.{occurrence}.{step}"), "runs" => starts.runs,
+                    "waited_ms" => starts.waited.as_millis() as u64);
+            }
+        }
+    }
+
+    fn write_one(&self, event: &Event) {
+        let routine = matches!(event, Event::End { how: How::Done, .. });
+        let kept = if routine { LINES_PER_SECOND } else { 0.0 };
+        if !self.admit_above(kept) {
+            return;
+        }
+        let log = &self.log;
+        match event {
+            // Starts are written together.
+            Event::Start { .. } => {}
             Event::Refused {
                 task,
                 run,
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -322,8 +322,8 @@
     };
     for event in &events {
         count(owner, event);
-        owner.node.decisions.write(event);
     }
+    owner.node.decisions.write(&events);
     for order in orders {
         dispatch::send(owner, order);
     }
--- /dev/null
+++ b/crates/cell/tests/cell/logs.rs
@@ -0,0 +1,104 @@
+//! What the log of decisions writes, and what it leaves out.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use basilbridge_cell::log::Decisions;
+use basilbridge_common::timer;
+use basilbridge_workflow::{
+    event::Event,
+    job::TaskId,
+    report::How, //
+};
+use slog::{
+    Drain,
+    Logger,
+    Never,
+    OwnedKVList,
+    Record, //
+};
+
+/// Keeps the message of each line.
+#[derive(Debug, Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Lines {
+    fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock().expect("no holder has panicked");
+        lines.iter().filter(|line| *line == message).count()
+    }
+}
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("no holder has panicked");
+        lines.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+fn decisions(lines: &Lines) -> Decisions {
+    let log = Logger::root(lines.clone(), slog::o!());
+    Decisions::new(log, timer::Service::manual())
+}
+
+fn task(step: u32, index: u32) -> TaskId {
+    TaskId {
+        job: "j1".into(),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+fn start(step: u32, index: u32) -> Event {
+    Event::Start {
+        task: task(step, index),
+        run: 1,
+        worker: "w1".into(),
+        waited: Duration::ZERO,
+    }
+}
+
+fn end(how: How) -> Event {
+    Event::End {
+        task: task(0, 0),
+        run: 1,
+        worker: "w1".into(),
+        how,
+        ran: Duration::ZERO,
+    }
+}
+
+#[test]
+fn the_starts_of_one_step_in_one_pass_share_a_line() {
+    let lines = Lines::default();
+
+    decisions(&lines).write(&[start(0, 0), start(0, 1), start(1, 0), start(0, 2)]);
+
+    assert_eq!(lines.count("start"), 2);
+}
+
+#[test]
+fn ends_that_went_well_never_take_the_place_of_what_failed() {
+    let lines = Lines::default();
+    let decisions = decisions(&lines);
+    let done: Vec<Event> = (0..2000).map(|_| end(How::Done)).collect();
+    decisions.write(&done);
+    let before = lines.count("end");
+
+    decisions.write(&[end(How::Failed), start(0, 0)]);
+
+    assert!(before < 2000, "the volume is bounded");
+    assert_eq!(lines.count("end"), before + 1);
+    assert_eq!(lines.count("start"), 1);
+    assert_eq!(lines.count("lines left out"), 1);
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Entry VMs against a store and workers in memory.
 
+mod logs;
 mod outside;
 mod requests;
 mod titles;
