Check the title after a gap, by a clock that counts suspended time

Cause: leases and signs go on while a VM is suspended, and the timer service's clock does not; a woken owner sent what had queued up before it heard that it was replaced.

Change: an owner that had no turn for 0.6 s of CLOCK_BOOTTIME sends no start before it has read the claim; how many lines were left out is told once a second.

--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -9,7 +9,10 @@
         Start,
         Stop, //
     },
-    report::Stopped,
+    report::{
+        Started,
+        Stopped, //
+    },
 };
 
 use crate::owner::Owner;
@@ -42,7 +45,11 @@
     }
     let (key, task, run) = (order.target.key, order.task.clone(), order.run);
     let begun = owner.now();
-    let answer = (owner.node.outside.workers.start)(owner.epoch(), order).await;
+    let answer = if owner.is_awake() {
+        (owner.node.outside.workers.start)(owner.epoch(), order).await
+    } else {
+        Started::Unsent
+    };
     let now = owner.now();
     owner.node.metrics.time("start_call", now.since(begun));
     owner.engine().started(key, &task, run, answer, now);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,3 +25,4 @@
 mod request;
 mod sweep;
 mod title;
+pub mod wake;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -30,11 +30,16 @@
 /// For how long unwritten lines are saved up.
 const BURST: Duration = Duration::from_secs(2);
 
+/// How often it is told how many lines were left out.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
 #[derive(Debug)]
 struct Budget {
     left: f64,
     at: Millis,
     left_out: u64,
+    /// When it was last told how many lines were left out.
+    told: Millis,
 }
 
 /// The starts of one step in one pass, as `INDEX/RUN@WORKER`, and the longest wait of them.
@@ -68,6 +73,7 @@
             left: LINES_PER_SECOND * BURST.as_secs_f64(),
             at: timer.now(),
             left_out: 0,
+            told: timer.now(),
         };
         Self {
             log,
@@ -94,7 +100,13 @@
             return false;
         }
         budget.left -= 1.0;
-        let left_out = std::mem::take(&mut budget.left_out);
+        let due = now.since(budget.told) >= TELL_INTERVAL;
+        let left_out = if due {
+            budget.told = now;
+            std::mem::take(&mut budget.left_out)
+        } else {
+            0
+        };
         drop(budget);
         if left_out > 0 {
             slog::warn!(self.log, "lines left out"; "count" => left_out);
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -74,6 +74,7 @@
         self,
         Title, //
     },
+    wake,
 };
 
 /// How often the owner gives a sign of life.
@@ -121,6 +122,7 @@
     over: watch::Sender<bool>,
     /// Whether the jobs were read.
     loaded: AtomicBool,
+    watch: wake::Watch,
     gates: Mutex<HashMap<worker::Key, Arc<Semaphore>>>,
 }
 
@@ -147,6 +149,11 @@
         }
     }
 
+    /// Says whether orders may be sent: not after a gap in which another VM may have taken the title.
+    pub(crate) fn is_awake(&self) -> bool {
+        self.watch.gap(wake::boot_time()).is_none()
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         *self.over.borrow()
     }
@@ -263,6 +270,7 @@
         engine: Mutex::new(engine),
         over: watch::Sender::new(false),
         loaded: AtomicBool::new(false),
+        watch: wake::Watch::new(wake::boot_time()),
         gates: Mutex::default(),
     });
     *node.owner() = Arc::downgrade(&owner);
@@ -292,11 +300,16 @@
     tasks.spawn(journal::run(Arc::clone(owner)));
     tasks.spawn(sweep::run(Arc::clone(owner)));
     looks::spawn_new(owner, tasks);
+    owner.watch.turn(wake::boot_time());
     loop {
         tokio::select! {
             () = owner.wake.notified() => {}
             () = owner.node.timer.sleep(IDLE_INTERVAL) => {}
         }
+        if let Some(gap) = owner.watch.gap(wake::boot_time()) {
+            check_title(owner, gap).await;
+        }
+        owner.watch.turn(wake::boot_time());
         pass(owner);
         looks::spawn_new(owner, tasks);
         looks::hurry(owner);
@@ -305,6 +318,22 @@
     }
 }
 
+/// Looks whether another VM took the title in a gap between two turns.
+///
+/// A store that does not tell is left to the workers, which know the highest epoch.
+async fn check_title(owner: &Owner, gap: Duration) {
+    let log = &owner.node.log;
+    let outcome = match title::read_claim(&owner.node).await {
+        Ok(Some((_, version))) if version == owner.title.version => "title held",
+        Ok(_) => {
+            owner.depose("the claim was replaced while this process stood still");
+            "title lost"
+        }
+        Err(_) => "title not read",
+    };
+    slog::info!(log, "woke"; "gap_ms" => gap.as_millis() as u64, "outcome" => outcome);
+}
+
 /// Makes one scheduling pass and sends off what it wants done.
 fn pass(owner: &Arc<Owner>) {
     let now = owner.now();
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -464,7 +464,7 @@
 }
 
 /// Reads the claim and its version.
-async fn read_claim(node: &Node) -> Result<Option<(Claim, Version)>> {
+pub(crate) async fn read_claim(node: &Node) -> Result<Option<(Claim, Version)>> {
     let range = Range {
         table: TITLE_TABLE.into(),
         from: Some(CLAIM_KEY.to_owned()),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,3 +5,4 @@
 mod requests;
 mod titles;
 mod vm;
+mod wakes;
