Let no job wait for silent workers after an owner that had surely ended

Change: a claim tells whether the owner before had ended: it gave the title back, or another process, or this VM's own, answers in its place. Then only what was stored before the claim is inherited.

Test seen failing without it.

--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -254,6 +254,7 @@
 pub(crate) async fn own(node: &Arc<Node>, title: Title) {
     let settings = engine::Settings {
         epoch: title.claim.epoch,
+        predecessor_ended: title.predecessor_ended,
         lease: node.config.lease(),
         longest_lease: node.config.longest_lease,
     };
--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -138,6 +138,8 @@
     pub(crate) claim: Claim,
     /// The workers that the owner before knew.
     pub(crate) workers: Vec<Name>,
+    /// Whether the owner before had surely ended at the claim.
+    pub(crate) predecessor_ended: bool,
 }
 
 impl Title {
@@ -275,6 +277,17 @@
         )
     }
 
+    /// Says whether the owner that the claim names has surely ended: it gave the title back, or was an
+    /// earlier process of the VM `own` or of one that another process answers for.
+    fn has_owner_ended(&self, own: &Name) -> bool {
+        self.claim.as_ref().is_none_or(|held| {
+            let claim = &held.claim;
+            let replaced = Absence::Replaced(claim.nonce);
+            let answers = self.absence.is_some_and(|(absence, _)| absence == replaced);
+            claim.released || claim.holder == *own || answers
+        })
+    }
+
     /// Returns how many VMs go before `own` when the title of `holder` is free.
     fn turn(&self, own: &Name, holder: Option<&Name>) -> u32 {
         let order = self.successors(holder);
@@ -411,10 +424,11 @@
 }
 
 async fn claim(node: &Arc<Node>) -> Option<Title> {
-    let (before, sign, workers) = {
+    let (before, sign, workers, predecessor_ended) = {
         let view = node.title.lock();
         let sign = view.sign.as_ref().map(|sign| sign.version);
-        (view.claim.clone(), sign, view.workers.clone())
+        let ended = view.has_owner_ended(&node.config.name);
+        (view.claim.clone(), sign, view.workers.clone(), ended)
     };
     let claim = Claim {
         holder: node.config.name.clone(),
@@ -449,6 +463,7 @@
         version,
         claim,
         workers,
+        predecessor_ended,
     })
 }
 
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -74,6 +74,7 @@
     };
     let settings = Settings {
         epoch: 0,
+        predecessor_ended: true,
         lease: Duration::from_millis(5500),
         longest_lease: Duration::from_secs(6),
     };
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -84,6 +84,8 @@
 pub struct Settings {
     /// How many owners there were before this one.
     pub epoch: u32,
+    /// Whether the owner before this one had surely ended when this one began.
+    pub predecessor_ended: bool,
     /// For how long a task goes on without a word from its owner.
     pub lease: Duration,
     /// The longest lease that a worker grants.
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -39,18 +39,19 @@
     }
 
     /// Says whether the earlier owner may still start what comes in now: it notices that it was
-    /// replaced by the first of the workers that have answered us, so once most have.
+    /// replaced by the first of the workers that have answered us, so once most have. One that had
+    /// ended before has heard of nothing that is not stored.
     pub(crate) fn may_be_shared(&self, now: Millis) -> bool {
         let noticed = self
             .most_answered
             .is_some_and(|since| now.since(since) >= NOTICE_TIME);
-        !self.is_settled() && !noticed
+        !self.settings.predecessor_ended && !self.is_settled() && !noticed
     }
 
     /// Says whether what workers tell of unknown jobs may be about jobs that are still to come.
     pub(crate) fn expects_news(&self, now: Millis) -> bool {
         let loaded = self.loaded.unwrap_or(self.started);
-        self.settings.epoch > 0 && now.since(loaded) < NEWS_TIME
+        !self.settings.predecessor_ended && self.settings.epoch > 0 && now.since(loaded) < NEWS_TIME
     }
 
     /// Says whether tasks of an earlier owner may be started.
--- a/crates/workflow/tests/engine/cell.rs
+++ b/crates/workflow/tests/engine/cell.rs
@@ -10,7 +10,10 @@
     unit::Millis,
 };
 use basilbridge_workflow::{
-    engine::Engine,
+    engine::{
+        Engine,
+        Settings, //
+    },
     event::Event,
     job::{
         Accepted,
@@ -119,8 +122,17 @@
 
     /// Replaces the owner by one that knows only what is stored.
     pub(crate) fn take_over(&mut self) {
+        self.take_over_from(false);
+    }
+
+    /// Does the same from an owner that had ended, or may go on for a while.
+    pub(crate) fn take_over_from(&mut self, ended: bool) {
         self.epoch += 1;
-        self.engine = Engine::new(settings(self.epoch), policy(0), self.now);
+        let settings = Settings {
+            predecessor_ended: ended,
+            ..settings(self.epoch)
+        };
+        self.engine = Engine::new(settings, policy(0), self.now);
         let names: Vec<Name> = self.fleet.workers.keys().cloned().collect();
         self.engine.expect(names);
         self.list_all();
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -430,3 +430,25 @@
     assert_eq!(cell.state("j1"), State::Completed);
     assert_eq!(cell.starts_of("j1"), 2);
 }
+
+/// All VMs lose power while workers are dark: what comes after it must not wait for their leases.
+/// Standard days scale-2 and trouble-1 of the Vodní záchrana site.
+#[test]
+fn a_job_that_comes_after_the_end_of_the_earlier_owner_does_not_wait_for_a_silent_worker() {
+    let mut cell = Cell::new(&["w1", "w2", "w3"], quick);
+    cell.run(50);
+    cell.take_over_from(true);
+    let way = |name: &Name| {
+        if &**name == "w1" {
+            Way::NoOrder
+        } else {
+            Way::Open
+        }
+    };
+    cell.run_on(20, way);
+
+    cell.submit("j1", accepted(CHECKS, cell.now, vec![step(1, CORE)]));
+    cell.run_on(500, way);
+
+    assert_eq!(cell.state("j1"), State::Completed);
+}
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -40,6 +40,7 @@
 pub(crate) fn settings(epoch: u32) -> Settings {
     Settings {
         epoch,
+        predecessor_ended: false,
         lease: Duration::from_millis(5500),
         longest_lease: Duration::from_secs(6),
     }
