Take an owner for ended only if it had acted long enough for the one before to notice

A claim whose answer is lost may never be acted on while the owner before goes on; its maker would have taken that owner for ended, and its own claim for an earlier process.

Change: the claim's holder must have given eight signs, with the jobs read, and an earlier process is one with another number.

--- a/crates/cell/src/title.rs
+++ b/crates/cell/src/title.rs
@@ -69,6 +69,10 @@
 /// The least time between the claims of two VMs: a claim and the way of the news of it.
 const CLAIM_STEP: Duration = Duration::from_millis(30);
 
+/// After how many signs the owner before has surely noticed that it was replaced: four seconds of
+/// them, which is twice the time that it may take, with that of reading the jobs.
+const SETTLED_BEATS: u64 = 8;
+
 /// A VM takes over from an owner that misses the store only if the store answers it faster than
 /// this; a store that is slow for all is no reason to.
 const QUICK_STORE: Duration = Duration::from_millis(100);
@@ -277,15 +281,27 @@
         )
     }
 
-    /// Says whether the owner that the claim names has surely ended: it gave the title back, or was an
-    /// earlier process of the VM `own` or of one that another process answers for.
-    fn has_owner_ended(&self, own: &Name) -> bool {
-        self.claim.as_ref().is_none_or(|held| {
-            let claim = &held.claim;
-            let replaced = Absence::Replaced(claim.nonce);
-            let answers = self.absence.is_some_and(|(absence, _)| absence == replaced);
-            claim.released || claim.holder == *own || answers
-        })
+    /// Says whether the owner that the claim names, and any before it, has surely ended: it gave the
+    /// title back, or was an earlier process of the VM `own` or of one that another process answers
+    /// for.
+    ///
+    /// A claim whose answer was lost may never have been acted on while the owner before went on, so
+    /// its holder has to have given signs for long enough that the owner before has noticed.
+    fn has_owner_ended(&self, own: &Name, nonce: u64) -> bool {
+        let Some(held) = &self.claim else {
+            return true;
+        };
+        let claim = &held.claim;
+        let lasting =
+            |sign: &&Sign| sign.pulse.unstarted.is_some() && sign.pulse.beat >= SETTLED_BEATS;
+        let Some(sign) = self.sign.as_ref().filter(lasting) else {
+            return false;
+        };
+        let earlier = claim.holder == *own && claim.nonce != nonce;
+        let replaced = Absence::Replaced(claim.nonce);
+        let answers = self.absence.is_some_and(|(absence, _)| absence == replaced);
+        // Giving the title back changes the claim, so no sign is newer than it then.
+        claim.released || (sign.version > held.version && (earlier || answers))
     }
 
     /// Returns how many VMs go before `own` when the title of `holder` is free.
@@ -427,7 +443,7 @@
     let (before, sign, workers, predecessor_ended) = {
         let view = node.title.lock();
         let sign = view.sign.as_ref().map(|sign| sign.version);
-        let ended = view.has_owner_ended(&node.config.name);
+        let ended = view.has_owner_ended(&node.config.name, node.nonce);
         (view.claim.clone(), sign, view.workers.clone(), ended)
     };
     let claim = Claim {
