Ask and use workers in doubt where no other may run a task

Cause: a step that takes advice may run on a single approved worker. A quarantine had the same effect for up to 24 s.

Change: doubt orders workers last and no longer shuts them out. A retry avoids the worker that failed it, and the last attempt any worker in doubt, for at most 1 s and only while another worker may run it (workflow::retry). A job that fails on several workers clears them of the suspicion.

--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -24,11 +24,13 @@
         claim_capacity,
         fit_count, //
     },
+    retry,
     schedule::{
         Ready,
         TICKET_MARGIN, //
     },
     stage::{
+        Stage,
         Ticket,
         Verdict, //
     },
@@ -105,10 +107,16 @@
                 .min(max_per_worker)
                 .min(waiting)
         };
+        // A call takes longer with each worker that it names, so workers in doubt are named only if
+        // no other may run the stage, or none has become free in time.
+        let waited = waited(stage, now);
+        let trusted = self.has_trusted_worker(ready, step, pool, &[]);
         let is_eligible = |slot: &Slot| {
+            let is_trusted = !slot.suspect && !slot.quarantined;
+            let is_last_resort = !trusted || (!slot.quarantined && waited >= retry::MAX_WAIT);
             stage.ticket(slot.key, slot.boot, needed_until).is_none()
                 && stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
-                && !slot.suspect
+                && (is_trusted || is_last_resort)
                 && self.has_label(slot.key, step)
         };
         let mut slots = pool.slots.iter();
@@ -220,3 +228,10 @@
         *average += (rate - *average) * APPROVAL_RATE_GAIN;
     }
 }
+
+/// Returns the longest time for which a task of the stage has waited.
+fn waited(stage: &Stage, now: Millis) -> Duration {
+    let waiting = stage.tasks.iter().filter(|task| task.is_waiting());
+    let since = waiting.map(|task| task.waiting_since).min();
+    since.map_or(Duration::ZERO, |since| now.since(since))
+}
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -696,6 +696,12 @@
         });
     }
 
+    /// Returns the number of failed runs of one task after which a job fails.
+    pub(crate) fn max_attempts(&self, key: JobKey) -> usize {
+        self.queue(&self.jobs[key])
+            .map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize)
+    }
+
     /// Returns the queue of a job.
     pub(crate) fn queue(&self, job: &Job) -> Option<&Queue> {
         self.policy.queues.get(&job.accepted.queue)
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rank;
 pub mod report;
 pub mod reserve;
+pub mod retry;
 pub mod schedule;
 pub mod selection;
 pub mod stage;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -28,6 +28,10 @@
         deduct, //
     },
     reserve,
+    retry::{
+        self,
+        Attempt, //
+    },
     schedule::Ready,
     selection::{
         self,
@@ -58,6 +62,7 @@
             return;
         }
         let count = self.jobs[ready.job].stages[ready.stage].tasks.len();
+        let max_attempts = self.max_attempts(ready.job);
         let may_use_reserve = is_urgent || step.long_running;
         let mut on_worker = match step.max_per_worker {
             Some(_) => self.tasks_by_worker(ready),
@@ -77,6 +82,16 @@
             if !fits {
                 return;
             }
+            // Only a task that has failed before may have to look for another worker.
+            let alternative = !task.failed_runs.is_empty()
+                && self.has_trusted_worker(ready, step, pool, &task.failed_workers);
+            let attempt = Attempt {
+                failed_here: false,
+                suspect: false,
+                is_last: task.failed_runs.len() + 1 >= max_attempts,
+                long_running: step.long_running,
+                waited: now.since(task.waiting_since),
+            };
             let allowed = candidates
                 .iter()
                 .filter(|candidate| {
@@ -86,8 +101,19 @@
                 .map(|candidate| Candidate {
                     suspect: candidate.suspect || task.failed_workers.contains(&candidate.key),
                     ..*candidate
+                })
+                .filter(|candidate| {
+                    let attempt = Attempt {
+                        failed_here: task.failed_workers.contains(&candidate.key),
+                        suspect: candidate.suspect,
+                        ..attempt
+                    };
+                    retry::admits(&attempt, alternative)
                 });
             let Some(key) = selection::best_fit(allowed, &demand) else {
+                if alternative {
+                    continue;
+                }
                 return;
             };
             let epoch_first = self.settings.epoch * RUNS_PER_EPOCH + 1;
@@ -115,7 +141,12 @@
             return;
         }
         let has_capacity = |slot: &Slot| demand.fits(&slot.free);
-        let all = self.candidates(ready, step, pool, advised, has_capacity, now);
+        let tasks = &self.jobs[ready.job].stages[ready.stage].tasks;
+        let has_failed = |key| tasks.iter().any(|task| task.failed_workers.contains(&key));
+        let mut all = self.candidates(ready, step, pool, advised, has_capacity, now);
+        for candidate in &mut all {
+            candidate.suspect |= has_failed(candidate.key);
+        }
         let mut groups: Vec<Vec<Candidate>> = Vec::new();
         if step.same_rack {
             let mut racks: BTreeMap<Option<Name>, Vec<Candidate>> = BTreeMap::new();
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -20,6 +20,7 @@
         TICKET_MARGIN, //
     },
     selection::Candidate,
+    stage::Verdict,
     worker::{
         self,
         Phase, //
@@ -40,8 +41,13 @@
     pub(crate) expected_free: Resources,
     /// Free capacity if all runs that may be preempted for the most urgent work were gone.
     pub(crate) reclaimable: Resources,
+    /// Total capacity.
+    pub(crate) capacity: Resources,
     /// Whether a job has failed there since the last success.
     pub(crate) suspect: bool,
+    /// Whether jobs have failed there, one after the other, so that it gets only work that no other
+    /// worker may run.
+    pub(crate) quarantined: bool,
     /// Whether it runs a task with a latency target.
     pub(crate) serving: bool,
     /// Whether it runs a best-effort task.
@@ -59,6 +65,8 @@
     pub(crate) capacity_cpu: u64,
     /// Free part of it.
     pub(crate) free_cpu: u64,
+    /// Whether one of the workers is quarantined.
+    has_quarantined: bool,
 }
 
 impl Pool {
@@ -95,7 +103,9 @@
                 unclaimed: worker.free(),
                 expected_free: worker.free(),
                 reclaimable: worker.free(),
+                capacity: worker.info.capacity,
                 suspect: !worker.failed_jobs.is_empty(),
+                quarantined: worker.quarantined_until > now,
                 serving: false,
                 best_effort: false,
             };
@@ -120,8 +130,12 @@
                     slot.reclaimable = slot.reclaimable.plus(&run.demand);
                 }
             }
-            pool.capacity_cpu += worker.info.capacity.cpu_millis;
-            pool.free_cpu += slot.free.cpu_millis;
+            if slot.quarantined {
+                pool.has_quarantined = true;
+            } else {
+                pool.capacity_cpu += worker.info.capacity.cpu_millis;
+                pool.free_cpu += slot.free.cpu_millis;
+            }
             pool.push(slot);
         }
         pools
@@ -153,6 +167,10 @@
     ) -> Vec<Candidate> {
         let stage = &self.jobs[ready.job].stages[ready.stage];
         let needed_until = now.after(TICKET_MARGIN);
+        let may_use_quarantined =
+            pool.has_quarantined && !self.has_trusted_worker(ready, step, pool, &[]);
+        let has_capacity =
+            |slot: &Slot| has_capacity(slot) && (!slot.quarantined || may_use_quarantined);
         let candidate = |slot: &Slot| Candidate {
             key: slot.key,
             free: slot.free,
@@ -176,6 +194,27 @@
             .collect()
     }
 
+    /// Returns whether a worker that is not in doubt may run a stage, now or once it has the
+    /// capacity or a ticket. The workers in `failed` do not count.
+    pub(crate) fn has_trusted_worker(
+        &self,
+        ready: Ready,
+        step: &Step,
+        pool: &Pool,
+        failed: &[worker::Key],
+    ) -> bool {
+        let stage = &self.jobs[ready.job].stages[ready.stage];
+        let demand = step.demand();
+        pool.slots.iter().any(|slot| {
+            !slot.suspect
+                && !slot.quarantined
+                && demand.fits(&slot.capacity)
+                && stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
+                && !failed.contains(&slot.key)
+                && self.has_label(slot.key, step)
+        })
+    }
+
     /// Returns the number of runs of a stage on each worker.
     pub(crate) fn tasks_by_worker(&self, ready: Ready) -> BTreeMap<worker::Key, u32> {
         let mut counts = BTreeMap::new();
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -121,6 +121,8 @@
     pub unresponsive: bool,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
+    /// Time until which it gets only work that no other worker may run.
+    pub quarantined_until: Millis,
     /// Whether a task polls it.
     pub polled: bool,
     /// Whether it has to be polled at once.
@@ -152,6 +154,7 @@
             last_response: None,
             unresponsive: false,
             avoid_until: Millis(0),
+            quarantined_until: Millis(0),
             polled: false,
             poll_now: true,
             failed_jobs: Vec::new(),
@@ -170,8 +173,7 @@
         self.stored = 0;
         self.clock_reading = None;
         self.lease_end = 0;
-        self.failed_jobs.clear();
-        self.quarantines = 0;
+        self.exonerate();
         self.reboot_listed_at = None;
         self.unmatched_ends.clear();
     }
@@ -193,6 +195,13 @@
         first_unmatched.map_or(self.received, |sequence| self.received.min(sequence - 1))
     }
 
+    /// Ends the suspicion that the worker fails what it starts.
+    pub fn exonerate(&mut self) {
+        self.failed_jobs.clear();
+        self.quarantines = 0;
+        self.quarantined_until = Millis(0);
+    }
+
     /// Returns the free capacity.
     pub fn free(&self) -> Resources {
         self.info.capacity.minus(&self.used)
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -339,9 +339,7 @@
         for (other, task) in redundant {
             self.stop(other, &task, Cause::Superseded, now);
         }
-        let worker = &mut self.workers[key];
-        worker.failed_jobs.clear();
-        worker.quarantines = 0;
+        self.workers[key].exonerate();
         if complete {
             self.end_job(position.job, State::Completed, now);
         }
@@ -349,13 +347,9 @@
 
     /// Counts a failed run, and fails the job once a task has used up its attempts.
     fn handle_failure(&mut self, key: worker::Key, position: TaskPosition, run: u32, now: Millis) {
+        let max_attempts = self.max_attempts(position.job);
         let job = &mut self.jobs[position.job];
         let id = job.id.clone();
-        let max_attempts = self
-            .policy
-            .queues
-            .get(&job.accepted.queue)
-            .map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize);
         let step = &job.accepted.spec.steps[job.stages[position.stage].step];
         let (gang, long_running) = (step.gang, step.long_running);
         let tasks = &mut job.stages[position.stage].tasks;
@@ -370,13 +364,34 @@
             task.failed_runs.insert(run);
             exhausted |= task.failed_runs.len() >= max_attempts;
         }
-        tasks[position.index].failed_workers.push(key);
+        let failed_workers = &mut tasks[position.index].failed_workers;
+        if !failed_workers.contains(&key) {
+            failed_workers.push(key);
+        }
+        let failed_workers = failed_workers.clone();
         self.attribute_failure(key, &id, now);
         if exhausted && !long_running {
+            if failed_workers.len() > 1 {
+                self.attribute_to_job(&id, &failed_workers);
+            }
             self.end_job(position.job, State::Failed, now);
         }
     }
 
+    /// Clears the workers on which a job has failed of the suspicion, since the job has failed on
+    /// several of them.
+    fn attribute_to_job(&mut self, job: &Name, failed_workers: &[worker::Key]) {
+        for key in failed_workers {
+            let Some(worker) = self.workers.get_mut(*key) else {
+                continue;
+            };
+            worker.failed_jobs.retain(|failed| failed != job);
+            if worker.failed_jobs.is_empty() {
+                worker.exonerate();
+            }
+        }
+    }
+
     /// Quarantines a worker on which tasks of several jobs have failed without a success in
     /// between.
     fn attribute_failure(&mut self, key: worker::Key, job: &Name, now: Millis) {
@@ -389,7 +404,7 @@
         }
         if worker.failed_jobs.len() >= QUARANTINE_AFTER_JOBS {
             let quarantine = INITIAL_QUARANTINE * 2_u32.pow(worker.quarantines.min(MAX_DOUBLINGS));
-            worker.avoid_until = worker.avoid_until.max(now.after(quarantine));
+            worker.quarantined_until = worker.quarantined_until.max(now.after(quarantine));
             worker.quarantines += 1;
             let name = worker.info.name.clone();
             self.push_worker_event(&name, "put aside: tasks of several jobs failed");
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod overload;
 mod ranks;
+mod retries;
 mod schedules;
 mod simulation;
 mod util;
