Read the configuration again before a VM judges requests that its peers have answered

Cause: a VM cut off from the store hands requests to peers, which judge by a newer configuration.

Change: a request that a peer has answered, or an outage of the store beyond STORE_TIMEOUT, puts the configuration in doubt.

Test: cell requests::a_vm_whose_peers_have_answered_reads_its_configuration_before_it_answers_itself, seen failing without the wait.

--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -87,12 +87,14 @@
 ) {
     let mut version_read = start;
     loop {
+        let begun = node.timer.now();
         let Some(after) = version_read else {
             match read_all(node, parts).await {
                 // Applying a page older than what this VM has seen would revert changes.
                 Ok((_, version)) if version < node.latest_version() => {}
                 Ok((rows, version)) => {
                     apply(Update::All(rows));
+                    node.record_feed_answer(table, begun);
                     version_read = Some(version);
                     continue;
                 }
@@ -108,8 +110,12 @@
                     continue;
                 }
                 version_read = Some(page.version);
-                if !page.rows.is_empty() {
+                let changed = !page.rows.is_empty();
+                if changed {
                     apply(Update::Changed(page.rows));
+                }
+                node.record_feed_answer(table, begun);
+                if changed {
                     if !min_interval.is_zero() {
                         node.timer.sleep(min_interval).await;
                     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod election;
 mod feed;
+pub mod freshness;
 pub mod ingress;
 mod job_store;
 mod journal;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -46,7 +46,10 @@
 };
 use slog::Logger;
 use tokio::{
-    sync::watch,
+    sync::{
+        Notify,
+        watch, //
+    },
     task::JoinSet, //
 };
 
@@ -66,6 +69,7 @@
         self,
         Update, //
     },
+    freshness::Freshness,
     ingress,
     log::DecisionLog,
     metrics::{
@@ -131,6 +135,11 @@
     owner: Mutex<Weak<Owner>>,
     configuration: watch::Sender<Arc<Configuration>>,
     store_health: Mutex<StoreHealth>,
+    freshness: Mutex<Freshness>,
+    /// Triggers a read of the configuration.
+    read_configuration: Notify,
+    /// Signals that the configuration was read.
+    configuration_read: Notify,
     latest_version: AtomicU64,
 }
 
@@ -169,6 +178,9 @@
                 mean_latency: Duration::ZERO,
                 failed_parts: HashMap::new(),
             }),
+            freshness: Mutex::default(),
+            read_configuration: Notify::new(),
+            configuration_read: Notify::new(),
             latest_version: AtomicU64::new(0),
             config,
             timer,
@@ -350,14 +362,52 @@
         self.latest_version.fetch_max(version.0, Ordering::Relaxed);
         let now = self.timer.now();
         let mut store_health = self.lock_store_health();
+        let silent = now.since(store_health.last);
         store_health.last = now;
         if store_health.answering_since.is_none() {
             store_health.answering_since = Some(now);
             drop(store_health);
             slog::info!(self.log, "store regained");
+            if silent >= STORE_TIMEOUT {
+                self.doubt_configuration();
+            }
+        }
+    }
+
+    /// Records that other VMs may have a newer configuration than this one.
+    pub(crate) fn doubt_configuration(&self) {
+        self.lock_freshness().doubt(self.timer.now());
+        self.read_configuration.notify_one();
+    }
+
+    /// Records that the table was read by a call that began at `begun`, and its rows were applied.
+    pub(crate) fn record_feed_answer(&self, table: &Name, begun: Millis) {
+        if *table == self.clients.store.configuration_table {
+            self.lock_freshness().confirm(begun);
+            self.configuration_read.notify_waiters();
         }
     }
 
+    /// Waits up to `limit` until the configuration is known to be current. Returns whether it is.
+    pub(crate) async fn wait_for_current_configuration(&self, limit: Duration) -> bool {
+        let read = async {
+            loop {
+                let read = self.configuration_read.notified();
+                if self.lock_freshness().is_current() {
+                    return;
+                }
+                read.await;
+            }
+        };
+        self.timer.timeout(limit, read).await.is_some()
+    }
+
+    fn lock_freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a call to the store failed; logs the first failure after an answer.
     pub(crate) fn record_store_failure(&self, error: &Error) {
         let mut store_health = self.lock_store_health();
@@ -377,13 +427,17 @@
 
     async fn follow_configuration(self: Arc<Self>) {
         let table = self.clients.store.configuration_table.clone();
-        let node = Arc::clone(&self);
         let parts = [table.clone()];
-        feed::follow(&self, &table, &parts, None, Duration::ZERO, move |update| {
-            let (Update::All(rows) | Update::Changed(rows)) = update;
-            node.apply_configuration(&rows);
-        })
-        .await;
+        loop {
+            let follow = feed::follow(&self, &table, &parts, None, Duration::ZERO, |update| {
+                let (Update::All(rows) | Update::Changed(rows)) = update;
+                self.apply_configuration(&rows);
+            });
+            tokio::select! {
+                () = follow => {}
+                () = self.read_configuration.notified() => {}
+            }
+        }
     }
 
     fn apply_configuration(&self, rows: &[Row]) {
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -38,6 +38,10 @@
 /// The retry time given to callers of a VM that has no configuration yet.
 const START_RETRY: Duration = Duration::from_secs(1);
 
+/// How long a request waits until this VM has read its configuration again: one read and one
+/// retry.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
+
 /// The delay before a request with unknown outcome is retried.
 const RETRY: Duration = Duration::from_millis(80);
 
@@ -121,7 +125,10 @@
             match forward(node, request, address, deadline).await {
                 Err(error) if error.kind == Kind::OutcomeUnknown => unknown = true,
                 Err(error) if is_store_failure(error.kind) => {}
-                result => return replace_error_if_unknown(unknown, result),
+                result => {
+                    node.doubt_configuration();
+                    return replace_error_if_unknown(unknown, result);
+                }
             }
         }
         if !unknown {
@@ -202,6 +209,14 @@
 }
 
 async fn answer_here(node: &Arc<Node>, request: &Request, deadline: Millis) -> Result<Value> {
+    if !node
+        .wait_for_current_configuration(CONFIGURATION_WAIT)
+        .await
+    {
+        let message = "the configuration may be out of date";
+        let error = Error::new(Kind::StaleConfiguration, message);
+        return Err(error.with_retry_after(START_RETRY));
+    }
     let configuration = node.configuration();
     let call = resolve(request, &configuration)?;
     let formats = &node.clients.formats;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod elections;
 mod fake_platform;
+mod freshness;
 mod logs;
 mod requests;
 mod stalls;
--- a/crates/cell/tests/cell/requests.rs
+++ b/crates/cell/tests/cell/requests.rs
@@ -106,6 +106,40 @@
     assert_eq!(unknown, StatusCode::BAD_GATEWAY);
 }
 
+/// A VM that judged by its old configuration again after its peers had answered for it would undo a
+/// change that callers have seen. Found on the standard day scale-2 of the grown Spine & Leaf site.
+#[tokio::test]
+async fn a_vm_whose_peers_have_answered_reads_its_configuration_before_it_answers_itself() {
+    let platform = FakePlatform::new(&["w1"]);
+    let (cut_off, connected) = (start(&platform, "a").await, start(&platform, "b").await);
+    until("the entry of the peer", async || {
+        cut_off.node.is_ready() && connected.node.is_ready() && cut_off.node.knows_peer("b")
+    })
+    .await;
+    platform.set_store_mode("a", StoreMode::Unavailable);
+    until("the loss of the store", async || {
+        !cut_off.node.is_store_reachable()
+    })
+    .await;
+    // The key is withdrawn.
+    platform.write("operator", "configuration", "10");
+    until("the new configuration", async || {
+        connected.node.configuration().version == 10
+    })
+    .await;
+    let forwarded = submit(&cut_off, "j1").await;
+
+    platform.set_store_mode("a", StoreMode::TableUnavailable("operator"));
+    until("the return of the store", async || {
+        cut_off.node.is_store_reachable()
+    })
+    .await;
+    let answered = submit(&cut_off, "j2").await;
+
+    assert_eq!(forwarded, StatusCode::UNAUTHORIZED);
+    assert_eq!(answered, StatusCode::UNAUTHORIZED);
+}
+
 #[tokio::test]
 async fn a_request_without_a_store_is_refused_at_once_with_a_retry_time() {
     let platform = FakePlatform::new(&["w1"]);
