Ignore checkpoints of runs that outlast their jobs

Cause: a superseded run keeps the position of its task after its job is stored and removed; the next report of its checkpoint indexed the removed job and panicked. Test: jobs::a_checkpoint_of_a_run_that_outlasts_its_job_is_ignored, seen failing.

--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -425,7 +425,11 @@
         let Some(checkpoint) = checkpoint else {
             return;
         };
-        let task = &mut self.jobs[position.job].stages[position.stage].tasks[position.index];
+        // A run that was superseded can outlast its job.
+        let Some(job) = self.jobs.get_mut(position.job) else {
+            return;
+        };
+        let task = &mut job.stages[position.stage].tasks[position.index];
         if run >= task.checkpoint_run {
             task.checkpoint_run = run;
             task.checkpoint = Some(checkpoint.clone());
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -14,7 +14,10 @@
         State,
         TaskId, //
     },
-    report::Outcome,
+    report::{
+        Outcome,
+        Running, //
+    },
 };
 
 use crate::{
@@ -483,3 +486,44 @@
     assert_eq!(sim.state("j2"), State::Completed);
     assert_eq!(sim.starts_of("j2"), 1);
 }
+
+/// The run of an earlier owner can outlast its job, which another run has completed. The engine
+/// panicked when its worker reported a checkpoint, and the worker was not polled any more. Found by
+/// the supervision of the owner's tasks on the standard day trouble-3 of the Pasar Sewa site.
+#[test]
+fn a_checkpoint_of_a_run_that_outlasts_its_job_is_ignored() {
+    let mut sim = Simulation::new(&["w1", "w2"], quick);
+    sim.run(50);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    sim.run(20);
+    let (_, task, run, worker) = sim.fleet.starts[0].clone();
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    let key = sim.engine.worker_key(other).expect("it is listed");
+    let poll = sim.engine.poll(key, sim.now).expect("it is known");
+    let mut inventory = sim.fleet.poll(1, &poll, sim.now).expect("the epoch holds");
+    inventory.running.push(Running {
+        task,
+        run,
+        checkpoint: Some("saved".into()),
+        percent: 10.0,
+        measurement: 0.0,
+    });
+    sim.engine
+        .handle_inventory(key, sim.now, sim.now, &inventory);
+    let stops_are_lost = |name: &Name| {
+        if &**name == other {
+            Link::LostOrder
+        } else {
+            Link::Normal
+        }
+    };
+    sim.run_on(1000, stops_are_lost);
+    let stored = sim.state("j1");
+
+    inventory.clock += 2000;
+    sim.engine
+        .handle_inventory(key, sim.now, sim.now, &inventory);
+
+    assert_eq!(stored, State::Completed);
+    assert!(sim.engine.job("j1").is_none());
+}
