Send heartbeats without waiting for answers, read jobs in part, and less often while history is lost

Change: a complete read waits ten times as long as the last one took; a poll waits 0.3 s for the store; reads of parts are bounded by the link; a heartbeat does not wait for the answer to the one before; the silence that replaces an owner follows from how its heartbeats have come (election::Arrivals).

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -13,6 +13,7 @@
     },
     id::Name,
 };
+use basilbridge_workflow::budget::Budget;
 
 /// The settings of an entry VM, which stay the same while its process runs.
 #[derive(Debug, Clone, PartialEq)]
@@ -74,6 +75,13 @@
         Ok(())
     }
 
+    /// Returns the budget of the VM's link.
+    pub fn budget(&self) -> Budget {
+        Budget {
+            link_bytes_per_second: self.link_bytes_per_second,
+        }
+    }
+
     /// Returns the lease that the owner requests: half a second below the longest that workers
     /// grant, but never less than a takeover needs.
     pub fn lease(&self) -> Duration {
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -31,6 +31,7 @@
 };
 use basilbridge_workflow::election::{
     self,
+    Arrivals,
     Candidate, //
 };
 use slog::Logger;
@@ -104,6 +105,8 @@
     pub(crate) claim: Option<StoredClaim>,
     /// The last heartbeat, which may be of an earlier owner.
     pub(crate) last_heartbeat: Option<ReceivedHeartbeat>,
+    /// How the heartbeats of owners have arrived.
+    pub(crate) arrivals: Arrivals,
     /// The registered VMs.
     pub(crate) nodes: BTreeMap<Name, record::NodeEntry>,
     /// The workers that the owner last listed.
@@ -247,6 +250,11 @@
             .as_ref()
             .is_some_and(|received| received.version == version);
         if !known {
+            if let Some(before) = &self.last_heartbeat
+                && heartbeat.sequence == before.heartbeat.sequence + 1
+            {
+                self.arrivals.record(now.since(before.received_at));
+            }
             self.last_heartbeat = Some(ReceivedHeartbeat {
                 heartbeat,
                 version,
@@ -283,7 +291,7 @@
             .last_heartbeat
             .as_ref()
             .map_or(reachable, |heartbeat| heartbeat.received_at.max(reachable));
-        let silence_limit = |usual| election::silence_limit(usual, claim.unproven);
+        let silence_limit = |usual| election::silence_limit(usual, claim.unproven, &self.arrivals);
         let vacant_at = match self.owner_down {
             _ if claim.released => stored.received_at,
             Some((OwnerDown::Replaced(nonce) | OwnerDown::Refused(nonce), detected_at))
--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -8,6 +8,7 @@
         Name,
         Version, //
     },
+    unit::Millis,
 };
 use basilbridge_platform::table::Row;
 
@@ -30,6 +31,10 @@
 /// workers share a response. A leaving worker has to be known within 2 s.
 pub(crate) const MIN_CALL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How many times as long as the last complete read took, a table is not read completely again. A
+/// store that keeps dropping its history would else have its largest tables read all the time.
+const READ_PAUSE_FACTOR: u32 = 10;
+
 /// An update of a followed table.
 pub(crate) enum Update {
     /// The complete contents of the table.
@@ -86,9 +91,14 @@
     mut apply: impl FnMut(Update),
 ) {
     let mut version_read = start;
+    let mut next_read_at = Millis(0);
     loop {
         let begun = node.timer.now();
         let Some(after) = version_read else {
+            if begun < next_read_at {
+                node.timer.sleep(next_read_at.since(begun)).await;
+                continue;
+            }
             match read_all(node, parts).await {
                 // Applying a page older than what this VM has seen would revert changes.
                 Ok((_, version)) if version < node.latest_version() => {}
@@ -96,6 +106,9 @@
                     apply(Update::All(rows));
                     node.record_feed_answer(table, begun);
                     version_read = Some(version);
+                    let read_at = node.timer.now();
+                    let pause = read_at.since(begun) * READ_PAUSE_FACTOR;
+                    next_read_at = read_at.after(pause.max(min_interval));
                     continue;
                 }
                 Err(error) => node.record_store_failure(&error),
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -18,6 +18,8 @@
     progress::Progress, //
 };
 
+use futures_util::StreamExt;
+
 use crate::{
     feed,
     owner::Owner,
@@ -50,8 +52,9 @@
 }
 
 async fn read_parts(owner: &Owner, parts: Vec<Name>) -> (Vec<Row>, Version) {
-    let reads = parts.into_iter().map(|part| read_table(owner, part));
-    let parts = futures_util::future::join_all(reads).await;
+    let concurrency = owner.node.config.budget().concurrent_reads(parts.len());
+    let reads = futures_util::stream::iter(parts).map(|part| read_table(owner, part));
+    let parts: Vec<(Vec<Row>, Version)> = reads.buffer_unordered(concurrency).collect().await;
     let version = parts.iter().map(|(_, version)| *version).min();
     let rows = parts.into_iter().flat_map(|(rows, _)| rows).collect();
     (rows, version.unwrap_or_default())
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -17,6 +17,7 @@
 };
 
 use basilbridge_common::{
+    error::Result,
     id::{
         Name,
         Version, //
@@ -25,13 +26,14 @@
 };
 use basilbridge_platform::table::{
     Outcome,
+    Put,
     Row, //
 };
 use basilbridge_server::drain::Phase;
 use basilbridge_workflow::{
-    budget::Budget,
     election::{
         self as election_rules,
+        Arrivals,
         Candidate, //
     },
     engine::{
@@ -42,6 +44,10 @@
     job::Accepted,
     worker,
 };
+use futures_util::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
 use slog::Logger;
 use tokio::{
     sync::{
@@ -81,6 +87,9 @@
 /// The time between two heartbeats of the owner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The most heartbeats that are sent and not answered.
+const MAX_HEARTBEATS_IN_FLIGHT: usize = 3;
+
 /// The delay before a heartbeat that was not stored is repeated.
 const HEARTBEAT_RETRY: Duration = Duration::from_millis(100);
 
@@ -275,9 +284,7 @@
         predecessor_ended: ownership.predecessor_ended,
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
-        budget: Budget {
-            link_bytes_per_second: node.config.link_bytes_per_second,
-        },
+        budget: node.config.budget(),
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
@@ -497,14 +504,24 @@
     false
 }
 
-/// Sends heartbeats with the number of unstarted jobs, and hands over when they can't be stored or
-/// a larger VM is available.
-async fn send_heartbeats(owner: Arc<Owner>) {
-    let mut sequence = 0;
-    let mut last_stored_at = owner.now();
-    let mut stored_workers: Vec<Name> = Vec::new();
-    let mut last_offered_at = owner.now();
-    loop {
+/// The progress of the owner's heartbeats.
+struct Heartbeats {
+    sequence: u64,
+    last_stored_at: Millis,
+    last_offered_at: Millis,
+    stored_workers: Vec<Name>,
+}
+
+/// A heartbeat whose write has an outcome.
+struct WrittenHeartbeat {
+    sent: Millis,
+    workers: Vec<Name>,
+    outcome: Result<Outcome>,
+}
+
+impl Heartbeats {
+    /// Returns the rows of the next heartbeat and the workers that they list.
+    fn next(&mut self, owner: &Owner) -> (Vec<Put>, Vec<Name>) {
         // The counts are unknown, not zero, until the jobs have been read.
         let loaded = owner.loaded.load(Ordering::Acquire);
         let (unstarted, workers) = {
@@ -514,10 +531,10 @@
                 engine.worker_names(),
             )
         };
-        sequence += 1;
+        self.sequence += 1;
         let mut puts = Vec::new();
         match record::encode(&Heartbeat {
-            sequence,
+            sequence: self.sequence,
             unstarted,
         }) {
             Ok(value) => puts.push(election::put(HEARTBEAT_KEY, value)),
@@ -525,53 +542,99 @@
                 slog::error!(owner.node.log, "heartbeat can't be encoded"; "error" => %error)
             }
         }
-        if workers != stored_workers
+        if workers != self.stored_workers
             && let Ok(value) = record::encode(&workers)
         {
             puts.push(election::put(WORKERS_KEY, value));
         }
-        let sent = owner.now();
-        match owner
-            .node
-            .transact(vec![owner.ownership.check()], puts)
-            .await
-        {
+        (puts, workers)
+    }
+
+    /// Handles the outcome of a heartbeat. Returns whether the ownership goes on.
+    async fn handle(&mut self, owner: &Owner, written: WrittenHeartbeat) -> bool {
+        match written.outcome {
             Ok(Outcome::Committed(_)) => {
-                owner.engine().confirm_ownership(sent);
-                stored_workers = workers;
-                last_stored_at = owner.now();
-                if last_stored_at.since(last_offered_at) >= YIELD_INTERVAL {
-                    last_offered_at = last_stored_at;
-                    let own = owner.node.config.cpu_millis;
-                    let larger =
-                        |other: &Candidate| election_rules::yields_ownership(own, other.cpu_millis);
-                    if hand_over(&owner, larger).await {
-                        owner.end_ownership("a larger VM takes over");
-                        return;
-                    }
+                owner.engine().confirm_ownership(written.sent);
+                self.stored_workers = written.workers;
+                self.last_stored_at = owner.now();
+                if self.last_stored_at.since(self.last_offered_at) < YIELD_INTERVAL {
+                    return true;
                 }
+                self.last_offered_at = self.last_stored_at;
+                let own = owner.node.config.cpu_millis;
+                let larger =
+                    |other: &Candidate| election_rules::yields_ownership(own, other.cpu_millis);
+                if hand_over(owner, larger).await {
+                    owner.end_ownership("a larger VM takes over");
+                    return false;
+                }
+                true
             }
             Ok(Outcome::Conflict(_)) => {
                 owner.end_ownership("the claim was replaced");
-                return;
+                false
             }
             Err(error) => {
                 slog::info!(owner.node.log, "heartbeat not stored"; "error" => %error);
-                let since_stored = owner.now().since(last_stored_at);
-                let unproven = owner.ownership.claim.unproven;
-                let limit = election_rules::silence_limit(HAND_OVER_AFTER, unproven);
-                if since_stored >= limit && hand_over(&owner, |_| true).await {
+                let since_stored = owner.now().since(self.last_stored_at);
+                let limit = election_rules::silence_limit(
+                    HAND_OVER_AFTER,
+                    owner.ownership.claim.unproven,
+                    &Arrivals::default(),
+                );
+                if since_stored >= limit && hand_over(owner, |_| true).await {
                     owner.end_ownership("a peer that reaches the store takes over");
-                    return;
+                    return false;
                 }
-                owner.node.timer.sleep(HEARTBEAT_RETRY).await;
-                continue;
+                true
             }
         }
+    }
+}
+
+/// Sends heartbeats with the number of unstarted jobs, and hands over when they can't be stored or
+/// a larger VM is available.
+///
+/// A heartbeat does not wait for the answer to the one before: on a busy link answers are late, and
+/// peers would take the delay of several answers for the owner's end.
+async fn send_heartbeats(owner: Arc<Owner>) {
+    let now = owner.now();
+    let mut heartbeats = Heartbeats {
+        sequence: 0,
+        last_stored_at: now,
+        last_offered_at: now,
+        stored_workers: Vec::new(),
+    };
+    let mut in_flight = FuturesUnordered::new();
+    let mut due = now;
+    loop {
+        let wait = due.since(owner.now());
         tokio::select! {
-            () = owner.node.timer.sleep(HEARTBEAT_INTERVAL) => {}
-            () = owner.heartbeat_due.notified() => {}
+            () = owner.node.timer.sleep(wait), if in_flight.len() < MAX_HEARTBEATS_IN_FLIGHT => {}
+            () = owner.heartbeat_due.notified(), if in_flight.len() < MAX_HEARTBEATS_IN_FLIGHT => {}
+            Some(written) = in_flight.next() => {
+                let failed = matches!(written, WrittenHeartbeat { outcome: Err(_), .. });
+                if !heartbeats.handle(&owner, written).await {
+                    return;
+                }
+                if failed {
+                    due = owner.now().after(HEARTBEAT_RETRY);
+                }
+                continue;
+            }
         }
+        let sent = owner.now();
+        due = sent.after(HEARTBEAT_INTERVAL);
+        let (puts, workers) = heartbeats.next(&owner);
+        let owner = &owner;
+        in_flight.push(async move {
+            let checks = vec![owner.ownership.check()];
+            WrittenHeartbeat {
+                sent,
+                workers,
+                outcome: owner.node.transact(checks, puts).await,
+            }
+        });
     }
 }
 
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -20,9 +20,9 @@
 const RETRY: Duration = Duration::from_millis(200);
 
 /// How long the next poll waits until the ends that the last one reported are stored. A worker with
-/// unacknowledged ends answers at once instead of waiting for new ones. The wait is limited, so
-/// that new ends are reported even if the store is slow.
-const STORE_TIMEOUT: Duration = Duration::from_millis(100);
+/// unacknowledged ends answers at once, and lists all of them again, instead of waiting for new ones.
+/// The wait is limited, so that new ends are reported even if the store is slow.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts polling the workers that are not polled yet.
 pub(crate) fn spawn_pollers(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -279,3 +279,27 @@
     assert_eq!(platform.starts("j1"), 3);
     assert_eq!(platform.starts("j2"), 3);
 }
+
+/// A store that keeps dropping its history made the owner read all jobs again four times a second,
+/// which took most of its processor time. Found on the standard day scale-1 of the large Spine & Leaf
+/// site.
+#[tokio::test]
+async fn large_tables_are_not_read_all_the_time_while_the_store_drops_its_history() {
+    let platform = FakePlatform::new(&["w1"]);
+    let vm = start(&platform, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    until("a claim", async || owner_name(&platform).is_some()).await;
+    let begun = tokio::time::Instant::now();
+    let before = platform.reads("jobs/0");
+
+    platform.set_store_mode("a", StoreMode::NoHistory);
+    until("a second", async || begun.elapsed().as_millis() > 1000).await;
+    let reads = platform.reads("jobs/0") - before;
+    submit(&vm, "j1").await;
+
+    assert!(reads <= 6, "{reads}");
+    until("the end of the job", async || {
+        state(&vm, "j1").await.contains("completed")
+    })
+    .await;
+}
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -93,6 +93,8 @@
     Unavailable,
     /// Writes take effect but their responses are lost, and feeds report no changes.
     DroppedResponses,
+    /// Feeds never have the history that is asked for.
+    NoHistory,
     /// Calls about tables whose name starts with this text fail; all others are answered.
     TableUnavailable(&'static str),
 }
@@ -109,6 +111,7 @@
     rows: BTreeMap<(Name, String), (u64, String)>,
     history: Vec<Row>,
     compacted_version: u64,
+    reads: BTreeMap<Name, u64>,
     mode: BTreeMap<Name, StoreMode>,
 }
 
@@ -326,14 +329,21 @@
             StoreMode::DroppedResponses => {
                 Err(Error::new(Kind::WriteUnknown, "the response was lost"))
             }
-            StoreMode::Normal | StoreMode::Unavailable | StoreMode::TableUnavailable(_) => {
-                Ok(Outcome::Committed(version))
-            }
+            StoreMode::Normal
+            | StoreMode::Unavailable
+            | StoreMode::NoHistory
+            | StoreMode::TableUnavailable(_) => Ok(Outcome::Committed(version)),
         }
     }
 
+    /// Returns how often a table has been read.
+    pub(crate) fn reads(&self, table: &str) -> u64 {
+        self.lock().reads.get(table).copied().unwrap_or_default()
+    }
+
     fn read(&self, vm: &Name, range: &Range) -> Result<Page> {
-        let rows = self.lock();
+        let mut rows = self.lock();
+        *rows.reads.entry(range.table.clone()).or_default() += 1;
         let mode = rows.mode.get(vm).copied().unwrap_or_default();
         if mode == StoreMode::Unavailable || mode.refuses_table(&range.table) {
             return Err(unavailable());
@@ -375,7 +385,7 @@
                 if mode == StoreMode::Unavailable || mode.refuses_table(table) {
                     return Err(unavailable());
                 }
-                if after.0 < rows.compacted_version {
+                if after.0 < rows.compacted_version || mode == StoreMode::NoHistory {
                     return Ok(None);
                 }
                 let drops_responses = rows.mode.get(vm) == Some(&StoreMode::DroppedResponses);
--- a/crates/workflow/src/budget.rs
+++ b/crates/workflow/src/budget.rs
@@ -35,6 +35,16 @@
 /// Least number of bytes of unanswered starts, so that a gang is never split by the window alone.
 const MIN_START_WINDOW: usize = 16 * 1024;
 
+/// Time in which the link has to be able to carry the answers to all open reads of the store.
+/// Answers to heartbeats wait behind them for as long.
+const READ_WINDOW: Duration = Duration::from_millis(150);
+
+/// Size of the answer to a read of one part of the jobs.
+const READ_BYTES: f64 = 16.0 * 1024.0;
+
+/// Least number of open reads of the store.
+const MIN_READS: usize = 2;
+
 /// The capacity of the owner's link.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Budget {
@@ -59,6 +69,16 @@
         usual.max(Duration::from_secs_f64(seconds).min(MAX_POLL_WAIT))
     }
 
+    /// Returns how many reads of the store may be open at once, of `parts` that are to be read.
+    pub fn concurrent_reads(&self, parts: usize) -> usize {
+        if self.link_bytes_per_second == 0 {
+            return parts;
+        }
+        let bytes = self.link_bytes_per_second as f64 * READ_WINDOW.as_secs_f64();
+        let reads = (bytes / READ_BYTES) as usize;
+        reads.clamp(MIN_READS, parts.max(MIN_READS))
+    }
+
     /// Returns how many bytes of starts may be unanswered at once.
     pub fn start_window(&self) -> usize {
         if self.link_bytes_per_second == 0 {
--- a/crates/workflow/src/election.rs
+++ b/crates/workflow/src/election.rs
@@ -41,13 +41,54 @@
     }
 }
 
-/// Returns how long an owner may be silent, given how long it usually may be and the number of
-/// unproven takeovers in a row.
-pub fn silence_limit(usual: Duration, unproven: u32) -> Duration {
-    if unproven >= PATIENT_FROM {
+/// Returns how long an owner may be silent, given how long it usually may be, the number of unproven
+/// takeovers in a row, and how its heartbeats have arrived.
+pub fn silence_limit(usual: Duration, unproven: u32, arrivals: &Arrivals) -> Duration {
+    let limit = if unproven >= PATIENT_FROM {
         usual * PATIENCE
     } else {
         usual
+    };
+    limit
+        .max(arrivals.expected_gap())
+        .min(MAX_SILENCE.max(usual))
+}
+
+/// Weight of one heartbeat in the moving averages of [`Arrivals`].
+const ARRIVAL_GAIN: f64 = 0.1;
+
+/// Number of mean deviations by which a gap between two heartbeats may exceed the mean.
+const GAP_DEVIATIONS: f64 = 5.0;
+
+/// Longest silence of an owner that is not known to have ended: it leaves time for its successor to
+/// renew the leases.
+const MAX_SILENCE: Duration = Duration::from_millis(3200);
+
+/// The gaps between the heartbeats of owners, as this VM received them.
+///
+/// Heartbeats of an owner whose link or processor is busy come at unequal times, so a gap says less.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Arrivals {
+    mean: f64,
+    deviation: f64,
+}
+
+impl Arrivals {
+    /// Records the time between two heartbeats of one owner.
+    pub fn record(&mut self, gap: Duration) {
+        let gap = gap.as_secs_f64();
+        if self.mean == 0.0 {
+            self.mean = gap;
+            return;
+        }
+        let difference = gap - self.mean;
+        self.mean += difference * ARRIVAL_GAIN;
+        self.deviation += (difference.abs() - self.deviation) * ARRIVAL_GAIN;
+    }
+
+    /// Returns the longest gap that is to be expected of an owner that is alive.
+    pub fn expected_gap(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + GAP_DEVIATIONS * self.deviation)
     }
 }
 
--- a/crates/workflow/tests/engine/election.rs
+++ b/crates/workflow/tests/engine/election.rs
@@ -5,6 +5,7 @@
 use basilbridge_common::id::Name;
 use basilbridge_workflow::election::{
     self,
+    Arrivals,
     Candidate, //
 };
 
@@ -73,7 +74,8 @@
     let mut unproven = 0;
     let mut limits = Vec::new();
     for _ in 0..4 {
-        limits.push(election::silence_limit(usual, unproven).as_millis());
+        let limit = election::silence_limit(usual, unproven, &Arrivals::default());
+        limits.push(limit.as_millis());
         unproven = election::unproven_takeovers(unproven, false, 3);
     }
 
@@ -83,3 +85,29 @@
     assert_eq!(limits, [650, 650, 1300, 1300]);
     assert_eq!((after_stable_owner, after_proof), (0, 0));
 }
+
+fn arrivals(gaps: impl IntoIterator<Item = u64>) -> Arrivals {
+    let mut arrivals = Arrivals::default();
+    for gap in gaps {
+        arrivals.record(Duration::from_millis(gap));
+    }
+    arrivals
+}
+
+#[test]
+fn a_gap_counts_for_less_after_heartbeats_that_came_at_unequal_times() {
+    let usual = Duration::from_millis(650);
+    let even = arrivals((0..40).map(|number| 500 + number % 3 * 5));
+    let uneven = arrivals((0..40).map(|number| 300 + number % 2 * 500));
+
+    let after_even = election::silence_limit(usual, 0, &even);
+    let after_uneven = election::silence_limit(usual, 0, &uneven);
+
+    assert_eq!(after_even, usual);
+    assert!(
+        after_uneven > Duration::from_millis(1200),
+        "{after_uneven:?}"
+    );
+    // A lease lasts 5.5 s, and the successor needs two of them to renew it.
+    assert!(after_uneven < Duration::from_millis(3500));
+}
