Count waiting jobs from the engine, share reads of the store's counts, and bound pauses of feeds

A request for the number of waiting jobs reads all jobs when the last heartbeat is older than 1.3 s, and the owner's own view of it is late when it is busy; each request made a read of its own.

Change: the owner answers from its engine; other VMs share one read; a heartbeat counts for 1.7 s of the two that the contract allows; a feed pauses at most 0.8 s (workers), 5 s (jobs) or 0.25 s. A worker with many ends that are not stored is polled later, in proportion to their number.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -470,7 +470,7 @@
     let follower = Arc::clone(&node);
     let table = OWNERSHIP_TABLE.into();
     let parts = [Name::clone(&table)];
-    feed::follow(&node, &table, &parts, None, Duration::ZERO, move |update| {
+    feed::follow(&node, &table, &parts, None, feed::PROMPT, move |update| {
         follower
             .shared_view
             .lock()
--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -27,9 +27,32 @@
 /// The delay before a failed call is repeated.
 const RETRY: Duration = Duration::from_millis(150);
 
-/// The minimum time between two polls of the worker and job tables, so that the rows of many
-/// workers share a response. A leaving worker has to be known within 2 s.
-pub(crate) const MIN_CALL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often a table is read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    /// The minimum time between two calls after a change, so that many rows share a response.
+    min_interval: Duration,
+    /// The longest pause between two complete reads.
+    max_pause: Duration,
+}
+
+/// The pace for small tables whose changes have to be known at once.
+pub(crate) const PROMPT: Pace = Pace {
+    min_interval: Duration::ZERO,
+    max_pause: Duration::from_millis(250),
+};
+
+/// The pace for the table of workers. A leaving worker has to be known within 2 s.
+pub(crate) const WORKERS: Pace = Pace {
+    min_interval: Duration::from_millis(250),
+    max_pause: Duration::from_millis(800),
+};
+
+/// The pace for the table of jobs. The owner is also notified of each job.
+pub(crate) const JOBS: Pace = Pace {
+    min_interval: Duration::from_millis(250),
+    max_pause: Duration::from_secs(5),
+};
 
 /// How many times as long as the last complete read took, a table is not read completely again. A
 /// store that keeps dropping its history would else have its largest tables read all the time.
@@ -81,13 +104,13 @@
 /// Starts after the version `start` if the caller has read the table, and else reads it first. One
 /// feed covers all `parts` of the table. If the store no longer has the history after the last
 /// version, all rows are read again, so that a missing row is not mistaken for a removal. After an
-/// update with changes, waits for `min_interval` before the next call.
+/// update with changes, waits for the interval of `pace` before the next call.
 pub(crate) async fn follow(
     node: &Node,
     table: &Name,
     parts: &[Name],
     start: Option<Version>,
-    min_interval: Duration,
+    pace: Pace,
     mut apply: impl FnMut(Update),
 ) {
     let mut version_read = start;
@@ -108,7 +131,7 @@
                     version_read = Some(version);
                     let read_at = node.timer.now();
                     let pause = read_at.since(begun) * READ_PAUSE_FACTOR;
-                    next_read_at = read_at.after(pause.max(min_interval));
+                    next_read_at = read_at.after(pause.clamp(pace.min_interval, pace.max_pause));
                     continue;
                 }
                 Err(error) => node.record_store_failure(&error),
@@ -129,8 +152,8 @@
                 }
                 node.record_feed_answer(table, begun);
                 if changed {
-                    if !min_interval.is_zero() {
-                        node.timer.sleep(min_interval).await;
+                    if !pace.min_interval.is_zero() {
+                        node.timer.sleep(pace.min_interval).await;
                     }
                 }
             }
--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -3,8 +3,12 @@
 //! This needs no owner, so every VM accepts jobs during a takeover.
 
 use std::{
+    collections::{
+        BTreeMap,
+        HashSet, //
+    },
     sync::Arc,
-    time::Duration, //
+    time::Duration,
 };
 
 use basilbridge_common::{
@@ -53,9 +57,9 @@
 /// The part of a caller's deadline that is reserved for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-/// How long the job counts in a heartbeat are used: two heartbeat intervals and the delivery of one
-/// heartbeat.
-const MAX_COUNT_AGE: Duration = Duration::from_millis(1300);
+/// How long job counts are used: the users' contract allows two seconds, of which a heartbeat may
+/// take a part to arrive.
+const MAX_COUNT_AGE: Duration = Duration::from_millis(1700);
 
 fn unavailable(error: &Error) -> Error {
     Error::new(Kind::StoreUnavailable, error.message.clone()).with_retry_after(STORE_RETRY)
@@ -168,27 +172,44 @@
     Ok(())
 }
 
-/// Returns the number of jobs of a queue that have not begun: from the owner's last heartbeat if it
-/// is recent, else from the store.
+/// The number of jobs that have not begun, by queue.
+type Counts = BTreeMap<Name, u64>;
+
+/// The last counts that were read from the store, and when their read began.
+#[derive(Debug, Default)]
+pub(crate) struct CountCache(tokio::sync::Mutex<Option<(Millis, Counts)>>);
+
+/// Returns the number of jobs of a queue that have not begun: from the engine if this VM is the
+/// owner, from the owner's last heartbeat if it is recent, else from the store.
 pub(crate) async fn count_unstarted(node: &Arc<Node>, queue: &Name) -> Result<u64> {
-    let now = node.timer.now();
-    let reported = {
+    let owned = node.owner().upgrade().and_then(|owner| owner.unstarted());
+    let known = owned.or_else(|| {
+        let now = node.timer.now();
         let view = node.view();
         let heartbeat = view.last_heartbeat.as_ref();
         heartbeat
             .filter(|received| now.since(received.received_at) < MAX_COUNT_AGE)
-            .and_then(|received| received.heartbeat.unstarted.as_ref())
-            .map(|counts| counts.get(queue).copied().unwrap_or(0))
+            .and_then(|received| received.heartbeat.unstarted.clone())
+    });
+    let counts = match known {
+        Some(counts) => counts,
+        None => count_stored(node).await?,
     };
-    match reported {
-        Some(count) => Ok(count),
-        None => count_stored(node, queue).await,
-    }
+    Ok(counts.get(queue).copied().unwrap_or(0))
 }
 
-/// Counts the jobs of a queue without progress or cancellation in the store. Includes jobs that
-/// have begun but have no progress stored yet.
-async fn count_stored(node: &Node, queue: &Name) -> Result<u64> {
+/// Counts the jobs without progress or cancellation in the store. Includes jobs that have begun but
+/// have no progress stored yet.
+///
+/// All requests that come during a read share it, since it takes all jobs.
+async fn count_stored(node: &Node) -> Result<Counts> {
+    let mut cache = node.count_cache.0.lock().await;
+    let begun_at = node.timer.now();
+    if let Some((at, counts)) = &*cache
+        && begun_at.since(*at) < MAX_COUNT_AGE
+    {
+        return Ok(counts.clone());
+    }
     let (job_tables, progress_table) = (record::job_tables(), [PROGRESS_TABLE.into()]);
     let (jobs, progress) = tokio::join!(
         feed::read_all(node, &job_tables),
@@ -200,18 +221,17 @@
     let cancelled = jobs
         .iter()
         .filter_map(|row| record::cancelled_job(&row.key));
-    let begun_or_cancelled: std::collections::HashSet<&str> = begun.chain(cancelled).collect();
+    let begun_or_cancelled: HashSet<&str> = begun.chain(cancelled).collect();
     let unstarted = jobs
         .iter()
-        .filter(|row| !begun_or_cancelled.contains(row.key.as_str()));
-    let mut count = 0;
+        .filter(|row| !begun_or_cancelled.contains(row.key.as_str()))
+        .filter(|row| record::cancelled_job(&row.key).is_none());
+    let mut counts = Counts::new();
     for row in unstarted {
-        if record::cancelled_job(&row.key).is_none()
-            && let Some(accepted) = record::decode_row::<Accepted>(&node.log, row)
-            && accepted.queue == *queue
-        {
-            count += 1;
+        if let Some(accepted) = record::decode_row::<Accepted>(&node.log, row) {
+            *counts.entry(accepted.queue).or_default() += 1;
         }
     }
-    Ok(count)
+    *cache = Some((begun_at, counts.clone()));
+    Ok(counts)
 }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -71,6 +71,7 @@
     },
     freshness::Freshness,
     ingress,
+    job_store::CountCache,
     log::DecisionLog,
     metrics::{
         self,
@@ -136,6 +137,7 @@
     configuration: watch::Sender<Arc<Configuration>>,
     store_health: Mutex<StoreHealth>,
     freshness: Mutex<Freshness>,
+    pub(crate) count_cache: CountCache,
     /// Triggers a read of the configuration.
     read_configuration: Notify,
     /// Signals that the configuration was read.
@@ -179,6 +181,7 @@
                 failed_parts: HashMap::new(),
             }),
             freshness: Mutex::default(),
+            count_cache: CountCache::default(),
             read_configuration: Notify::new(),
             configuration_read: Notify::new(),
             latest_version: AtomicU64::new(0),
@@ -429,7 +432,7 @@
         let table = self.clients.store.configuration_table.clone();
         let parts = [table.clone()];
         loop {
-            let follow = feed::follow(&self, &table, &parts, None, Duration::ZERO, |update| {
+            let follow = feed::follow(&self, &table, &parts, None, feed::PROMPT, |update| {
                 let (Update::All(rows) | Update::Changed(rows)) = update;
                 self.apply_configuration(&rows);
             });
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -178,6 +179,13 @@
         self.stall_detector.gap(stall::boot_time()).is_none()
     }
 
+    /// Returns the number of jobs that have not begun, by queue, or `None` before the jobs have been
+    /// read or after the ownership has ended.
+    pub(crate) fn unstarted(&self) -> Option<BTreeMap<Name, u64>> {
+        let is_known = self.loaded.load(Ordering::Acquire) && !self.has_ended();
+        is_known.then(|| self.engine().queued_counts())
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         *self.ended.borrow()
     }
@@ -443,7 +451,7 @@
         &table,
         &parts,
         Some(from),
-        feed::MIN_CALL_INTERVAL,
+        feed::WORKERS,
         move |update| {
             receiver.apply_workers(update);
         },
@@ -459,7 +467,7 @@
         &table,
         &parts,
         Some(from),
-        feed::MIN_CALL_INTERVAL,
+        feed::JOBS,
         move |update| {
             receiver.apply_jobs(update);
         },
@@ -522,15 +530,8 @@
 impl Heartbeats {
     /// Returns the rows of the next heartbeat and the workers that they list.
     fn next(&mut self, owner: &Owner) -> (Vec<Put>, Vec<Name>) {
-        // The counts are unknown, not zero, until the jobs have been read.
-        let loaded = owner.loaded.load(Ordering::Acquire);
-        let (unstarted, workers) = {
-            let engine = owner.engine();
-            (
-                loaded.then(|| engine.queued_counts()),
-                engine.worker_names(),
-            )
-        };
+        let unstarted = owner.unstarted();
+        let workers = owner.engine().worker_names();
         self.sequence += 1;
         let mut puts = Vec::new();
         match record::encode(&Heartbeat {
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -19,10 +19,13 @@
 /// The delay between polls of a worker that does not answer.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// How long the next poll waits until the ends that the last one reported are stored. A worker with
-/// unacknowledged ends answers at once, and lists all of them again, instead of waiting for new ones.
-/// The wait is limited, so that new ends are reported even if the store is slow.
-const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long the next poll waits until the ends that the last one reported are stored, and how much
+/// longer for each of them. A worker with unacknowledged ends answers at once, and lists all of them
+/// again, instead of waiting for new ones. The wait is limited, so that new ends are reported even if
+/// the store is slow.
+const STORE_TIMEOUT: Duration = Duration::from_millis(100);
+const STORE_TIMEOUT_PER_END: Duration = Duration::from_millis(20);
+const MAX_STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Starts polling the workers that are not polled yet.
 pub(crate) fn spawn_pollers(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
@@ -75,6 +78,7 @@
         owner.node.metrics.count("looks");
         match (owner.node.clients.workers.poll)(owner.epoch(), poll).await {
             Polled::Answered(inventory) => {
+                let listed = inventory.ended.len() as u32;
                 let unstored = {
                     let mut engine = owner.engine();
                     engine.handle_inventory(key, now, owner.now(), &inventory);
@@ -89,7 +93,8 @@
                         {}
                     };
                     // If the store does not answer in time, poll again anyway.
-                    let _ = timer.timeout(STORE_TIMEOUT, stored).await;
+                    let limit = STORE_TIMEOUT + STORE_TIMEOUT_PER_END * listed;
+                    let _ = timer.timeout(limit.min(MAX_STORE_TIMEOUT), stored).await;
                 }
             }
             Polled::Fenced => {
