Keep a complete read of a table although others write meanwhile

Cause: rows that were read completely were thrown away when the store's version had risen during the read.

Change: the rows are compared with what this VM had seen before the read began. Test: elections::a_table_is_read_to_the_end_while_others_write, seen failing with the comparison at the end.

--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -122,9 +122,11 @@
                 node.timer.sleep(next_read_at.since(begun)).await;
                 continue;
             }
+            let known = node.latest_version();
             match read_all(node, parts).await {
-                // Applying a page older than what this VM has seen would revert changes.
-                Ok((_, version)) if version < node.latest_version() => {}
+                // Applying rows older than what this VM has seen would revert changes. What it sees
+                // while it reads does not count: a busy store would never be read to the end.
+                Ok((_, version)) if version < known => {}
                 Ok((rows, version)) => {
                     apply(Update::All(rows));
                     node.record_feed_answer(table, begun);
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -303,3 +303,24 @@
     })
     .await;
 }
+
+/// The rows of a large table were thrown away when anything had been written while they were read,
+/// so that a busy store was read for ever and leaving workers stayed in use. Found on the standard
+/// day scale-1 of the large Spine & Leaf site.
+#[tokio::test]
+async fn a_table_is_read_to_the_end_while_others_write() {
+    let platform = FakePlatform::new(&["w1"]);
+    let vm = start(&platform, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    until("a claim", async || owner_name(&platform).is_some()).await;
+    submit(&vm, "j1").await;
+    let before = platform.reads("jobs/0");
+    platform.set_store_mode("a", StoreMode::Busy);
+
+    platform.compact();
+    let begun = tokio::time::Instant::now();
+    until("two seconds", async || begun.elapsed().as_millis() > 2000).await;
+
+    let reads = platform.reads("jobs/0") - before;
+    assert!(reads <= 3, "{reads}");
+}
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -93,6 +93,8 @@
     Unavailable,
     /// Writes take effect but their responses are lost, and feeds report no changes.
     DroppedResponses,
+    /// Other VMs write between any two reads.
+    Busy,
     /// Feeds never have the history that is asked for.
     NoHistory,
     /// Calls about tables whose name starts with this text fail; all others are answered.
@@ -332,6 +334,7 @@
             StoreMode::Normal
             | StoreMode::Unavailable
             | StoreMode::NoHistory
+            | StoreMode::Busy
             | StoreMode::TableUnavailable(_) => Ok(Outcome::Committed(version)),
         }
     }
@@ -362,11 +365,15 @@
                 version: Version(*version),
                 value: Some(value.clone()),
             });
-        Ok(Page {
+        let page = Page {
             version: Version(rows.version),
             rows: found.collect(),
             more: false,
-        })
+        };
+        if mode == StoreMode::Busy {
+            rows.version += 1;
+        }
+        Ok(page)
     }
 
     async fn watch(
