--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -317,6 +317,7 @@
     let before = platform.reads("jobs/0");
     platform.set_store_mode("a", StoreMode::Busy);
 
+    platform.write("other", "row", "newer than what the feeds have seen");
     platform.compact();
     let begun = tokio::time::Instant::now();
     until("two seconds", async || begun.elapsed().as_millis() > 2000).await;
