--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -29,27 +29,27 @@
 
 /// How often a table is read.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
+pub(crate) struct Rate {
     /// The minimum time between two calls after a change, so that many rows share a response.
     min_interval: Duration,
     /// The longest pause between two complete reads.
     max_pause: Duration,
 }
 
-/// The pace for small tables whose changes have to be known at once.
-pub(crate) const PROMPT: Pace = Pace {
+/// The rate for small tables whose changes have to be known at once.
+pub(crate) const PROMPT: Rate = Rate {
     min_interval: Duration::ZERO,
     max_pause: Duration::from_millis(250),
 };
 
-/// The pace for the table of workers. A leaving worker has to be known within 2 s.
-pub(crate) const WORKERS: Pace = Pace {
+/// The rate for the table of workers. A leaving worker has to be known within 2 s.
+pub(crate) const WORKERS: Rate = Rate {
     min_interval: Duration::from_millis(250),
     max_pause: Duration::from_millis(800),
 };
 
-/// The pace for the table of jobs. The owner is also notified of each job.
-pub(crate) const JOBS: Pace = Pace {
+/// The rate for the table of jobs. The owner is also notified of each job.
+pub(crate) const JOBS: Rate = Rate {
     min_interval: Duration::from_millis(250),
     max_pause: Duration::from_secs(5),
 };
@@ -104,13 +104,13 @@
 /// Starts after the version `start` if the caller has read the table, and else reads it first. One
 /// feed covers all `parts` of the table. If the store no longer has the history after the last
 /// version, all rows are read again, so that a missing row is not mistaken for a removal. After an
-/// update with changes, waits for the interval of `pace` before the next call.
+/// update with changes, waits for the interval of `rate` before the next call.
 pub(crate) async fn follow(
     node: &Node,
     table: &Name,
     parts: &[Name],
     start: Option<Version>,
-    pace: Pace,
+    rate: Rate,
     mut apply: impl FnMut(Update),
 ) {
     let mut version_read = start;
@@ -133,7 +133,7 @@
                     version_read = Some(version);
                     let read_at = node.timer.now();
                     let pause = read_at.since(begun) * READ_PAUSE_FACTOR;
-                    next_read_at = read_at.after(pause.clamp(pace.min_interval, pace.max_pause));
+                    next_read_at = read_at.after(pause.clamp(rate.min_interval, rate.max_pause));
                     continue;
                 }
                 Err(error) => node.record_store_failure(&error),
@@ -153,10 +153,8 @@
                     apply(Update::Changed(page.rows));
                 }
                 node.record_feed_answer(table, begun);
-                if changed {
-                    if !pace.min_interval.is_zero() {
-                        node.timer.sleep(pace.min_interval).await;
-                    }
+                if changed && !rate.min_interval.is_zero() {
+                    node.timer.sleep(rate.min_interval).await;
                 }
             }
             Ok(None) => {
