--- a/crates/workflow/tests/engine/links.rs
+++ b/crates/workflow/tests/engine/links.rs
@@ -118,7 +118,7 @@
                 jobs += 1;
                 self.submit(jobs);
             }
-            if passed % HEARTBEAT_MILLIS == 0 {
+            if passed.is_multiple_of(HEARTBEAT_MILLIS) {
                 self.queue
                     .push_back((HEARTBEAT_BYTES, Message::Heartbeat(self.now)));
             }
