Log what tells a crashed worker from a silent one

A poll that another worker refuses at the address counted as one more missing answer, `worker` lines had no address, and `run lost` told neither how long the run had lasted nor what ran beside it. Change: lines and counters only, no decision.

--- a/crates/cell/src/clients.rs
+++ b/crates/cell/src/clients.rs
@@ -101,6 +101,8 @@
     Answered(report::Inventory),
     /// The worker has seen a higher epoch.
     Fenced,
+    /// Another worker answered at the address.
+    OtherWorker,
     /// There was no usable answer, for the given reason.
     NoAnswer(String),
 }
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -189,8 +189,11 @@
                 run,
                 worker,
                 evidence,
+                ran,
+                beside,
             } => slog::info!(log, "run lost";
-                "task" => %task, "run" => run, "worker" => %worker, "evidence" => evidence),
+                "task" => %task, "run" => run, "worker" => %worker, "evidence" => evidence,
+                "ran_ms" => ran.as_millis() as u64, "beside" => beside),
             Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
                 "task" => %task, "run" => run, "worker" => %worker),
             Event::Final {
@@ -201,8 +204,12 @@
             } => slog::info!(log, "job over";
                 "job" => %job, "state" => ?state, "after_ms" => elapsed.as_millis() as u64,
                 "objective_ms" => objective.as_millis() as u64),
-            Event::Worker { worker, status } => slog::info!(log, "worker";
-                "worker" => %worker, "belief" => status),
+            Event::Worker {
+                worker,
+                address,
+                status,
+            } => slog::info!(log, "worker";
+                "worker" => %worker, "belief" => status, "address" => %address),
         }
     }
 }
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -68,6 +68,7 @@
 
 async fn run(owner: Arc<Owner>, key: worker::Key) {
     let timer = owner.node.timer.clone();
+    let mut replaced = false;
     loop {
         let mut finished_batches = owner.finished_batches.subscribe();
         let now = owner.now();
@@ -101,11 +102,24 @@
                 owner.end_ownership("a worker has seen a higher epoch");
                 return;
             }
+            Polled::OtherWorker => {
+                owner.engine().handle_poll_failure(key, owner.now());
+                if !std::mem::replace(&mut replaced, true) {
+                    owner.node.metrics.count("workers_replaced");
+                    if owner.node.decisions.admit() {
+                        slog::info!(owner.node.log, "worker replaced"; "worker" => %name);
+                    }
+                }
+                timer.sleep(RETRY).await;
+            }
             Polled::NoAnswer(reason) => {
                 let first = owner.engine().handle_poll_failure(key, owner.now());
-                if first && owner.node.decisions.admit() {
-                    slog::info!(owner.node.log, "worker silent"; "worker" => %name,
-                        "why" => reason);
+                if first {
+                    owner.node.metrics.count("workers_silent");
+                    if owner.node.decisions.admit() {
+                        slog::info!(owner.node.log, "worker silent"; "worker" => %name,
+                            "why" => reason);
+                    }
                 }
                 if !first {
                     timer.sleep(RETRY).await;
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -381,9 +381,9 @@
     pub fn register_worker(&mut self, info: WorkerInfo, now: Millis) {
         let Some(key) = self.workers_by_name.get(&info.name).copied() else {
             let name = info.name.clone();
-            self.push_worker_event(&name, "listed");
             let key = self.workers.insert(Worker::new(info));
             self.workers_by_name.insert(name, key);
+            self.push_worker_event(key, "listed");
             return;
         };
         let Some(worker) = self.workers.get_mut(key) else {
@@ -391,7 +391,6 @@
         };
         let rebooted = worker.info.boot != info.boot;
         let began_to_leave = info.leaving && !worker.info.leaving;
-        let name = info.name.clone();
         worker.listed = true;
         worker.info = info;
         if rebooted {
@@ -401,9 +400,9 @@
             if worker.boot != Some(worker.info.boot) {
                 worker.reboot_listed_at = Some(now);
             }
-            self.push_worker_event(&name, "booted");
+            self.push_worker_event(key, "booted");
         } else if began_to_leave {
-            self.push_worker_event(&name, "leaving");
+            self.push_worker_event(key, "leaving");
         }
     }
 
@@ -420,8 +419,7 @@
         };
         worker.listed = false;
         let left = worker.info.leaving;
-        let name = worker.info.name.clone();
-        self.push_worker_event(&name, "unlisted");
+        self.push_worker_event(key, "unlisted");
         if left {
             self.drop_all_runs(key, "the worker left", now);
         }
@@ -621,11 +619,14 @@
         let Some(run) = self.remove_run(key, task) else {
             return;
         };
+        let worker = &self.workers[key];
         self.events.push(Event::Lost {
             task: task.clone(),
             run: run.run,
-            worker: self.workers[key].info.name.clone(),
+            worker: worker.info.name.clone(),
             evidence,
+            ran: now.since(run.started_at),
+            beside: worker.runs.len(),
         });
         if let Some(position) = run.position {
             self.requeue(position, key, run.run, now);
@@ -743,11 +744,14 @@
     }
 
     /// Records a change of the status of a worker.
-    pub(crate) fn push_worker_event(&mut self, name: &Name, status: &'static str) {
-        self.events.push(Event::Worker {
-            worker: name.clone(),
-            status,
-        });
+    pub(crate) fn push_worker_event(&mut self, key: worker::Key, status: &'static str) {
+        if let Some(worker) = self.workers.get(key) {
+            self.events.push(Event::Worker {
+                worker: worker.info.name.clone(),
+                address: worker.info.address.clone(),
+                status,
+            });
+        }
     }
 
     /// Returns the number of failed runs of one task after which a job fails.
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -95,6 +95,10 @@
         worker: Name,
         /// What shows that the run has ended.
         evidence: &'static str,
+        /// Time since the run was started or first seen.
+        ran: Duration,
+        /// Number of other runs that the worker still had.
+        beside: usize,
     },
     /// A run that an earlier owner started was found.
     Adopted {
@@ -120,6 +124,8 @@
     Worker {
         /// Name of the worker.
         worker: Name,
+        /// Address of the worker, at which a later worker may answer.
+        address: Name,
         /// New status.
         status: &'static str,
     },
--- a/crates/workflow/src/slowness.rs
+++ b/crates/workflow/src/slowness.rs
@@ -85,8 +85,7 @@
             let was_slow = worker.slow_until > now;
             worker.slow_until = now.after(pace::SLOW_PERIOD);
             if !was_slow {
-                let name = worker.info.name.clone();
-                self.push_worker_event(&name, "slow");
+                self.push_worker_event(key, "slow");
             }
         } else if durations.is_regular() {
             worker.slow_until = Millis(0);
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -58,11 +58,11 @@
         if worker.is_stale(inventory.clock) {
             return;
         }
-        let name = worker.unresponsive.then(|| worker.info.name.clone());
+        let was_silent = worker.unresponsive;
         worker.read_clock(inventory.clock, now);
         let received = worker.received;
-        if let Some(name) = name {
-            self.push_worker_event(&name, "heard again");
+        if was_silent {
+            self.push_worker_event(key, "heard again");
         }
         let new_ends: Vec<&Ended> = {
             inventory
@@ -415,8 +415,7 @@
             let quarantine = INITIAL_QUARANTINE * 2_u32.pow(worker.quarantines.min(MAX_DOUBLINGS));
             worker.quarantined_until = worker.quarantined_until.max(now.after(quarantine));
             worker.quarantines += 1;
-            let name = worker.info.name.clone();
-            self.push_worker_event(&name, "put aside: tasks of several jobs failed");
+            self.push_worker_event(key, "put aside: tasks of several jobs failed");
         }
     }
 
