--- a/crates/workflow/tests/engine/fleet.rs
+++ b/crates/workflow/tests/engine/fleet.rs
@@ -49,6 +49,10 @@
     pub(crate) reachable: bool,
     /// Factor by which tasks that start now take longer, in percent.
     pub(crate) slowness: u64,
+    /// Processor capacity in thousandths of a core.
+    pub(crate) cpu_millis: u64,
+    /// Time when a task that it has started crashes it.
+    pub(crate) crashes_at: Option<Millis>,
     epoch: u64,
     lease_end: u64,
     pub(crate) running: BTreeMap<TaskId, WorkerRun>,
@@ -61,6 +65,23 @@
 /// the processor capacity that it uses in thousandths of a core.
 pub(crate) type Behaviour = fn(&TaskId, u32) -> (u64, Outcome, u64);
 
+/// Time after its start at which a deadly task crashes its worker.
+const CRASH_DELAY: u64 = 10;
+
+/// Time for which a crashed worker is down.
+pub(crate) const CRASH_TIME: u64 = 3300;
+
+/// A crash of a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Crash {
+    pub(crate) worker: Name,
+    pub(crate) at: Millis,
+    /// Tasks that the worker ran.
+    pub(crate) tasks: Vec<TaskId>,
+    /// Worker that serves at the address of the crashed one, once it does.
+    pub(crate) successor: Option<Name>,
+}
+
 /// All workers, and a record of what happened on them.
 pub(crate) struct Fleet {
     pub(crate) workers: BTreeMap<Name, Worker>,
@@ -71,6 +92,12 @@
     pub(crate) done: Vec<TaskId>,
     /// Violated invariants.
     pub(crate) violations: Vec<String>,
+    /// Whether a task crashes each worker that starts it.
+    pub(crate) is_deadly: fn(&TaskId) -> bool,
+    /// Whether a crashed worker returns under its name; otherwise another one takes its address.
+    pub(crate) keeps_name: bool,
+    /// All crashes in order.
+    pub(crate) crashes: Vec<Crash>,
 }
 
 impl Fleet {
@@ -82,9 +109,59 @@
             starts: Vec::new(),
             done: Vec::new(),
             violations: Vec::new(),
+            is_deadly: |_| false,
+            keeps_name: false,
+            crashes: Vec::new(),
         }
     }
 
+    /// Crashes a worker, which loses all that it has and returns [`CRASH_TIME`] later.
+    pub(crate) fn crash(&mut self, name: &Name, now: Millis) {
+        let Some(worker) = self.workers.remove(name) else {
+            return;
+        };
+        self.crashes.push(Crash {
+            worker: name.clone(),
+            at: now,
+            tasks: worker.running.into_keys().collect(),
+            successor: None,
+        });
+    }
+
+    /// Boots the crashed workers that are due. Returns the names of the new workers.
+    pub(crate) fn boot_due(&mut self, now: Millis) -> Vec<Name> {
+        let mut booted = Vec::new();
+        for (index, crash) in self.crashes.iter_mut().enumerate() {
+            if crash.successor.is_some() || now.since(crash.at).as_millis() < CRASH_TIME.into() {
+                continue;
+            }
+            let name: Name = if self.keeps_name {
+                crash.worker.clone()
+            } else {
+                format!("{}-{index}", crash.worker).into()
+            };
+            let mut worker = Worker::new(index as u64 + 2);
+            worker.booted = now;
+            self.workers.insert(name.clone(), worker);
+            crash.successor = Some(name.clone());
+            booted.push(name);
+        }
+        booted
+    }
+
+    /// Returns whether another worker serves at the address of a crashed one.
+    pub(crate) fn is_replaced(&self, name: &Name) -> bool {
+        let crashes = self.crashes.iter();
+        let mut of_worker = crashes.filter(|crash| crash.worker == *name);
+        !self.workers.contains_key(name) && of_worker.any(|crash| crash.successor.is_some())
+    }
+
+    /// Returns how many workers have crashed under a task.
+    pub(crate) fn crashes_under(&self, task: &TaskId) -> usize {
+        let crashes = self.crashes.iter();
+        crashes.filter(|crash| crash.tasks.contains(task)).count()
+    }
+
     fn worker(&mut self, name: &Name) -> &mut Worker {
         self.workers.get_mut(name).expect("the test made it")
     }
@@ -94,6 +171,12 @@
         for worker in self.workers.values_mut() {
             worker.advance(now);
         }
+        let crashing = self.workers.iter();
+        let crashing = crashing.filter(|(_, worker)| worker.crashes_at.is_some_and(|at| at <= now));
+        let crashing: Vec<Name> = crashing.map(|(name, _)| name.clone()).collect();
+        for name in crashing {
+            self.crash(&name, now);
+        }
     }
 
     /// Reboots a worker, which loses its runs. Returns the new boot.
@@ -154,6 +237,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         let is_done = self.done.contains(&order.task);
+        let is_deadly = (self.is_deadly)(&order.task);
         let worker = self.worker(&order.target.name);
         worker.advance(now);
         if epoch < worker.epoch {
@@ -182,6 +266,10 @@
                 resources: cpu(cpu_millis),
             },
         );
+        if is_deadly {
+            worker.crashes_at.get_or_insert(Millis(now.0 + CRASH_DELAY));
+        }
+        let capacity = worker.cpu_millis;
         let used: u64 = worker
             .running
             .values()
@@ -199,7 +287,7 @@
             self.violations
                 .push(format!("{} was done before", order.task));
         }
-        if used > WORKER_CPU {
+        if used > capacity {
             self.violations.push(format!("{name} runs {used}"));
         }
         StartResult::Running
@@ -238,6 +326,8 @@
             booted: Millis(0),
             reachable: true,
             slowness: 100,
+            cpu_millis: WORKER_CPU,
+            crashes_at: None,
             epoch: 0,
             lease_end: 0,
             running: BTreeMap::new(),
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -43,6 +43,9 @@
     },
 };
 
+/// Time after which the list no longer names a worker that has crashed, in milliseconds.
+const HEARTBEATS_MISSED: u64 = 4500;
+
 /// State of the link to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Link {
@@ -80,6 +83,8 @@
     pub(crate) requests: Vec<AdviceRequest>,
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) store_down: bool,
+    /// Settings of later owners, except for their epoch.
+    pub(crate) settings: Settings,
 }
 
 impl Simulation {
@@ -97,6 +102,7 @@
             requests: Vec::new(),
             delayed: Vec::new(),
             store_down: false,
+            settings: settings(0),
         };
         sim.register_all();
         sim
@@ -135,8 +141,9 @@
     pub(crate) fn take_over_from(&mut self, ended: bool) {
         self.epoch += 1;
         let settings = Settings {
+            epoch: self.epoch,
             predecessor_ended: ended,
-            ..settings(self.epoch)
+            ..self.settings.clone()
         };
         self.engine = Engine::new(settings, policy(0), self.now);
         let names: Vec<Name> = self.fleet.workers.keys().cloned().collect();
@@ -164,6 +171,7 @@
         for _ in 0..millis / STEP {
             self.now = Millis(self.now.0 + STEP);
             self.fleet.advance(self.now);
+            self.list_crashed();
             self.deliver_delayed();
             self.pass(&mut link);
             self.store();
@@ -171,6 +179,22 @@
         }
     }
 
+    /// Updates the list of workers after crashes: a new worker is listed at once, and one that has
+    /// crashed is removed after it has missed its heartbeats.
+    fn list_crashed(&mut self) {
+        for name in self.fleet.boot_due(self.now) {
+            let boot = self.boot_of(&name);
+            self.engine.register_worker(entry(&name, boot), self.now);
+        }
+        for crash in &self.fleet.crashes {
+            if self.now.since(crash.at).as_millis() == HEARTBEATS_MISSED.into()
+                && !self.fleet.workers.contains_key(&crash.worker)
+            {
+                self.engine.unregister_worker(&crash.worker, self.now);
+            }
+        }
+    }
+
     fn deliver_delayed(&mut self) {
         let now = self.now;
         let (due, later) = std::mem::take(&mut self.delayed)
@@ -212,6 +236,24 @@
         let epoch = u64::from(self.epoch) + 1;
         let now = self.now;
         match &order {
+            Order::Start(start) if !self.fleet.workers.contains_key(&start.target.name) => {
+                self.engine.handle_start_result(
+                    start.target.key,
+                    &start.task,
+                    start.run,
+                    StartResult::Unsent,
+                    now,
+                );
+            }
+            Order::Stop(stop) if !self.fleet.workers.contains_key(&stop.target.name) => {
+                self.engine.handle_stop_result(
+                    stop.target.key,
+                    &stop.task,
+                    stop.run,
+                    StopResult::Unknown,
+                    now,
+                );
+            }
             Order::Start(start) => {
                 let answer = match self.link(&start.target.name, link) {
                     Link::Normal => self.fleet.start(epoch, start, now),
@@ -282,14 +324,17 @@
     }
 
     fn poll_all(&mut self, link: &mut impl FnMut(&Name) -> Link) {
-        let names: Vec<Name> = self.fleet.workers.keys().cloned().collect();
-        for name in names {
+        for name in self.engine.worker_names() {
             let Some(key) = self.engine.worker_key(&name) else {
                 continue;
             };
             let Some(poll) = self.engine.poll(key, self.now) else {
                 continue;
             };
+            if !self.fleet.workers.contains_key(&name) {
+                self.engine.handle_poll_failure(key, self.now);
+                continue;
+            }
             if self.link(&name, link) != Link::Normal {
                 self.engine.handle_poll_failure(key, self.now);
                 continue;
