Give up tasks that crash the workers that start them

Cause: only ends that a worker reports were counted. A crash leaves none: the run was dropped and its task started again. Class: a failure that destroys the evidence of the attempt, so that the attempt is repeated without bound. Evidence: no deadly task had an `end` with Failed, each crash was a `run lost`, and runs were numbered on under one owner. Change: runs that vanish with their worker are counted for the tasks that may be to blame, in the stored progress; suspects are kept apart from each other when they start again, and a suspect's start is stored before it is sent, so that an owner that ends with the worker leaves a trace. Why it works: a deadly task is the only one whose crashes repeat wherever it runs; what shared a worker with it once proves itself within 0.2 s elsewhere. Outages, cuts, machines in a crash loop, and long-running tasks that were at work are told apart.

--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -86,6 +86,9 @@
             let mut engine = owner.engine();
             engine.confirm_ownership(sent);
             engine.handle_stored(batch, version, owner.now());
+            drop(engine);
+            // Starts may have waited for it.
+            owner.wake.notify_one();
             true
         }
         Ok(Outcome::Conflict(rows)) => {
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -194,6 +194,16 @@
             } => slog::info!(log, "run lost";
                 "task" => %task, "run" => run, "worker" => %worker, "evidence" => evidence,
                 "ran_ms" => ran.as_millis() as u64, "beside" => beside),
+            Event::Blamed {
+                task,
+                run,
+                worker,
+                crashes,
+                is_clear,
+                is_given_up,
+            } => slog::info!(log, "task blamed for a crash";
+                "task" => %task, "run" => run, "worker" => %worker, "crashes" => crashes,
+                "clear" => is_clear, "given_up" => is_given_up),
             Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
                 "task" => %task, "run" => run, "worker" => %worker),
             Event::Final {
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -436,6 +436,12 @@
         Event::Stop { .. } => metrics.count("stops"),
         Event::End { .. } => metrics.count("ends"),
         Event::Lost { .. } => metrics.count("runs_lost"),
+        Event::Blamed { is_given_up, .. } => {
+            metrics.count("crashes_blamed");
+            if *is_given_up {
+                metrics.count("tasks_given_up");
+            }
+        }
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    crash::Record,
     job::{
         Accepted,
         State,
@@ -75,6 +76,22 @@
         }
     }
 
+    /// Records that the placements in `stored` are stored.
+    pub(crate) fn confirm_placements(&mut self, stored: &Progress) {
+        for (stage_index, stage) in &stored.stages {
+            for (index, stored) in &stage.tasks {
+                let stage = self.stages.get_mut(*stage_index);
+                let task = stage.and_then(|stage| stage.tasks.get_mut(*index as usize));
+                if let Some(task) = task
+                    && stored.placement.is_some()
+                    && task.history.placement == stored.placement
+                {
+                    task.history.record = Record::Stored;
+                }
+            }
+        }
+    }
+
     /// Returns whether a stage is due and all steps that it depends on are done.
     pub fn is_stage_ready(&self, stage: usize, now: Millis) -> bool {
         let steps = self.accepted.spec.steps.len();
--- /dev/null
+++ b/crates/workflow/src/crash_handling.rs
@@ -0,0 +1,339 @@
+//! Crashes of workers: the record of who may have caused them, and the end of jobs that do.
+
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+
+use crate::{
+    crash::{
+        self,
+        Neighbours,
+        Record,
+        Suspect, //
+    },
+    engine::Engine,
+    event::Event,
+    job::{
+        State,
+        TaskId, //
+    },
+    progress::Placement,
+    report::Running,
+    stage::Task,
+    worker::{
+        self,
+        TaskPosition, //
+    },
+};
+
+/// A run that a worker had when it crashed.
+#[derive(Debug)]
+pub(crate) struct Accused {
+    task: TaskId,
+    run: u32,
+    worker: Name,
+    position: Option<TaskPosition>,
+    suspect: Suspect,
+}
+
+impl Engine {
+    /// Drops the runs of a worker that has ended or may have, and blames its crash on them.
+    ///
+    /// `is_certain` says whether the worker is known to have ended. One that was cut off reports
+    /// its runs once it is back, which takes the blame from them.
+    pub(crate) fn handle_crash(
+        &mut self,
+        key: worker::Key,
+        evidence: &'static str,
+        is_certain: bool,
+        now: Millis,
+    ) {
+        let accused = self.accused(key, &[]);
+        self.drop_all_runs(key, evidence, now);
+        self.blame(key, &accused, is_certain, now);
+    }
+
+    /// Returns the runs that may have crashed a worker: all that it has, or may have, except those
+    /// that it lists as running now.
+    pub(crate) fn accused(&self, key: worker::Key, running: &[Running]) -> Vec<Accused> {
+        let Some(worker) = self.workers.get(key) else {
+            return Vec::new();
+        };
+        let lost = worker.runs.iter().filter(|(task, run)| {
+            let is_listed = |other: &Running| other.task == **task && other.run == run.run;
+            !running.iter().any(is_listed)
+        });
+        let mut accused: Vec<Accused> = lost
+            .map(|(task, run)| Accused {
+                task: task.clone(),
+                run: run.run,
+                worker: worker.info.name.clone(),
+                position: run.position,
+                suspect: Suspect {
+                    crashes: run
+                        .position
+                        .and_then(|position| self.task(position))
+                        .map_or(0, |task| task.history.crashes.len()),
+                    started_at: run.started_at,
+                    proven_at: run.proven_at,
+                },
+            })
+            .collect();
+        accused.sort_unstable_by(|left, right| left.task.cmp(&right.task));
+        accused
+    }
+
+    /// Blames the crash of a worker on those of its runs that may have caused it, and fails the
+    /// jobs of tasks that have crashed workers too often. A worker that had announced to leave has
+    /// not crashed.
+    pub(crate) fn blame(
+        &mut self,
+        key: worker::Key,
+        accused: &[Accused],
+        is_certain: bool,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get(key).filter(|worker| !worker.info.leaving) else {
+            return;
+        };
+        let address = worker.info.address.clone();
+        let has_other_cause = !is_certain
+            || self.neighbours(key, now).show_outage()
+            || self.machines.entry(address).or_default().record_crash(now);
+        let suspects: Vec<Suspect> = accused.iter().map(|accused| accused.suspect).collect();
+        let verdict = crash::blame(&suspects);
+        for index in verdict.blamed {
+            let accused = &accused[index];
+            if let Some(position) = accused.position {
+                let is_clear = verdict.is_clear && !has_other_cause;
+                self.record_crash(position, accused.run, &accused.worker, is_clear, now);
+            }
+        }
+    }
+
+    /// Returns which other workers fell silent at the same time as one that crashed.
+    fn neighbours(&self, key: worker::Key, now: Millis) -> Neighbours {
+        let mut neighbours = Neighbours::default();
+        let Some(crashed) = self.workers.get(key) else {
+            return neighbours;
+        };
+        let at = crashed.silent_since.unwrap_or(now);
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        for (_, other) in others {
+            let is_silent = other.silent_since.is_some_and(|since| {
+                since.since(at) < crash::SAME_TIME && at.since(since) < crash::SAME_TIME
+            });
+            let is_in_rack = crashed.rack().is_some() && other.rack() == crashed.rack();
+            neighbours.all += 1;
+            neighbours.crashed += usize::from(is_silent);
+            neighbours.in_rack += usize::from(is_in_rack);
+            neighbours.crashed_in_rack += usize::from(is_silent && is_in_rack);
+        }
+        neighbours
+    }
+
+    fn record_crash(
+        &mut self,
+        position: TaskPosition,
+        run: u32,
+        worker: &Name,
+        is_clear: bool,
+        now: Millis,
+    ) {
+        let Some(job) = self.jobs.get_mut(position.job) else {
+            return;
+        };
+        if job.final_state.is_some() {
+            return;
+        }
+        let id = job.task_id(position.stage, position.index);
+        let task = &mut job.stages[position.stage].tasks[position.index];
+        if task.done {
+            return;
+        }
+        task.history.record_crash(run, is_clear);
+        let is_given_up = task.history.is_conclusive();
+        self.events.push(Event::Blamed {
+            task: id,
+            run,
+            worker: worker.clone(),
+            crashes: task.history.crashes.len(),
+            is_clear,
+            is_given_up,
+        });
+        self.mark_dirty(position.job);
+        if is_given_up {
+            self.end_job(position.job, State::Failed, now);
+        }
+    }
+
+    /// Records that a worker has reported the end of a run, so that the run has not crashed it.
+    pub(crate) fn acquit(&mut self, position: TaskPosition, run: u32) {
+        if let Some(task) = self.task_mut(position)
+            && task.history.acquit(run)
+        {
+            self.mark_dirty(position.job);
+        }
+    }
+
+    /// Clears the history of a long-running task that has been at work for a lease.
+    pub(crate) fn acquit_at_work(&mut self, key: worker::Key, task: &TaskId, now: Millis) {
+        const AT_WORK_PERCENT: f64 = 100.0;
+        let Some(run) = self
+            .workers
+            .get(key)
+            .and_then(|worker| worker.runs.get(task))
+        else {
+            return;
+        };
+        let is_at_work = run.percent >= AT_WORK_PERCENT
+            && now.since(run.progressed_at) >= self.settings.max_lease;
+        let Some(position) = run.position.filter(|_| is_at_work) else {
+            return;
+        };
+        if let Some(task) = self.task_mut(position)
+            && task.history != crash::History::default()
+        {
+            task.history = crash::History::default();
+            self.mark_dirty(position.job);
+        }
+    }
+
+    /// Polls the workers on which a suspected task has outlived its start, so that the next one can
+    /// start there.
+    pub(crate) fn poll_suspects(&mut self, now: Millis) {
+        let mut due = Vec::new();
+        for (key, worker) in &self.workers {
+            let mut runs = worker.runs.values();
+            let is_due = runs.any(|run| {
+                run.proven_at.is_none()
+                    && run.has_outlived_start(now)
+                    && run
+                        .position
+                        .and_then(|position| self.task(position))
+                        .is_some_and(|task| task.history.is_suspect())
+            });
+            if is_due && !worker.unresponsive {
+                due.push(key);
+            }
+        }
+        for key in due {
+            let worker = &mut self.workers[key];
+            let since_poll = worker.proof_polled_at.map(|at| now.since(at));
+            if since_poll.is_none_or(|since| since >= crash::PROOF_TIME) {
+                worker.proof_polled_at = Some(now);
+                worker.poll_now = true;
+            }
+        }
+    }
+
+    /// Records that nothing listens at the address of a worker, so that it has probably crashed.
+    ///
+    /// Starts are not stored, so an owner that takes over before the crash is certain would not
+    /// know which tasks the worker ran.
+    pub fn handle_refused_poll(&mut self, key: worker::Key, now: Millis) -> bool {
+        let is_first = self.handle_poll_failure(key, now);
+        let Some(worker) = self.workers.get(key) else {
+            return is_first;
+        };
+        let runs: Vec<(TaskPosition, Placement)> = worker
+            .runs
+            .values()
+            .filter_map(|run| Some((run.position?, worker.placement(run.run))))
+            .collect();
+        for (position, placement) in runs {
+            if let Some(task) = self.task_mut(position)
+                && task.worker == Some(key)
+                && task.history.place(placement)
+            {
+                self.mark_dirty(position.job);
+            }
+        }
+        is_first
+    }
+
+    /// Decides whether the runs that an earlier owner had placed, and that no worker lists, have
+    /// crashed their workers. All workers have answered this owner, or their leases are over.
+    pub(crate) fn resolve_inherited_placements(&mut self, now: Millis) {
+        let mut inherited = Vec::new();
+        for (key, job) in &self.jobs {
+            for (stage_index, stage) in job.stages.iter().enumerate() {
+                let tasks = stage.tasks.iter().enumerate();
+                let of_stage = tasks.filter(|(_, task)| {
+                    task.history.record == Record::Inherited && task.history.placement.is_some()
+                });
+                inherited.extend(of_stage.map(|(index, _)| TaskPosition {
+                    job: key,
+                    stage: stage_index,
+                    index,
+                }));
+            }
+        }
+        for position in inherited {
+            let Some(task) = self.task_mut(position) else {
+                continue;
+            };
+            task.history.record = Record::Stored;
+            if !task.is_waiting() {
+                continue;
+            }
+            let Some(placement) = task.history.placement.take() else {
+                continue;
+            };
+            self.mark_dirty(position.job);
+            let lives = self.worker(&placement.worker).is_some_and(|worker| {
+                worker.boot == Some(placement.boot) && !worker.unresponsive && !worker.replaced
+            });
+            if !lives {
+                self.record_crash(position, placement.run, &placement.worker, false, now);
+            }
+        }
+    }
+
+    /// Returns whether the start of a run has to wait until its placement is stored, and records
+    /// the placement.
+    ///
+    /// Only the runs of tasks under which a worker has crashed are recorded ahead. An owner that
+    /// ended during each of them would otherwise leave no trace of the crashes.
+    pub(crate) fn must_record_start(
+        &mut self,
+        position: TaskPosition,
+        key: worker::Key,
+        run: u32,
+    ) -> bool {
+        let Some(placement) = self.workers.get(key).map(|worker| worker.placement(run)) else {
+            return false;
+        };
+        let Some(task) = self.task_mut(position) else {
+            return false;
+        };
+        if !task.history.is_suspect() {
+            return false;
+        }
+        if task.history.place(placement) {
+            self.mark_dirty(position.job);
+            return true;
+        }
+        task.history.record != Record::Stored
+    }
+
+    /// Returns the worker on which a run is recorded to start.
+    pub(crate) fn recorded_worker(&self, task: &Task, run: u32) -> Option<worker::Key> {
+        let placement = task.history.placement.as_ref();
+        let placement = placement.filter(|placement| placement.run == run)?;
+        self.worker_key(&placement.worker)
+    }
+
+    /// Returns a task.
+    pub(crate) fn task(&self, position: TaskPosition) -> Option<&Task> {
+        let job = self.jobs.get(position.job)?;
+        Some(&job.stages[position.stage].tasks[position.index])
+    }
+
+    /// Returns a task.
+    pub(crate) fn task_mut(&mut self, position: TaskPosition) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(position.job)?;
+        Some(&mut job.stages[position.stage].tasks[position.index])
+    }
+}
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -28,6 +28,7 @@
         objective, //
     },
     budget::Budget,
+    crash,
     event::{
         Cause,
         Event, //
@@ -141,6 +142,8 @@
     pub(crate) announced: HashSet<Name>,
     /// Time when an order or a poll last went unanswered.
     pub(crate) last_unanswered_at: Option<Millis>,
+    /// Crashes of workers, by address.
+    pub(crate) machines: HashMap<Name, crash::Machine>,
     /// Jobs whose final state is stored, with the time since when it is.
     pub(crate) retired: VecDeque<(Millis, Name)>,
 }
@@ -178,6 +181,7 @@
             accepted_version: Version(0),
             announced: HashSet::new(),
             last_unanswered_at: None,
+            machines: HashMap::new(),
             retired: VecDeque::new(),
         }
     }
@@ -482,7 +486,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return false;
         };
-        !std::mem::replace(&mut worker.unresponsive, true)
+        worker.fall_silent(now)
     }
 
     /// Records that another worker answers at the address of a worker, which has therefore ended
@@ -491,7 +495,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return false;
         };
-        worker.unresponsive = true;
+        worker.fall_silent(now);
         if std::mem::replace(&mut worker.replaced, true) {
             return false;
         }
@@ -500,7 +504,7 @@
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(&name);
         }
-        self.drop_all_runs(key, "another worker answers at its address", now);
+        self.handle_crash(key, "another worker answers at its address", true, now);
         self.settle(now);
         self.remove_if_unused(key);
         true
@@ -543,6 +547,7 @@
         self.next_tick = now.after(TICK_INTERVAL);
         self.stop_stalled(now);
         self.move_slow(now);
+        self.poll_suspects(now);
         self.drop_unknown_jobs(now);
         self.settle(now);
         let keys: Vec<_> = self.workers.keys().collect();
@@ -552,7 +557,7 @@
             let has_runs = !worker.runs.is_empty();
             let leases_end = worker.leases_end(max_lease, started_at);
             if has_runs && self.is_over(leases_end, now) {
-                self.drop_all_runs(key, "the lease is over", now);
+                self.handle_crash(key, "the lease is over", false, now);
             }
             self.resend_stops(key, now);
             self.stop_unanswered(key, now);
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -100,6 +100,21 @@
         /// Number of other runs that the worker still had.
         beside: usize,
     },
+    /// A task may have crashed its worker.
+    Blamed {
+        /// Name of the task.
+        task: TaskId,
+        /// Run number.
+        run: u32,
+        /// Name of the worker.
+        worker: Name,
+        /// Number of crashes that the task was blamed for.
+        crashes: usize,
+        /// Whether nothing else on the worker can have been the cause.
+        is_clear: bool,
+        /// Whether the job fails for it.
+        is_given_up: bool,
+    },
     /// A run that an earlier owner started was found.
     Adopted {
         /// Name of the task.
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -92,6 +92,7 @@
             };
             if let Some(job) = self.jobs.get_mut(key) {
                 job.version = version;
+                job.confirm_placements(&record.progress);
                 let newly_final = record.progress.state.is_final() && !job.final_state_stored;
                 job.final_state_stored |= newly_final;
                 if newly_final {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod advice;
 pub mod advice_request;
 pub mod budget;
+pub mod crash;
+mod crash_handling;
 pub mod election;
 pub mod engine;
 pub mod event;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    budget,
+    budget, crash,
     engine::{
         Engine,
         RUNS_PER_EPOCH,
@@ -100,8 +100,14 @@
                 long_running: step.long_running,
                 waited: now.since(task.waiting_since),
             };
+            let crashes = task.history.crashes.len();
+            let is_suspect = task.history.is_suspect();
             let allowed = candidates
                 .iter()
+                .filter(|candidate| {
+                    let (company, waited) = (candidate.company, attempt.waited);
+                    !is_suspect || crash::admits(company, crashes, waited, step.long_running)
+                })
                 .filter(|candidate| {
                     let max_per_worker = step.max_per_worker.unwrap_or(u32::MAX);
                     on_worker.get(&candidate.key).copied().unwrap_or(0) < max_per_worker
@@ -119,18 +125,38 @@
                     };
                     retry::admits(&attempt, alternative)
                 });
-            let Some(key) = selection::best_fit(allowed, &demand) else {
-                if alternative {
+            let epoch_first = self.settings.epoch * RUNS_PER_EPOCH + 1;
+            let run = (task.run + 1).max(epoch_first);
+            let chosen = if is_suspect {
+                let allowed: Vec<Candidate> = allowed.collect();
+                let recorded = self.recorded_worker(task, run);
+                let recorded = allowed
+                    .iter()
+                    .copied()
+                    .filter(|candidate| recorded == Some(candidate.key));
+                selection::most_isolated(recorded, &demand)
+                    .or_else(|| selection::most_isolated(allowed, &demand))
+            } else {
+                selection::best_fit(allowed, &demand)
+            };
+            let Some(key) = chosen else {
+                if alternative || is_suspect {
                     continue;
                 }
                 return;
             };
-            let epoch_first = self.settings.epoch * RUNS_PER_EPOCH + 1;
-            let run = (task.run + 1).max(epoch_first);
             let checkpoint = task.checkpoint.clone();
+            let position = worker::TaskPosition {
+                job: ready.job,
+                stage: ready.stage,
+                index,
+            };
+            if self.must_record_start(position, key, run) {
+                continue;
+            }
             self.start_run(ready, index, key, run, checkpoint, now);
             *on_worker.entry(key).or_default() += 1;
-            deduct(pool, &mut candidates, key, &demand);
+            deduct(pool, &mut candidates, key, &demand, is_suspect);
         }
     }
 
@@ -155,9 +181,12 @@
         let tasks = &self.jobs[ready.job].stages[ready.stage].tasks;
         let has_failed = |key| tasks.iter().any(|task| task.failed_workers.contains(&key));
         let mut all = self.candidates(ready, step, pool, advised, has_capacity, now);
+        let is_suspect = tasks.iter().any(|task| task.history.is_suspect());
         for candidate in &mut all {
             candidate.suspect |= has_failed(candidate.key);
+            candidate.suspect |= is_suspect && candidate.company.suspect;
         }
+        all.retain(|candidate| !is_suspect || !candidate.company.unproven_suspect);
         let mut groups: Vec<Vec<Candidate>> = Vec::new();
         if step.same_rack {
             let mut racks: BTreeMap<Option<Name>, Vec<Candidate>> = BTreeMap::new();
@@ -184,7 +213,7 @@
             .and_then(|task| task.checkpoint.clone());
         for (index, key) in chosen.into_iter().enumerate() {
             self.start_run(ready, index, key, run, newest_checkpoint.clone(), now);
-            deduct(pool, &mut [], key, &demand);
+            deduct(pool, &mut [], key, &demand, is_suspect);
         }
     }
 
@@ -259,6 +288,7 @@
                 at: now,
             }),
             started_at: now,
+            proven_at: None,
             percent: 0.0,
             progressed_at: now,
             measurement: 0.0,
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -16,6 +16,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
+    crash::Company,
     engine::Engine,
     job::Step,
     pace,
@@ -58,6 +59,8 @@
     pub(crate) serving: bool,
     /// Whether it runs a best-effort task.
     pub(crate) best_effort: bool,
+    /// Its runs.
+    pub(crate) company: Company,
 }
 
 impl Slot {
@@ -141,6 +144,16 @@
                 quarantined: worker.quarantined_until > now,
                 serving: false,
                 best_effort: false,
+                company: Company {
+                    unproven_suspect: false,
+                    suspect: false,
+                    unproven: worker.runs.values().any(|run| run.proven_at.is_none()),
+                    crashes: self
+                        .machines
+                        .get(&worker.info.address)
+                        .map_or(0, |machine| machine.crashes(now)),
+                    runs: worker.runs.len() as u32,
+                },
             };
             for run in worker.runs.values() {
                 let Some(job) = run
@@ -153,6 +166,12 @@
                     .position
                     .map_or(0, |position| job.stages[position.stage].step);
                 let step = &job.accepted.spec.steps[step_index];
+                let is_suspect = run
+                    .position
+                    .and_then(|position| self.task(position))
+                    .is_some_and(|task| task.history.is_suspect());
+                slot.company.suspect |= is_suspect;
+                slot.company.unproven_suspect |= is_suspect && run.proven_at.is_none();
                 slot.serving |= step.latency_target.is_some();
                 slot.best_effort |= step.best_effort;
                 let is_stopping = matches!(run.phase, Phase::Stopping(_));
@@ -214,6 +233,7 @@
             suspect: slot.suspect,
             slow: slot.slow,
             interferes: interferes(slot, step),
+            company: slot.company,
         };
         if !advised {
             let slots = pool.slots.iter();
@@ -302,9 +322,17 @@
     candidates: &mut [Candidate],
     key: worker::Key,
     demand: &Resources,
+    is_suspect: bool,
 ) {
     pool.free = pool.free.minus(demand);
+    let join = |company: &mut Company| {
+        company.unproven_suspect |= is_suspect;
+        company.suspect |= is_suspect;
+        company.unproven = true;
+        company.runs += 1;
+    };
     if let Some(slot) = pool.slot_mut(key) {
+        join(&mut slot.company);
         slot.free = slot.free.minus(demand);
         slot.unclaimed = slot.unclaimed.minus(demand);
         slot.reclaimable = slot.reclaimable.minus(demand);
@@ -315,6 +343,7 @@
         .filter(|candidate| candidate.key == key)
     {
         candidate.free = candidate.free.minus(demand);
+        join(&mut candidate.company);
     }
 }
 
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -17,6 +17,24 @@
     /// Newest checkpoint.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Name>,
+    /// Runs that vanished with their workers, and whether each was the only possible cause.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashes: BTreeMap<u32, bool>,
+    /// Where a run is about to start, or may have crashed its worker.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub placement: Option<Placement>,
+}
+
+/// A run on a boot of a worker.
+#[data]
+#[derive(Eq)]
+pub struct Placement {
+    /// Run number.
+    pub run: u32,
+    /// Name of the worker.
+    pub worker: Name,
+    /// Boot of the worker.
+    pub boot: u64,
 }
 
 /// Progress of a stage, which is one occurrence of a step.
@@ -29,7 +47,7 @@
     /// Indexes of the tasks that are done, unless all are.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
-    /// Tasks that are not done and have a failed run or a checkpoint, by index.
+    /// Tasks that are not done and have any progress, by index.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub tasks: BTreeMap<u32, Task>,
 }
--- a/crates/workflow/src/selection.rs
+++ b/crates/workflow/src/selection.rs
@@ -2,7 +2,10 @@
 
 use basilbridge_common::unit::Resources;
 
-use crate::worker;
+use crate::{
+    crash::Company,
+    worker, //
+};
 
 /// A worker that may run a task.
 #[derive(Debug, Clone, Copy)]
@@ -20,6 +23,8 @@
     pub slow: bool,
     /// Whether the worker would run both serving and best-effort tasks.
     pub interferes: bool,
+    /// Other runs there, which a crash of the worker would cost.
+    pub company: Company,
 }
 
 /// Returns the best candidate for a task that needs `demand`, or `None` if it fits on none.
@@ -38,6 +43,8 @@
             (
                 candidate.suspect,
                 candidate.slow,
+                candidate.company.unproven_suspect,
+                candidate.company.suspect,
                 candidate.interferes,
                 candidate.remote_data,
                 candidate.free.accelerators,
@@ -48,3 +55,26 @@
         })
         .map(|candidate| candidate.key)
 }
+
+/// Returns the best candidate for a task that may crash its worker, or `None` if it fits on none.
+///
+/// The fewer runs a crash would cost and the fewer of them could be its cause, the better.
+pub fn most_isolated(
+    candidates: impl IntoIterator<Item = Candidate>,
+    demand: &Resources,
+) -> Option<worker::Key> {
+    candidates
+        .into_iter()
+        .filter(|candidate| demand.fits(&candidate.free))
+        .min_by_key(|candidate| {
+            (
+                candidate.suspect,
+                candidate.slow,
+                candidate.company,
+                candidate.interferes,
+                candidate.remote_data,
+                candidate.key,
+            )
+        })
+        .map(|candidate| candidate.key)
+}
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -10,6 +10,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
+    crash,
     progress,
     worker, //
 };
@@ -53,6 +54,8 @@
     pub waiting_since: Millis,
     /// Workers on which a run of the task has failed.
     pub failed_workers: Vec<worker::Key>,
+    /// Crashes of its workers.
+    pub history: crash::History,
 }
 
 impl Task {
@@ -60,6 +63,28 @@
     pub fn is_waiting(&self) -> bool {
         !self.done && self.worker.is_none()
     }
+
+    /// Returns the progress to store, or `None` if there is none.
+    fn progress(&self) -> Option<progress::Task> {
+        let stored = progress::Task {
+            failed: self.failed_runs.iter().copied().collect(),
+            checkpoint: self.checkpoint.clone(),
+            crashes: self.history.crashes.clone(),
+            placement: self.history.placement.clone(),
+        };
+        (stored != progress::Task::default()).then_some(stored)
+    }
+
+    /// Applies the progress that an earlier owner has stored.
+    fn restore(&mut self, stored: &progress::Task) {
+        self.failed_runs = stored.failed.iter().copied().collect();
+        self.checkpoint = stored.checkpoint.clone();
+        self.history = crash::History {
+            crashes: stored.crashes.clone(),
+            placement: stored.placement.clone(),
+            record: crash::Record::Inherited,
+        };
+    }
 }
 
 /// One occurrence of a step.
@@ -148,11 +173,7 @@
         for (index, task) in (0_u32..).zip(&self.tasks) {
             if task.done {
                 stored.done.push(index);
-            } else if !task.failed_runs.is_empty() || task.checkpoint.is_some() {
-                let entry = progress::Task {
-                    failed: task.failed_runs.iter().copied().collect(),
-                    checkpoint: task.checkpoint.clone(),
-                };
+            } else if let Some(entry) = task.progress() {
                 stored.tasks.insert(index, entry);
             }
         }
@@ -168,8 +189,7 @@
         }
         for (index, entry) in &stored.tasks {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.failed_runs = entry.failed.iter().copied().collect();
-                task.checkpoint = entry.checkpoint.clone();
+                task.restore(entry);
             }
         }
     }
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -86,5 +86,8 @@
         let leases_end = answered_at.after(NOTICE_TIME + lease);
         let has_ended = unanswered.is_empty() || self.is_over(leases_end, now);
         self.unconfirmed = (!has_ended).then_some(unanswered);
+        if has_ended {
+            self.resolve_inherited_placements(now);
+        }
     }
 }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -14,12 +14,14 @@
 };
 
 use crate::{
+    crash,
     job::TaskId,
     lease::{
         self,
         Lease, //
     },
     pace,
+    progress::Placement,
     report::{
         Ended,
         WorkerInfo, //
@@ -76,6 +78,9 @@
     pub start_bytes: usize,
     /// Time when the run was ordered or first seen.
     pub started_at: Millis,
+    /// Time when the worker listed the run long enough after its start to show that it does not
+    /// crash the worker by that; see [`crash::PROOF_TIME`].
+    pub proven_at: Option<Millis>,
     /// Whether this owner started it, without a checkpoint.
     pub whole: bool,
     /// Progress when its speed was last measured.
@@ -114,6 +119,8 @@
     pub last_response: Option<Millis>,
     /// Whether the last poll was not answered.
     pub unresponsive: bool,
+    /// Time when it last stopped to answer.
+    pub silent_since: Option<Millis>,
     /// Whether another worker answers at its address, so that it has ended.
     pub replaced: bool,
     /// Time until which it gets no new work.
@@ -124,6 +131,8 @@
     pub polled: bool,
     /// Whether it has to be polled at once.
     pub poll_now: bool,
+    /// Time when it was last polled at once for a suspected task.
+    pub proof_polled_at: Option<Millis>,
     /// Jobs of which a task has failed since the last success.
     pub failed_jobs: Vec<Name>,
     /// Time until which it counts as slow.
@@ -137,6 +146,13 @@
     lease: Lease,
 }
 
+impl Run {
+    /// Returns whether the worker has run it long enough to prove that its start does no harm.
+    pub fn has_outlived_start(&self, now: Millis) -> bool {
+        matches!(self.phase, Phase::Confirmed(at) if now.since(at) >= crash::PROOF_TIME)
+    }
+}
+
 impl Worker {
     /// Creates a worker that has not answered yet.
     pub fn new(info: WorkerInfo) -> Self {
@@ -150,11 +166,13 @@
             stored: 0,
             last_response: None,
             unresponsive: false,
+            silent_since: None,
             replaced: false,
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
             poll_now: true,
+            proof_polled_at: None,
             failed_jobs: Vec::new(),
             slow_until: Millis(0),
             quarantines: 0,
@@ -220,6 +238,15 @@
             && self.runs.values().all(|run| run.position.is_some())
     }
 
+    /// Records that it does not answer. Returns whether it did before.
+    pub fn fall_silent(&mut self, now: Millis) -> bool {
+        let did_answer = !std::mem::replace(&mut self.unresponsive, true);
+        if did_answer {
+            self.silent_since = Some(now);
+        }
+        did_answer
+    }
+
     /// Returns whether an answer with this clock is older than one that was handled before.
     pub fn is_stale(&self, clock: u64) -> bool {
         self.lease.is_stale(clock)
@@ -268,6 +295,15 @@
         Some(run)
     }
 
+    /// Returns how the store names a run on this boot.
+    pub fn placement(&self, run: u32) -> Placement {
+        Placement {
+            run,
+            worker: self.info.name.clone(),
+            boot: self.boot.unwrap_or(self.info.boot),
+        }
+    }
+
     /// Returns the rack, which is the last label.
     pub fn rack(&self) -> Option<&Name> {
         self.info.labels.last()
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -51,7 +51,9 @@
             let rebooted = worker.boot.is_some();
             worker.reboot(inventory.boot);
             if rebooted {
+                let accused = self.accused(key, &inventory.running);
                 self.drop_earlier_boot(key, sent, inventory, now);
+                self.blame(key, &accused, true, now);
             }
         }
         let worker = &mut self.workers[key];
@@ -164,9 +166,13 @@
             run.progressed_at = now;
         }
         run.measurement = running.measurement;
+        if run.has_outlived_start(now) {
+            run.proven_at.get_or_insert(now);
+        }
         if let Some(position) = run.position {
             self.keep_checkpoint(position, running.run, running.checkpoint.as_ref());
             self.measure_pace(key, &running.task, now);
+            self.acquit_at_work(key, &running.task, now);
         }
     }
 
@@ -254,6 +260,7 @@
             whole: false,
             reading: None,
             started_at: now,
+            proven_at: None,
             percent: running.percent,
             progressed_at: now,
             measurement: running.measurement,
@@ -310,6 +317,7 @@
             return;
         };
         self.keep_checkpoint(position, end.run, end.checkpoint.as_ref());
+        self.acquit(position, end.run);
         {
             let task = &mut self.jobs[position.job].stages[position.stage].tasks[position.index];
             task.run = task.run.max(end.run);
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -2,8 +2,18 @@
 
 use std::time::Duration;
 
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
 use basilbridge_workflow::{
+    crash::{
+        self,
+        Neighbours,
+        Suspect, //
+    },
     job::{
+        Schedule,
         State,
         TaskId, //
     },
@@ -11,7 +21,10 @@
 };
 
 use crate::{
-    simulation::Simulation,
+    simulation::{
+        Link,
+        Simulation, //
+    },
     util::{
         CHECKS,
         LONG_RUNNING,
@@ -132,3 +145,335 @@
     assert!(!polled_when_replaced);
     assert_eq!(sim.state("j1"), State::Completed);
 }
+
+/// Runs until the number of crashes has grown, at most `millis`. Returns whether it has.
+fn run_until_crash(sim: &mut Simulation, millis: u64) -> bool {
+    let before = sim.fleet.crashes.len();
+    for _ in 0..millis / 10 {
+        sim.run(10);
+        if sim.fleet.crashes.len() > before {
+            return true;
+        }
+    }
+    false
+}
+
+fn steady(_: &TaskId, _: u32) -> (u64, Outcome, u64) {
+    (2000, Outcome::Done, CORE)
+}
+
+fn assert_given_up(sim: &Simulation, job: &str) {
+    let crashes = sim.fleet.crashes_under(&first_task(job));
+    assert_eq!(sim.state(job), State::Failed, "{crashes} crashes");
+    assert!(crashes < CRASH_BUDGET + 3, "{crashes} crashes");
+    assert_eq!(sim.fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn sound_jobs_beside_deadly_ones_are_done() {
+    let mut sim = deadly_simulation(steady);
+    let sound: Vec<String> = (0..12).map(|index| format!("sound-{index}")).collect();
+
+    for id in &sound {
+        sim.submit(id, accepted(CHECKS, sim.now, vec![step(3, CORE)]));
+    }
+    for id in ["deadly-1", "deadly-2", "deadly-3"] {
+        sim.submit(id, accepted(CHECKS, sim.now, vec![step(4, CORE)]));
+    }
+    sim.run(45_000);
+
+    for id in &sound {
+        assert_eq!(sim.state(id), State::Completed, "{id}");
+    }
+    for id in ["deadly-1", "deadly-2", "deadly-3"] {
+        assert_given_up(&sim, id);
+    }
+}
+
+#[test]
+fn a_deadly_task_is_given_up_if_its_workers_return_under_their_names() {
+    let mut sim = deadly_simulation(quick);
+    sim.fleet.keeps_name = true;
+
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(2, CORE)]));
+    sim.run(60_000);
+
+    assert_given_up(&sim, "deadly");
+}
+
+#[test]
+fn a_deadly_task_is_given_up_if_the_answers_to_its_starts_are_lost() {
+    let mut sim = deadly_simulation(quick);
+
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    for _ in 0..6000 {
+        let is_placed = sim.fleet.worker_of(&first_task("deadly")).is_some();
+        // Only the pass that sends a start has a link that loses the answer.
+        sim.run_on(10, |_| {
+            if is_placed {
+                Link::Normal
+            } else {
+                Link::LostReply
+            }
+        });
+        sim.run(20);
+    }
+
+    assert_given_up(&sim, "deadly");
+}
+
+/// The owner ends soon after each crash, before it is certain.
+#[test]
+fn a_deadly_task_is_given_up_although_the_owner_changes_after_each_crash() {
+    let mut sim = deadly_simulation(quick);
+
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    while run_until_crash(&mut sim, 20_000) {
+        sim.run(100);
+        sim.take_over_from(true);
+    }
+    sim.run(10_000);
+
+    assert_given_up(&sim, "deadly");
+}
+
+/// The owner ends together with each worker. It leaves no record of the first crash, and one of the
+/// start that led to each later one.
+#[test]
+fn a_deadly_task_is_given_up_although_the_owner_ends_at_each_crash() {
+    let mut sim = deadly_simulation(quick);
+
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    run_until_crash(&mut sim, 20_000);
+    sim.run(100);
+    while run_until_crash(&mut sim, 20_000) {
+        sim.take_over_from(true);
+    }
+    sim.run(10_000);
+
+    assert_given_up(&sim, "deadly");
+}
+
+#[test]
+fn a_deadly_gang_is_given_up() {
+    // The other members end once one of them has not appeared in time.
+    let mut sim = deadly_simulation(|_, _| (3000, Outcome::Alone, CORE));
+    let mut gang = step(3, CORE);
+    gang.gang = true;
+    gang.max_per_worker = Some(1);
+
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![gang]));
+    sim.run(60_000);
+
+    assert_given_up(&sim, "deadly");
+}
+
+#[test]
+fn a_deadly_long_running_task_is_given_up() {
+    let mut sim = deadly_simulation(endless);
+    let mut long_running = step(2, CORE);
+    long_running.long_running = true;
+
+    sim.submit(
+        "deadly",
+        accepted(LONG_RUNNING, sim.now, vec![long_running]),
+    );
+    sim.run(60_000);
+
+    assert_given_up(&sim, "deadly");
+}
+
+#[test]
+fn a_deadly_task_of_a_scheduled_job_is_given_up() {
+    let mut sim = deadly_simulation(quick);
+    let mut scheduled = accepted(CHECKS, sim.now, vec![step(1, CORE)]);
+    scheduled.spec.schedule = Some(Schedule {
+        times: 3,
+        first: Millis(sim.now.0 + 1000),
+        interval: Duration::from_secs(2),
+    });
+
+    sim.submit("deadly", scheduled);
+    sim.run(60_000);
+
+    assert_eq!(sim.state("deadly"), State::Failed);
+    for occurrence in 0..3 {
+        let task = TaskId {
+            occurrence,
+            ..first_task("deadly")
+        };
+        assert!(sim.fleet.crashes_under(&task) < CRASH_BUDGET + 3);
+    }
+}
+
+#[test]
+fn a_sound_task_survives_three_outages_of_all_workers() {
+    let mut sim = deadly_simulation(steady);
+    sim.submit("sound", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+
+    for _ in 0..3 {
+        while sim.fleet.worker_of(&first_task("sound")).is_none() {
+            sim.run(10);
+        }
+        let workers: Vec<Name> = sim.fleet.workers.keys().cloned().collect();
+        for worker in workers {
+            sim.fleet.crash(&worker, sim.now);
+        }
+    }
+    sim.run(10_000);
+
+    assert_eq!(sim.state("sound"), State::Completed);
+}
+
+#[test]
+fn a_sound_task_survives_a_machine_that_crashes_by_itself() {
+    let mut sim = Simulation::new(&["w1"], steady);
+    sim.submit("sound", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+
+    for _ in 0..3 {
+        while sim.fleet.worker_of(&first_task("sound")).is_none() {
+            sim.run(10);
+        }
+        let worker = sim.fleet.worker_of(&first_task("sound")).expect("it runs");
+        sim.fleet.crash(&worker, sim.now);
+    }
+    sim.run(10_000);
+
+    assert_eq!(sim.state("sound"), State::Completed);
+}
+
+#[test]
+fn a_long_running_task_is_not_given_up_for_crashes_that_are_far_apart() {
+    let mut sim = deadly_simulation(endless);
+    let mut long_running = step(1, CORE);
+    long_running.long_running = true;
+    sim.submit("sound", accepted(LONG_RUNNING, sim.now, vec![long_running]));
+
+    for _ in 0..6 {
+        sim.run(1000);
+        sim.report_at_work = true;
+        sim.run(8000);
+        let worker = sim.fleet.worker_of(&first_task("sound")).expect("it runs");
+        sim.fleet.crash(&worker, sim.now);
+        sim.run(4000);
+    }
+
+    assert_eq!(sim.starts_of("sound"), 7);
+    assert_ne!(sim.state("sound"), State::Failed);
+}
+
+#[test]
+fn a_task_is_not_blamed_for_a_worker_that_was_cut_off() {
+    let mut sim = deadly_simulation(endless);
+    sim.submit("sound", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    sim.run(100);
+    let cut = sim.fleet.starts[0].3.clone();
+
+    sim.run_on(8000, |name| {
+        if *name == cut {
+            Link::LostOrder
+        } else {
+            Link::Normal
+        }
+    });
+    let while_cut = sim.history("sound").crashes.len();
+    sim.run(1000);
+
+    assert_eq!(while_cut, 1);
+    assert_eq!(sim.history("sound").crashes.len(), 0);
+    assert_eq!(sim.starts_of("sound"), 2);
+}
+
+fn suspect(crashes: usize, started_at: u64, proven_at: Option<u64>) -> Suspect {
+    Suspect {
+        crashes,
+        started_at: Millis(started_at),
+        proven_at: proven_at.map(Millis),
+    }
+}
+
+#[test]
+fn the_task_that_was_blamed_before_is_blamed_again() {
+    let runs = [
+        suspect(0, 100, Some(900)),
+        suspect(1, 1000, None),
+        suspect(1, 200, Some(950)),
+    ];
+
+    let verdict = crash::blame(&runs);
+
+    assert_eq!(verdict.blamed, [1]);
+    assert!(verdict.is_clear);
+}
+
+#[test]
+fn the_blame_is_not_clear_beside_a_run_that_is_as_new() {
+    let verdict = crash::blame(&[suspect(1, 1000, None), suspect(0, 1100, None)]);
+
+    assert_eq!(verdict.blamed, [0]);
+    assert!(!verdict.is_clear);
+}
+
+#[test]
+fn new_runs_are_blamed_rather_than_those_that_have_proved_harmless() {
+    let verdict = crash::blame(&[
+        suspect(0, 1000, None),
+        suspect(0, 100, Some(200)),
+        suspect(0, 1100, None),
+    ]);
+
+    assert_eq!(verdict.blamed, [0, 2]);
+    assert!(!verdict.is_clear);
+}
+
+#[test]
+fn all_runs_are_blamed_if_none_is_new() {
+    let verdict = crash::blame(&[suspect(0, 1000, Some(1200)), suspect(0, 100, Some(300))]);
+
+    assert_eq!(verdict.blamed, [0, 1]);
+    assert!(!verdict.is_clear);
+}
+
+#[test]
+fn many_crashes_at_the_same_time_show_an_outage() {
+    let neighbours = |crashed, crashed_in_rack| Neighbours {
+        all: 47,
+        crashed,
+        in_rack: 7,
+        crashed_in_rack,
+    };
+
+    assert!(!neighbours(3, 1).show_outage());
+    assert!(neighbours(6, 0).show_outage());
+    assert!(neighbours(4, 4).show_outage());
+}
+
+#[test]
+fn a_suspect_waits_for_a_worker_of_its_own_but_not_for_long() {
+    let beside_unproven_suspect = crash::Company {
+        unproven_suspect: true,
+        suspect: true,
+        unproven: true,
+        ..crash::Company::default()
+    };
+    let beside_new = crash::Company {
+        unproven: true,
+        ..crash::Company::default()
+    };
+    let admits = |company, crashes, millis, long_running| {
+        crash::admits(
+            company,
+            crashes,
+            Duration::from_millis(millis),
+            long_running,
+        )
+    };
+
+    assert!(admits(crash::Company::default(), 1, 0, false));
+    assert!(!admits(beside_new, 1, 900, false));
+    assert!(admits(beside_new, 1, 1000, false));
+    assert!(!admits(beside_new, 2, 1900, false));
+    assert!(admits(beside_new, 3, 2000, false));
+    assert!(admits(beside_new, 1, 0, true));
+    assert!(!admits(beside_unproven_suspect, 1, 60_000, true));
+}
--- a/crates/workflow/tests/engine/fleet.rs
+++ b/crates/workflow/tests/engine/fleet.rs
@@ -156,6 +156,13 @@
         !self.workers.contains_key(name) && of_worker.any(|crash| crash.successor.is_some())
     }
 
+    /// Returns the worker that runs a task.
+    pub(crate) fn worker_of(&self, task: &TaskId) -> Option<Name> {
+        let mut workers = self.workers.iter();
+        let found = workers.find(|(_, worker)| worker.running.contains_key(task));
+        found.map(|(name, _)| name.clone())
+    }
+
     /// Returns how many workers have crashed under a task.
     pub(crate) fn crashes_under(&self, task: &TaskId) -> usize {
         let crashes = self.crashes.iter();
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -10,6 +10,7 @@
     unit::Millis,
 };
 use basilbridge_workflow::{
+    crash,
     engine::{
         Engine,
         Settings, //
@@ -83,6 +84,8 @@
     pub(crate) requests: Vec<AdviceRequest>,
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) store_down: bool,
+    /// Whether workers report tasks that are not near their end as at work.
+    pub(crate) report_at_work: bool,
     /// Settings of later owners, except for their epoch.
     pub(crate) settings: Settings,
 }
@@ -102,6 +105,7 @@
             requests: Vec::new(),
             delayed: Vec::new(),
             store_down: false,
+            report_at_work: false,
             settings: settings(0),
         };
         sim.register_all();
@@ -336,7 +340,7 @@
                 continue;
             }
             if !self.fleet.workers.contains_key(&name) {
-                self.engine.handle_poll_failure(key, self.now);
+                self.engine.handle_refused_poll(key, self.now);
                 continue;
             }
             if self.link(&name, link) != Link::Normal {
@@ -344,7 +348,10 @@
                 continue;
             }
             let epoch = u64::from(self.epoch) + 1;
-            if let Some(inventory) = self.fleet.poll(epoch, &poll, self.now) {
+            if let Some(mut inventory) = self.fleet.poll(epoch, &poll, self.now) {
+                for running in inventory.running.iter_mut().filter(|_| self.report_at_work) {
+                    running.percent = 100.0;
+                }
                 // The poll was sent after all earlier answers had arrived.
                 let sent = Millis(self.now.0 + 1);
                 self.engine
@@ -378,6 +385,13 @@
             .map_or(State::Queued, |(progress, _)| progress.state)
     }
 
+    /// Returns the crash history of the first task of a job.
+    pub(crate) fn history(&self, id: &str) -> crash::History {
+        let job = self.engine.job(id);
+        job.map(|job| job.stages[0].tasks[0].history.clone())
+            .unwrap_or_default()
+    }
+
     /// Returns how often tasks of a job were started.
     pub(crate) fn starts_of(&self, id: &str) -> usize {
         let starts = self.fleet.starts.iter();
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -129,7 +129,7 @@
 pub(crate) fn entry(name: &str, boot: u64) -> WorkerInfo {
     WorkerInfo {
         name: name.into(),
-        address: format!("{name}:1").into(),
+        address: address(name),
         pool: POOL.into(),
         boot,
         capacity: Resources {
@@ -142,6 +142,12 @@
     }
 }
 
+/// Returns the address of a worker. A worker named `w1-2` has that of `w1`.
+fn address(name: &str) -> Name {
+    let machine = name.split('-').next().unwrap_or(name);
+    format!("{machine}:1").into()
+}
+
 pub(crate) fn engine(epoch: u32, now: Millis) -> Engine {
     Engine::new(settings(epoch), policy(0), now)
 }
