Withhold starts whose worker shrank or leaves while they waited to be sent

Callers could see: a task started beyond what its worker has (LIMIT), on a worker that had announced to leave (DRAIN), or after its job was cancelled (UNASKED). Cause: at most four orders are open at a worker. A start that waits for them, seconds if they are answered late, was sent without another look at what it was decided by. The three tests a_start_that_waits_to_be_sent_is_withheld_... fail on the code before: three starts on a worker with room for two, a start on the leaving worker, and two starts of a cancelled job. Change: before it is sent the engine is asked whether the run is still wanted and its worker still has the room; if not, the task waits for another worker. Why it works: what has not been sent can be taken back without any message.

--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -45,7 +45,10 @@
     }
     let (key, task, run) = (order.target.key, order.task.clone(), order.run);
     let begun = owner.now();
-    let answer = if owner.may_send_orders() {
+    let is_valid = owner.engine().may_send(key, &task, run);
+    let answer = if !is_valid {
+        StartResult::Withheld
+    } else if owner.may_send_orders() {
         (owner.node.clients.workers.start)(owner.epoch(), order).await
     } else {
         StartResult::Unsent
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -91,6 +91,9 @@
     Malformed,
     /// The order did not reach the worker.
     Unsent,
+    /// The order was not sent, because it had waited until it did not hold any more; see
+    /// [`Engine::may_send`](crate::engine::Engine::may_send).
+    Withheld,
     /// It is unknown whether the worker executes the order, now or later.
     Unknown,
 }
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -462,6 +462,19 @@
         })
     }
 
+    /// Returns whether a start may be sent that has waited for other orders to its worker: the run is
+    /// still wanted, and the worker neither leaves nor has shrunk below what it is to run.
+    pub fn may_send(&self, key: worker::Key, task: &TaskId, run: u32) -> bool {
+        let Some(worker) = self.workers.get(key) else {
+            return false;
+        };
+        let held = worker.runs.get(task).filter(|held| held.run == run);
+        held.is_some_and(|held| held.phase == Phase::Ordered)
+            && !worker.info.leaving
+            && !worker.replaced
+            && worker.used.fits(&worker.info.capacity)
+    }
+
     /// Handles the answer to a start order.
     pub fn handle_start_result(
         &mut self,
@@ -511,7 +524,9 @@
                 }
                 self.drop_run(key, task, "refused", now);
             }
-            StartResult::Old | StartResult::Late => self.drop_run(key, task, "refused", now),
+            StartResult::Old | StartResult::Late | StartResult::Withheld => {
+                self.drop_run(key, task, "refused", now)
+            }
             StartResult::Full
             | StartResult::Unhealthy
             | StartResult::OtherWorker
--- /dev/null
+++ b/crates/workflow/tests/engine/capacity.rs
@@ -0,0 +1,121 @@
+//! Workers whose capacity shrinks and grows while they run tasks.
+
+use basilbridge_workflow::{
+    job::{
+        State,
+        TaskId, //
+    },
+    report::Outcome, //
+};
+
+use crate::{
+    simulation::{
+        Link,
+        Simulation, //
+    },
+    util::{
+        CHECKS,
+        WORKER_CPU,
+        accepted,
+        step, //
+    },
+};
+
+const CORE: u64 = 1000;
+
+fn heavy(_: &TaskId, _: u32) -> (u64, Outcome, u64) {
+    (1000, Outcome::Done, 20 * CORE)
+}
+
+#[test]
+fn no_task_starts_on_a_worker_that_has_shrunk_below_its_runs() {
+    let mut sim = Simulation::new(&["w1"], heavy);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(2, 20 * CORE)]));
+    sim.run(100);
+
+    sim.resize("w1", 30 * CORE);
+    sim.submit("j2", accepted(CHECKS, sim.now, vec![step(2, 20 * CORE)]));
+    sim.run(500);
+    let beside = sim.starts_of("j2");
+    sim.run(3000);
+
+    assert_eq!(beside, 0);
+    assert_eq!(sim.state("j2"), State::Completed);
+    assert_eq!(sim.fleet.violations, Vec::<String>::new());
+}
+
+/// Issue 27, LIMIT: a worker takes few orders at once, so a start can wait in the owner for seconds.
+#[test]
+fn a_start_that_waits_to_be_sent_is_withheld_if_its_worker_shrinks() {
+    let mut sim = Simulation::new(&["w1"], heavy);
+    sim.run(50);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(3, 20 * CORE)]));
+    sim.run_on(20, |_| Link::Queued);
+
+    sim.resize("w1", 45 * CORE);
+    sim.send_queued();
+    let started = sim.starts_of("j1");
+    sim.run(5000);
+
+    assert_eq!(started, 2);
+    assert_eq!(sim.state("j1"), State::Completed);
+    assert_eq!(sim.fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_start_that_waits_to_be_sent_is_withheld_if_its_job_is_cancelled() {
+    let mut sim = Simulation::new(&["w1"], heavy);
+    sim.run(50);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(2, 20 * CORE)]));
+    sim.run_on(20, |_| Link::Queued);
+
+    sim.engine.cancel("j1", sim.now);
+    sim.send_queued();
+    sim.run(1000);
+
+    assert_eq!(sim.starts_of("j1"), 0);
+    assert_eq!(sim.state("j1"), State::Cancelled);
+    assert!(sim.engine.job("j1").is_none());
+}
+
+#[test]
+fn a_start_that_waits_to_be_sent_is_withheld_if_its_worker_begins_to_leave() {
+    let mut sim = Simulation::new(&["w1", "w2"], heavy);
+    sim.run(50);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run_on(20, |_| Link::Queued);
+    let worker = sim.engine.worker("w1").expect("it is listed");
+    let (leaving, other) = if worker.runs.is_empty() {
+        ("w2", "w1")
+    } else {
+        ("w1", "w2")
+    };
+
+    let mut info = sim
+        .engine
+        .worker(leaving)
+        .expect("it is listed")
+        .info
+        .clone();
+    info.leaving = true;
+    sim.engine.register_worker(info, sim.now);
+    sim.send_queued();
+    sim.run(2000);
+
+    let workers: Vec<&str> = sim.fleet.starts.iter().map(|start| &*start.3).collect();
+    assert_eq!(workers, [other]);
+}
+
+#[test]
+fn a_worker_that_has_grown_again_is_filled_again() {
+    let mut sim = Simulation::new(&["w1"], heavy);
+    sim.resize("w1", 5 * CORE);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(3, 20 * CORE)]));
+    sim.run(1000);
+    let while_small = sim.starts_of("j1");
+
+    sim.resize("w1", WORKER_CPU);
+    sim.run(100);
+
+    assert_eq!((while_small, sim.starts_of("j1")), (0, 3));
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -58,6 +58,8 @@
     LostOrder,
     /// Orders are executed this many milliseconds later and are not answered.
     Delayed(u64),
+    /// Starts wait for the orders before them until [`Simulation::send_queued`].
+    Queued,
 }
 
 /// An order that a worker has received and not executed yet.
@@ -83,6 +85,7 @@
     pub(crate) events: Vec<Event>,
     pub(crate) requests: Vec<AdviceRequest>,
     pub(crate) delayed: Vec<DelayedOrder>,
+    pub(crate) queued: Vec<Order>,
     pub(crate) store_down: bool,
     /// Whether workers report tasks that are not near their end as at work.
     pub(crate) report_at_work: bool,
@@ -104,6 +107,7 @@
             events: Vec::new(),
             requests: Vec::new(),
             delayed: Vec::new(),
+            queued: Vec::new(),
             store_down: false,
             report_at_work: false,
             settings: settings(0),
@@ -183,6 +187,22 @@
         }
     }
 
+    /// Changes the processor capacity of a worker, which its entry shows at once.
+    pub(crate) fn resize(&mut self, name: &str, cpu_millis: u64) {
+        let worker = self.fleet.workers.get_mut(name).expect("the test made it");
+        worker.cpu_millis = cpu_millis;
+        let mut info = entry(name, worker.boot);
+        info.capacity.cpu_millis = cpu_millis;
+        self.engine.register_worker(info, self.now);
+    }
+
+    /// Sends the starts that wait for the orders before them.
+    pub(crate) fn send_queued(&mut self) {
+        for order in std::mem::take(&mut self.queued) {
+            self.execute(order, &mut |_| Link::Normal);
+        }
+    }
+
     /// Updates the list of workers after crashes: a new worker is listed at once, and one that has
     /// crashed is removed after it has missed its heartbeats.
     fn list_crashed(&mut self) {
@@ -258,6 +278,19 @@
                     now,
                 );
             }
+            Order::Start(start)
+                if !self
+                    .engine
+                    .may_send(start.target.key, &start.task, start.run) =>
+            {
+                self.engine.handle_start_result(
+                    start.target.key,
+                    &start.task,
+                    start.run,
+                    StartResult::Withheld,
+                    now,
+                );
+            }
             Order::Start(start) => {
                 let answer = match self.link(&start.target.name, link) {
                     Link::Normal => self.fleet.start(epoch, start, now),
@@ -270,6 +303,10 @@
                         self.delay(by, epoch, order.clone());
                         StartResult::Unknown
                     }
+                    Link::Queued => {
+                        self.queued.push(order);
+                        return;
+                    }
                 };
                 self.engine.handle_start_result(
                     start.target.key,
@@ -281,7 +318,7 @@
             }
             Order::Stop(stop) => {
                 let answer = match self.link(&stop.target.name, link) {
-                    Link::Normal => self.fleet.stop(epoch, stop, now),
+                    Link::Normal | Link::Queued => self.fleet.stop(epoch, stop, now),
                     Link::LostReply => {
                         self.fleet.stop(epoch, stop, now);
                         StopResult::Unknown
@@ -343,7 +380,7 @@
                 self.engine.handle_refused_poll(key, self.now);
                 continue;
             }
-            if self.link(&name, link) != Link::Normal {
+            if !matches!(self.link(&name, link), Link::Normal | Link::Queued) {
                 self.engine.handle_poll_failure(key, self.now);
                 continue;
             }
