Count what a shrunk worker has above its capacity before runs are preempted

Callers could see: running work stopped for an urgent task that then did not start there, again and again. Cause: the free capacity of a worker that had shrunk below its runs counted as nought, so each stop seemed to free all that the run had. Evidence: no_run_is_preempted_where_the_shrunk_capacity_still_would_not_do fails on the code before: two runs stopped on a worker of 10 cores for a task of 20. Change: a pass keeps what the runs reserve and compares it with the capacity, instead of adding up what seems free.

--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -41,9 +41,9 @@
     pub(crate) free: Resources,
     /// Free capacity less what earlier stages of this pass have requested advice for.
     pub(crate) unclaimed: Resources,
-    /// Free capacity, including that of runs that are stopping, less what earlier stages of this
-    /// pass count on.
-    pub(crate) expected_free: Resources,
+    /// What its runs reserve, except those that are stopping, with what earlier stages of this pass
+    /// count on. It exceeds the capacity if that has shrunk.
+    pub(crate) expected_use: Resources,
     /// Free capacity if all runs that may be preempted for the most urgent work were gone.
     pub(crate) reclaimable: Resources,
     /// Total capacity.
@@ -64,6 +64,11 @@
 }
 
 impl Slot {
+    /// Returns what will be free once all stops have taken effect.
+    pub(crate) fn expected_free(&self) -> Resources {
+        self.capacity.minus(&self.expected_use)
+    }
+
     /// Returns whether nothing speaks against the worker.
     pub(crate) fn is_trusted(&self) -> bool {
         !self.suspect && !self.quarantined && !self.slow
@@ -136,7 +141,7 @@
                 boot: worker.info.boot,
                 free: worker.free(),
                 unclaimed: worker.free(),
-                expected_free: worker.free(),
+                expected_use: worker.used,
                 reclaimable: worker.free(),
                 capacity: worker.info.capacity,
                 suspect: !worker.failed_jobs.is_empty(),
@@ -155,6 +160,7 @@
                     runs: worker.runs.len() as u32,
                 },
             };
+            let mut firm_use = worker.used;
             for run in worker.runs.values() {
                 let Some(job) = run
                     .position
@@ -176,12 +182,13 @@
                 slot.best_effort |= step.best_effort;
                 let is_stopping = matches!(run.phase, Phase::Stopping(_));
                 if is_stopping {
-                    slot.expected_free = slot.expected_free.plus(&run.demand);
+                    slot.expected_use = slot.expected_use.minus(&run.demand);
                 }
                 if is_stopping || self.may_preempt(run, urgent) {
-                    slot.reclaimable = slot.reclaimable.plus(&run.demand);
+                    firm_use = firm_use.minus(&run.demand);
                 }
             }
+            slot.reclaimable = slot.capacity.minus(&firm_use);
             if slot.quarantined {
                 pool.has_quarantined = true;
             } else {
@@ -336,7 +343,7 @@
         slot.free = slot.free.minus(demand);
         slot.unclaimed = slot.unclaimed.minus(demand);
         slot.reclaimable = slot.reclaimable.minus(demand);
-        slot.expected_free = slot.expected_free.minus(demand);
+        slot.expected_use = slot.expected_use.plus(demand);
     }
     for candidate in candidates
         .iter_mut()
--- a/crates/workflow/src/preemption.rs
+++ b/crates/workflow/src/preemption.rs
@@ -79,10 +79,10 @@
             let mut left = allowed(candidate.key);
             while missing > 0
                 && left > 0
-                && (demand.fits(&slot.expected_free)
+                && (demand.fits(&slot.expected_free())
                     || self.free_capacity(slot, &demand, urgent, now))
             {
-                slot.expected_free = slot.expected_free.minus(&demand);
+                slot.expected_use = slot.expected_use.plus(&demand);
                 missing -= 1;
                 left -= 1;
             }
@@ -106,19 +106,20 @@
             .collect();
         // The youngest run loses the least work.
         victims.sort_by_key(|victim| std::cmp::Reverse(victim.0));
-        let mut available = slot.expected_free;
+        let mut remaining = slot.expected_use;
+        let fits = |remaining: &Resources| demand.fits(&slot.capacity.minus(remaining));
         let mut chosen = Vec::new();
         for (_, task, freed) in victims {
-            if demand.fits(&available) {
+            if fits(&remaining) {
                 break;
             }
-            available = available.plus(&freed);
+            remaining = remaining.minus(&freed);
             chosen.push(task);
         }
-        if !demand.fits(&available) {
+        if !fits(&remaining) {
             return false;
         }
-        slot.expected_free = available;
+        slot.expected_use = remaining;
         for task in chosen {
             self.stop(slot.key, &task, Cause::Preempted, now);
         }
--- a/crates/workflow/tests/engine/capacity.rs
+++ b/crates/workflow/tests/engine/capacity.rs
@@ -1,6 +1,10 @@
 //! Workers whose capacity shrinks and grows while they run tasks.
 
 use basilbridge_workflow::{
+    event::{
+        Cause,
+        Event, //
+    },
     job::{
         State,
         TaskId, //
@@ -15,6 +19,7 @@
     },
     util::{
         CHECKS,
+        PLANS,
         WORKER_CPU,
         accepted,
         step, //
@@ -27,6 +32,10 @@
     (1000, Outcome::Done, 20 * CORE)
 }
 
+fn long_and_heavy(_: &TaskId, _: u32) -> (u64, Outcome, u64) {
+    (60_000, Outcome::Done, 20 * CORE)
+}
+
 #[test]
 fn no_task_starts_on_a_worker_that_has_shrunk_below_its_runs() {
     let mut sim = Simulation::new(&["w1"], heavy);
@@ -106,6 +115,31 @@
     assert_eq!(workers, [other]);
 }
 
+/// The room that a stop would free is counted from what the worker has, not from nothing.
+#[test]
+fn no_run_is_preempted_where_the_shrunk_capacity_still_would_not_do() {
+    let mut sim = Simulation::new(&["w1"], long_and_heavy);
+    let mut plan = step(3, 20 * CORE);
+    plan.checkpoints = true;
+    sim.submit("plan", accepted(PLANS, sim.now, vec![plan]));
+    sim.run(100);
+
+    sim.resize("w1", 10 * CORE);
+    sim.submit("check", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run(500);
+
+    let preempted = sim.events.iter().filter(|event| {
+        matches!(
+            event,
+            Event::Stop {
+                cause: Cause::Preempted,
+                ..
+            }
+        )
+    });
+    assert_eq!(preempted.count(), 0);
+}
+
 #[test]
 fn a_worker_that_has_grown_again_is_filled_again() {
     let mut sim = Simulation::new(&["w1"], heavy);
