Blame each new run on a crashed worker, and no old one beside it

Cause: a run of a task that had been blamed before was blamed alone. A deadly task that had not, and had been started beside it, crashed one worker after the other without a count. Change: all runs whose start is not proved harmless are blamed; if there is none, the tasks that were blamed most. What is recorded when a worker refuses connections follows the same choice, and no longer names all that it ran. Why it works: a task that crashes a worker by its start is always among the new runs. A first try that blamed the worst of the old runs too gave up a sound job (sound_jobs_beside_deadly_ones_are_done). Test: each_new_run_is_blamed failed before ([0] for [0, 1]).

--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -221,27 +221,24 @@
 
 /// Returns which of the runs of a crashed worker may have crashed it.
 ///
-/// Tasks that were blamed before are blamed rather than others, and runs that have just started
-/// rather than those that have proved harmless. The blame is clear if only one run is left, and the
-/// worker had run all others since before it was started.
+/// Runs that have just started are blamed, and if there are none, the tasks that were blamed most
+/// before. The blame is clear if only one run is left, and the worker had run all others since
+/// before it was started.
 pub fn blame(suspects: &[Suspect]) -> Verdict {
-    let select = |is_blamed: &dyn Fn(&Suspect) -> bool| {
-        let indexes = (0..suspects.len()).filter(|index| is_blamed(&suspects[*index]));
-        indexes.collect::<Vec<usize>>()
-    };
-    let has_unproven_suspect = suspects
-        .iter()
-        .any(|suspect| suspect.crashes > 0 && suspect.is_unproven());
     let has_unproven = suspects.iter().any(Suspect::is_unproven);
     let worst = suspects.iter().map(|suspect| suspect.crashes).max();
-    let worst = worst.unwrap_or_default();
-    let blamed = if has_unproven_suspect {
-        select(&|suspect| suspect.crashes > 0 && suspect.is_unproven())
-    } else if has_unproven {
-        select(&|suspect| suspect.is_unproven() || (worst > 0 && suspect.crashes == worst))
-    } else {
-        select(&|suspect| suspect.crashes == worst)
+    let is_blamed = |suspect: &Suspect| {
+        if has_unproven {
+            suspect.is_unproven()
+        } else {
+            Some(suspect.crashes) == worst
+        }
     };
+    let indexes = suspects.iter().enumerate();
+    let blamed: Vec<usize> = indexes
+        .filter(|(_, suspect)| is_blamed(suspect))
+        .map(|(index, _)| index)
+        .collect();
     let is_clear = match blamed[..] {
         [only] => {
             let mut others = suspects.iter().enumerate();
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -237,12 +237,14 @@
         let Some(worker) = self.workers.get(key) else {
             return is_first;
         };
-        let runs: Vec<(TaskPosition, Placement)> = worker
-            .runs
-            .values()
-            .filter_map(|run| Some((run.position?, worker.placement(run.run))))
+        let accused = self.accused(key, &[]);
+        let suspects: Vec<Suspect> = accused.iter().map(|accused| accused.suspect).collect();
+        let blamed = crash::blame(&suspects).blamed.into_iter();
+        let placements: Vec<(TaskPosition, Placement)> = blamed
+            .map(|index| &accused[index])
+            .filter_map(|accused| Some((accused.position?, worker.placement(accused.run))))
             .collect();
-        for (position, placement) in runs {
+        for (position, placement) in placements {
             if let Some(task) = self.task_mut(position)
                 && task.worker == Some(key)
                 && task.history.place(placement)
