Keep an inherited placement until it is decided, although its job is stored

Cause: a new owner decides about runs that its predecessor had placed once all workers have answered. When it stored the progress of such a job before, for another task of it, the placement counted as its own, and the crash was not counted. Change: only a placement that this owner has made is marked as stored. Test: an_inherited_placement_is_resolved_although_its_job_is_stored_meanwhile failed before (one crash counted for two).

--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -85,6 +85,7 @@
                 if let Some(task) = task
                     && stored.placement.is_some()
                     && task.history.placement == stored.placement
+                    && task.history.record == Record::Pending
                 {
                     task.history.record = Record::Stored;
                 }
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -499,3 +499,38 @@
         assert_given_up(&sim, id);
     }
 }
+
+/// Found on the day `deadly-owners` of the Vodní záchrana site: the new owner stored the progress of
+/// the job before it could decide about the run, and forgot that this was still to be done.
+#[test]
+fn an_inherited_placement_is_resolved_although_its_job_is_stored_meanwhile() {
+    let mut sim = deadly_simulation(steady);
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(2, CORE)]));
+    run_until_crash(&mut sim, 20_000);
+    run_until_crash(&mut sim, 20_000);
+    let before = sim.history("deadly").crashes.len();
+    sim.take_over_from(true);
+    let silent = sim.fleet.worker_of(&TaskId {
+        index: 1,
+        ..first_task("deadly")
+    });
+
+    // A worker that does not answer keeps the owner from deciding until the other task has ended.
+    let other = sim
+        .fleet
+        .workers
+        .keys()
+        .find(|name| Some(*name) != silent.as_ref());
+    let other = other.expect("there are several").clone();
+    sim.run_on(3000, |name| {
+        if *name == other {
+            Link::LostOrder
+        } else {
+            Link::Normal
+        }
+    });
+    sim.run(200);
+
+    assert_eq!(before, 1);
+    assert_eq!(sim.history("deadly").crashes.len(), 2);
+}
