Reserve the worker on which a suspect's start is being recorded

Callers could see: suspected tasks waited a second and more where there was room, and the store got dozens of writes for one. Cause: the start of a suspect is stored first, which takes 10 to 80 ms. Meanwhile all suspects that waited chose the same emptiest worker; when the first had started there the others chose again, together, and stored that. Change: a worker is kept for the suspect that is being recorded there, for at most 0.5 s. Test: suspects_that_start_together_are_recorded_on_different_workers failed before (6 writes, at most 4 are needed).

--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -99,6 +99,10 @@
 /// does not survive the start of a task is gone within milliseconds.
 pub const PROOF_TIME: Duration = Duration::from_millis(200);
 
+/// Longest time for which a worker is kept for a suspected task whose start is being recorded. The
+/// store takes less, unless it is down.
+pub const RESERVATION_TIME: Duration = Duration::from_millis(500);
+
 /// Time for which a suspected task waits, for each crash, for a worker without other suspects and
 /// new runs. With the most crashes it is two thirds of the 3 s within which the users' rules require
 /// work to start.
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -303,6 +303,7 @@
         position: TaskPosition,
         key: worker::Key,
         run: u32,
+        now: Millis,
     ) -> bool {
         let Some(placement) = self.workers.get(key).map(|worker| worker.placement(run)) else {
             return false;
@@ -315,9 +316,29 @@
         }
         if task.history.place(placement) {
             self.mark_dirty(position.job);
+            self.reserved
+                .retain(|_, (reserved_for, _)| *reserved_for != position);
+            self.reserved.insert(key, (position, now));
             return true;
         }
-        task.history.record != Record::Stored
+        let must_wait = task.history.record != Record::Stored;
+        if !must_wait {
+            self.reserved.remove(key);
+        }
+        must_wait
+    }
+
+    /// Returns whether a worker is reserved for the start of another suspected task than that at
+    /// `position`.
+    pub(crate) fn is_reserved(
+        &self,
+        key: worker::Key,
+        position: TaskPosition,
+        now: Millis,
+    ) -> bool {
+        self.reserved.get(key).is_some_and(|(reserved_for, since)| {
+            *reserved_for != position && now.since(*since) < crash::RESERVATION_TIME
+        })
     }
 
     /// Returns the worker on which a run is recorded to start.
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -19,7 +19,10 @@
         Resources, //
     },
 };
-use slotmap::SlotMap;
+use slotmap::{
+    SecondaryMap,
+    SlotMap, //
+};
 
 use crate::{
     active::{
@@ -142,6 +145,8 @@
     pub(crate) announced: HashSet<Name>,
     /// Time when an order or a poll last went unanswered.
     pub(crate) last_unanswered_at: Option<Millis>,
+    /// Workers on which the start of a suspected task is recorded or being recorded.
+    pub(crate) reserved: SecondaryMap<worker::Key, (TaskPosition, Millis)>,
     /// Crashes of workers, by address.
     pub(crate) machines: HashMap<Name, crash::Machine>,
     /// Jobs whose final state is stored, with the time since when it is.
@@ -181,6 +186,7 @@
             accepted_version: Version(0),
             announced: HashSet::new(),
             last_unanswered_at: None,
+            reserved: SecondaryMap::new(),
             machines: HashMap::new(),
             retired: VecDeque::new(),
         }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -102,12 +102,19 @@
             };
             let crashes = task.history.crashes.len();
             let is_suspect = task.history.is_suspect();
+            let position = worker::TaskPosition {
+                job: ready.job,
+                stage: ready.stage,
+                index,
+            };
+            let admits = |candidate: &Candidate| {
+                let (company, waited) = (candidate.company, attempt.waited);
+                crash::admits(company, crashes, waited, step.long_running)
+                    && !self.is_reserved(candidate.key, position, now)
+            };
             let allowed = candidates
                 .iter()
-                .filter(|candidate| {
-                    let (company, waited) = (candidate.company, attempt.waited);
-                    !is_suspect || crash::admits(company, crashes, waited, step.long_running)
-                })
+                .filter(|candidate| !is_suspect || admits(candidate))
                 .filter(|candidate| {
                     let max_per_worker = step.max_per_worker.unwrap_or(u32::MAX);
                     on_worker.get(&candidate.key).copied().unwrap_or(0) < max_per_worker
@@ -146,12 +153,7 @@
                 return;
             };
             let checkpoint = task.checkpoint.clone();
-            let position = worker::TaskPosition {
-                job: ready.job,
-                stage: ready.stage,
-                index,
-            };
-            if self.must_record_start(position, key, run) {
+            if self.must_record_start(position, key, run, now) {
                 continue;
             }
             self.start_run(ready, index, key, run, checkpoint, now);
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -534,3 +534,26 @@
     assert_eq!(before, 1);
     assert_eq!(sim.history("deadly").crashes.len(), 2);
 }
+
+/// Found on the same day: several suspects chose one worker, and recorded another one again and again
+/// after the first had started there.
+#[test]
+fn suspects_that_start_together_are_recorded_on_different_workers() {
+    let mut sim = deadly_simulation(steady);
+    sim.submit("sound", accepted(CHECKS, sim.now, vec![step(5, CORE)]));
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    run_until_crash(&mut sim, 1000);
+    while sim.history("sound").crashes.is_empty() {
+        sim.run(10);
+    }
+    let (version, starts) = (sim.version, sim.starts_of("sound"));
+
+    sim.run(100);
+
+    assert_eq!(sim.starts_of("sound"), starts + 5);
+    assert!(
+        sim.version - version <= 4,
+        "{} writes",
+        sim.version - version
+    );
+}
