Give the soak deadly jobs and workers that shrink

One job in sixty has a task that crashes each worker that starts it. Workers shrink and grow while they run tasks.

--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -1,17 +1,21 @@
 //! A cell of real processes, with a store and workers behind proxies.
 
 use std::{
-    fs,
-    io,
+    fs, io,
     net::SocketAddr,
     path::PathBuf,
-    sync::Arc, //
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use basilbridge_adapter_standins::{
     documents,
     fleet::{
         Fleet,
+        WORKER_CPU_MILLIS,
         WorkerMode, //
     },
     store::{
@@ -43,6 +47,9 @@
 const VMS: usize = 3;
 const WORKERS: usize = 5;
 
+/// How long the list names a worker that has crashed: three heartbeats of the users' settings.
+const HEARTBEATS_MISSED: Duration = Duration::from_millis(4500);
+
 /// Births are counted up from here, in Unix milliseconds.
 const FIRST_BIRTH: u64 = 1_700_000_000_000;
 
@@ -50,6 +57,7 @@
     name: String,
     path: Proxy,
     born: u64,
+    cpu_millis: u64,
 }
 
 /// All that runs.
@@ -60,6 +68,8 @@
     doors: Vec<SharedStoreMode>,
     paths: Vec<Proxy>,
     workers: Vec<Worker>,
+    /// Workers that another has replaced, and since when.
+    replaced: Vec<(Instant, String)>,
     _servers: Vec<Server>,
 }
 
@@ -81,6 +91,7 @@
             doors: Vec::new(),
             paths: Vec::new(),
             workers: Vec::new(),
+            replaced: Vec::new(),
             _servers: Vec::new(),
         };
         for index in 0..WORKERS {
@@ -91,6 +102,7 @@
                 name,
                 path,
                 born: FIRST_BIRTH,
+                cpu_millis: WORKER_CPU_MILLIS,
             });
             cell._servers.push(server);
             cell.boot_worker(index);
@@ -115,9 +127,41 @@
     fn boot_worker(&mut self, index: usize) {
         let worker = &mut self.workers[index];
         worker.born += 1;
-        self.fleet.boot(&worker.name, worker.born);
-        let entry = documents::worker(worker.path.address, worker.born);
-        self.store.write("servers", &worker.name, Some(&entry));
+        let name = self.fleet.boot(&worker.name, worker.born);
+        self.register(index, &name);
+    }
+
+    fn register(&self, index: usize, name: &str) {
+        let worker = &self.workers[index];
+        let entry = documents::worker(worker.path.address, worker.born, worker.cpu_millis);
+        self.store.write("servers", name, Some(&entry));
+    }
+
+    /// Changes the capacity of a worker, which its entry shows at once.
+    fn resize(&mut self, index: usize, cpu_millis: u64) {
+        self.workers[index].cpu_millis = cpu_millis;
+        let machine = &self.workers[index].name;
+        self.fleet.resize(machine, cpu_millis);
+        self.register(index, &self.fleet.worker_of(machine));
+    }
+
+    /// Starts the workers that are due after a crash, and removes those that another has replaced
+    /// from the list once they have missed their heartbeats.
+    pub(crate) fn restart_crashed(&mut self) {
+        for restart in self.fleet.take_restarts() {
+            let mut workers = self.workers.iter();
+            let Some(index) = workers.position(|worker| worker.name == restart.machine) else {
+                continue;
+            };
+            if restart.before != restart.worker {
+                self.replaced.push((Instant::now(), restart.before));
+            }
+            self.boot_worker(index);
+        }
+        let is_missed = |(since, _): &mut (Instant, String)| since.elapsed() >= HEARTBEATS_MISSED;
+        for (_, name) in self.replaced.extract_if(.., is_missed) {
+            self.store.write("servers", &name, None);
+        }
     }
 
     fn set_door(&self, index: usize, access: StoreMode) {
@@ -144,6 +188,7 @@
                 self.fleet.set_mode(&self.workers[worker].name, manner);
             }
             Kind::Reboot => self.boot_worker(worker),
+            Kind::Shrink(percent) => self.resize(worker, WORKER_CPU_MILLIS * percent / 100),
         }
     }
 
@@ -164,6 +209,7 @@
                 self.fleet
                     .set_mode(&self.workers[worker].name, WorkerMode::Normal);
             }
+            Kind::Shrink(_) => self.resize(worker, WORKER_CPU_MILLIS),
             Kind::Reload | Kind::Compact | Kind::Reboot => {}
         }
         Ok(())
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -37,6 +37,8 @@
     Worker(WorkerMode),
     /// A worker loses all it had and starts again.
     Reboot,
+    /// A worker has only this percentage of its capacity.
+    Shrink(u64),
 }
 
 impl Kind {
@@ -114,3 +116,19 @@
         _ => Kind::Reboot,
     }
 }
+
+/// Draws the times at which workers shrink in a run that lasts `length`.
+pub(crate) fn draw_shrinks(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
+    let mut shrinks = Vec::new();
+    let mut at = Duration::from_millis(300);
+    while at < length {
+        shrinks.push(Fault {
+            at,
+            lasts: Duration::from_millis(random.random_range(500..6000)),
+            kind: Kind::Shrink(random.random_range(10..70)),
+            place: random.random_range(0..60),
+        });
+        at += Duration::from_millis(random.random_range(300..2000));
+    }
+    shrinks
+}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -51,6 +51,12 @@
 /// For how long a cell may start before the first caller comes, as on the users' platform.
 const LEAD_TIME: Duration = Duration::from_secs(10);
 
+/// One in so many jobs has a task that crashes its workers.
+const DEADLY_ONE_IN: u32 = 60;
+
+/// The time between two looks for crashed workers that are due to start again.
+const RESTART_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The most VMs that a caller tries with one job.
 const TRIES: usize = 4;
 
@@ -155,7 +161,13 @@
             self.broken(format!("MIXED: {id} is shown as completed"));
         }
         let cancelled = self.book().cancelling.contains(id);
-        if text.contains("failed") || (text.contains("cancelled") && !cancelled) {
+        let is_deadly = self.fleet.is_deadly(id);
+        if is_deadly && text.contains("completed") {
+            self.broken(format!(
+                "MIXED: {id} can't be done and is shown as completed"
+            ));
+        }
+        if (text.contains("failed") && !is_deadly) || (text.contains("cancelled") && !cancelled) {
             self.broken(format!("LOST: {id} is shown as {text}"));
         }
         (status == StatusCode::OK).then_some(text)
@@ -191,6 +203,7 @@
                 payload: random.random_range(20..400).to_string(),
                 tasks_per_step: steps,
                 cpu_millis: random.random_range(500..2000),
+                is_deadly: random.random_range(0..DEADLY_ONE_IN) == 0,
             };
             let first = random.random_range(0..self.vms.len());
             let cancels = random.random_range(0..10) == 0;
@@ -240,7 +253,8 @@
                 turn += 1;
                 let vm = self.vms[turn % self.vms.len()];
                 let state = self.look(&id, vm).await.unwrap_or_default();
-                if !state.contains("completed") && !state.contains("cancelled") {
+                let is_over = ["completed", "cancelled", "failed"];
+                if !is_over.iter().any(|word| state.contains(word)) {
                     left.push(id);
                 }
             }
@@ -282,7 +296,10 @@
         book: Arc::default(),
     };
     crowd.ready().await;
-    let faults = fault::draw(&mut random, length);
+    let mut faults = fault::draw(&mut random, length);
+    // They have a source of their own, so that the other faults of a seed stay the same.
+    let mut shrink_random = SmallRng::seed_from_u64(!seed);
+    faults.extend(fault::draw_shrinks(&mut shrink_random, length));
     let callers = {
         let crowd = crowd.clone();
         tokio::spawn(async move { crowd.press(random, length).await })
@@ -295,7 +312,11 @@
     }
     steps.sort();
     for (at, begins, index) in steps {
-        timer.sleep(at.saturating_sub(begun.elapsed())).await;
+        while begun.elapsed() < at {
+            cell.restart_crashed();
+            let left = at.saturating_sub(begun.elapsed());
+            timer.sleep(left.min(RESTART_INTERVAL)).await;
+        }
         if begins {
             cell.begin(&faults[index]);
         } else {
@@ -304,7 +325,14 @@
     }
     callers.await.expect("the callers do not panic");
     cell.heal().expect("a process starts");
-    crowd.settle().await;
+    let settled = crowd.settle();
+    tokio::pin!(settled);
+    loop {
+        tokio::select! {
+            () = &mut settled => break,
+            () = timer.sleep(RESTART_INTERVAL) => cell.restart_crashed(),
+        }
+    }
     report(&crowd, &cell, faults.len())
 }
 
