Show that the product's own engine restarts a deadly task without bound

The test fails: after 20 reboots under the task its job is Running. Tried and reverted: a count of five reboots in the owner's memory. The engine would need what crates/workflow has, or to move onto it (docs/design/programs.md).

--- a/tests/faults/outages.rs
+++ b/tests/faults/outages.rs
@@ -217,3 +217,29 @@
         "an outage must not move shards"
     );
 }
+
+/// The most starts of a task that crashes its workers, from the users' rules: two after the third.
+const MOST_STARTS: usize = 5;
+
+/// Issue 27: a task under which each worker crashes was started without bound.
+#[tokio::test(start_paused = true)]
+async fn a_task_under_which_its_workers_crash_is_given_up() {
+    let cell = start_cell(6).await;
+    let deadly = payload("deadly", 600_000);
+    let job = submit(&cell, request(Kind::Batch, &deadly));
+    let job = job.await.unwrap().id;
+
+    for crashes in 0..20 {
+        cell.timer.sleep(Duration::from_secs(30)).await;
+        if cell.fleet.starts(&deadly).len() <= crashes {
+            break;
+        }
+        for worker in cell.fleet.workers() {
+            cell.fleet.reboot(&worker.name);
+        }
+    }
+
+    let end = work::final_state(&cell, &job, TIMEOUT).await.unwrap();
+    assert_eq!(end.state, State::Failed);
+    assert!(cell.fleet.starts(&deadly).len() <= MOST_STARTS);
+}
