Refuse jobs that no owner could hold or compute

Callers could see: one submission ends the owner, and each VM that takes over after it, since the next one finds it in the store. Cause: the times of a schedule and a chain of estimates are computed with arithmetic that panics when it overflows, and the tasks of a job are held in memory, however many it asks for: a body of a hundred bytes can ask for four billion. Change: a job of more than 100,000 tasks, or with an estimate or interval above a hundred years, is refused as malformed before it is stored. One that a VM of an earlier version has stored fails. The sums saturate. Why it works: what is within the limits is computed without overflow (the_largest_job_is_computed_without_overflow).

--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -226,6 +226,8 @@
             if call.id.is_empty() {
                 return Err(Error::new(Kind::Malformed, "the job has no name"));
             }
+            spec.check()
+                .map_err(|excess| Error::new(Kind::Malformed, excess))?;
             let accepted = Accepted {
                 queue: call.queue,
                 team: call.team,
--- a/crates/cell/tests/cell/requests.rs
+++ b/crates/cell/tests/cell/requests.rs
@@ -153,3 +153,15 @@
     assert!(text.contains("retry_after_ms"), "{text}");
     assert_eq!(platform.starts("j1"), 0);
 }
+
+#[tokio::test]
+async fn a_job_that_no_owner_could_hold_is_refused_and_not_stored() {
+    let platform = FakePlatform::new(&["w1"]);
+    let vm = start(&platform, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+
+    let refused = call(&vm, Method::POST, "j1", "4000000000").await.0;
+
+    assert_eq!(refused, StatusCode::BAD_REQUEST);
+    assert_eq!(platform.rows_about("j1"), 0);
+}
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -143,11 +143,11 @@
         .advice
         .map(|advice| advice.cost(OBJECTIVE_ADVICE_WORKERS))
         .unwrap_or_default();
-    accepted
-        .spec
-        .critical_path(overhead)
-        .mul_f64(queue.stretch.max(0.0))
-        + queue.slack
+    let path = accepted.spec.critical_path(overhead).as_secs_f64();
+    let stretched = Duration::try_from_secs_f64(path * queue.stretch.max(0.0));
+    stretched
+        .unwrap_or(Duration::MAX)
+        .saturating_add(queue.slack)
 }
 
 /// Creates the stages of all occurrences and restores their stored progress.
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -342,7 +342,12 @@
                 .count_job(&team.name, team.weight, accepted.accepted_at),
             None => false,
         };
-        let stages = build_stages(&accepted, &progress, now);
+        let is_valid = accepted.spec.check().is_ok();
+        let stages = if is_valid {
+            build_stages(&accepted, &progress, now)
+        } else {
+            Vec::new()
+        };
         let job = Job {
             id: id.clone(),
             accepted,
@@ -358,6 +363,10 @@
         let key = self.jobs.insert(job);
         self.jobs_by_id.insert(id.clone(), key);
         self.attach_early_reports(id, now);
+        // A VM of an earlier version may have accepted it.
+        if !is_valid {
+            self.end_job(key, State::Failed, now);
+        }
     }
 
     /// Records that the final state of a job is stored.
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -22,6 +22,12 @@
 };
 use serde_with::DurationMilliSeconds;
 
+/// Most tasks of a job, over all occurrences. An owner keeps some hundred bytes for each.
+pub const MAX_TASKS: u64 = 100_000;
+
+/// Longest estimate and interval: a hundred years. Their sums over [`MAX_TASKS`] are valid durations.
+pub const MAX_DURATION: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
 /// State of a job.
 #[kind]
 #[derive(Default)]
@@ -148,6 +154,28 @@
             .map_or(1, |schedule| schedule.times.max(1))
     }
 
+    /// Checks that an owner can hold the job and compute its times.
+    ///
+    /// A job beyond that would end each owner in turn, since the next one finds it in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns what exceeds its limit.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks.saturating_mul(u64::from(self.occurrences())) > MAX_TASKS {
+            return Err("the job has too many tasks");
+        }
+        if self.steps.iter().any(|step| step.estimate > MAX_DURATION) {
+            return Err("the estimate of a step is too long");
+        }
+        let schedule = self.schedule.as_ref();
+        if schedule.is_some_and(|schedule| schedule.interval > MAX_DURATION) {
+            return Err("the interval between two occurrences is too long");
+        }
+        Ok(())
+    }
+
     /// Returns the critical path, which is the longest chain of estimated run times, if each step
     /// takes `overhead` longer than its estimate.
     pub fn critical_path(&self, overhead: Duration) -> Duration {
@@ -155,7 +183,8 @@
         for step in &self.steps {
             let dependencies_end = step.after.iter().filter_map(|index| ends.get(*index)).max();
             let start = dependencies_end.copied().unwrap_or_default();
-            ends.push(start + step.estimate + overhead);
+            let end = start.saturating_add(step.estimate);
+            ends.push(end.saturating_add(overhead));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -11,7 +11,10 @@
 };
 use basilbridge_workflow::{
     job::{
+        MAX_DURATION,
+        Schedule,
         State,
+        Step,
         TaskId, //
     },
     report::{
@@ -527,3 +530,65 @@
     assert_eq!(stored, State::Completed);
     assert!(sim.engine.job("j1").is_none());
 }
+
+/// Looked for after issue 27: one stored job ended each owner that read it.
+#[test]
+fn a_job_that_an_owner_cannot_hold_or_compute_fails_without_harm_to_others() {
+    let mut sim = Simulation::new(&["w1"], quick);
+    sim.run(50);
+    let mut endless = step(1, CORE);
+    endless.estimate = Duration::MAX;
+    let mut after_endless = endless.clone();
+    after_endless.after = vec![0];
+    let mut far = accepted(CHECKS, sim.now, vec![step(1, CORE)]);
+    far.spec.schedule = Some(Schedule {
+        times: 3,
+        first: sim.now,
+        interval: Duration::MAX,
+    });
+    let mut many = accepted(CHECKS, sim.now, vec![step(1000, CORE)]);
+    many.spec.schedule = Some(Schedule {
+        times: 1_000_000,
+        first: sim.now,
+        interval: Duration::from_secs(1),
+    });
+
+    sim.submit(
+        "long",
+        accepted(CHECKS, sim.now, vec![endless, after_endless]),
+    );
+    sim.submit("far", far);
+    sim.submit("many", many);
+    sim.submit("sound", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    sim.run(1000);
+
+    for id in ["long", "far", "many"] {
+        assert_eq!(sim.state(id), State::Failed, "{id}");
+        assert_eq!(sim.starts_of(id), 0, "{id}");
+    }
+    assert_eq!(sim.state("sound"), State::Completed);
+}
+
+#[test]
+fn the_largest_job_is_computed_without_overflow() {
+    let mut sim = Simulation::new(&["w1"], quick);
+    let mut longest = step(1, CORE);
+    longest.estimate = MAX_DURATION;
+    let chain: Vec<Step> = (0..500)
+        .map(|index| Step {
+            after: (index > 0).then(|| index - 1).into_iter().collect(),
+            ..longest.clone()
+        })
+        .collect();
+    let mut largest = accepted(CHECKS, sim.now, chain);
+    largest.spec.schedule = Some(Schedule {
+        times: 200,
+        first: sim.now,
+        interval: MAX_DURATION,
+    });
+
+    sim.submit("largest", largest);
+    sim.run(100);
+
+    assert_eq!(sim.starts_of("largest"), 1);
+}
