Record the new runs of any worker that stops to answer

Cause: the runs of a worker that falls silent were recorded only if it refused connections. A machine that is dark, or whose connections hang, refuses nothing. Change: the first poll without an answer records the runs that had just started there, whatever the reason; what had proved harmless is left out, so a slow link costs few writes. Polls no longer tell refused connections apart. Test: a_crash_of_a_worker_that_only_falls_silent_survives_its_owner.

--- a/crates/cell/src/clients.rs
+++ b/crates/cell/src/clients.rs
@@ -103,8 +103,6 @@
     Fenced,
     /// Another worker answered at the address.
     OtherWorker,
-    /// Nothing listens at the address.
-    Refused,
     /// There was no usable answer, for the given reason.
     NoAnswer(String),
 }
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use basilbridge_common::id::Name;
 use basilbridge_workflow::{
     order::Poll,
     worker, //
@@ -65,19 +64,7 @@
         }
         Polled::OtherWorker => handle_replaced(&owner, key),
         // A missing answer is handled by the long poll.
-        Polled::Fenced | Polled::Refused | Polled::NoAnswer(_) => {}
-    }
-}
-
-/// Logs the first poll without an answer, and waits before a poll that follows another such one.
-async fn pause_after_failure(owner: &Owner, first: bool, worker: &Name, reason: &str) {
-    if !first {
-        owner.node.timer.sleep(RETRY).await;
-        return;
-    }
-    owner.node.metrics.count("workers_silent");
-    if owner.node.decisions.admit() {
-        slog::info!(owner.node.log, "worker silent"; "worker" => %worker, "why" => reason);
+        Polled::Fenced | Polled::NoAnswer(_) => {}
     }
 }
 
@@ -127,14 +114,18 @@
                 handle_replaced(&owner, key);
                 return;
             }
-            Polled::Refused => {
-                let first = owner.engine().handle_refused_poll(key, owner.now());
-                owner.unstored.notify_one();
-                pause_after_failure(&owner, first, &name, "nothing listens at its address").await;
-            }
             Polled::NoAnswer(reason) => {
                 let first = owner.engine().handle_poll_failure(key, owner.now());
-                pause_after_failure(&owner, first, &name, &reason).await;
+                if first {
+                    owner.unstored.notify_one();
+                    owner.node.metrics.count("workers_silent");
+                    if owner.node.decisions.admit() {
+                        slog::info!(owner.node.log, "worker silent"; "worker" => %name,
+                            "why" => reason);
+                    }
+                } else {
+                    timer.sleep(RETRY).await;
+                }
             }
         }
     }
--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -31,8 +31,8 @@
 pub struct History {
     /// Runs that vanished with their workers, and whether each was the only possible cause.
     pub crashes: BTreeMap<u32, bool>,
-    /// Where a run is about to start, or was when its worker refused connections. It tells a later
-    /// owner that the run may have crashed that worker.
+    /// Where a run is about to start, or had just started when its worker stopped to answer. It
+    /// tells a later owner that the run may have crashed that worker.
     pub placement: Option<Placement>,
     /// Who knows of the placement.
     pub record: Record,
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -228,20 +228,20 @@
         }
     }
 
-    /// Records that nothing listens at the address of a worker, so that it has probably crashed.
+    /// Records the placements of the runs that may have crashed a worker which does not answer.
     ///
     /// Starts are not stored, so an owner that takes over before the crash is certain would not
     /// know which tasks the worker ran.
-    pub fn handle_refused_poll(&mut self, key: worker::Key, now: Millis) -> bool {
-        let is_first = self.handle_poll_failure(key, now);
+    pub(crate) fn record_placements(&mut self, key: worker::Key) {
         let Some(worker) = self.workers.get(key) else {
-            return is_first;
+            return;
         };
         let accused = self.accused(key, &[]);
         let suspects: Vec<Suspect> = accused.iter().map(|accused| accused.suspect).collect();
         let blamed = crash::blame(&suspects).blamed.into_iter();
         let placements: Vec<(TaskPosition, Placement)> = blamed
             .map(|index| &accused[index])
+            .filter(|accused| accused.suspect.proven_at.is_none())
             .filter_map(|accused| Some((accused.position?, worker.placement(accused.run))))
             .collect();
         for (position, placement) in placements {
@@ -252,7 +252,6 @@
                 self.mark_dirty(position.job);
             }
         }
-        is_first
     }
 
     /// Decides whether the runs that an earlier owner had placed, and that no worker lists, have
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -501,7 +501,11 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return false;
         };
-        worker.fall_silent(now)
+        let is_first = worker.fall_silent(now);
+        if is_first {
+            self.record_placements(key);
+        }
+        is_first
     }
 
     /// Records that another worker answers at the address of a worker, which has therefore ended
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -557,3 +557,18 @@
         sim.version - version
     );
 }
+
+/// Found by soak seeds 316 and 344: two owners in a row ended before it was certain that the worker of
+/// the task had crashed, and only one that refuses connections was recorded.
+#[test]
+fn a_crash_of_a_worker_that_only_falls_silent_survives_its_owner() {
+    let mut sim = deadly_simulation(quick);
+    sim.submit("deadly", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    run_until_crash(&mut sim, 1000);
+    sim.run(20);
+
+    sim.take_over_from(true);
+    sim.run(20);
+
+    assert_eq!(sim.history("deadly").crashes.len(), 1);
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -377,7 +377,7 @@
                 continue;
             }
             if !self.fleet.workers.contains_key(&name) {
-                self.engine.handle_refused_poll(key, self.now);
+                self.engine.handle_poll_failure(key, self.now);
                 continue;
             }
             if !matches!(self.link(&name, link), Link::Normal | Link::Queued) {
