--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -34,6 +34,14 @@
         125,
         "the list's news of a boot gave up a start that this boot had taken",
     ),
+    (
+        316,
+        "the new runs of a worker that fell silent were not recorded for the next owner",
+    ),
+    (
+        344,
+        "the new runs of a worker that fell silent were not recorded for the next owner",
+    ),
 ];
 
 fn seeds() -> Vec<u64> {
