--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -1,9 +1,9 @@
 //! Which task to blame for the crash of a worker, and when a task is given up for it.
 //!
 //! A worker that crashes reports nothing, so any of its runs may have crashed it, or none: it may
-//! have lost power. Only a repetition tells. The tasks of a crashed worker are therefore kept
-//! apart when they start again, and if a worker crashes under a task that was blamed before, its
-//! other tasks are not. See `docs/design/crashes.md`.
+//! have lost power. Only a repetition tells. The tasks that may have been the cause are therefore
+//! kept apart when they start again, and those that a worker goes on running are not blamed for its
+//! crash. See `docs/design/crashes.md`.
 
 use std::{
     collections::BTreeMap,
@@ -82,7 +82,7 @@
 
     /// Records that a worker has reported the run, so that the run has not crashed it. Returns
     /// whether that changes the history.
-    pub fn acquit(&mut self, run: u32) -> bool {
+    pub fn exonerate(&mut self, run: u32) -> bool {
         let is_placed = self.placement.as_ref();
         let is_placed = is_placed.is_some_and(|placement| placement.run <= run);
         if is_placed {
@@ -173,7 +173,7 @@
 
 /// Other runs on a worker that may get the run of a suspected task, the worst first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Company {
+pub struct Colocation {
     /// Whether one of them is of a suspected task and may still crash the worker by its start.
     pub unproven_suspect: bool,
     /// Whether one of them is of a suspected task.
@@ -187,14 +187,19 @@
 }
 
 /// Returns whether a task that was blamed for `crashes` and has waited for `waited` may start beside
-/// `company`.
+/// `colocation`.
 ///
 /// It never starts beside another one before that has proved harmless, which takes little time. It
 /// waits for a better place only if it is not `long_running`.
-pub fn admits(company: Company, crashes: usize, waited: Duration, long_running: bool) -> bool {
+pub fn admits(
+    colocation: Colocation,
+    crashes: usize,
+    waited: Duration,
+    long_running: bool,
+) -> bool {
     let waits = u32::try_from(crashes).map_or(MAX_WAITS, |crashes| crashes.min(MAX_WAITS));
-    let is_alone = !company.suspect && !company.unproven;
-    !company.unproven_suspect && (is_alone || long_running || waited >= ISOLATION_WAIT * waits)
+    let is_alone = !colocation.suspect && !colocation.unproven;
+    !colocation.unproven_suspect && (is_alone || long_running || waited >= ISOLATION_WAIT * waits)
 }
 
 /// A run on a worker that crashed.
@@ -210,7 +215,7 @@
 
 /// The runs that may have caused a crash.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Verdict {
+pub struct Attribution {
     /// Their indexes.
     pub blamed: Vec<usize>,
     /// Whether nothing else that the worker ran can have been the cause.
@@ -228,7 +233,7 @@
 /// Runs that have just started are blamed, and if there are none, the tasks that were blamed most
 /// before. The blame is clear if only one run is left, and the worker had run all others since
 /// before it was started.
-pub fn blame(suspects: &[Suspect]) -> Verdict {
+pub fn blame(suspects: &[Suspect]) -> Attribution {
     let has_unproven = suspects.iter().any(Suspect::is_unproven);
     let worst = suspects.iter().map(|suspect| suspect.crashes).max();
     let is_blamed = |suspect: &Suspect| {
@@ -253,5 +258,5 @@
         }
         _ => false,
     };
-    Verdict { blamed, is_clear }
+    Attribution { blamed, is_clear }
 }
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -1,4 +1,5 @@
-//! Crashes of workers: the record of who may have caused them, and the end of jobs that do.
+//! Handling of crashes of workers: blames the tasks that may have caused them, keeps that for later
+//! owners, and fails jobs whose tasks crash one worker after the other.
 
 use basilbridge_common::{
     id::Name,
@@ -29,7 +30,7 @@
 
 /// A run that a worker had when it crashed.
 #[derive(Debug)]
-pub(crate) struct Accused {
+pub(crate) struct LostRun {
     task: TaskId,
     run: u32,
     worker: Name,
@@ -49,14 +50,14 @@
         is_certain: bool,
         now: Millis,
     ) {
-        let accused = self.accused(key, &[]);
+        let lost = self.lost_runs(key, &[]);
         self.drop_all_runs(key, evidence, now);
-        self.blame(key, &accused, is_certain, now);
+        self.blame(key, &lost, is_certain, now);
     }
 
     /// Returns the runs that may have crashed a worker: all that it has, or may have, except those
     /// that it lists as running now.
-    pub(crate) fn accused(&self, key: worker::Key, running: &[Running]) -> Vec<Accused> {
+    pub(crate) fn lost_runs(&self, key: worker::Key, running: &[Running]) -> Vec<LostRun> {
         let Some(worker) = self.workers.get(key) else {
             return Vec::new();
         };
@@ -64,8 +65,8 @@
             let is_listed = |other: &Running| other.task == **task && other.run == run.run;
             !running.iter().any(is_listed)
         });
-        let mut accused: Vec<Accused> = lost
-            .map(|(task, run)| Accused {
+        let mut lost: Vec<LostRun> = lost
+            .map(|(task, run)| LostRun {
                 task: task.clone(),
                 run: run.run,
                 worker: worker.info.name.clone(),
@@ -80,8 +81,8 @@
                 },
             })
             .collect();
-        accused.sort_unstable_by(|left, right| left.task.cmp(&right.task));
-        accused
+        lost.sort_unstable_by(|left, right| left.task.cmp(&right.task));
+        lost
     }
 
     /// Blames the crash of a worker on those of its runs that may have caused it, and fails the
@@ -90,7 +91,7 @@
     pub(crate) fn blame(
         &mut self,
         key: worker::Key,
-        accused: &[Accused],
+        lost: &[LostRun],
         is_certain: bool,
         now: Millis,
     ) {
@@ -101,13 +102,13 @@
         let has_other_cause = !is_certain
             || self.neighbours(key, now).show_outage()
             || self.machines.entry(address).or_default().record_crash(now);
-        let suspects: Vec<Suspect> = accused.iter().map(|accused| accused.suspect).collect();
-        let verdict = crash::blame(&suspects);
-        for index in verdict.blamed {
-            let accused = &accused[index];
-            if let Some(position) = accused.position {
-                let is_clear = verdict.is_clear && !has_other_cause;
-                self.record_crash(position, accused.run, &accused.worker, is_clear, now);
+        let suspects: Vec<Suspect> = lost.iter().map(|run| run.suspect).collect();
+        let attribution = crash::blame(&suspects);
+        for index in attribution.blamed {
+            let run = &lost[index];
+            if let Some(position) = run.position {
+                let is_clear = attribution.is_clear && !has_other_cause;
+                self.record_crash(position, run.run, &run.worker, is_clear, now);
             }
         }
     }
@@ -169,16 +170,16 @@
     }
 
     /// Records that a worker has reported the end of a run, so that the run has not crashed it.
-    pub(crate) fn acquit(&mut self, position: TaskPosition, run: u32) {
+    pub(crate) fn exonerate(&mut self, position: TaskPosition, run: u32) {
         if let Some(task) = self.task_mut(position)
-            && task.history.acquit(run)
+            && task.history.exonerate(run)
         {
             self.mark_dirty(position.job);
         }
     }
 
     /// Clears the history of a long-running task that has been at work for a lease.
-    pub(crate) fn acquit_at_work(&mut self, key: worker::Key, task: &TaskId, now: Millis) {
+    pub(crate) fn exonerate_at_work(&mut self, key: worker::Key, task: &TaskId, now: Millis) {
         const AT_WORK_PERCENT: f64 = 100.0;
         let Some(run) = self
             .workers
@@ -236,13 +237,13 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        let accused = self.accused(key, &[]);
-        let suspects: Vec<Suspect> = accused.iter().map(|accused| accused.suspect).collect();
+        let lost = self.lost_runs(key, &[]);
+        let suspects: Vec<Suspect> = lost.iter().map(|run| run.suspect).collect();
         let blamed = crash::blame(&suspects).blamed.into_iter();
         let placements: Vec<(TaskPosition, Placement)> = blamed
-            .map(|index| &accused[index])
-            .filter(|accused| accused.suspect.proven_at.is_none())
-            .filter_map(|accused| Some((accused.position?, worker.placement(accused.run))))
+            .map(|index| &lost[index])
+            .filter(|run| run.suspect.proven_at.is_none())
+            .filter_map(|run| Some((run.position?, worker.placement(run.run))))
             .collect();
         for (position, placement) in placements {
             if let Some(task) = self.task_mut(position)
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -108,8 +108,8 @@
                 index,
             };
             let admits = |candidate: &Candidate| {
-                let (company, waited) = (candidate.company, attempt.waited);
-                crash::admits(company, crashes, waited, step.long_running)
+                let (colocation, waited) = (candidate.colocation, attempt.waited);
+                crash::admits(colocation, crashes, waited, step.long_running)
                     && !self.is_reserved(candidate.key, position, now)
             };
             let allowed = candidates
@@ -186,9 +186,9 @@
         let is_suspect = tasks.iter().any(|task| task.history.is_suspect());
         for candidate in &mut all {
             candidate.suspect |= has_failed(candidate.key);
-            candidate.suspect |= is_suspect && candidate.company.suspect;
+            candidate.suspect |= is_suspect && candidate.colocation.suspect;
         }
-        all.retain(|candidate| !is_suspect || !candidate.company.unproven_suspect);
+        all.retain(|candidate| !is_suspect || !candidate.colocation.unproven_suspect);
         let mut groups: Vec<Vec<Candidate>> = Vec::new();
         if step.same_rack {
             let mut racks: BTreeMap<Option<Name>, Vec<Candidate>> = BTreeMap::new();
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -16,7 +16,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    crash::Company,
+    crash::Colocation,
     engine::Engine,
     job::Step,
     pace,
@@ -60,7 +60,7 @@
     /// Whether it runs a best-effort task.
     pub(crate) best_effort: bool,
     /// Its runs.
-    pub(crate) company: Company,
+    pub(crate) colocation: Colocation,
 }
 
 impl Slot {
@@ -149,7 +149,7 @@
                 quarantined: worker.quarantined_until > now,
                 serving: false,
                 best_effort: false,
-                company: Company {
+                colocation: Colocation {
                     unproven_suspect: false,
                     suspect: false,
                     unproven: worker.runs.values().any(|run| run.proven_at.is_none()),
@@ -176,8 +176,8 @@
                     .position
                     .and_then(|position| self.task(position))
                     .is_some_and(|task| task.history.is_suspect());
-                slot.company.suspect |= is_suspect;
-                slot.company.unproven_suspect |= is_suspect && run.proven_at.is_none();
+                slot.colocation.suspect |= is_suspect;
+                slot.colocation.unproven_suspect |= is_suspect && run.proven_at.is_none();
                 slot.serving |= step.latency_target.is_some();
                 slot.best_effort |= step.best_effort;
                 let is_stopping = matches!(run.phase, Phase::Stopping(_));
@@ -240,7 +240,7 @@
             suspect: slot.suspect,
             slow: slot.slow,
             interferes: interferes(slot, step),
-            company: slot.company,
+            colocation: slot.colocation,
         };
         if !advised {
             let slots = pool.slots.iter();
@@ -332,14 +332,14 @@
     is_suspect: bool,
 ) {
     pool.free = pool.free.minus(demand);
-    let join = |company: &mut Company| {
-        company.unproven_suspect |= is_suspect;
-        company.suspect |= is_suspect;
-        company.unproven = true;
-        company.runs += 1;
+    let join = |colocation: &mut Colocation| {
+        colocation.unproven_suspect |= is_suspect;
+        colocation.suspect |= is_suspect;
+        colocation.unproven = true;
+        colocation.runs += 1;
     };
     if let Some(slot) = pool.slot_mut(key) {
-        join(&mut slot.company);
+        join(&mut slot.colocation);
         slot.free = slot.free.minus(demand);
         slot.unclaimed = slot.unclaimed.minus(demand);
         slot.reclaimable = slot.reclaimable.minus(demand);
@@ -350,7 +350,7 @@
         .filter(|candidate| candidate.key == key)
     {
         candidate.free = candidate.free.minus(demand);
-        join(&mut candidate.company);
+        join(&mut candidate.colocation);
     }
 }
 
--- a/crates/workflow/src/selection.rs
+++ b/crates/workflow/src/selection.rs
@@ -3,7 +3,7 @@
 use basilbridge_common::unit::Resources;
 
 use crate::{
-    crash::Company,
+    crash::Colocation,
     worker, //
 };
 
@@ -24,7 +24,7 @@
     /// Whether the worker would run both serving and best-effort tasks.
     pub interferes: bool,
     /// Other runs there, which a crash of the worker would cost.
-    pub company: Company,
+    pub colocation: Colocation,
 }
 
 /// Returns the best candidate for a task that needs `demand`, or `None` if it fits on none.
@@ -43,8 +43,8 @@
             (
                 candidate.suspect,
                 candidate.slow,
-                candidate.company.unproven_suspect,
-                candidate.company.suspect,
+                candidate.colocation.unproven_suspect,
+                candidate.colocation.suspect,
                 candidate.interferes,
                 candidate.remote_data,
                 candidate.free.accelerators,
@@ -70,7 +70,7 @@
             (
                 candidate.suspect,
                 candidate.slow,
-                candidate.company,
+                candidate.colocation,
                 candidate.interferes,
                 candidate.remote_data,
                 candidate.key,
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -51,9 +51,9 @@
             let rebooted = worker.boot.is_some();
             worker.reboot(inventory.boot);
             if rebooted {
-                let accused = self.accused(key, &inventory.running);
+                let lost = self.lost_runs(key, &inventory.running);
                 self.drop_earlier_boot(key, sent, inventory, now);
-                self.blame(key, &accused, true, now);
+                self.blame(key, &lost, true, now);
             }
         }
         let worker = &mut self.workers[key];
@@ -172,7 +172,7 @@
         if let Some(position) = run.position {
             self.keep_checkpoint(position, running.run, running.checkpoint.as_ref());
             self.measure_pace(key, &running.task, now);
-            self.acquit_at_work(key, &running.task, now);
+            self.exonerate_at_work(key, &running.task, now);
         }
     }
 
@@ -317,7 +317,7 @@
             return;
         };
         self.keep_checkpoint(position, end.run, end.checkpoint.as_ref());
-        self.acquit(position, end.run);
+        self.exonerate(position, end.run);
         {
             let task = &mut self.jobs[position.job].stages[position.stage].tasks[position.index];
             task.run = task.run.max(end.run);
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -456,15 +456,15 @@
 
 #[test]
 fn a_suspect_waits_for_a_worker_of_its_own_but_not_for_long() {
-    let beside_unproven_suspect = crash::Company {
+    let beside_unproven_suspect = crash::Colocation {
         unproven_suspect: true,
         suspect: true,
         unproven: true,
-        ..crash::Company::default()
+        ..crash::Colocation::default()
     };
-    let beside_new = crash::Company {
+    let beside_new = crash::Colocation {
         unproven: true,
-        ..crash::Company::default()
+        ..crash::Colocation::default()
     };
     let admits = |company, crashes, millis, long_running| {
         crash::admits(
@@ -475,7 +475,7 @@
         )
     };
 
-    assert!(admits(crash::Company::default(), 1, 0, false));
+    assert!(admits(crash::Colocation::default(), 1, 0, false));
     assert!(!admits(beside_new, 1, 900, false));
     assert!(admits(beside_new, 1, 1000, false));
     assert!(!admits(beside_new, 2, 1900, false));
