Order waiting work of a cell by team shares and past use

Cause: within a band and a priority, waiting stages were placed by deadline only, so a team that sent 200 checks at once held all workers for as long as its checks were on time, and the few checks of another team were late.

Change: where the waiting work of several teams does not fit into a pool, stages of a team that has reached its dominant share by weight come after the others of their band and priority. The deadline used for the order moves back by up to half of the slack of the job with the decayed past use of its team (--usage-half-life, 4h). The owner stores past use in the row 'usage' of the ownership table with every tenth heartbeat, and a new owner reads it.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     time::Duration, //
 };
 
@@ -40,6 +41,8 @@
     pub cpu_millis: u32,
     /// The bandwidth of the VM's link in bytes per second, in each direction; zero if unknown.
     pub link_bytes_per_second: u64,
+    /// The half-life of the past use of teams; zero turns it off.
+    pub usage_half_life: Duration,
 }
 
 impl NodeConfig {
@@ -47,6 +50,15 @@
     /// ownership and polling each worker take about 2.5 s together.
     pub const MIN_LEASE: Duration = Duration::from_secs(3);
 
+    /// The default of [`NodeConfig::usage_half_life`]: the operators speak of teams that use far more
+    /// over hours.
+    pub const DEFAULT_USAGE_HALF_LIFE: Duration = Duration::from_secs(4 * 3600);
+
+    /// The range of [`NodeConfig::usage_half_life`] unless it is zero. Below a minute it would
+    /// measure current usage; a month is longer than any entitlement is planned for.
+    pub const USAGE_HALF_LIFE: RangeInclusive<Duration> =
+        Duration::from_secs(60)..=Duration::from_secs(30 * 24 * 3600);
+
     /// Checks that the settings are valid and consistent; the error names the first that is not.
     pub fn check(&self) -> Result<()> {
         let invalid = |message: String| Err(Error::new(Kind::Malformed, message));
@@ -66,6 +78,15 @@
                 self.drain_limit
             ));
         }
+        if !self.usage_half_life.is_zero() && !Self::USAGE_HALF_LIFE.contains(&self.usage_half_life)
+        {
+            return invalid(format!(
+                "the usage half-life {:?} is not zero and not from {:?} to {:?}",
+                self.usage_half_life,
+                Self::USAGE_HALF_LIFE.start(),
+                Self::USAGE_HALF_LIFE.end()
+            ));
+        }
         let addresses = [self.callers, self.ready, self.peers];
         let has_duplicate =
             (1..addresses.len()).any(|index| addresses[..index].contains(&addresses[index]));
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -27,6 +27,7 @@
         self,
         PROGRESS_TABLE, //
     },
+    sharing,
 };
 
 /// The delay after a failed read.
@@ -65,14 +66,18 @@
 pub(crate) async fn load(owner: &Owner) -> FeedStart {
     let node = &owner.node;
     let worker_table = node.clients.store.worker_table.clone();
-    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers)) = tokio::join!(
+    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers), usage) = tokio::join!(
         read_parts(owner, record::job_tables()),
         read_table(owner, PROGRESS_TABLE.into()),
         read_table(owner, worker_table),
+        sharing::read(node),
     );
     let now = owner.now();
     let decode = &node.clients.formats.worker;
     let mut engine = owner.engine();
+    if let Some(usage) = &usage {
+        engine.restore_usage(usage, now);
+    }
     for row in &worker_rows {
         let text = row.value.as_deref();
         if let Some(entry) = text.and_then(|text| decode(&row.key, text)) {
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -82,7 +82,7 @@
         JOB_TABLE,
         WORKERS_KEY, //
     },
-    stall, sweep, traffic,
+    sharing, stall, sweep, traffic,
 };
 
 /// The time between two heartbeats of the owner.
@@ -182,10 +182,15 @@
     /// Returns the number of jobs that have not begun, by queue, or `None` before the jobs have been
     /// read or after the ownership has ended.
     pub(crate) fn unstarted(&self) -> Option<BTreeMap<Name, u64>> {
-        let is_known = self.loaded.load(Ordering::Acquire) && !self.has_ended();
+        let is_known = self.is_loaded() && !self.has_ended();
         is_known.then(|| self.engine().queued_counts())
     }
 
+    /// Returns whether all jobs have been read from the store.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Acquire)
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         *self.ended.borrow()
     }
@@ -293,6 +298,7 @@
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
         budget: node.config.budget(),
+        usage_half_life: node.config.usage_half_life,
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
@@ -340,6 +346,7 @@
     tasks.spawn(follow_policy(Arc::clone(owner)));
     tasks.spawn(journal::run(Arc::clone(owner)));
     tasks.spawn(sweep::run(Arc::clone(owner)));
+    tasks.spawn(sharing::report(Arc::clone(owner)));
     polling::spawn_pollers(owner, tasks);
     owner.stall_detector.record_turn(stall::boot_time());
     loop {
@@ -554,6 +561,7 @@
         {
             puts.push(election::put(WORKERS_KEY, value));
         }
+        puts.extend(sharing::row(owner, self.sequence));
         (puts, workers)
     }
 
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -51,6 +51,9 @@
 /// The key of the owner's list of workers.
 pub(crate) const WORKERS_KEY: &str = "workers";
 
+/// The key of the past use of teams.
+pub(crate) const USAGE_KEY: &str = "usage";
+
 /// The prefix of the keys under which entry VMs register.
 pub(crate) const NODE_PREFIX: &str = "node-";
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod logs;
 mod requests;
 mod rtt;
+mod sharing;
 mod stalls;
 mod traffic;
 mod vm;
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -80,6 +80,7 @@
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
         budget: Budget::default(),
+        usage_half_life: Duration::from_secs(4 * 3600),
     };
     let mut engine = Engine::new(settings, policy, Millis(0));
     for number in 0..workers {
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -137,13 +137,18 @@
     }
 }
 
-/// Returns the time within which a job on `queue` counts as on time.
-pub fn objective(queue: &Queue, accepted: &Accepted) -> Duration {
+/// Returns the critical path of a whole job on `queue`, with the advice for each of its steps.
+pub(crate) fn critical_path(queue: &Queue, accepted: &Accepted) -> Duration {
     let overhead = queue
         .advice
         .map(|advice| advice.cost(OBJECTIVE_ADVICE_WORKERS))
         .unwrap_or_default();
-    let path = accepted.spec.critical_path(overhead).as_secs_f64();
+    accepted.spec.critical_path(overhead)
+}
+
+/// Returns the time within which a job on `queue` counts as on time.
+pub fn objective(queue: &Queue, accepted: &Accepted) -> Duration {
+    let path = critical_path(queue, accepted).as_secs_f64();
     let stretched = Duration::try_from_secs_f64(path * queue.stretch.max(0.0));
     stretched
         .unwrap_or(Duration::MAX)
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -55,6 +55,7 @@
     progress::Progress,
     quota::TeamQuotas,
     report::WorkerInfo,
+    sharing::Sharing,
     worker::{
         self,
         JobKey,
@@ -95,6 +96,8 @@
     pub max_lease: Duration,
     /// Capacity of the owner's link.
     pub budget: Budget,
+    /// Half-life of the past use of teams; zero turns it off.
+    pub usage_half_life: Duration,
 }
 
 /// State and decisions of one owner.
@@ -107,6 +110,8 @@
     pub(crate) workers: SlotMap<worker::Key, Worker>,
     pub(crate) workers_by_name: HashMap<Name, worker::Key>,
     pub(crate) team_usage: HashMap<Name, Resources>,
+    /// Usage of the pools by teams.
+    pub(crate) sharing: Sharing,
     pub(crate) dirty_jobs: VecDeque<JobKey>,
     pub(crate) orders: Vec<Order>,
     pub(crate) events: Vec<Event>,
@@ -157,6 +162,7 @@
     /// Creates the engine of an owner that starts at `now`.
     pub fn new(settings: Settings, policy: Policy, now: Millis) -> Self {
         let first = settings.epoch == 0;
+        let sharing = Sharing::new(settings.usage_half_life);
         Self {
             settings,
             policy,
@@ -165,6 +171,7 @@
             workers: SlotMap::with_key(),
             workers_by_name: HashMap::new(),
             team_usage: HashMap::new(),
+            sharing,
             dirty_jobs: VecDeque::new(),
             orders: Vec::new(),
             events: Vec::new(),
@@ -669,7 +676,7 @@
         evidence: &'static str,
         now: Millis,
     ) {
-        let Some(run) = self.remove_run(key, task) else {
+        let Some(run) = self.remove_run(key, task, now) else {
             return;
         };
         let worker = &self.workers[key];
@@ -687,16 +694,38 @@
     }
 
     /// Removes a run from its worker and from the usage of its team.
-    pub(crate) fn remove_run(&mut self, key: worker::Key, task: &TaskId) -> Option<worker::Run> {
+    pub(crate) fn remove_run(
+        &mut self,
+        key: worker::Key,
+        task: &TaskId,
+        now: Millis,
+    ) -> Option<worker::Run> {
         let run = self.workers.get_mut(key)?.remove_run(task)?;
-        if let Some((team, resources)) = &run.team
-            && let Some(used) = self.team_usage.get_mut(team)
-        {
-            *used = used.minus(resources);
+        if let Some((team, resources)) = &run.team {
+            if let Some(used) = self.team_usage.get_mut(team) {
+                *used = used.minus(resources);
+            }
+            self.sharing.release(&run.pool, team, &run.demand, now);
         }
         Some(run)
     }
 
+    /// Adds a run to its worker and to the usage of its team.
+    pub(crate) fn add_run(
+        &mut self,
+        key: worker::Key,
+        task: TaskId,
+        run: worker::Run,
+        now: Millis,
+    ) {
+        if let Some((team, resources)) = &run.team {
+            let used = self.team_usage.entry(team.clone()).or_default();
+            *used = used.plus(resources);
+            self.sharing.charge(&run.pool, team, &run.demand, now);
+        }
+        self.workers[key].add_run(task, run);
+    }
+
     /// Makes a task wait for a worker again, if `run` on `worker` is its latest run.
     pub(crate) fn requeue(
         &mut self,
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod retry;
 pub mod schedule;
 pub mod selection;
+pub mod sharing;
 mod slowness;
 pub mod stage;
 pub mod takeover;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -268,10 +268,6 @@
         let start_bytes = budget::start_bytes(job.accepted.spec.payload.len());
         self.start_window = self.start_window.saturating_sub(start_bytes);
         let team = job.accepted.team.clone().map(|name| (name, step.resources));
-        if let Some((name, resources)) = &team {
-            let used = self.team_usage.entry(name.clone()).or_default();
-            *used = used.plus(resources);
-        }
         let position = worker::TaskPosition {
             job: ready.job,
             stage: ready.stage,
@@ -281,6 +277,7 @@
             run,
             position: Some(position),
             demand: step.demand(),
+            pool: worker.info.pool.clone(),
             team,
             phase: Phase::Ordered,
             start_bytes,
@@ -312,7 +309,7 @@
             worker: worker.info.name.clone(),
             waited,
         });
-        worker.add_run(task_id, state);
+        self.add_run(key, task_id, state, now);
     }
 }
 
--- a/crates/workflow/src/policy.rs
+++ b/crates/workflow/src/policy.rs
@@ -61,6 +61,19 @@
 }
 
 impl Team {
+    /// Returns what the team may use beside `used`, for urgent work or for other work.
+    pub fn room(&self, used: &Resources, urgent: bool) -> Resources {
+        let cap = if urgent {
+            self.cap
+        } else {
+            reserve::unreserved_part(&self.cap)
+        };
+        cap.zip_with(used, |cap, used| match cap {
+            0 => u64::MAX,
+            cap => cap.saturating_sub(used),
+        })
+    }
+
     /// Returns whether `used` is within the cap, or, for work that is not urgent, within the part
     /// of the cap that is not reserved for urgent work.
     pub fn allows(&self, used: &Resources, urgent: bool) -> bool {
--- a/crates/workflow/src/rank.rs
+++ b/crates/workflow/src/rank.rs
@@ -44,7 +44,10 @@
     pub band: Band,
     /// Priority of the queue.
     pub priority: u32,
-    /// Time at which the job has to be finished, or since when the long-running task waits.
+    /// Whether the team is over its share of the pool while other teams wait.
+    pub over_share: bool,
+    /// Time at which the job has to be finished, or since when the long-running task waits. It moves
+    /// back with the past use of the team, by a part of the slack of the job.
     pub deadline: Millis,
 }
 
@@ -86,6 +89,7 @@
         return Rank {
             band: if overdue { Band::Overdue } else { Band::OnTime },
             priority: input.priority,
+            over_share: false,
             deadline: input.waiting_since,
         };
     }
@@ -104,6 +108,7 @@
     Rank {
         band,
         priority: input.priority,
+        over_share: false,
         deadline: input.start.after(input.objective),
     }
 }
--- a/crates/workflow/src/reserve.rs
+++ b/crates/workflow/src/reserve.rs
@@ -26,6 +26,16 @@
         )
 }
 
+/// Returns the part of the capacity of a pool that less urgent work may not use.
+pub fn reserved_part(capacity: &Resources) -> Resources {
+    let reserved = |amount: u64| (amount as f64 * RESERVED_FRACTION) as u64;
+    Resources {
+        cpu_millis: reserved(capacity.cpu_millis),
+        memory_mib: 0,
+        accelerators: reserved(capacity.accelerators),
+    }
+}
+
 /// Returns the part of the cap of a team that its less urgent work may use.
 ///
 /// Without this limit a team that fills its cap with long tasks would delay its own urgent tasks.
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -44,12 +44,13 @@
     /// Starts the waiting tasks that can be started, and makes the preemptions and requests for
     /// advice that the others need.
     pub fn schedule(&mut self, now: Millis) {
-        let ready_stages = self.ready_stages(now);
+        let mut ready_stages = self.ready_stages(now);
         if ready_stages.is_empty() {
             return;
         }
         self.start_window = self.open_start_window();
         let mut pools = self.build_pools(now);
+        self.order_by_share(&mut ready_stages, &pools, now);
         for ready in ready_stages {
             if self.start_window == 0 {
                 return;
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -70,6 +70,8 @@
     pub position: Option<TaskPosition>,
     /// Reserved part of the capacity of the worker.
     pub demand: Resources,
+    /// Pool of the worker when the run was added. A worker can move to another pool with its runs.
+    pub pool: Name,
     /// Team whose cap the run counts against, and the resources that count.
     pub team: Option<(Name, Resources)>,
     /// State of the orders for the run.
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -204,7 +204,7 @@
                 self.handle_end(key, &end, now);
             }
             for running in runs {
-                self.remove_run(key, &running.task);
+                self.remove_run(key, &running.task, now);
                 self.adopt(key, &running, now);
             }
         }
@@ -246,14 +246,11 @@
             Some((demand, None, _)) => (demand, None),
             None => Default::default(),
         };
-        if let Some((team, resources)) = &team {
-            let used = self.team_usage.entry(team.clone()).or_default();
-            *used = used.plus(resources);
-        }
         let run = Run {
             run: running.run,
             position,
             demand,
+            pool: self.workers[key].info.pool.clone(),
             team,
             phase: Phase::Confirmed(now),
             start_bytes: 0,
@@ -267,7 +264,7 @@
             throttle_percent: 100,
             stop_sent: None,
         };
-        self.workers[key].add_run(running.task.clone(), run);
+        self.add_run(key, running.task.clone(), run, now);
         match position {
             Some(position) if wanted => {
                 let job = &mut self.jobs[position.job];
@@ -294,7 +291,9 @@
             .runs
             .get(&end.task)
             .is_some_and(|run| run.run == end.run);
-        let run = matches.then(|| self.remove_run(key, &end.task)).flatten();
+        let run = matches
+            .then(|| self.remove_run(key, &end.task, now))
+            .flatten();
         self.events.push(Event::End {
             task: end.task.clone(),
             run: end.run,
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -13,5 +13,6 @@
 mod ranks;
 mod retries;
 mod schedules;
+mod sharing;
 mod simulation;
 mod util;
--- /dev/null
+++ b/crates/workflow/tests/engine/sharing.rs
@@ -0,0 +1,553 @@
+//! Sharing of a pool between teams under overload, and past use.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::Name,
+    unit::{
+        Millis,
+        Resources, //
+    },
+};
+use basilbridge_workflow::{
+    event::Event,
+    job::{
+        Accepted,
+        TaskId, //
+    },
+    policy::{
+        Policy,
+        Team, //
+    },
+    report::Outcome,
+    sharing::{
+        current::{
+            self,
+            Capacity,
+            Waiting, //
+        },
+        past::{
+            self,
+            Ledger, //
+        },
+    },
+};
+
+use crate::{
+    simulation::Simulation,
+    util::{
+        CHECKS,
+        LONG_RUNNING,
+        accepted,
+        cpu,
+        name,
+        policy,
+        step, //
+    },
+};
+
+const CORE: u64 = 1000;
+const HALF_LIFE: Duration = Duration::from_secs(4 * 3600);
+const START: Millis = Millis(1_000_000);
+
+/// Returns the queues of [`policy`] and teams with these weights, which are high enough that no job
+/// is in excess of a rate.
+fn shared_policy(weights: &[(&str, f64)]) -> Policy {
+    let teams = weights.iter().map(|(team, weight)| Team {
+        name: name(team),
+        weight: *weight,
+        cap: cpu(0),
+    });
+    Policy {
+        teams: teams.map(|team| (team.name.clone(), team)).collect(),
+        ..policy(0)
+    }
+}
+
+/// Returns the behaviour of a run: tasks take 0.8 s and 8 cores, those of plans 5 s.
+fn by_job(task: &TaskId, _: u32) -> (u64, Outcome, u64) {
+    let time = if task.job.starts_with("plan") {
+        5000
+    } else {
+        800
+    };
+    (time, Outcome::Done, 8 * CORE)
+}
+
+/// Returns four workers that run 32 tasks at once.
+fn shared_simulation(weights: &[(&str, f64)]) -> Simulation {
+    let mut sim = Simulation::new(&["w1", "w2", "w3", "w4"], by_job);
+    sim.engine.set_policy(shared_policy(weights));
+    sim
+}
+
+fn job(sim: &Simulation, queue: &str, team: &str) -> Accepted {
+    Accepted {
+        team: Some(name(team)),
+        ..accepted(queue, sim.now, vec![step(1, 8 * CORE)])
+    }
+}
+
+fn check(sim: &mut Simulation, team: &str, number: usize) {
+    let job = job(sim, CHECKS, team);
+    sim.submit(&format!("{team}-{number}"), job);
+}
+
+/// Returns the order in which jobs were first started.
+fn start_order(sim: &Simulation) -> Vec<String> {
+    let starts = sim.fleet.starts.iter();
+    starts.map(|(_, task, ..)| task.job.to_string()).collect()
+}
+
+fn starts_with(sim: &Simulation, prefix: &str) -> usize {
+    let started = start_order(sim);
+    started.iter().filter(|job| job.starts_with(prefix)).count()
+}
+
+fn longest_wait(sim: &Simulation, prefix: &str) -> Duration {
+    let waits = sim.events.iter().filter_map(|event| match event {
+        Event::Start { task, waited, .. } if task.job.starts_with(prefix) => Some(*waited),
+        _ => None,
+    });
+    waits.max().unwrap_or_default()
+}
+
+/// A team that sent 200 checks at once took all workers for as long as its checks were on time, so
+/// that the few checks of another team were late.
+#[test]
+fn a_team_within_its_share_starts_before_one_that_floods_the_pool() {
+    let mut sim = shared_simulation(&[("flood", 100.0), ("light", 100.0)]);
+    for number in 0..200 {
+        check(&mut sim, "flood", number);
+    }
+    sim.run(400);
+
+    for number in 0..8 {
+        check(&mut sim, "light", number);
+    }
+    sim.run(600);
+
+    assert_eq!(starts_with(&sim, "light"), 8);
+    // The first tasks of the other team end 800 ms after they have started.
+    assert!(longest_wait(&sim, "light") <= Duration::from_millis(450));
+}
+
+/// Two teams that both send more than fits would be served by the number of their jobs.
+#[test]
+fn teams_that_both_send_too_much_are_served_by_weight() {
+    let mut sim = shared_simulation(&[("heavy", 300.0), ("light", 100.0)]);
+    for number in 0..600 {
+        check(&mut sim, "heavy", number);
+        check(&mut sim, "light", number);
+        sim.run(10);
+        // The pool was empty at first, so that all jobs of the first second fitted.
+        if number == 200 {
+            sim.fleet.starts.clear();
+        }
+    }
+
+    let (heavy, light) = (starts_with(&sim, "heavy"), starts_with(&sim, "light"));
+    let ratio = heavy as f64 / light as f64;
+
+    assert!((2.7..=3.3).contains(&ratio), "{heavy} to {light}");
+}
+
+#[test]
+fn the_order_is_that_of_deadlines_while_all_work_fits() {
+    let mut sim = shared_simulation(&[("first", 1.0), ("second", 100.0)]);
+    for number in 0..4 {
+        check(&mut sim, "first", number);
+    }
+    check(&mut sim, "second", 0);
+    check(&mut sim, "first", 4);
+
+    sim.run(50);
+
+    let expected = [
+        "first-0", "first-1", "first-2", "first-3", "second-0", "first-4",
+    ];
+    assert_eq!(start_order(&sim), expected);
+}
+
+#[test]
+fn the_order_is_that_of_deadlines_while_one_team_waits() {
+    let mut sim = shared_simulation(&[("waiting", 1.0), ("running", 100.0)]);
+    for number in 0..8 {
+        check(&mut sim, "running", number);
+    }
+    for number in 0..100 {
+        check(&mut sim, "waiting", number);
+    }
+
+    sim.run(1500);
+
+    let waiting = start_order(&sim);
+    let waiting = waiting.iter().filter(|job| job.starts_with("waiting"));
+    let waiting: Vec<&String> = waiting.collect();
+    let expected: Vec<String> = (0..waiting.len())
+        .map(|at| format!("waiting-{at}"))
+        .collect();
+    assert_eq!(waiting, expected.iter().collect::<Vec<_>>());
+}
+
+/// A long-running task has to run again within seconds, whatever its team uses.
+#[test]
+fn long_running_tasks_are_not_ordered_by_share() {
+    let mut sim = shared_simulation(&[("large", 1.0), ("small", 100.0)]);
+    for number in 0..28 {
+        let mut long = job(&sim, LONG_RUNNING, "large");
+        long.spec.steps[0].long_running = true;
+        sim.submit(&format!("plan-{number}"), long);
+    }
+    sim.run(500);
+
+    for (id, team) in [("plan-large", "large"), ("plan-small", "small")] {
+        for number in 0..8 {
+            let mut long = job(&sim, LONG_RUNNING, team);
+            long.spec.steps[0].long_running = true;
+            sim.submit(&format!("{id}{number}"), long);
+            sim.run(10);
+        }
+    }
+
+    assert_eq!(starts_with(&sim, "plan-large"), 4);
+    assert_eq!(starts_with(&sim, "plan-small"), 0);
+}
+
+/// A team at its cap can't start what waits, so it is not in competition with the others.
+#[test]
+fn a_team_that_its_cap_holds_back_does_not_change_the_order_of_others() {
+    let mut sim = shared_simulation(&[("capped", 100.0), ("free", 1.0)]);
+    let mut limited = shared_policy(&[("capped", 100.0), ("free", 1.0)]);
+    if let Some(team) = limited.teams.get_mut("capped") {
+        team.cap = cpu(8 * CORE);
+    }
+    sim.engine.set_policy(limited);
+    for number in 0..10 {
+        check(&mut sim, "capped", number);
+    }
+    for number in 0..31 {
+        check(&mut sim, "free", number);
+    }
+    sim.run(20);
+    sim.engine.take_sharing_report(sim.now);
+
+    for number in 31..60 {
+        check(&mut sim, "free", number);
+    }
+    sim.run(100);
+
+    let report = sim.engine.take_sharing_report(sim.now);
+    assert_eq!(report.over_share, BTreeMap::new());
+}
+
+fn memory(cpu_millis: u64, memory_mib: u64) -> Resources {
+    Resources {
+        cpu_millis,
+        memory_mib,
+        accelerators: 0,
+    }
+}
+
+/// Returns which of `stages` belong to teams over their share, of equal weight.
+fn over_share(
+    stages: &[(&Name, Resources)],
+    used: &[(&Name, Resources)],
+    capacity: &Capacity,
+) -> Vec<bool> {
+    let stages: Vec<Waiting<'_>> = stages
+        .iter()
+        .map(|(team, task)| Waiting {
+            team: Some(team),
+            task: *task,
+            tasks: 1,
+            ordered_by_share: true,
+        })
+        .collect();
+    let used: HashMap<Name, Resources> = used
+        .iter()
+        .map(|(team, used)| ((*team).clone(), *used))
+        .collect();
+    let places = current::order(&stages, &used, &[], |_| Some(1.0), capacity);
+    places.iter().map(|place| place.excess.is_some()).collect()
+}
+
+/// On workers of 16 cores, tasks of 4.5 cores leave 2.5 cores that nobody can use. Shares of the
+/// whole capacity would then never be exceeded, although one team has more than the other.
+#[test]
+fn capacity_that_no_task_can_use_is_no_part_of_the_shares() {
+    let (large, small) = (name("large"), name("small"));
+    let task = memory(4500, 4813);
+    let capacity = Capacity {
+        total: memory(16_000, 32_768).times(10),
+        in_use: task.times(30),
+        usable: Resources::default(),
+    };
+    let used = [(&large, task.times(16)), (&small, task.times(14))];
+
+    let over = over_share(&[(&large, task), (&small, task)], &used, &capacity);
+
+    assert_eq!(over, [true, false]);
+}
+
+#[test]
+fn a_team_that_holds_most_of_the_memory_is_over_its_share() {
+    let (memory_team, cpu_team) = (name("memory"), name("cpu"));
+    let task = memory(2000, 8192);
+    let capacity = Capacity {
+        total: memory(16_000, 32_768).times(10),
+        in_use: memory(100_000, 300_000),
+        usable: Resources::default(),
+    };
+    let used = [
+        (&memory_team, memory(20_000, 220_000)),
+        (&cpu_team, memory(70_000, 80_000)),
+    ];
+
+    let over = over_share(&[(&memory_team, task), (&cpu_team, task)], &used, &capacity);
+
+    assert_eq!(over, [true, false]);
+}
+
+/// One pass places hundreds of stages, so a team with no runs could take the whole pool in it.
+#[test]
+fn stages_earlier_in_the_order_count_as_use_of_their_team() {
+    let (first, second) = (name("first"), name("second"));
+    let task = memory(8000, 64);
+    let capacity = Capacity {
+        total: memory(64_000, 131_072),
+        in_use: Resources::default(),
+        usable: memory(64_000, 131_072),
+    };
+    let mut stages = vec![(&first, task); 8];
+    stages.extend(vec![(&second, task); 8]);
+
+    let over = over_share(&stages, &[], &capacity);
+
+    // Each team has its share with four of the eight tasks that fit.
+    let expected: Vec<bool> = (0..16).map(|at| at % 8 >= 4).collect();
+    assert_eq!(over, expected);
+}
+
+/// Returns a ledger in which `team` has used `cores` for `hours` up to [`START`].
+fn used(ledger: &mut Ledger, team: &str, cores: u64, hours: u64) {
+    let begun = Millis(START.0.saturating_sub(hours * 3_600_000));
+    ledger.start(&name(team), &cpu(cores * CORE), begun);
+    ledger.end(&name(team), &cpu(cores * CORE), START);
+}
+
+fn equal_weight(_: &Name) -> Option<f64> {
+    Some(1.0)
+}
+
+#[test]
+fn a_team_that_has_used_three_times_as_much_is_half_above_its_entitlement() {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    let later = START.after(Duration::from_secs(3600));
+    ledger.start(&name("heavy"), &cpu(300 * CORE), START);
+    ledger.start(&name("light"), &cpu(100 * CORE), START);
+
+    let ratios = ledger.ratios(equal_weight, &cpu(1000 * CORE), later);
+
+    assert!((ratios["heavy"] - 1.5).abs() < 0.01, "{ratios:?}");
+    assert!((ratios["light"] - 0.5).abs() < 0.01, "{ratios:?}");
+}
+
+/// A single job at the start of a day would put its team above its entitlement.
+#[test]
+fn past_use_does_not_count_before_enough_has_been_used() {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    ledger.start(&name("heavy"), &cpu(1000 * CORE), START);
+    ledger.start(&name("light"), &cpu(0), START);
+    let ratios = |seconds| {
+        let now = START.after(Duration::from_secs(seconds));
+        ledger.ratios(equal_weight, &cpu(1000 * CORE), now)
+    };
+
+    // A hundredth of the half-life is 144 s.
+    assert_eq!(ratios(140), HashMap::new());
+    assert_eq!(ratios(150).len(), 2);
+}
+
+#[test]
+fn past_use_halves_within_the_half_life() {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    used(&mut ledger, "team", 100, 0);
+    ledger.start(&name("team"), &cpu(100 * CORE), START);
+    let ended = START.after(Duration::from_secs(600));
+    ledger.end(&name("team"), &cpu(100 * CORE), ended);
+
+    let seconds = |ledger: &mut Ledger, at| ledger.record(&cpu(CORE), at).teams["team"][0];
+    let (before, after) = (
+        seconds(&mut ledger, ended),
+        seconds(&mut ledger, ended.after(HALF_LIFE)),
+    );
+
+    // 100 cores for 600 s, of which a part has decayed already.
+    assert!((59_000..=60_000).contains(&before), "{before}");
+    assert!((before / 2).abs_diff(after) <= 1, "{before} {after}");
+}
+
+#[test]
+fn a_half_life_of_zero_turns_past_use_off() {
+    let mut ledger = Ledger::new(Duration::ZERO);
+    ledger.start(&name("heavy"), &cpu(1000 * CORE), START);
+    let later = START.after(Duration::from_secs(36_000));
+
+    let ratios = ledger.ratios(equal_weight, &cpu(1000 * CORE), later);
+
+    assert_eq!(ratios, HashMap::new());
+    assert_eq!(ledger.record(&cpu(CORE), later).teams, BTreeMap::new());
+}
+
+#[test]
+fn a_deadline_moves_back_by_at_most_half_of_the_slack() {
+    let slack = Duration::from_secs(10);
+
+    let shifts =
+        [0.0, 1.0, 2.0, 1e12, f64::INFINITY].map(|ratio| past::deadline_shift(slack, ratio));
+
+    let expected = [0, 0, 2500, 5000, 5000].map(Duration::from_millis);
+    for (shift, expected) in shifts.into_iter().zip(expected) {
+        assert!(shift <= slack / 2);
+        assert!(
+            shift.abs_diff(expected) < Duration::from_millis(1),
+            "{shift:?}"
+        );
+    }
+}
+
+/// Makes the engine know that `heavy` has used the whole pool for hours and `light` nothing.
+fn restore_heavy_use(sim: &mut Simulation) {
+    let record = past::Record {
+        at: sim.now,
+        teams: [
+            (name("heavy"), [256 * 3600, 0, 0]),
+            (name("light"), [1, 0, 0]),
+        ]
+        .into(),
+    };
+    sim.engine.restore_usage(&record, sim.now);
+}
+
+/// Fills the pool with tasks of a third team, of which one ends after 0.8 s and the others much
+/// later.
+fn fill_pool(sim: &mut Simulation) {
+    check(sim, "busy", 0);
+    for number in 1..32 {
+        let long = job(sim, CHECKS, "busy");
+        sim.submit(&format!("plan-busy-{number}"), long);
+    }
+    sim.run(50);
+}
+
+/// Returns which of two checks starts first on the only free part of the pool, if that of the heavy
+/// user comes `head_start` milliseconds before the other.
+fn first_of_heavy_and_light(sim: &mut Simulation, head_start: u64) -> String {
+    fill_pool(sim);
+    check(sim, "heavy", 0);
+    sim.run(head_start);
+    check(sim, "light", 0);
+    sim.run(900 - head_start);
+    start_order(sim).swap_remove(32)
+}
+
+/// The operators found that shares were kept over seconds while some teams used far more over
+/// hours: among equals, the job that came first was started first.
+#[test]
+fn among_equals_the_team_that_has_used_less_over_hours_starts_first() {
+    let mut sim = shared_simulation(&[("heavy", 100.0), ("light", 100.0), ("busy", 100.0)]);
+    restore_heavy_use(&mut sim);
+
+    let first = first_of_heavy_and_light(&mut sim, 50);
+
+    assert_eq!(first, "light-0");
+}
+
+/// The slack of a check is 650 ms, so that half of it is less than the head start.
+#[test]
+fn past_use_does_not_outweigh_more_than_half_of_the_slack() {
+    let mut sim = shared_simulation(&[("heavy", 100.0), ("light", 100.0), ("busy", 100.0)]);
+    restore_heavy_use(&mut sim);
+
+    let first = first_of_heavy_and_light(&mut sim, 350);
+
+    assert_eq!(first, "heavy-0");
+}
+
+#[test]
+fn a_takeover_keeps_the_past_use_of_teams() {
+    let mut sim = shared_simulation(&[("heavy", 100.0), ("light", 100.0), ("busy", 100.0)]);
+    restore_heavy_use(&mut sim);
+    let stored = sim.engine.usage_record(sim.now);
+    let stored = serde_json::to_string(&stored).expect("a record is JSON");
+
+    sim.take_over_from(true);
+    let weights = [("heavy", 100.0), ("light", 100.0), ("busy", 100.0)];
+    sim.engine.set_policy(shared_policy(&weights));
+    let stored: past::Record = serde_json::from_str(&stored).expect("it was just encoded");
+    sim.engine.restore_usage(&stored, sim.now);
+    // The new owner waits until the workers have answered.
+    sim.run(2000);
+
+    let first = first_of_heavy_and_light(&mut sim, 50);
+
+    assert_eq!(first, "light-0");
+}
+
+#[test]
+fn the_record_of_a_thousand_teams_fits_into_64_kilobytes() {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    let capacity = Resources {
+        cpu_millis: 350 * 64 * CORE,
+        memory_mib: 350 * 131_072,
+        accelerators: 350 * 8,
+    };
+    // Each has used 100 times its part of the capacity, and names are as long as in the largest
+    // deployment.
+    for number in 0..1000 {
+        let team = name(&format!("team-of-planners-{number:04}"));
+        ledger.start(&team, &capacity.times(1), START);
+    }
+    let later = START.after(HALF_LIFE);
+
+    let record = ledger.record(&capacity, later);
+
+    let text = serde_json::to_string(&record).expect("a record is JSON");
+    assert!(text.len() <= 64 * 1024, "{}", text.len());
+    assert_eq!(record.teams.len(), 1000);
+}
+
+/// A row that the store refuses for its size would end the heartbeats.
+#[test]
+fn a_record_that_is_too_large_keeps_the_teams_that_have_used_most() {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    for number in 0..3000 {
+        let team = name(&format!("team-with-a-long-name-of-forty-bytes-{number:04}"));
+        ledger.start(&team, &cpu((3000 - number) * CORE), START);
+    }
+    let later = START.after(HALF_LIFE);
+
+    let record = ledger.record(&cpu(1_000_000 * CORE), later);
+
+    let text = serde_json::to_string(&record).expect("a record is JSON");
+    assert!(text.len() <= 64 * 1024, "{}", text.len());
+    let kept = record.teams.len();
+    let least = record.teams.values().map(|used| used[0]).min();
+    let expected = ledger_of_one(3000 - kept as u64 + 1, later);
+    assert!(kept > 500, "{kept}");
+    assert_eq!(least, Some(expected));
+}
+
+/// Returns the core seconds of a team that has run tasks with `cores` from [`START`] to `at`.
+fn ledger_of_one(cores: u64, at: Millis) -> u64 {
+    let mut ledger = Ledger::new(HALF_LIFE);
+    ledger.start(&name("team"), &cpu(cores * CORE), START);
+    ledger.record(&cpu(CORE), at).teams["team"][0]
+}
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -45,6 +45,7 @@
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
         budget: Budget::default(),
+        usage_half_life: Duration::from_secs(4 * 3600),
     }
 }
 
--- a/src/bin/basilbridged/cell.rs
+++ b/src/bin/basilbridged/cell.rs
@@ -34,7 +34,7 @@
 
 /// Reads and checks the settings, and runs until a signal stops the process.
 pub(crate) fn main(path: &Path, arguments: &Arguments) -> ExitCode {
-    let settings = match read_settings(path) {
+    let settings = match read_settings(path, arguments) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("{report:?}");
@@ -46,7 +46,7 @@
         return ExitCode::SUCCESS;
     }
     let log = log::json_lines(arguments.log_level);
-    match run(path, settings, log) {
+    match run(path, settings, arguments, log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
@@ -55,16 +55,17 @@
     }
 }
 
-/// Reads and checks a settings file.
-fn read_settings(path: &Path) -> Result<Settings> {
-    let settings = settings::read(path)
+/// Reads a settings file, adds the settings of the arguments and checks both.
+fn read_settings(path: &Path, arguments: &Arguments) -> Result<Settings> {
+    let mut settings = settings::read(path)
         .into_diagnostic()
         .wrap_err_with(|| format!("the settings file {} can't be used", path.display()))?;
+    settings.cell.usage_half_life = arguments.usage_half_life;
     settings.cell.check().into_diagnostic()?;
     Ok(settings)
 }
 
-fn run(path: &Path, settings: Settings, log: Logger) -> Result<()> {
+fn run(path: &Path, settings: Settings, arguments: &Arguments, log: Logger) -> Result<()> {
     // A VM has a fraction of one processor, where further threads only add overhead.
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -80,7 +81,7 @@
                 .await
                 .into_diagnostic()
                 .wrap_err("the daemon could not start")?;
-            run_until_signalled(running, path, settings, &log).await
+            run_until_signalled(running, path, settings, arguments, &log).await
         })
 }
 
@@ -89,6 +90,7 @@
     mut running: RunningNode,
     path: &Path,
     settings: Settings,
+    arguments: &Arguments,
     log: &Logger,
 ) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
@@ -98,7 +100,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => check_reload(path, &settings, log),
+            _ = reload.recv() => check_reload(path, &settings, arguments, log),
             message = running.wait_for_panic() => {
                 slog::crit!(log, "a background task has panicked"; "error" => &message);
                 return Err(miette!("a background task has panicked: {message}"));
@@ -114,8 +116,8 @@
 }
 
 /// Reads the settings file again and logs whether it changed; changes apply at the next start.
-fn check_reload(path: &Path, current: &Settings, log: &Logger) {
-    match read_settings(path) {
+fn check_reload(path: &Path, current: &Settings, arguments: &Arguments, log: &Logger) {
+    match read_settings(path, arguments) {
         Ok(settings) => slog::info!(log, "reload"; "changed" => settings != *current),
         Err(report) => slog::error!(log, "reload failed"; "error" => %report),
     }
--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -25,7 +25,7 @@
     pub(crate) embedded: bool,
 
     /// Schedule jobs of several steps on the platform that this settings file names; of the other
-    /// settings only `--check` and `--log-level` apply then.
+    /// settings only `--check`, `--log-level` and `--usage-half-life` apply then.
     #[arg(long, env = SETTINGS_VARIABLE, value_name = "FILE", conflicts_with = "embedded")]
     pub(crate) cell: Option<PathBuf>,
 
@@ -107,6 +107,11 @@
     #[arg(long, env = "BASILBRIDGE_MAX_REQUESTS", default_value_t = 2048)]
     pub(crate) max_requests: usize,
 
+    /// The half-life of the past use of teams, which orders waiting work with `--cell`: from 1m to
+    /// 30days, or 0s to ignore past use.
+    #[arg(long, env = "BASILBRIDGE_USAGE_HALF_LIFE", value_parser = humantime::parse_duration, default_value = "4h")]
+    pub(crate) usage_half_life: Duration,
+
     /// The operator key that is valid while the configuration has none.
     #[arg(long, env = "BASILBRIDGE_BOOTSTRAP_KEY", hide_env_values = true)]
     pub(crate) bootstrap_key: Option<String>,
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use basilbridge::config::NodeConfig;
+use basilbridge_cell::config::NodeConfig as CellConfig;
 
 #[test]
 fn the_settings_of_a_local_vm_can_be_used() {
@@ -64,3 +65,33 @@
 
     assert_eq!(faults[0].flag, "--callers, --operators, --peers");
 }
+
+/// Returns the settings of an entry VM of a cell with this half-life of past use.
+fn cell_config(usage_half_life: Duration) -> CellConfig {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    CellConfig {
+        name: "entry-0".into(),
+        data_centre: "local".into(),
+        callers: address(7400),
+        ready: address(7401),
+        peers: address(7402),
+        metrics: None,
+        max_lease: Duration::from_secs(6),
+        retention: Duration::from_secs(120),
+        drain_limit: Duration::from_secs(6),
+        cpu_millis: 0,
+        link_bytes_per_second: 0,
+        usage_half_life,
+    }
+}
+
+/// A half-life of seconds would order waiting work by current usage a second time.
+#[test]
+fn a_half_life_of_past_use_is_off_or_between_a_minute_and_a_month() {
+    let is_valid = |seconds| cell_config(Duration::from_secs(seconds)).check().is_ok();
+    let month = 30 * 24 * 3600;
+
+    let valid = [0, 1, 59, 60, 4 * 3600, month, month + 1].map(is_valid);
+
+    assert_eq!(valid, [true, false, false, true, true, true, false]);
+}
