Give calls for advice to VMs in the engine, only when a VM begins them at once

Cause: the engine requested advice for every waiting stage, and the cell sent all short calls at once to the least loaded VM. Under overload calls queued at the service, where nothing overtakes them, and tickets expired before their steps came to their turn.

Change: `workflow::advice::Relays` knows each VM's unanswered calls and the parts of short and long calls by recent demand, neither below a quarter. A pass collects the stages that want advice and gives calls to VMs in rank order at its end: each kind its own part, then what is left over, then work that is over quota or expired. A second short call is queued behind the first only if the VM would be idle before the next pass. A stage without a valid ticket costs no scan while no VM is free. A call names as many workers as the observed share of approvals requires if VMs are short, else at least the 30 that objectives assume, up to 100. The claims of a request cover what its tasks need instead of one task on each worker named, and claims count against the reserve and the cap of the team. A stage whose tasks wait for a stop requests no further advice.

--- a/crates/cell/src/advisor.rs
+++ b/crates/cell/src/advisor.rs
@@ -1,33 +1,27 @@
-//! Sends advice requests to the advice service through all VMs.
+//! Sends advice requests to the advice service through the VMs that the engine names.
 //!
-//! The service serves one call at a time per calling VM, so the owner spreads its requests.
+//! The service serves one call at a time per calling VM; `workflow::advice` decides which VM makes
+//! which call, and when.
 
 use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
-    time::Duration,
+    sync::Arc,
+    time::Duration, //
 };
 
 use basilbridge_common::{
-    error::Result,
+    error::{
+        Error,
+        Kind,
+        Result, //
+    },
     id::Name,
-    unit::Millis, //
 };
 use basilbridge_peers::{
     Advice,
     Permit, //
 };
 use basilbridge_workflow::{
-    advice::{
-        self,
-        Load, //
-    },
+    advice::Assignment,
     advice_request::{
         AdviceReply,
         Approval, //
@@ -37,172 +31,78 @@
     rank::Rank,
 };
 
-use crate::{
-    node::Node,
-    owner::Owner, //
-};
+use crate::owner::Owner;
 
 /// The time that a call may take beyond its own cost and that of the calls queued before it.
 const CALL_MARGIN: Duration = Duration::from_millis(600);
 
-/// How long a VM gets no requests after a call through it failed.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(1500);
-
-/// How long after a short request more short ones are expected.
-const SHORT_CALL_WINDOW: Duration = Duration::from_secs(1);
-
-fn is_long(request: &AdviceRequest) -> bool {
-    request.cost() >= advice::LONG_CALL
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    waiting: Vec<AdviceRequest>,
-    loads: HashMap<Name, Load>,
-    backing_off_until: HashMap<Name, Millis>,
-    /// When a short request was last waiting.
-    last_short: Option<Millis>,
+/// Returns the names of the VMs through which requests can be sent, this one first.
+pub(crate) fn relays(owner: &Owner) -> Vec<Name> {
+    let own_name = &owner.node.config.name;
+    let view = owner.node.view();
+    let peers = view.nodes.keys().filter(|name| *name != own_name);
+    std::iter::once(own_name).chain(peers).cloned().collect()
 }
 
-/// The queue of advice requests and the load of each VM.
-pub(crate) struct AdviceDispatcher {
-    own_name: Name,
-    inner: Mutex<Inner>,
-}
-
-impl AdviceDispatcher {
-    pub(crate) fn new(node: &Node) -> Self {
-        Self {
-            own_name: node.config.name.clone(),
-            inner: Mutex::default(),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+/// Sends a request through its VM and reports the reply to the engine.
+pub(crate) async fn request_advice(owner: Arc<Owner>, request: AdviceRequest) {
+    let limit = request.assignment.delay + request.cost() + CALL_MARGIN;
+    let metrics = &owner.node.metrics;
+    metrics.count("advice_calls");
+    if request.repeated {
+        metrics.count("advice_repeated");
     }
-}
-
-/// A VM through which requests are sent. An address of `None` stands for this VM.
-#[derive(Debug, Clone)]
-struct Relay {
-    name: Name,
-    address: Option<SocketAddr>,
-}
-
-impl Owner {
-    /// Queues an advice request and sends it as soon as a VM has capacity for it.
-    pub(crate) fn request_advice(self: Arc<Self>, request: AdviceRequest) {
-        self.advisor.lock().waiting.push(request);
-        self.send_requests();
+    if !request.deferred.is_zero() {
+        metrics.count("advice_deferred");
     }
-
-    fn send_requests(self: &Arc<Self>) {
-        let now = self.now();
-        let relays = self.relays(now);
-        let mut inner = self.advisor.lock();
-        inner.waiting.sort_by_key(|request| request.rank);
-        let waiting = std::mem::take(&mut inner.waiting);
-        if waiting.iter().any(|request| !is_long(request)) {
-            inner.last_short = Some(now);
-        }
-        let keep_free_for_short = inner
-            .last_short
-            .is_some_and(|last| now.since(last) < SHORT_CALL_WINDOW);
-        for request in waiting {
-            let loads: Vec<Load> = relays
-                .iter()
-                .map(|relay| inner.loads.get(&relay.name).copied().unwrap_or_default())
-                .collect();
-            let cost = request.cost();
-            let Some(index) = advice::route(&loads, cost, keep_free_for_short) else {
-                inner.waiting.push(request);
-                continue;
-            };
-            let relay = relays[index].clone();
-            let load = inner.loads.entry(relay.name.clone()).or_default();
-            load.pending += cost;
-            load.long += usize::from(is_long(&request));
-            let limit = load.pending + CALL_MARGIN;
-            tokio::spawn(Arc::clone(self).send_request(request, relay, limit));
-        }
-    }
-
-    fn relays(&self, now: Millis) -> Vec<Relay> {
-        let mut relays = vec![Relay {
-            name: self.advisor.own_name.clone(),
-            address: None,
-        }];
-        let view = self.node.view();
-        let inner = self.advisor.lock();
-        for (name, peer) in &view.nodes {
-            let is_backing_off = inner
-                .backing_off_until
-                .get(name)
-                .is_some_and(|until| *until > now);
-            if *name != self.advisor.own_name && !is_backing_off {
-                relays.push(Relay {
-                    name: name.clone(),
-                    address: Some(peer.peers),
-                });
-            }
-        }
-        relays
-    }
-
-    async fn send_request(self: Arc<Self>, request: AdviceRequest, relay: Relay, limit: Duration) {
-        let cost = request.cost();
-        let begun = self.now();
-        let result = match relay.address {
+    let begun = owner.now();
+    let result = if request.assignment.relay == owner.node.config.name {
+        let call = (owner.node.clients.advise)(request.clone());
+        let unanswered = || Err(Error::new(Kind::Unreachable, "no advice in time"));
+        let answer = owner.node.timer.timeout(limit, call).await;
+        answer.unwrap_or_else(unanswered)
+    } else {
+        let address = owner
+            .node
+            .view()
+            .nodes
+            .get(&request.assignment.relay)
+            .map(|peer| peer.peers);
+        match address {
             Some(address) => {
                 let wire = request_to_wire(&request);
-                let answer = self.node.pool.advise(address, wire, limit).await;
+                let answer = owner.node.pool.advise(address, wire, limit).await;
                 answer.map(advice_from_wire)
             }
-            None => (self.node.clients.advise)(request.clone()).await,
-        };
-        let now = self.now();
-        self.node.metrics.time("advice", now.since(begun));
-        {
-            let mut inner = self.advisor.lock();
-            if let Some(load) = inner.loads.get_mut(&relay.name) {
-                load.pending = load.pending.saturating_sub(cost);
-                load.long -= usize::from(is_long(&request));
-            }
-            if result.is_err() && relay.address.is_some() {
-                inner
-                    .backing_off_until
-                    .insert(relay.name.clone(), now.after(FAILURE_BACKOFF));
-            }
+            None => Err(Error::new(Kind::Unreachable, "the VM has left")),
         }
-        self.log_answer(&request, &relay, &result, now.since(begun));
-        self.engine()
-            .handle_advice(&request, result.ok().as_ref(), now);
-        self.wake.notify_one();
-        self.send_requests();
-    }
+    };
+    let now = owner.now();
+    let took = now.since(begun);
+    metrics.time("advice", took);
+    log_reply(&owner, &request, &result, took);
+    owner
+        .engine()
+        .handle_advice(&request, result.ok().as_ref(), now);
+    owner.wake.notify_one();
+}
 
-    fn log_answer(
-        &self,
-        request: &AdviceRequest,
-        relay: &Relay,
-        result: &Result<AdviceReply>,
-        took: Duration,
-    ) {
-        if !self.node.decisions.admit() {
-            return;
-        }
-        let worker_count = request.workers.len();
-        let took = took.as_millis() as u64;
-        let (job, step) = (&request.job, request.step);
-        match result {
-            Ok(reply) => slog::info!(self.node.log, "advice"; "job" => %job, "step" => step,
-                "asked" => worker_count, "good" => reply.approved.len(), "took_ms" => took,
-                "via" => %relay.name),
-            Err(error) => slog::warn!(self.node.log, "no advice"; "job" => %job, "step" => step,
-                "asked" => worker_count, "took_ms" => took, "via" => %relay.name,
-                "error" => %error),
-        }
+fn log_reply(owner: &Owner, request: &AdviceRequest, result: &Result<AdviceReply>, took: Duration) {
+    if !owner.node.decisions.admit() {
+        return;
+    }
+    let log = &owner.node.log;
+    let worker_count = request.workers.len();
+    let took = took.as_millis() as u64;
+    let deferred = request.deferred.as_millis() as u64;
+    let (job, step) = (&request.job, request.step);
+    match result {
+        Ok(reply) => slog::info!(log, "advice"; "job" => %job, "step" => step,
+            "asked" => worker_count, "good" => reply.approved.len(), "took_ms" => took,
+            "via" => %request.assignment.relay, "deferred_ms" => deferred),
+        Err(error) => slog::warn!(log, "no advice"; "job" => %job, "step" => step,
+            "asked" => worker_count, "took_ms" => took, "via" => %request.assignment.relay,
+            "deferred_ms" => deferred, "error" => %error),
     }
 }
 
@@ -229,8 +129,11 @@
             per_worker: Duration::from_micros(wire.each_micros),
             ticket_lifetime: Duration::from_millis(wire.valid_ms),
         },
-        // The rank orders requests at the owner only and is not sent.
+        // The rest matters at the owner only and is not sent.
         rank: Rank::default(),
+        assignment: Assignment::default(),
+        repeated: false,
+        deferred: Duration::ZERO,
     }
 }
 
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -15,7 +15,10 @@
     },
 };
 
-use crate::owner::Owner;
+use crate::{
+    advisor,
+    owner::Owner, //
+};
 
 /// Sends an order in the background.
 pub(crate) fn send(owner: &Arc<Owner>, order: Order) {
@@ -30,7 +33,9 @@
         Order::Throttle(order) => {
             tokio::spawn(throttle(owner, order));
         }
-        Order::RequestAdvice(request) => Arc::clone(&owner).request_advice(request),
+        Order::RequestAdvice(request) => {
+            tokio::spawn(advisor::request_advice(owner, request));
+        }
     }
 }
 
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -60,8 +60,7 @@
 };
 
 use crate::{
-    advisor::AdviceDispatcher,
-    dispatch,
+    advisor, dispatch,
     election::{
         self,
         Ownership, //
@@ -132,7 +131,6 @@
 pub(crate) struct Owner {
     pub(crate) node: Arc<Node>,
     pub(crate) ownership: Ownership,
-    pub(crate) advisor: AdviceDispatcher,
     /// Triggers a scheduling pass.
     pub(crate) wake: Notify,
     /// Signals that the engine has records to store.
@@ -300,7 +298,6 @@
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
         ownership,
-        advisor: AdviceDispatcher::new(node),
         wake: Notify::new(),
         unstored: Notify::new(),
         heartbeat_due: Notify::new(),
@@ -397,8 +394,10 @@
 /// Runs one scheduling pass, logs its events and sends its orders.
 fn run_pass(owner: &Arc<Owner>) {
     let now = owner.now();
+    let relays = advisor::relays(owner);
     let (orders, events, fenced, unstored, needs_confirmation) = {
         let mut engine = owner.engine();
+        engine.set_relays(&relays);
         engine.tick(now);
         engine.schedule(now);
         let orders = engine.take_orders();
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -82,6 +82,10 @@
         budget: Budget::default(),
     };
     let mut engine = Engine::new(settings, policy, Millis(0));
+    let relays: Vec<Name> = (0..33)
+        .map(|number| format!("vm-{number}").into())
+        .collect();
+    engine.set_relays(&relays);
     for number in 0..workers {
         let name: Name = format!("worker-{number}").into();
         let entry = WorkerInfo {
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -1,47 +1,470 @@
-//! Limits of calls to the advice service, and the choice of the VM that makes each call.
+//! Which calls to the advice service may be made, and through which VM.
 //!
-//! The service is slow and serves each calling VM one call at a time. Most of the time of a call
-//! does not depend on the number of workers that it names, so each call names as many workers as
-//! allowed. Calls are spread over the VMs such that short calls do not queue behind long ones. See
-//! `docs/design/advice.md`.
+//! The service is slow and serves each calling VM one call at a time. What waits at the service can
+//! neither be overtaken nor withdrawn, so calls wait in the engine until a VM is free to make them.
+//! See `docs/design/advice.md`.
 
 use std::time::Duration;
 
-/// Assumed fraction of workers that the service approves for a step before any reply: the smaller
-/// of the two fractions in the users' site files.
-pub const INITIAL_APPROVAL_RATE: f64 = 0.35;
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
 
-/// Maximum number of workers in a call; the users' time objective assumes about 30 per call.
-pub const MAX_WORKERS: usize = 30;
+/// Maximum number of workers in a call, from the contract of the service.
+pub const MAX_WORKERS: usize = 100;
 
 /// Calls that take at least this long are kept off the VMs that serve short calls: it is the part
 /// of an urgent job's time objective that waiting for advice may use up.
 pub const LONG_CALL: Duration = Duration::from_millis(100);
 
-/// Unanswered calls of one VM.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Total expected duration of the calls.
-    pub pending: Duration,
-    /// Number of long calls.
-    pub long: usize,
-}
-
-/// Returns the index of the VM that makes a call of expected duration `cost`, or `None` if the call
-/// has to wait.
-///
-/// Half of the VMs make no long calls and no VM makes two at a time. Long calls therefore wait at
-/// the caller, where a more urgent call can overtake them, and short calls always find a VM without
-/// a long call.
-///
-/// `shared` says whether short calls are expected too; if not, all VMs make long calls.
-pub fn route(loads: &[Load], cost: Duration, shared: bool) -> Option<usize> {
-    let short_only = if shared { loads.len() / 2 } else { 0 };
-    let long = cost >= LONG_CALL;
-    loads
-        .iter()
-        .enumerate()
-        .filter(|(index, load)| !long || (*index >= short_only && load.long == 0))
-        .min_by_key(|(index, load)| (load.pending, *index))
-        .map(|(index, _)| index)
+/// Smallest part of the VMs that either kind of call has while both are in demand.
+const MIN_SHARE: f64 = 0.25;
+
+/// Part of the VMs below which the demand for calls is low. Each kind of call then has half of them.
+const LOW_DEMAND: f64 = 0.5;
+
+/// Time constant of the moving average of the demand. Within that time after the last short call,
+/// long calls stay within their part of the VMs.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time for which a VM makes no call after one through it failed.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(1500);
+
+/// Longest time between two scheduling passes that follow each other.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Upper bound of the time that calls seem to take beyond their cost. Larger delays stem from
+/// faults, during which calls should wait here.
+const MAX_OVERHEAD: Duration = Duration::from_millis(20);
+
+/// Weight of one answer in the moving average of that time.
+const OVERHEAD_GAIN: f64 = 0.1;
+
+/// Kind of a call, by its duration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The call takes less than [`LONG_CALL`].
+    Short,
+    /// The call takes at least [`LONG_CALL`].
+    Long,
+}
+
+impl Kind {
+    /// Returns the kind of a call of expected duration `cost`.
+    pub fn of(cost: Duration) -> Self {
+        if cost >= LONG_CALL {
+            Self::Long
+        } else {
+            Self::Short
+        }
+    }
+
+    /// Returns the other kind.
+    pub fn other(self) -> Self {
+        match self {
+            Self::Short => Self::Long,
+            Self::Long => Self::Short,
+        }
+    }
+}
+
+/// What a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// The part of the VMs that its kind is entitled to.
+    Part,
+    /// What the other kind leaves over, too.
+    Spare,
+    /// The same, and only VMs without an unanswered call.
+    Idle,
+}
+
+/// A call that was given to a VM.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Assignment {
+    /// Name of the VM.
+    pub relay: Name,
+    /// Number of the call.
+    pub call: u64,
+    /// Expected time until the service begins the call.
+    pub delay: Duration,
+}
+
+#[derive(Debug)]
+struct Call {
+    number: u64,
+    kind: Kind,
+    cost: Duration,
+    /// Expected time when the service begins it.
+    begins: Millis,
+    /// Whether the caller has given it up. The service may still work on it.
+    failed: bool,
+}
+
+impl Call {
+    fn ends(&self) -> Millis {
+        self.begins.after(self.cost)
+    }
+}
+
+#[derive(Debug)]
+struct Relay {
+    name: Name,
+    listed: bool,
+    calls: Vec<Call>,
+    blocked_until: Millis,
+    /// Time until which the service may work on a call of an earlier owner.
+    occupied_until: Millis,
+}
+
+impl Relay {
+    fn new(name: Name, occupied_until: Millis) -> Self {
+        Self {
+            name,
+            listed: true,
+            calls: Vec::new(),
+            blocked_until: Millis(0),
+            occupied_until,
+        }
+    }
+
+    /// Returns the kind of the calls that it makes, if any.
+    fn kind(&self) -> Option<Kind> {
+        let has_long = self.calls.iter().any(|call| call.kind == Kind::Long);
+        let kind = if has_long { Kind::Long } else { Kind::Short };
+        (!self.calls.is_empty()).then_some(kind)
+    }
+
+    /// Returns the expected time when the service is free for another call.
+    fn free_at(&self, now: Millis) -> Millis {
+        let last = self.calls.iter().map(Call::ends).max();
+        now.max(last.unwrap_or_default()).max(self.occupied_until)
+    }
+}
+
+/// The VMs through which calls are made, with their unanswered calls.
+#[derive(Debug, Default)]
+pub struct Relays {
+    relays: Vec<Relay>,
+    /// Recently requested time of calls of each kind, in seconds per second.
+    demand: [f64; 2],
+    demand_at: Millis,
+    /// Time of waiting calls of each kind, in seconds.
+    waiting: [f64; 2],
+    /// Time when short calls were last in demand.
+    last_short: Option<Millis>,
+    /// Moving average of the time that calls take beyond their cost.
+    overhead: Duration,
+    last_pass: Millis,
+    pass_interval: Duration,
+    next_number: u64,
+    occupied_until: Millis,
+}
+
+impl Relays {
+    /// Creates the state of an owner. `occupied_until` is the time until which calls of an earlier
+    /// owner may occupy the service.
+    pub fn new(occupied_until: Millis) -> Self {
+        Self {
+            occupied_until,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the names of the VMs. Short calls prefer the first ones, long calls the last ones.
+    pub fn set_names(&mut self, names: &[Name]) {
+        let is_same = self.relays.len() == names.len()
+            && self
+                .relays
+                .iter()
+                .zip(names)
+                .all(|(relay, name)| relay.listed && relay.name == *name);
+        if is_same {
+            return;
+        }
+        let mut earlier = std::mem::take(&mut self.relays);
+        for name in names {
+            let known = earlier.iter().position(|relay| relay.name == *name);
+            let relay = match known {
+                Some(index) => Relay {
+                    listed: true,
+                    ..earlier.swap_remove(index)
+                },
+                None => Relay::new(name.clone(), self.occupied_until),
+            };
+            self.relays.push(relay);
+        }
+        // A VM may return, and its calls then still occupy the service.
+        earlier.retain(|relay| !relay.calls.is_empty());
+        for relay in earlier {
+            self.relays.push(Relay {
+                listed: false,
+                ..relay
+            });
+        }
+    }
+
+    /// Begins a scheduling pass in which calls of these total durations wait.
+    pub fn begin_pass(&mut self, short: Duration, long: Duration, now: Millis) {
+        self.decay(now);
+        self.waiting = [short.as_secs_f64(), long.as_secs_f64()];
+        if !short.is_zero() {
+            self.last_short = Some(now);
+        }
+        self.pass_interval = now.since(self.last_pass).min(MAX_PASS_INTERVAL);
+        self.last_pass = now;
+        for relay in &mut self.relays {
+            relay.calls.retain(|call| !call.failed || call.ends() > now);
+        }
+    }
+
+    /// Returns whether a call of this kind may be made now. `other_waits` says whether calls of the
+    /// other kind wait that could not be made.
+    pub fn has_room(&self, kind: Kind, access: Access, other_waits: bool, now: Millis) -> bool {
+        self.find(kind, access, other_waits, now).is_some()
+    }
+
+    /// Gives a call of duration `cost` to a VM that will begin it at once or soon.
+    pub fn assign(
+        &mut self,
+        cost: Duration,
+        kind: Kind,
+        access: Access,
+        other_waits: bool,
+        now: Millis,
+    ) -> Option<Assignment> {
+        let index = self.find(kind, access, other_waits, now)?;
+        self.decay(now);
+        self.demand[kind as usize] += cost.as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        let number = self.next_number;
+        self.next_number += 1;
+        let relay = &mut self.relays[index];
+        let begins = relay.free_at(now);
+        relay.calls.push(Call {
+            number,
+            kind,
+            cost,
+            begins,
+            failed: false,
+        });
+        Some(Assignment {
+            relay: relay.name.clone(),
+            call: number,
+            delay: begins.since(now),
+        })
+    }
+
+    /// Records that a call was answered or has failed.
+    ///
+    /// A call that was given up may still occupy the service, so it counts until its expected end.
+    pub fn finish(&mut self, number: u64, answered: bool, now: Millis) {
+        let is_call = |call: &Call| call.number == number;
+        let Some(relay) = self
+            .relays
+            .iter_mut()
+            .find(|relay| relay.calls.iter().any(is_call))
+        else {
+            return;
+        };
+        if !answered {
+            relay.blocked_until = now.after(FAILURE_BACKOFF);
+            if let Some(call) = relay.calls.iter_mut().find(|call| is_call(call)) {
+                call.failed = true;
+            }
+            return;
+        }
+        if let Some(call) = relay.calls.iter().find(|call| is_call(call)) {
+            let late = now.since(call.ends()).min(MAX_OVERHEAD).as_secs_f64();
+            let average = self.overhead.as_secs_f64();
+            self.overhead = Duration::from_secs_f64(average + (late - average) * OVERHEAD_GAIN);
+        }
+        // The service works in order, so it has answered all earlier calls, too.
+        relay.occupied_until = Millis(0);
+        relay.blocked_until = Millis(0);
+        relay.calls.retain(|call| !is_call(call));
+        let mut begins = now;
+        for call in &mut relay.calls {
+            call.begins = begins;
+            begins = call.ends();
+        }
+    }
+
+    /// Returns whether more calls are in demand than the VMs make easily, so that calls should be
+    /// short.
+    pub fn is_short(&self) -> bool {
+        let demand: f64 = self.demand.iter().chain(&self.waiting).sum();
+        demand > self.count() as f64 * LOW_DEMAND
+    }
+
+    /// Returns the number of VMs that make calls of this kind.
+    fn in_use(&self, kind: Kind) -> usize {
+        let relays = self.relays.iter().filter(|relay| relay.listed);
+        relays.filter(|relay| relay.kind() == Some(kind)).count()
+    }
+
+    fn count(&self) -> usize {
+        self.relays.iter().filter(|relay| relay.listed).count()
+    }
+
+    /// Returns the number of VMs that calls of this kind are entitled to.
+    ///
+    /// Of a single VM it is one for the kind that has used less of it lately, so that neither kind
+    /// starves.
+    fn part(&self, kind: Kind) -> usize {
+        let count = self.count();
+        let [short, long] = self.demand;
+        if count <= 1 {
+            let first = if short <= long {
+                Kind::Short
+            } else {
+                Kind::Long
+            };
+            return if kind == first { count } else { 0 };
+        }
+        let [short, long] = [short + self.waiting[0], long + self.waiting[1]];
+        let of_short = if self.is_short() {
+            let share = (short / (short + long)).clamp(MIN_SHARE, 1.0 - MIN_SHARE);
+            (share * count as f64).round() as usize
+        } else {
+            count / 2
+        };
+        let of_short = of_short.clamp(1, count - 1);
+        match kind {
+            Kind::Short => of_short,
+            Kind::Long => count - of_short,
+        }
+    }
+
+    fn is_entitled(&self, kind: Kind) -> bool {
+        self.in_use(kind) < self.part(kind)
+    }
+
+    /// Returns the index of the VM that makes the next call of this kind, if there is one.
+    fn find(&self, kind: Kind, access: Access, other_waits: bool, now: Millis) -> Option<usize> {
+        let is_entitled = self.is_entitled(kind);
+        let may_use_spare = match kind {
+            _ if access == Access::Part => false,
+            Kind::Short => !(other_waits && self.is_entitled(Kind::Long)),
+            // A long call holds a VM for many times the duration of a short one.
+            Kind::Long => {
+                !other_waits
+                    && (self.count() <= 1
+                        || self
+                            .last_short
+                            .is_none_or(|last| now.since(last) >= DEMAND_WINDOW))
+            }
+        };
+        let may_add = is_entitled || may_use_spare;
+        let may_queue = kind == Kind::Short
+            && access != Access::Idle
+            && (may_use_spare || self.in_use(kind) <= self.part(kind));
+        let all_blocked = self
+            .relays
+            .iter()
+            .all(|relay| !relay.listed || relay.blocked_until > now);
+        let soon = now.after(self.pass_interval + self.overhead);
+        let usable = |relay: &&(usize, &Relay)| {
+            let relay = relay.1;
+            if !relay.listed || (relay.blocked_until > now && !all_blocked) {
+                return false;
+            }
+            match relay.kind() {
+                None => may_add,
+                Some(Kind::Short) => {
+                    may_queue
+                        && relay.calls.len() == 1
+                        && !relay.calls[0].failed
+                        && relay.free_at(now) <= soon
+                }
+                Some(Kind::Long) => false,
+            }
+        };
+        let relays: Vec<(usize, &Relay)> = self.relays.iter().enumerate().collect();
+        let usable = relays.iter().filter(usable);
+        let position = |index: usize| match kind {
+            Kind::Short => index,
+            Kind::Long => self.relays.len() - index,
+        };
+        usable
+            .min_by_key(|(index, relay)| {
+                (
+                    relay.occupied_until > now,
+                    relay.free_at(now),
+                    position(*index),
+                )
+            })
+            .map(|(index, _)| *index)
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let passed = now.since(self.demand_at).as_secs_f64();
+        let factor = (-passed / DEMAND_WINDOW.as_secs_f64()).exp();
+        for demand in &mut self.demand {
+            *demand *= factor;
+        }
+        self.demand_at = now;
+    }
+}
+
+/// Number of workers over which approvals are averaged: five calls of the size that the users' time
+/// objective assumes.
+const APPROVALS_MEMORY: f64 = 150.0;
+
+/// Margin of the expected number of approvals, in standard deviations. A second call costs as much
+/// as 70 more workers in the first one.
+const APPROVALS_MARGIN: f64 = 2.0;
+
+/// The workers of a queue that the service has lately approved.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Approvals {
+    approved: f64,
+    requested: f64,
+}
+
+impl Approvals {
+    /// Records a reply.
+    pub fn record(&mut self, approved: usize, requested: usize) {
+        self.approved += approved as f64;
+        self.requested += requested as f64;
+        if self.requested > APPROVALS_MEMORY {
+            let factor = APPROVALS_MEMORY / self.requested;
+            self.approved *= factor;
+            self.requested *= factor;
+        }
+    }
+
+    /// Returns the expected fraction of workers that are approved. Without any reply, approval and
+    /// refusal are equally likely.
+    pub fn rate(&self) -> f64 {
+        (self.approved + 0.5) / (self.requested + 1.0)
+    }
+
+    /// Returns whether there was a reply.
+    pub fn is_known(&self) -> bool {
+        self.requested > 0.0
+    }
+}
+
+/// Returns how many of the workers have to be named for `tasks` tasks, given whether each is known
+/// to be approved and how many of the tasks it has capacity for. A worker without capacity counts
+/// as if it gets some in time, since more names do not help if all are busy.
+pub fn sufficient_count(
+    workers: impl IntoIterator<Item = (bool, usize)>,
+    tasks: usize,
+    rate: f64,
+) -> usize {
+    let (mut mean, mut variance) = (0.0, 0.0);
+    let mut count = 0;
+    for (is_known, room) in workers {
+        let chance = if is_known { 1.0 } else { rate };
+        let room = room.max(1) as f64;
+        mean += room * chance;
+        variance += room * room * chance * (1.0 - chance);
+        count += 1;
+        if mean - APPROVALS_MARGIN * f64::sqrt(variance) >= tasks as f64 {
+            break;
+        }
+    }
+    count
 }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -30,6 +30,7 @@
         build_stages,
         objective, //
     },
+    advice,
     budget::Budget,
     crash,
     event::{
@@ -125,8 +126,10 @@
     pub(crate) loaded_at: Option<Millis>,
     /// Whether runs and ends of jobs that are still unknown have been dropped.
     pub(crate) unknown_jobs_dropped: bool,
-    /// Moving average, by queue, of the fraction of workers that the advice service approves.
-    pub(crate) approval_rates: HashMap<Name, f64>,
+    /// Workers that the advice service has lately approved, by queue.
+    pub(crate) approvals: HashMap<Name, advice::Approvals>,
+    /// VMs through which the advice service is called.
+    pub(crate) relays: advice::Relays,
     /// Latest time at which this owner is known to have held the claim.
     pub(crate) owned_at: Millis,
     /// Whether a decision waits for a later [`Engine::confirm_ownership`].
@@ -157,6 +160,11 @@
     /// Creates the engine of an owner that starts at `now`.
     pub fn new(settings: Settings, policy: Policy, now: Millis) -> Self {
         let first = settings.epoch == 0;
+        let occupied_until = if first {
+            Millis(0)
+        } else {
+            now.after(policy.longest_advice_call())
+        };
         Self {
             settings,
             policy,
@@ -176,7 +184,8 @@
             majority_answered_at: None,
             loaded_at: None,
             unknown_jobs_dropped: false,
-            approval_rates: HashMap::new(),
+            approvals: HashMap::new(),
+            relays: advice::Relays::new(occupied_until),
             owned_at: Millis(0),
             needs_confirmation: false,
             start_window: 0,
@@ -197,6 +206,12 @@
         self.policy = policy;
     }
 
+    /// Sets the VMs through which the advice service is called, in the order of preference for
+    /// short calls.
+    pub fn set_relays(&mut self, names: &[Name]) {
+        self.relays.set_names(names);
+    }
+
     /// Returns and removes the pending orders.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -5,6 +5,7 @@
 use basilbridge_common::id::Name;
 
 use crate::{
+    advice::Assignment,
     job::TaskId,
     policy::AdviceSettings,
     rank::Rank,
@@ -80,6 +81,12 @@
     pub advice: AdviceSettings,
     /// Rank of the step among waiting work.
     pub rank: Rank,
+    /// VM that makes the call.
+    pub assignment: Assignment,
+    /// Whether advice about the step was requested before.
+    pub repeated: bool,
+    /// Time for which the request has waited for a VM.
+    pub deferred: Duration,
 }
 
 impl AdviceRequest {
--- a/crates/workflow/src/policy.rs
+++ b/crates/workflow/src/policy.rs
@@ -10,7 +10,10 @@
     unit::Resources, //
 };
 
-use crate::reserve;
+use crate::{
+    advice,
+    reserve, //
+};
 
 /// Expected duration of calls to the advice service, and the validity of its tickets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -84,3 +87,12 @@
     /// Teams by name.
     pub teams: BTreeMap<Name, Team>,
 }
+
+impl Policy {
+    /// Returns the duration of the longest call to the advice service.
+    pub fn longest_advice_call(&self) -> Duration {
+        let settings = self.queues.values().filter_map(|queue| queue.advice);
+        let longest = settings.map(|advice| advice.cost(advice::MAX_WORKERS));
+        longest.max().unwrap_or_default()
+    }
+}
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -355,20 +355,38 @@
 }
 
 /// Deducts what a stage will likely use of the workers in a request for advice, so that later
-/// stages of the same pass request others.
+/// stages of the same pass request others. `is_urgent` says whether the stage may also use what
+/// less urgent runs hold.
 pub(crate) fn claim_capacity(
     pool: &mut Pool,
     requested: &[worker::Key],
-    demand: &Resources,
+    step: &Step,
     waiting: usize,
     approval_rate: f64,
+    is_urgent: bool,
 ) {
-    let approved = (requested.len() as f64 * approval_rate).max(1.0);
-    let per_worker = (waiting as f64 / approved).ceil() as u64;
+    let demand = step.demand();
+    let max_per_worker = step.max_per_worker.unwrap_or(u32::MAX) as usize;
+    let mut remaining = (waiting as f64 / approval_rate).ceil() as usize;
     for key in requested {
-        if let Some(slot) = pool.slot_mut(*key) {
-            let likely = demand.times(per_worker.min(fit_count(&slot.unclaimed, demand) as u64));
-            slot.unclaimed = slot.unclaimed.minus(&likely);
+        let Some(slot) = pool.slot_mut(*key) else {
+            continue;
+        };
+        let room = fit_count(&slot.unclaimed, &demand);
+        let reclaimable = if is_urgent {
+            fit_count(&slot.reclaimable, &demand)
+        } else {
+            0
+        };
+        let tasks = room.max(reclaimable).min(max_per_worker).min(remaining);
+        slot.unclaimed = slot.unclaimed.minus(&demand.times(tasks.min(room) as u64));
+        if is_urgent {
+            let tasks = tasks.min(reclaimable) as u64;
+            slot.reclaimable = slot.reclaimable.minus(&demand.times(tasks));
+        }
+        remaining -= tasks;
+        if remaining == 0 {
+            return;
         }
     }
 }
--- a/crates/workflow/src/preemption.rs
+++ b/crates/workflow/src/preemption.rs
@@ -41,7 +41,7 @@
 
 impl Engine {
     /// Stops less urgent runs on workers that would then have the capacity for waiting tasks of a
-    /// stage.
+    /// stage. Returns the number of tasks for which there will be no capacity.
     pub(crate) fn preempt(
         &mut self,
         ready: Ready,
@@ -50,7 +50,7 @@
         pool: &mut Pool,
         advised: bool,
         now: Millis,
-    ) {
+    ) -> usize {
         let demand = step.demand();
         let mut missing = waiting;
         // Without this filter a pass would visit the runs of every worker for every stage.
@@ -68,7 +68,7 @@
             });
             // Stopping runs for a part of the gang would only waste them.
             if possible.sum::<usize>() < waiting {
-                return;
+                return waiting;
             }
         }
         let urgent = pool.urgent;
@@ -87,6 +87,7 @@
                 left -= 1;
             }
         }
+        missing
     }
 
     /// Stops as many less urgent runs of a worker as `demand` needs. Returns whether it fits then;
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -12,6 +12,7 @@
         Job,
         objective, //
     },
+    advice_request::Want,
     engine::Engine,
     pool::Pool,
     rank::{
@@ -50,9 +51,10 @@
         }
         self.start_window = self.open_start_window();
         let mut pools = self.build_pools(now);
+        let mut wants = Vec::new();
         for ready in ready_stages {
             if self.start_window == 0 {
-                return;
+                break;
             }
             let Some(queue) = self.queue(&self.jobs[ready.job]) else {
                 continue;
@@ -62,8 +64,11 @@
                 continue;
             };
             let is_urgent = queue.priority == pool.urgent;
-            self.place_stage(ready, pool, is_urgent, now);
+            if let Some(waiting) = self.place_stage(ready, pool, is_urgent, now) {
+                wants.extend(Want::new(self, ready, waiting, name, is_urgent));
+            }
         }
+        self.request_advice(wants, &mut pools, now);
     }
 
     /// Returns how many bytes of starts may be sent beside those that are not answered.
@@ -136,42 +141,60 @@
         self.queue(job).map_or(u32::MAX, |queue| queue.priority)
     }
 
-    /// Starts tasks of a stage, and preempts runs or requests advice if some are left waiting.
-    fn place_stage(&mut self, ready: Ready, pool: &mut Pool, is_urgent: bool, now: Millis) {
+    /// Starts tasks of a stage, and preempts runs if some are left waiting. Returns the number of
+    /// tasks that wait for advice, if any.
+    fn place_stage(
+        &mut self,
+        ready: Ready,
+        pool: &mut Pool,
+        is_urgent: bool,
+        now: Millis,
+    ) -> Option<usize> {
         let job = &self.jobs[ready.job];
-        let step = job.accepted.spec.steps[job.stages[ready.stage].step].clone();
+        let stage = &job.stages[ready.stage];
+        let step = &job.accepted.spec.steps[stage.step];
         let advised = self.queue(job).is_some_and(|queue| queue.advice.is_some());
         let demand = step.demand();
-        if !is_urgent && !step.long_running && !reserve::admits(&pool.free, &pool.capacity, &demand)
-        {
-            return;
+        let may_use_reserve = is_urgent || step.long_running;
+        if !may_use_reserve && !reserve::admits(&pool.free, &pool.capacity, &demand) {
+            return None;
+        }
+        // Under overload most stages have no ticket, and to look for workers takes most of a pass.
+        let may_start = !advised || stage.tickets_until > now.after(TICKET_MARGIN);
+        let may_preempt = is_urgent && ready.rank.band <= Band::OnTime;
+        if !may_start && !may_preempt {
+            let team = job.accepted.team.as_ref();
+            let allows = self.team_allows(team, &step.resources, may_use_reserve);
+            return allows.then(|| stage.waiting_count());
         }
-        if step.gang {
+        let step = step.clone();
+        if may_start && step.gang {
             self.place_gang(ready, &step, pool, advised, now);
-        } else {
+        } else if may_start {
             self.place_tasks(ready, &step, pool, advised, is_urgent, now);
         }
         let waiting = self.jobs[ready.job].stages[ready.stage].waiting_count();
         // Tasks that wait for the link need no other worker.
         if waiting == 0 || self.start_window == 0 {
-            return;
+            return None;
         }
         let team = self.jobs[ready.job].accepted.team.clone();
-        let may_use_reserve = is_urgent || step.long_running;
         if let Some(team) = team
             && !self.team_allows(Some(&team), &step.resources, may_use_reserve)
         {
-            if is_urgent && ready.rank.band <= Band::OnTime {
+            if may_preempt {
                 let missing = step.resources.times(waiting as u64);
                 self.preempt_own_team(&team, &missing, pool.urgent, now);
             }
-            return;
-        }
-        if advised {
-            self.request_advice(ready, &step, waiting, pool, is_urgent, now);
-        }
-        if is_urgent && ready.rank.band <= Band::OnTime {
-            self.preempt(ready, &step, waiting, pool, advised, now);
+            return None;
         }
+        // Tasks that wait for a stop have a ticket for its worker.
+        let missing = if may_start && may_preempt {
+            self.preempt(ready, &step, waiting, pool, advised, now)
+        } else {
+            waiting
+        };
+        let waiting = if step.gang { waiting } else { missing };
+        (advised && missing > 0).then_some(waiting)
     }
 }
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -107,6 +107,12 @@
     pub pending_advice: Vec<worker::Key>,
     /// Earliest time of the next request for advice.
     pub next_request_at: Millis,
+    /// Time until which the last of its tickets is valid.
+    pub tickets_until: Millis,
+    /// Whether advice has been requested.
+    pub advised: bool,
+    /// Time since when a request for advice waits for a VM that makes the call.
+    pub deferred_since: Option<Millis>,
 }
 
 impl Stage {
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the engine with workers and a store that keep their contracts, on a manual clock.
 
 mod advice;
+mod advice_budget;
 mod capacity;
 mod crashes;
 mod election;
