Count on the capacity that work within rates leaves for other work

The outlook now takes the average of the work within rates that arrives off the capacity for late and excess work, and refused callers return at half of the rate that the usual load leaves.

--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -25,12 +25,16 @@
 
 use crate::{
     active::objective,
-    admission::outlook::{
-        Outlook,
-        Queue, //
+    admission::{
+        arrivals::Amount,
+        outlook::{
+            Outlook,
+            Queue, //
+        },
     },
     advice, budget,
     engine::Engine,
+    job::Accepted,
     policy,
     pool::Pool,
     rank::{
@@ -48,6 +52,13 @@
 /// estimates and for the other resources.
 const SLACK_FRACTION: f64 = 0.5;
 
+/// Part of a resource that is assumed to be left for late work and work in excess of a rate. Work on
+/// time takes all of it only for a short time.
+const MIN_LEFT_FRACTION: f64 = 0.05;
+
+/// Longest wait that is published.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
+
 /// Smallest part of the advice service that short or long calls get while there are calls of the
 /// other kind.
 const MIN_ADVICE_PART: f64 = 0.25;
@@ -122,8 +133,15 @@
         self.start_bytes += waiting.start_bytes;
     }
 
-    /// Returns the seconds until the work of a pool is worked off.
-    fn pool_seconds(&self, name: &Name, is_urgent: bool, rates: &Rates<'_>) -> f64 {
+    /// Returns the seconds until the work of a pool is worked off, beside the work `beside` that
+    /// arrives in a second and precedes it.
+    fn pool_seconds(
+        &self,
+        name: &Name,
+        is_urgent: bool,
+        beside: &Amount,
+        rates: &Rates<'_>,
+    ) -> f64 {
         let (Some(work), Some(pool)) = (self.pools.get(name), rates.pools.get(name)) else {
             return 0.0;
         };
@@ -148,15 +166,19 @@
             let missing = (demand[index] - free[index]).max(0.0);
             if missing > 0.0 {
                 let seconds = work.work[index] * missing / demand[index];
-                longest = longest.max(seconds / total[index].max(1.0));
+                let left = total[index] - beside.resources[index];
+                let least = (total[index] * MIN_LEFT_FRACTION).max(1.0);
+                longest = longest.max(seconds / left.max(least));
             }
         }
         longest
     }
 
-    fn advice_seconds(&self, long: bool, rates: &Rates<'_>) -> f64 {
+    fn advice_seconds(&self, long: bool, beside: &Amount, rates: &Rates<'_>) -> f64 {
         let kind = usize::from(long);
-        self.advice[kind] / (rates.relays as f64 * rates.advice_parts[kind])
+        let total = rates.relays as f64 * rates.advice_parts[kind];
+        let left = total - beside.advice[kind];
+        self.advice[kind] / left.max(total * MIN_LEFT_FRACTION)
     }
 
     fn link_seconds(&self, rates: &Rates<'_>) -> f64 {
@@ -172,30 +194,42 @@
         &self,
         queue: &policy::Queue,
         is_urgent: bool,
+        beside: &Amount,
         rates: &Rates<'_>,
     ) -> Vec<(Resource, f64)> {
         let mut seconds = vec![
             (
                 Resource::Pool(queue.pool.clone()),
-                self.pool_seconds(&queue.pool, is_urgent, rates),
+                self.pool_seconds(&queue.pool, is_urgent, beside, rates),
             ),
             (Resource::OwnerLink, self.link_seconds(rates)),
         ];
         if let Some(call) = call_time(queue) {
             let long = is_long(call);
-            seconds.push((Resource::Advice { long }, self.advice_seconds(long, rates)));
+            seconds.push((
+                Resource::Advice { long },
+                self.advice_seconds(long, beside, rates),
+            ));
         }
         seconds
     }
 
     /// Returns the longest of these times.
-    fn wait(&self, queue: &policy::Queue, is_urgent: bool, rates: &Rates<'_>) -> Duration {
-        let seconds = self.seconds(queue, is_urgent, rates);
+    fn wait(
+        &self,
+        queue: &policy::Queue,
+        is_urgent: bool,
+        beside: &Amount,
+        rates: &Rates<'_>,
+    ) -> Duration {
+        let seconds = self.seconds(queue, is_urgent, beside, rates);
         let longest = seconds
             .into_iter()
             .map(|(_, seconds)| seconds)
             .fold(0.0, f64::max);
-        Duration::try_from_secs_f64(longest).unwrap_or(Duration::MAX)
+        Duration::try_from_secs_f64(longest)
+            .unwrap_or(MAX_WAIT)
+            .min(MAX_WAIT)
     }
 }
 
@@ -258,7 +292,7 @@
             if is_within_rate {
                 let limit = self.slack(stage).as_secs_f64() * SLACK_FRACTION;
                 let is_urgent = queue.priority == pools[&queue.pool].urgent;
-                let seconds = work.seconds(queue, is_urgent, &rates);
+                let seconds = work.seconds(queue, is_urgent, &Amount::default(), &rates);
                 let exceeding = seconds.into_iter().filter(|(_, seconds)| *seconds > limit);
                 short.extend(exceeding.map(|(resource, _)| resource));
             }
@@ -274,8 +308,13 @@
             let wait = |band: Band| {
                 let place = (band, queue.priority);
                 let prefix = prefixes.iter().rev().find(|(last, _)| *last <= place);
+                let beside = if band <= Band::OnTime {
+                    Amount::default()
+                } else {
+                    self.arrivals.per_second(&queue.pool, now)
+                };
                 prefix.map_or(Duration::ZERO, |(_, work)| {
-                    work.wait(queue, is_urgent, &rates)
+                    work.wait(queue, is_urgent, &beside, &rates)
                 })
             };
             let needs = |resource: &Resource| match resource {
@@ -363,6 +402,30 @@
         stages
     }
 
+    /// Counts a job within the rate of its team as arriving work.
+    pub(crate) fn record_arrival(&mut self, accepted: &Accepted) {
+        let Some(queue) = self.policy.queues.get(&accepted.queue) else {
+            return;
+        };
+        let spec = &accepted.spec;
+        // A scheduled job arrives with each of its occurrences, long before which nothing waits.
+        if spec.schedule.is_some() {
+            return;
+        }
+        let mut amount = Amount::default();
+        for step in spec.steps.iter().filter(|step| !step.long_running) {
+            let seconds = step.estimate.as_secs_f64() * f64::from(step.count);
+            for (sum, demand) in amount.resources.iter_mut().zip(amounts(&step.demand())) {
+                *sum += demand * seconds;
+            }
+            if let Some(call) = call_time(queue) {
+                amount.advice[usize::from(is_long(call))] += call.as_secs_f64();
+            }
+        }
+        self.arrivals
+            .record(&queue.pool, &amount, accepted.accepted_at);
+    }
+
     /// Returns the time by which the job of a stage may exceed its critical path and be on time.
     fn slack(&self, stage: &Waiting) -> Duration {
         let job = &self.jobs[stage.ready.job];
--- a/crates/workflow/src/admission/judge.rs
+++ b/crates/workflow/src/admission/judge.rs
@@ -181,39 +181,44 @@
     let team = submission
         .team
         .and_then(|name| outlook.teams.get(name).copied());
-    let mut is_excess = false;
-    if let (Some(name), Some(team)) = (submission.team, team) {
-        let count = knowledge.teams.entry(name.clone()).or_default();
-        let is_contended = queue.is_some_and(|queue| queue.contended);
-        let admitted = count.admits(&team, age);
-        if is_contended && !admitted && !submission.exempt {
-            return Err(Refusal {
-                rule: Rule::Rate,
-                retry_after: count.next_return(&team, now),
-                age,
-            });
-        }
-        is_excess = team.tokens < count.admitted + 1.0;
-        count.admitted += 1.0;
-    }
-    // Without a recent outlook the time that work waits is not known.
-    let Some(queue) = queue.filter(|_| age < MAX_AGE) else {
-        return Ok(());
+    let is_contended = queue.is_some_and(|queue| queue.contended);
+    let mut count = team.and_then(|team| Some((team, knowledge.teams.get_mut(submission.team?)?)));
+    let is_within_rate = match &mut count {
+        Some((team, count)) => count.admits(team, age),
+        None => true,
     };
-    let count = knowledge
+    // Without a recent outlook the time that work waits is not known.
+    let recent = queue.filter(|_| age < MAX_AGE);
+    let queue_count = knowledge
         .queues
         .entry(submission.queue.clone())
         .or_default();
-    let wait = expected_wait(&queue, count.admitted, submission, is_excess);
-    let limit = submission.objective * rank::LATE_FACTOR;
-    let excess = (wait + certain(submission.path)).saturating_sub(limit);
-    if excess.is_zero() || submission.exempt {
-        count.admitted = count.admitted.saturating_add(1);
+    let late_by = recent.map_or(Duration::ZERO, |queue| {
+        queue_count.late_by(&queue, submission, is_within_rate)
+    });
+    let rule = if submission.exempt {
+        None
+    } else if is_contended && !is_within_rate {
+        Some(Rule::Rate)
+    } else {
+        (!late_by.is_zero()).then_some(Rule::Late)
+    };
+    let Some(rule) = rule else {
+        queue_count.admitted = queue_count.admitted.saturating_add(1);
+        if let Some((_, count)) = count {
+            count.admitted += 1.0;
+        }
         return Ok(());
-    }
+    };
+    let retry_after = match (count, recent) {
+        // In excess of its rate, a team returns as its rate allows, whatever else it was refused for.
+        (Some((team, count)), _) if !is_within_rate => count.next_return(&team, now).max(late_by),
+        (_, Some(queue)) => queue_count.next_return(late_by, &queue, now),
+        _ => MIN_RETRY,
+    };
     Err(Refusal {
-        rule: Rule::Late,
-        retry_after: count.next_return(excess, interval(&queue, wait), now),
+        rule,
+        retry_after: retry_after.clamp(MIN_RETRY, MAX_RETRY),
         age,
     })
 }
@@ -258,12 +263,12 @@
     /// Returns when a refused caller should return.
     ///
     /// The debt of the team is paid back first. Then the refused callers of all VMs return at the
-    /// rate of the team, each VM's in the order in which it refused them, so this VM's take the
-    /// part of the rate that it has of the arrivals.
+    /// rate that the usual load of the team leaves, each VM's in the order in which it refused them,
+    /// so this VM's take the part of that rate that it has of the arrivals.
     fn next_return(&mut self, team: &Team, now: Millis) -> Duration {
         let arrivals_per_second = self.arrivals / ARRIVAL_SECONDS;
         let offered = team.offered.max(arrivals_per_second);
-        let rate = (team.rate * arrivals_per_second / offered).max(f64::EPSILON);
+        let rate = (team.room * arrivals_per_second / offered).max(f64::EPSILON);
         let debt = (-team.tokens).max(0.0) / team.rate.max(f64::EPSILON);
         let room = now.after(seconds(debt));
         self.next_return = self.next_return.max(room).after(seconds(1.0 / rate));
@@ -272,10 +277,33 @@
 }
 
 impl QueueCount {
+    /// Returns the time by which a job would end too late to be worth anything.
+    fn late_by(
+        &self,
+        queue: &Queue,
+        submission: &Submission<'_>,
+        is_within_rate: bool,
+    ) -> Duration {
+        let with_admitted = |wait: Duration| wait + interval(queue, wait) * self.admitted;
+        let certain = submission.path.mul_f64(rank::CERTAIN_FRACTION);
+        let on_time = with_admitted(queue.on_time);
+        let wait = if !is_within_rate {
+            with_admitted(queue.excess)
+        } else if on_time + certain <= submission.objective {
+            on_time
+        } else {
+            // Once it is late, it waits for all work on time and for work that is late longer.
+            with_admitted(queue.late)
+        };
+        (wait + certain).saturating_sub(submission.objective * rank::LATE_FACTOR)
+    }
+
     /// Returns when a refused caller should return: after the time by which its job would be too
-    /// late, and after all that were refused before, each of which takes `interval`.
-    fn next_return(&mut self, excess: Duration, interval: Duration, now: Millis) -> Duration {
-        self.next_return = self.next_return.max(now.after(excess)).after(interval);
+    /// late, and after all that were refused before, each of which takes the time of one waiting
+    /// job.
+    fn next_return(&mut self, late_by: Duration, queue: &Queue, now: Millis) -> Duration {
+        let interval = interval(queue, queue.late);
+        self.next_return = self.next_return.max(now.after(late_by)).after(interval);
         limit_return(&mut self.next_return, now)
     }
 }
@@ -283,7 +311,7 @@
 /// Limits the time of the next return, and returns the time until it.
 fn limit_return(next_return: &mut Millis, now: Millis) -> Duration {
     *next_return = (*next_return).min(now.after(MAX_RETRY));
-    next_return.since(now).max(MIN_RETRY)
+    next_return.since(now)
 }
 
 fn seconds(seconds: f64) -> Duration {
@@ -296,29 +324,3 @@
 fn interval(queue: &Queue, wait: Duration) -> Duration {
     wait / queue.waiting.max(1)
 }
-
-/// Returns the time until a job starts, with the jobs that this VM has admitted since the outlook
-/// before it.
-fn expected_wait(
-    queue: &Queue,
-    admitted: u32,
-    submission: &Submission<'_>,
-    is_excess: bool,
-) -> Duration {
-    let with_admitted = |wait: Duration| wait + interval(queue, wait) * admitted;
-    if is_excess && queue.contended {
-        return with_admitted(queue.excess);
-    }
-    let wait = with_admitted(queue.on_time);
-    if wait + certain(submission.path) <= submission.objective {
-        wait
-    } else {
-        // Once it is late, it waits for all work on time and for work that is late longer.
-        with_admitted(queue.late)
-    }
-}
-
-/// Returns the part of an estimated time that is certain to pass.
-fn certain(estimate: Duration) -> Duration {
-    estimate.mul_f64(rank::CERTAIN_FRACTION)
-}
--- a/crates/workflow/src/admission/mod.rs
+++ b/crates/workflow/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! submissions that it receives by the last one, before anything is stored. Without a shortage
 //! there is no outlook and everything is accepted. See `docs/design/cell-admission.md`.
 
+pub mod arrivals;
 pub mod backlog;
 pub mod bucket;
 pub mod judge;
--- a/crates/workflow/src/admission/outlook.rs
+++ b/crates/workflow/src/admission/outlook.rs
@@ -31,6 +31,8 @@
     pub rate: f64,
     /// Estimated jobs per second that it sends to all VMs together, refused ones included.
     pub offered: f64,
+    /// Jobs per second for which its usual load leaves room.
+    pub room: f64,
 }
 
 impl Team {
--- a/crates/workflow/src/admission/rates.rs
+++ b/crates/workflow/src/admission/rates.rs
@@ -39,6 +39,18 @@
 /// admitted: two outlooks, so that the end of an overload is noticed at once.
 const SAMPLE_SECONDS: f64 = 1.0;
 
+/// Time constant of the average of the usual load of a team, in seconds. It exceeds the length of
+/// overloads, which are not part of it.
+const USUAL_SECONDS: f64 = 30.0;
+
+/// Part of what the usual load of a team leaves of its rate that refused callers may use. The rest
+/// works off what waits.
+const ROOM_PART: f64 = 0.5;
+
+/// Least part of its rate for which the usual load of a team leaves room. A team that usually sends
+/// its whole rate would otherwise never see its refused callers again.
+const MIN_ROOM_FRACTION: f64 = 0.125;
+
 /// Returns the limits of the bucket of a team. It counts every accepted job and may go into debt.
 fn limits(weight: f64) -> Limits {
     Limits {
@@ -58,6 +70,8 @@
     exposure: f64,
     /// Estimated jobs per second that the team sends.
     offered: f64,
+    /// Average of the jobs per second that the team sends while there is no shortage, if known.
+    usual: Option<f64>,
     /// Fractions of jobs that VMs admit by the last outlook and by the one before.
     fractions: [f64; 2],
 }
@@ -81,6 +95,7 @@
                 accepted: 0.0,
                 exposure: 0.0,
                 offered: 0.0,
+                usual: None,
                 fractions: [1.0; 2],
             });
         account.bucket.take(&limits, accepted_at);
@@ -117,14 +132,22 @@
             } else if enough || account.exposure >= SAMPLE_SECONDS {
                 let sample = account.accepted / account.exposure;
                 account.offered = (account.offered + sample) / 2.0;
+                if !published {
+                    let part = 1.0 - (-account.exposure / USUAL_SECONDS).exp();
+                    let usual = account.usual.get_or_insert(sample);
+                    *usual += (sample - *usual) * part;
+                }
                 account.accepted = 0.0;
                 account.exposure = 0.0;
             }
             let limits = limits(policy.weight);
+            let usual = account.usual.unwrap_or(0.0);
+            let least_room = policy.weight * MIN_ROOM_FRACTION;
             let team = Team {
                 tokens: rounded(account.bucket.tokens(&limits, now)),
                 rate: policy.weight,
                 offered: rounded(account.offered),
+                room: rounded(((policy.weight - usual) * ROOM_PART).max(least_room)),
             };
             let is_near = team.tokens < limits.capacity * NEAR_FRACTION;
             let fraction = if is_near && published {
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -30,7 +30,10 @@
         build_stages,
         objective, //
     },
-    admission::rates::TeamRates,
+    admission::{
+        arrivals::Arrivals,
+        rates::TeamRates, //
+    },
     budget::Budget,
     crash,
     event::{
@@ -114,6 +117,8 @@
     pub(crate) team_quotas: TeamQuotas,
     /// Jobs of each team, those in excess of its rate included.
     pub(crate) team_rates: TeamRates,
+    /// Work within the rates of teams that arrives.
+    pub(crate) arrivals: Arrivals,
     pub(crate) started_at: Millis,
     /// Time of the next check of all runs.
     pub(crate) next_tick: Millis,
@@ -173,6 +178,7 @@
             events: Vec::new(),
             team_quotas: TeamQuotas::default(),
             team_rates: TeamRates::default(),
+            arrivals: Arrivals::default(),
             started_at: now,
             next_tick: now,
             unconfirmed: (!first).then(HashSet::new),
@@ -350,6 +356,9 @@
                 .count_job(&team.name, team.weight, accepted.accepted_at)
         });
         let is_valid = accepted.spec.check().is_ok();
+        if is_valid && !over_quota {
+            self.record_arrival(&accepted);
+        }
         let stages = if is_valid {
             build_stages(&accepted, &progress, now)
         } else {
