Replay overloads of 2 to 16 times the load through admission

Found by the replay: refused callers returned together, as the same overload (141 in one second of 128 that were sent), after the longest retry time or after the time by which their jobs would have been too late. Callers beyond 30 s are now spread over 30 to 60 s, and the others keep their order. The first callers that a VM refused were told to wait as if it had nearly none of the team's callers; its part is now estimated from the time that it has observed.

Seen failing: the order and the spread of returns, and the outlook of waiting work, before these changes.

--- a/crates/workflow/src/admission/judge.rs
+++ b/crates/workflow/src/admission/judge.rs
@@ -34,12 +34,25 @@
 /// Shortest time before a refused caller returns: the header has whole seconds.
 pub const MIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Longest time before a refused caller returns. Beyond it the outlook says nothing about the load.
-pub const MAX_RETRY: Duration = Duration::from_secs(30);
+/// Longest time for which refused callers return in the order in which they were refused. The load
+/// is not known so far ahead.
+pub const ORDERED_RETRY: Duration = Duration::from_secs(30);
+
+/// Longest time before a refused caller returns. Callers that would have to wait longer are spread
+/// between [`ORDERED_RETRY`] and this, since with the same time for all they would return as the
+/// same overload.
+pub const MAX_RETRY: Duration = Duration::from_secs(60);
+
+/// Fraction of the interval for spread callers by which each one returns later than the one before.
+/// Multiples of the golden ratio fall evenly into an interval, however many there are.
+const SPREAD_FRACTION: f64 = 0.618_034;
 
 /// Time constant of the measurement of the jobs that arrive at this VM, in seconds: two outlooks.
 const ARRIVAL_SECONDS: f64 = 1.0;
 
+/// Least part of [`ARRIVAL_SECONDS`] from which the rate of arrivals is estimated.
+const MIN_OBSERVED: f64 = 0.05;
+
 /// Part of a job that a VM has credited before a team's first job, so that the VMs together neither
 /// admit nor refuse too many at first.
 const INITIAL_CREDIT: f64 = 0.5;
@@ -102,8 +115,18 @@
     /// Jobs that have arrived here within about [`ARRIVAL_SECONDS`].
     arrivals: f64,
     arrived_at: Millis,
-    /// Time for which the last refused caller was told to return.
-    next_return: Millis,
+    /// Part of [`ARRIVAL_SECONDS`] that `arrivals` covers; less than one at first.
+    observed: f64,
+    returns: Returns,
+}
+
+/// When the callers that were refused return.
+#[derive(Debug, Clone, Copy, Default)]
+struct Returns {
+    /// Time for which the last one was told to return, if that is in order.
+    last: Millis,
+    /// Number of callers that were spread.
+    spread: u32,
 }
 
 /// What this VM has done with the jobs of one queue.
@@ -111,8 +134,7 @@
 struct QueueCount {
     /// Jobs admitted since the last outlook.
     admitted: u32,
-    /// Time for which the last refused caller was told to return.
-    next_return: Millis,
+    returns: Returns,
 }
 
 /// What one VM knows of the shortage.
@@ -160,7 +182,13 @@
     fn record_arrival(&mut self, team: &Name, now: Millis) {
         let count = self.teams.entry(team.clone()).or_default();
         let elapsed = now.since(count.arrived_at).as_secs_f64();
-        count.arrivals = count.arrivals * (-elapsed / ARRIVAL_SECONDS).exp() + 1.0;
+        let decay = (-elapsed / ARRIVAL_SECONDS).exp();
+        count.arrivals = count.arrivals * decay + 1.0;
+        count.observed = 1.0 - (1.0 - count.observed) * decay;
+        if decay < MIN_OBSERVED {
+            // What came before is forgotten, and a single job tells no rate.
+            count.observed = 0.0;
+        }
         count.arrived_at = now;
     }
 }
@@ -212,7 +240,7 @@
     };
     let retry_after = match (count, recent) {
         // In excess of its rate, a team returns as its rate allows, whatever else it was refused for.
-        (Some((team, count)), _) if !is_within_rate => count.next_return(&team, now).max(late_by),
+        (Some((team, count)), _) if !is_within_rate => count.next_return(&team, late_by, now),
         (_, Some(queue)) => queue_count.next_return(late_by, &queue, now),
         _ => MIN_RETRY,
     };
@@ -231,7 +259,8 @@
             credit: INITIAL_CREDIT,
             arrivals: 0.0,
             arrived_at: Millis(0),
-            next_return: Millis(0),
+            observed: 0.0,
+            returns: Returns::default(),
         }
     }
 }
@@ -262,17 +291,16 @@
 
     /// Returns when a refused caller should return.
     ///
-    /// The debt of the team is paid back first. Then the refused callers of all VMs return at the
+    /// The debt of the team is paid back first, and the job must no longer be too late. Then the refused callers of all VMs return at the
     /// rate that the usual load of the team leaves, each VM's in the order in which it refused them,
     /// so this VM's take the part of that rate that it has of the arrivals.
-    fn next_return(&mut self, team: &Team, now: Millis) -> Duration {
-        let arrivals_per_second = self.arrivals / ARRIVAL_SECONDS;
-        let offered = team.offered.max(arrivals_per_second);
-        let rate = (team.room * arrivals_per_second / offered).max(f64::EPSILON);
+    fn next_return(&mut self, team: &Team, late_by: Duration, now: Millis) -> Duration {
+        let observed = self.observed.max(MIN_OBSERVED) * ARRIVAL_SECONDS;
+        let part = (self.arrivals / observed / team.offered).min(1.0);
+        let rate = (team.room * part).max(f64::EPSILON);
         let debt = (-team.tokens).max(0.0) / team.rate.max(f64::EPSILON);
-        let room = now.after(seconds(debt));
-        self.next_return = self.next_return.max(room).after(seconds(1.0 / rate));
-        limit_return(&mut self.next_return, now)
+        let room = now.after(seconds(debt).max(late_by));
+        self.returns.next(room, seconds(1.0 / rate), now)
     }
 }
 
@@ -303,15 +331,24 @@
     /// job.
     fn next_return(&mut self, late_by: Duration, queue: &Queue, now: Millis) -> Duration {
         let interval = interval(queue, queue.late);
-        self.next_return = self.next_return.max(now.after(late_by)).after(interval);
-        limit_return(&mut self.next_return, now)
+        self.returns.next(now.after(late_by), interval, now)
     }
 }
 
-/// Limits the time of the next return, and returns the time until it.
-fn limit_return(next_return: &mut Millis, now: Millis) -> Duration {
-    *next_return = (*next_return).min(now.after(MAX_RETRY));
-    next_return.since(now)
+impl Returns {
+    /// Returns the time until the next refused caller returns: not before `earliest`, and `interval`
+    /// after the one before.
+    fn next(&mut self, earliest: Millis, interval: Duration, now: Millis) -> Duration {
+        let limit = now.after(ORDERED_RETRY);
+        let next = self.last.max(earliest).after(interval);
+        self.last = next.min(limit);
+        if next <= limit {
+            return next.since(now);
+        }
+        self.spread = self.spread.wrapping_add(1);
+        let fraction = (f64::from(self.spread) * SPREAD_FRACTION).fract();
+        ORDERED_RETRY + (MAX_RETRY - ORDERED_RETRY).mul_f64(fraction)
+    }
 }
 
 fn seconds(seconds: f64) -> Duration {
--- /dev/null
+++ b/crates/workflow/tests/engine/admission.rs
@@ -0,0 +1,316 @@
+//! What a VM accepts and refuses by the outlook that it knows.
+
+use std::time::Duration;
+
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+use basilbridge_workflow::{
+    admission::{
+        judge::{
+            self,
+            Knowledge,
+            Refusal,
+            Rule,
+            Submission, //
+        },
+        outlook::{
+            Outlook,
+            Queue,
+            Team, //
+        },
+        rates::TeamRates,
+        retry, //
+    },
+    job::Schedule, //
+};
+
+use crate::{
+    simulation::Simulation,
+    util::{
+        CHECKS,
+        LONG_RUNNING,
+        PLANS,
+        TEAM,
+        accepted,
+        name,
+        policy,
+        step, //
+    },
+};
+
+const NOW: Millis = Millis(1_000_000);
+
+/// Returns an outlook in which work within rates waits for what checks need, for 100 ms.
+fn outlook(tokens: f64) -> Outlook {
+    let team = Team {
+        tokens,
+        rate: 10.0,
+        offered: 100.0,
+        room: 5.0,
+    };
+    let queue = Queue {
+        contended: true,
+        on_time: Duration::from_millis(100),
+        late: Duration::from_millis(200),
+        excess: Duration::from_millis(300),
+        waiting: 10,
+    };
+    Outlook {
+        made_at: NOW,
+        epoch: 1,
+        teams: [(name(TEAM), team)].into(),
+        queues: [(name(CHECKS), queue)].into(),
+    }
+}
+
+fn knowledge(outlook: Outlook) -> Knowledge {
+    let mut knowledge = Knowledge::default();
+    knowledge.learn(outlook, NOW);
+    knowledge
+}
+
+fn submit(knowledge: &mut Knowledge, team: &str, now: Millis) -> Result<(), Refusal> {
+    submit_job(knowledge, team, false, now)
+}
+
+fn submit_job(
+    knowledge: &mut Knowledge,
+    team: &str,
+    exempt: bool,
+    now: Millis,
+) -> Result<(), Refusal> {
+    let (queue, team): (Name, Name) = (name(CHECKS), name(team));
+    let submission = Submission {
+        queue: &queue,
+        team: Some(&team),
+        exempt,
+        objective: Duration::from_millis(1450),
+        path: Duration::from_millis(800),
+    };
+    judge::judge(knowledge, &submission, now)
+}
+
+fn after(millis: u64) -> Millis {
+    NOW.after(Duration::from_millis(millis))
+}
+
+#[test]
+fn a_team_that_has_used_up_its_rate_is_refused_and_others_are_not() {
+    let mut knowledge = knowledge(outlook(-20.0));
+
+    let refused = submit(&mut knowledge, TEAM, NOW);
+    let other = submit(&mut knowledge, "other", NOW);
+
+    assert_eq!(refused.map_err(|refusal| refusal.rule), Err(Rule::Rate));
+    assert_eq!(other, Ok(()));
+}
+
+/// Guards against a VM that admits without bound by one figure.
+#[test]
+fn what_a_vm_has_admitted_since_the_outlook_counts_against_the_team() {
+    let mut knowledge = knowledge(outlook(20.0));
+
+    let results = (0..100).map(|number| submit(&mut knowledge, TEAM, after(number)));
+    let admitted = results.filter(Result::is_ok).count();
+
+    // Ten until less than a second of its rate is left, then two in ten at first.
+    assert!((11..=30).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn the_jobs_that_all_vms_admit_together_match_the_rate_however_callers_are_spread() {
+    // Four VMs get 40, 30, 20 and 10 of 100 jobs a second.
+    let mut vms: Vec<Knowledge> = (0..4).map(|_| knowledge(outlook(0.0))).collect();
+
+    let mut admitted = 0;
+    for number in 0..250_u64 {
+        let vm = [0, 0, 0, 0, 1, 1, 1, 2, 2, 3][number as usize % 10];
+        let result = submit(&mut vms[vm], TEAM, after(number * 10));
+        admitted += usize::from(result.is_ok());
+    }
+
+    assert!((20..=30).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn refused_callers_return_in_the_order_in_which_they_were_refused() {
+    let mut knowledge = knowledge(outlook(-20.0));
+
+    let mut returns = Vec::new();
+    for number in 0..50 {
+        let now = after(number * 10);
+        if let Err(refusal) = submit(&mut knowledge, TEAM, now) {
+            returns.push(now.after(refusal.retry_after));
+        }
+    }
+
+    assert_eq!(returns.len(), 50);
+    assert!(returns.is_sorted());
+    // The debt of 2 s is paid back first, and then at most 5 return in a second.
+    assert!(returns[0] >= after(2000));
+    let fifth = returns[5].since(returns[0]);
+    assert!(fifth >= Duration::from_millis(990), "{fifth:?}");
+}
+
+#[test]
+fn long_running_and_scheduled_jobs_are_not_refused() {
+    let mut knowledge = knowledge(outlook(-20.0));
+
+    let result = submit_job(&mut knowledge, TEAM, true, NOW);
+
+    assert_eq!(result, Ok(()));
+}
+
+#[test]
+fn a_job_that_could_not_end_within_three_times_its_objective_is_refused() {
+    let mut outlook = outlook(40.0);
+    let queue = outlook.queues.get_mut(CHECKS).expect("it is there");
+    queue.contended = false;
+    queue.on_time = Duration::from_millis(1200);
+    queue.late = Duration::from_millis(3900);
+    let mut in_time = knowledge(outlook.clone());
+    let queue = outlook.queues.get_mut(CHECKS).expect("it is there");
+    queue.late = Duration::from_millis(4100);
+    let mut too_late = knowledge(outlook);
+
+    let accepted = submit(&mut in_time, TEAM, NOW);
+    let refused = submit(&mut too_late, TEAM, NOW);
+
+    assert_eq!(accepted, Ok(()));
+    assert_eq!(refused.map_err(|refusal| refusal.rule), Err(Rule::Late));
+}
+
+/// Guards against a VM that refuses by an outlook of an owner that is gone.
+#[test]
+fn an_old_outlook_limits_only_what_this_vm_admits_and_is_then_dropped() {
+    let mut knowledge = knowledge(outlook(-20.0));
+
+    // The debt of 2 s is paid back by then, and 10 jobs more.
+    let results = (0..20).map(|_| submit(&mut knowledge, TEAM, after(3000)).is_ok());
+    let admitted = results.filter(|accepted| *accepted).count();
+    let results = (0..1000).map(|_| submit(&mut knowledge, TEAM, after(10_000)).is_ok());
+    let later = results.filter(|accepted| *accepted).count();
+
+    assert_eq!((admitted, later), (10, 1000));
+}
+
+#[test]
+fn an_older_outlook_does_not_replace_a_newer_one() {
+    let mut knowledge = knowledge(outlook(-20.0));
+    let mut older = outlook(40.0);
+    older.made_at = Millis(NOW.0 - 1);
+
+    knowledge.learn(older, after(10));
+
+    assert!(submit(&mut knowledge, TEAM, after(10)).is_err());
+}
+
+#[test]
+fn an_outlook_keeps_its_meaning_in_a_stored_row() {
+    let outlook = outlook(-2.5);
+
+    let text = serde_json::to_string(&outlook).expect("it can be encoded");
+    let read: Outlook = serde_json::from_str(&text).expect("it can be decoded");
+
+    assert_eq!(read, outlook);
+}
+
+/// Guards against a new owner that gives a team its whole rate again.
+#[test]
+fn the_account_of_a_team_counts_jobs_in_excess_and_ends_that_a_new_owner_reads() {
+    let mut rates = TeamRates::default();
+    let policy = policy(0);
+    for number in 0..1000 {
+        rates.count_job(&name(TEAM), 100.0, after(number));
+    }
+
+    let teams = rates.teams(&policy.teams, true, after(1000));
+
+    // 400 saved and 100 of this second, less 1000, but no more than 2 s of debt.
+    let tokens = teams[TEAM].tokens;
+    assert!((-200.0..=-195.0).contains(&tokens), "{tokens}");
+}
+
+/// Submits jobs on one queue, each for a quarter of a worker's processors.
+fn submit_all(sim: &mut Simulation, queue: &str, count: usize) {
+    for number in 0..count {
+        let mut task = step(1, 16_000);
+        task.long_running = queue == LONG_RUNNING;
+        let job = accepted(queue, sim.now, vec![task]);
+        sim.submit(&format!("{queue}{number}"), job);
+    }
+}
+
+fn simulation() -> Simulation {
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| {
+        (800, basilbridge_workflow::report::Outcome::Done, 16_000)
+    });
+    sim.engine.finish_loading(sim.now);
+    // Workers are used once they have answered.
+    sim.run(100);
+    sim
+}
+
+#[test]
+fn an_outlook_is_published_only_while_work_waits_for_a_part_of_its_slack() {
+    let mut sim = simulation();
+
+    submit_all(&mut sim, CHECKS, 8);
+    let fits = sim.engine.outlook(1, sim.now);
+    submit_all(&mut sim, PLANS, 1);
+    let waits_briefly = sim.engine.outlook(1, sim.now);
+    for number in 8..24 {
+        let job = accepted(CHECKS, sim.now, vec![step(1, 16_000)]);
+        sim.submit(&format!("more{number}"), job);
+    }
+    let waits = sim.engine.outlook(1, sim.now);
+
+    assert_eq!((fits, waits_briefly), (None, None));
+    let waits = waits.expect("work waits");
+    assert!(waits.queues[CHECKS].contended);
+}
+
+/// Guards against teams that are refused because a job waits for something that nobody can give.
+#[test]
+fn work_that_no_worker_can_run_or_that_its_team_has_no_cap_for_is_no_shortage() {
+    let mut sim = simulation();
+    sim.engine.set_policy(policy(1000));
+    submit_all(&mut sim, CHECKS, 50);
+    for number in 0..50 {
+        let mut job = accepted(CHECKS, sim.now, vec![step(1, 1_000_000)]);
+        job.team = None;
+        sim.submit(&format!("large{number}"), job);
+    }
+
+    assert_eq!(sim.engine.outlook(1, sim.now), None);
+}
+
+#[test]
+fn occurrences_that_are_not_due_are_no_shortage() {
+    let mut sim = simulation();
+    for number in 0..50 {
+        let mut job = accepted(CHECKS, sim.now, vec![step(1, 16_000)]);
+        job.spec.schedule = Some(Schedule {
+            times: 3,
+            first: sim.now.after(Duration::from_secs(60)),
+            interval: Duration::from_secs(60),
+        });
+        sim.submit(&format!("later{number}"), job);
+    }
+
+    assert_eq!(sim.engine.outlook(1, sim.now), None);
+}
+
+#[test]
+fn callers_without_a_store_return_after_one_second_at_first_and_then_later_and_apart() {
+    let retries = |millis| {
+        let outage = Duration::from_millis(millis);
+        [0, 1].map(|before| retry::without_store(outage, before).as_secs())
+    };
+
+    assert_eq!(retries(0), [1, 1]);
+    assert_eq!(retries(1000), [2, 1]);
+    assert_eq!(retries(4200), [3, 2]);
+}
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the engine with workers and a store that keep their contracts, on a manual clock.
 
+mod admission;
 mod advice;
 mod capacity;
+mod collapse;
 mod crashes;
 mod election;
 mod fleet;
