Test refusals on real VMs over the in-memory platform

Guards against a refusal of a job that is stored or may be, against VMs that judge a forwarded request twice, and against retry times of one second throughout an outage of the store.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entry VMs against an in-memory platform.
 
+mod admission;
 mod elections;
 mod fake_platform;
 mod freshness;
