--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -30,6 +30,10 @@
         build_stages,
         objective, //
     },
+    admission::{
+        arrivals::Arrivals,
+        rates::TeamRates, //
+    },
     advice,
     budget::Budget,
     crash,
@@ -117,6 +121,10 @@
     pub(crate) orders: Vec<Order>,
     pub(crate) events: Vec<Event>,
     pub(crate) team_quotas: TeamQuotas,
+    /// Jobs of each team, those in excess of its rate included.
+    pub(crate) team_rates: TeamRates,
+    /// Work within the rates of teams that arrives.
+    pub(crate) arrivals: Arrivals,
     pub(crate) started_at: Millis,
     /// Time of the next check of all runs.
     pub(crate) next_tick: Millis,
@@ -184,6 +192,8 @@
             orders: Vec::new(),
             events: Vec::new(),
             team_quotas: TeamQuotas::default(),
+            team_rates: TeamRates::default(),
+            arrivals: Arrivals::default(),
             started_at: now,
             next_tick: now,
             unconfirmed: (!first).then(HashSet::new),
@@ -349,22 +359,28 @@
         if self.jobs_by_id.contains_key(id) {
             return;
         }
+        let team = accepted
+            .team
+            .as_ref()
+            .and_then(|name| self.policy.teams.get(name));
+        // A job that has ended has used up a part of its team's rate too.
+        if let Some(team) = team {
+            self.team_rates
+                .count_job(&team.name, team.weight, accepted.accepted_at);
+        }
         let (progress, version) = stored.unwrap_or_default();
         if progress.state.is_final() {
             self.retire(id, now);
             return;
         }
-        let over_quota = match accepted
-            .team
-            .as_ref()
-            .and_then(|name| self.policy.teams.get(name))
-        {
-            Some(team) => self
-                .team_quotas
-                .count_job(&team.name, team.weight, accepted.accepted_at),
-            None => false,
-        };
+        let over_quota = team.is_some_and(|team| {
+            self.team_quotas
+                .count_job(&team.name, team.weight, accepted.accepted_at)
+        });
         let is_valid = accepted.spec.check().is_ok();
+        if is_valid && !over_quota {
+            self.record_arrival(&accepted);
+        }
         let stages = if is_valid {
             build_stages(&accepted, &progress, now)
         } else {
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the engine with workers and a store that keep their contracts, on a manual clock.
 
+mod admission;
 mod advice;
 mod advice_budget;
 mod capacity;
+mod collapse;
 mod crashes;
 mod election;
 mod fleet;
