Start no task in a data centre that an operator has evacuated

Cause: an operator could not take a data centre out of use; tasks went on starting there until each worker announced that it would leave.

Change: rows `evacuate/NAME` of the configuration table, which every VM follows, evacuate a data centre until they are removed. `workflow::availability` tells why a worker takes no work and until when, and `Worker::is_usable` asks only it; so the pool, advice, preemption and the placement of gangs leave these workers out. Starts that wait to be sent are withheld, a team at its cap stops nothing there, and workers that register meanwhile are evacuated from the start. A new owner, and one that was stalled, reads the table again before it starts a task. Where the settings name the limit (`bounds.evacuateMs`), a start is valid for 1 s less than that instead of for a lease, since it can be delayed on its way after the last check; the worker refuses it then.

Ruled out: a limit on the age of the set. It would stop all work while the store is down, when no operator can request anything either.

--- a/crates/cell/src/clients.rs
+++ b/crates/cell/src/clients.rs
@@ -126,11 +126,16 @@
 type Decode<A, B> = Arc<dyn Fn(&A) -> Result<B> + Send + Sync>;
 type DecodeEntry = Arc<dyn Fn(&str, &str) -> Option<WorkerInfo> + Send + Sync>;
 
+type DecodeKey = Arc<dyn Fn(&str) -> Option<Name> + Send + Sync>;
+
 /// The decoders and encoders of the platform's documents.
 #[derive(Clone)]
 pub struct Formats {
     /// Decodes the operators' configuration.
     pub configuration: Decode<str, Configuration>,
+    /// Decodes the key of a row of the configuration table into the data centre that the row
+    /// evacuates while it exists. Returns `None` for any other row.
+    pub evacuation: DecodeKey,
     /// Decodes the row of a worker from its key and value. Returns `None` for a row of another
     /// writer.
     pub worker: DecodeEntry,
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -32,6 +32,9 @@
     pub metrics: Option<SocketAddr>,
     /// The longest lease that workers grant.
     pub max_lease: Duration,
+    /// The time after the request to evacuate a data centre from which no task may start there;
+    /// `None` if none can be requested.
+    pub evacuation_limit: Option<Duration>,
     /// How long the state of a finished job is kept.
     pub retention: Duration,
     /// How long draining may take before the process ends, at least 1 s.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configuration;
 mod dispatch;
 mod election;
+mod evacuation;
 mod feed;
 pub mod freshness;
 pub mod ingress;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -214,6 +214,22 @@
             } => slog::info!(log, "job over";
                 "job" => %job, "state" => ?state, "after_ms" => elapsed.as_millis() as u64,
                 "objective_ms" => objective.as_millis() as u64),
+            Event::DataCentre {
+                name,
+                evacuated: true,
+                workers,
+                runs,
+            } => slog::info!(log, "data centre evacuated";
+                "data_centre" => %name, "workers" => workers, "runs" => runs),
+            Event::DataCentre {
+                name,
+                workers,
+                runs,
+                ..
+            } => slog::info!(log, "data centre back in use";
+                "data_centre" => %name, "workers" => workers, "runs" => runs),
+            Event::DataCentreEmpty { name } => slog::info!(log, "data centre empty";
+                "data_centre" => %name),
             Event::Worker {
                 worker,
                 address,
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -65,6 +65,7 @@
         self,
         View, //
     },
+    evacuation::Evacuations,
     feed::{
         self,
         Update, //
@@ -135,6 +136,7 @@
     pub(crate) shared_view: election::SharedView,
     owner: Mutex<Weak<Owner>>,
     configuration: watch::Sender<Arc<Configuration>>,
+    pub(crate) evacuations: Evacuations,
     store_health: Mutex<StoreHealth>,
     freshness: Mutex<Freshness>,
     pub(crate) count_cache: CountCache,
@@ -174,6 +176,7 @@
             shared_view: election::SharedView::default(),
             owner: Mutex::default(),
             configuration: watch::Sender::default(),
+            evacuations: Evacuations::default(),
             store_health: Mutex::new(StoreHealth {
                 last: now,
                 answering_since: None,
@@ -380,6 +383,11 @@
     /// Records that other VMs may have a newer configuration than this one.
     pub(crate) fn doubt_configuration(&self) {
         self.lock_freshness().doubt(self.timer.now());
+        self.reread_configuration();
+    }
+
+    /// Triggers a complete read of the configuration table.
+    pub(crate) fn reread_configuration(&self) {
         self.read_configuration.notify_one();
     }
 
@@ -387,6 +395,7 @@
     pub(crate) fn record_feed_answer(&self, table: &Name, begun: Millis) {
         if *table == self.clients.store.configuration_table {
             self.lock_freshness().confirm(begun);
+            self.evacuations.confirm(begun);
             self.configuration_read.notify_waiters();
         }
     }
@@ -433,6 +442,8 @@
         let parts = [table.clone()];
         loop {
             let follow = feed::follow(&self, &table, &parts, None, feed::PROMPT, |update| {
+                let decode = &self.clients.formats.evacuation;
+                self.evacuations.apply(&update, |key| decode(key));
                 let (Update::All(rows) | Update::Changed(rows)) = update;
                 self.apply_configuration(&rows);
             });
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -66,6 +66,7 @@
         self,
         Ownership, //
     },
+    evacuation,
     feed::{
         self,
         Update, //
@@ -292,10 +293,12 @@
         predecessor_ended: ownership.predecessor_ended,
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
+        evacuation_limit: node.config.evacuation_limit,
         budget: node.config.budget(),
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
+    engine.set_evacuated(node.evacuations.names(), node.timer.now());
     engine.expect_workers(ownership.workers.iter().cloned());
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
@@ -315,6 +318,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(send_heartbeats(Arc::clone(&owner)));
     tasks.spawn(report_traffic(Arc::clone(&owner)));
+    tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
         () = owner.wait_for_end() => {}
@@ -341,6 +345,7 @@
     tasks.spawn(journal::run(Arc::clone(owner)));
     tasks.spawn(sweep::run(Arc::clone(owner)));
     polling::spawn_pollers(owner, tasks);
+    evacuation::refresh(owner).await;
     owner.stall_detector.record_turn(stall::boot_time());
     loop {
         tokio::select! {
@@ -377,14 +382,18 @@
     false
 }
 
-/// Checks after a stall of `gap` whether another VM has claimed ownership meanwhile.
+/// Checks after a stall of `gap` whether another VM has claimed ownership meanwhile, and which data
+/// centres have been evacuated.
 ///
 /// If the claim can't be read, the owner goes on: workers reject orders with an epoch below the
 /// highest that they have seen.
 async fn check_ownership(owner: &Owner, gap: Duration) {
     let log = &owner.node.log;
     let outcome = match election::read_claim(&owner.node).await {
-        Ok(Some((_, version))) if version == owner.ownership.version => "title held",
+        Ok(Some((_, version))) if version == owner.ownership.version => {
+            evacuation::refresh(owner).await;
+            "title held"
+        }
         Ok(_) => {
             owner.end_ownership("the claim was replaced while this process was stalled");
             "title lost"
@@ -400,7 +409,9 @@
     let (orders, events, fenced, unstored, needs_confirmation) = {
         let mut engine = owner.engine();
         engine.tick(now);
-        engine.schedule(now);
+        if owner.node.evacuations.is_known() {
+            engine.schedule(now);
+        }
         let orders = engine.take_orders();
         (
             orders,
@@ -445,6 +456,12 @@
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
+        Event::DataCentre { evacuated, .. } => {
+            if *evacuated {
+                metrics.count("evacuations");
+            }
+        }
+        Event::DataCentreEmpty { .. } => {}
     }
 }
 
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -175,6 +175,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes a row as operators do.
+    pub(crate) fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.lock();
+        rows.version += 1;
+        rows.put(table, key, None);
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
     /// Makes the decoder of the next row of a worker panic.
     pub(crate) fn panic_once(&self) {
         self.panics.store(1, Ordering::Relaxed);
@@ -218,6 +227,11 @@
         starts.filter(|task| *task.job == *job).count()
     }
 
+    /// Returns how many runs were started on a worker.
+    pub(crate) fn starts_on(&self, worker: &str) -> usize {
+        self.lock_workers()[worker].starts.len()
+    }
+
     /// Returns the clients of the VM `vm` for this platform.
     pub(crate) fn clients(&self, vm: &str) -> Clients {
         let vm: Name = vm.into();
@@ -527,6 +541,7 @@
 fn formats(panics: Arc<AtomicUsize>) -> Formats {
     Formats {
         configuration: Arc::new(configuration),
+        evacuation: Arc::new(|key| key.strip_prefix("closed/").map(Name::from)),
         worker: Arc::new(move |name, state| {
             let panics_now = panics
                 .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
@@ -544,6 +559,7 @@
                     memory_mib: 64_000,
                     accelerators: 0,
                 },
+                data_centre: name.split_once('/').map_or("", |(name, _)| name).into(),
                 labels: vec!["r1".into()],
                 leaving: state == "leaving",
             };
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry VMs against an in-memory platform.
 
 mod elections;
+mod evacuation;
 mod fake_platform;
 mod freshness;
 mod logs;
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -79,6 +79,7 @@
         predecessor_ended: true,
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
+        evacuation_limit: None,
         budget: Budget::default(),
     };
     let mut engine = Engine::new(settings, policy, Millis(0));
@@ -94,6 +95,7 @@
                 memory_mib: 131_072,
                 accelerators: 0,
             },
+            data_centre: "".into(),
             labels: vec!["a".into(), format!("rack-{}", number / 8).into()],
             leaving: false,
         };
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -31,7 +31,7 @@
         objective, //
     },
     budget::Budget,
-    crash,
+    crash, evacuation,
     event::{
         Cause,
         Event, //
@@ -93,6 +93,9 @@
     pub lease: Duration,
     /// Longest lease that a worker grants.
     pub max_lease: Duration,
+    /// Time after a request to evacuate a data centre from which no task may start there; `None` if
+    /// none can be evacuated.
+    pub evacuation_limit: Option<Duration>,
     /// Capacity of the owner's link.
     pub budget: Budget,
 }
@@ -151,6 +154,8 @@
     pub(crate) machines: HashMap<Name, crash::Machine>,
     /// Jobs whose final state is stored, with the time since when it is.
     pub(crate) retired: VecDeque<(Millis, Name)>,
+    /// Evacuated data centres.
+    pub(crate) evacuation: evacuation::Evacuation,
 }
 
 impl Engine {
@@ -189,6 +194,7 @@
             reserved: SecondaryMap::new(),
             machines: HashMap::new(),
             retired: VecDeque::new(),
+            evacuation: evacuation::Evacuation::default(),
         }
     }
 
@@ -400,7 +406,9 @@
     pub fn register_worker(&mut self, info: WorkerInfo, now: Millis) {
         let Some(key) = self.workers_by_name.get(&info.name).copied() else {
             let name = info.name.clone();
-            let key = self.workers.insert(Worker::new(info));
+            let mut worker = Worker::new(info);
+            worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
+            let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
             self.push_worker_event(key, "listed");
             return;
@@ -411,6 +419,7 @@
         let rebooted = worker.info.boot != info.boot;
         let began_to_leave = info.leaving && !worker.info.leaving;
         worker.listed = true;
+        worker.evacuated = self.evacuation.includes(&info.data_centre);
         worker.info = info;
         // A worker of this name may have started after the other one was met at its address.
         if std::mem::take(&mut worker.replaced) {
@@ -566,6 +575,7 @@
         self.next_tick = now.after(TICK_INTERVAL);
         self.stop_stalled(now);
         self.move_slow(now);
+        self.evacuate();
         self.poll_suspects(now);
         self.drop_unknown_jobs(now);
         self.settle(now);
--- /dev/null
+++ b/crates/workflow/src/evacuation.rs
@@ -0,0 +1,142 @@
+//! Evacuation of data centres: which are evacuated, and whether runs are left there.
+//!
+//! No task starts on a worker of an evacuated data centre; see [`crate::availability`].
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+
+use crate::{
+    engine::Engine,
+    event::Event,
+    worker::Worker, //
+};
+
+/// Part of the limit of an evacuation that covers what passes before a start is ordered: the feed of
+/// the configuration, and a stall of the owner that is too short to be detected.
+const ORDER_MARGIN: Duration = Duration::from_millis(1000);
+
+/// Evacuated data centres.
+#[derive(Debug, Default)]
+pub(crate) struct Evacuation {
+    data_centres: BTreeMap<Name, DataCentre>,
+}
+
+/// What was reported of an evacuated data centre.
+#[derive(Debug, Default)]
+struct DataCentre {
+    /// Whether its evacuation was reported. A new owner does that once it knows the runs there.
+    announced: bool,
+    /// Whether no run is left there.
+    empty: bool,
+}
+
+impl Evacuation {
+    /// Returns whether a data centre is evacuated.
+    pub(crate) fn includes(&self, data_centre: &Name) -> bool {
+        self.data_centres.contains_key(data_centre)
+    }
+}
+
+/// Returns the end of the validity of a start that is ordered now, by the worker's clock, or `None`
+/// if the limit of an evacuation does not restrict it.
+///
+/// A start can be delayed on its way, after its last check. The worker then refuses it.
+pub(crate) fn start_end(limit: Option<Duration>, worker: &Worker, now: Millis) -> Option<u64> {
+    let limit = limit?;
+    let validity = limit.saturating_sub(ORDER_MARGIN).max(limit / 2);
+    Some(worker.clock_at(now)? + validity.as_millis() as u64)
+}
+
+impl Engine {
+    /// Replaces the set of evacuated data centres.
+    pub fn set_evacuated(&mut self, names: BTreeSet<Name>, now: Millis) {
+        let revoked = self
+            .evacuation
+            .data_centres
+            .extract_if(.., |name, _| !names.contains(name));
+        let revoked: Vec<(Name, DataCentre)> = revoked.collect();
+        for name in names {
+            self.evacuation.data_centres.entry(name).or_default();
+        }
+        for worker in self.workers.values_mut() {
+            worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
+        }
+        for (name, _) in revoked.into_iter().filter(|(_, known)| known.announced) {
+            self.push_data_centre_event(name, false);
+        }
+        self.announce_evacuations();
+        self.next_tick = self.next_tick.min(now);
+    }
+
+    /// Returns whether a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &Name) -> bool {
+        self.evacuation.includes(data_centre)
+    }
+
+    /// Reports what has changed in evacuated data centres.
+    pub(crate) fn evacuate(&mut self) {
+        self.announce_evacuations();
+        self.report_empty();
+    }
+
+    fn announce_evacuations(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        let known = self.evacuation.data_centres.iter();
+        let unannounced = known.filter(|(_, known)| !known.announced);
+        let unannounced: Vec<Name> = unannounced.map(|(name, _)| name.clone()).collect();
+        for name in unannounced {
+            let runs = self.push_data_centre_event(name.clone(), true);
+            let state = DataCentre {
+                announced: true,
+                empty: runs == 0,
+            };
+            self.evacuation.data_centres.insert(name, state);
+        }
+    }
+
+    /// Reports the state of a data centre. Returns the number of runs there.
+    fn push_data_centre_event(&mut self, name: Name, evacuated: bool) -> usize {
+        let workers = self.workers.values();
+        let workers = workers.filter(|worker| worker.info.data_centre == name);
+        let (count, runs) = workers.fold((0, 0), |(count, runs), worker| {
+            (count + 1, runs + worker.runs.len())
+        });
+        self.events.push(Event::DataCentre {
+            name,
+            evacuated,
+            workers: count,
+            runs,
+        });
+        runs
+    }
+
+    /// Reports the evacuated data centres in which the last run has ended.
+    fn report_empty(&mut self) {
+        let mut occupied: BTreeSet<&Name> = BTreeSet::new();
+        for worker in self.workers.values().filter(|worker| worker.evacuated) {
+            if !worker.runs.is_empty() {
+                occupied.insert(&worker.info.data_centre);
+            }
+        }
+        for (name, state) in &mut self.evacuation.data_centres {
+            let is_empty = state.announced && !occupied.contains(name);
+            if is_empty && !state.empty {
+                self.events
+                    .push(Event::DataCentreEmpty { name: name.clone() });
+            }
+            state.empty = is_empty;
+        }
+    }
+}
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -135,6 +135,22 @@
         /// Time within which the job would have been on time.
         objective: Duration,
     },
+    /// An operator has evacuated a data centre, or has revoked that.
+    DataCentre {
+        /// Name of the data centre.
+        name: Name,
+        /// Whether it is evacuated now.
+        evacuated: bool,
+        /// Number of its workers.
+        workers: usize,
+        /// Number of runs there.
+        runs: usize,
+    },
+    /// The last run in an evacuated data centre has ended.
+    DataCentreEmpty {
+        /// Name of the data centre.
+        name: Name,
+    },
     /// The status of a worker has changed.
     Worker {
         /// Name of the worker.
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -54,11 +54,16 @@
         self.reading = Some(Reading { clock, at });
     }
 
+    /// Returns the worker's clock at `now` or a little less, or `None` if it is not known.
+    pub fn clock_at(&self, now: Millis) -> Option<u64> {
+        let reading = self.reading?;
+        Some(reading.clock + now.since(reading.at).as_millis() as u64)
+    }
+
     /// Returns the end of a lease of `length` from `now` on, by the worker's clock, or `None` if
     /// that clock is not known.
     pub fn extend(&mut self, length: Duration, now: Millis) -> Option<u64> {
-        let reading = self.reading?;
-        let end = reading.clock + (now.since(reading.at) + length).as_millis() as u64;
+        let end = self.clock_at(now)? + length.as_millis() as u64;
         self.sent_end = self.sent_end.max(end);
         Some(self.sent_end)
     }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod active;
 pub mod advice;
 pub mod advice_request;
+pub mod availability;
 pub mod budget;
 pub mod crash;
 mod crash_handling;
 pub mod election;
 pub mod engine;
+mod evacuation;
 pub mod event;
 pub mod job;
 pub mod journal;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -17,6 +17,7 @@
         RUNS_PER_EPOCH,
         worker_target, //
     },
+    evacuation,
     event::Event,
     job::Step,
     order::{
@@ -252,6 +253,8 @@
         let Some(lease_end) = worker.extend_lease(lease, now) else {
             return;
         };
+        let start_end = evacuation::start_end(self.settings.evacuation_limit, worker, now);
+        let lease_end = lease_end.min(start_end.unwrap_or(u64::MAX));
         let boot = worker.info.boot;
         let job = &mut self.jobs[ready.job];
         let task_id = job.task_id(ready.stage, index);
--- a/crates/workflow/src/preemption.rs
+++ b/crates/workflow/src/preemption.rs
@@ -148,7 +148,7 @@
                 };
                 if matches!(run.phase, Phase::Stopping(_)) {
                     missing = missing.minus(usage);
-                } else if self.may_preempt(run, urgent) {
+                } else if !worker.evacuated && self.may_preempt(run, urgent) {
                     victims.push((run.started_at, key, task.clone(), *usage));
                 }
             }
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -122,6 +122,8 @@
     pub boot: u64,
     /// Capacity for tasks.
     pub capacity: Resources,
+    /// Data centre that the worker is in; empty if unknown.
+    pub data_centre: Name,
     /// Labels: the kind of the worker, and its rack as the last one.
     pub labels: Vec<Name>,
     /// Whether the worker is about to leave.
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    crash,
+    availability, crash,
     job::TaskId,
     lease::{
         self,
@@ -35,10 +35,6 @@
     pub struct JobKey;
 }
 
-/// Time after the last answer during which a worker still gets new work: the longest poll, and its
-/// round trip.
-pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(2500);
-
 /// State of the orders for a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -123,6 +119,8 @@
     pub silent_since: Option<Millis>,
     /// Whether another worker answers at its address, so that it has ended.
     pub replaced: bool,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
     /// Time until which it gets only work that no other worker may run.
@@ -168,6 +166,7 @@
             unresponsive: false,
             silent_since: None,
             replaced: false,
+            evacuated: false,
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
@@ -224,18 +223,8 @@
     }
 
     /// Returns whether new work may be sent to the worker.
-    ///
-    /// The poll that the boot answered has also raised the worker's epoch to ours.
     pub fn is_usable(&self, now: Millis) -> bool {
-        self.listed
-            && !self.info.leaving
-            && self.boot == Some(self.info.boot)
-            && !self.unresponsive
-            && self.avoid_until <= now
-            && self
-                .last_response
-                .is_some_and(|at| now.since(at) < RESPONSE_TIMEOUT)
-            && self.runs.values().all(|run| run.position.is_some())
+        availability::obstacle(self, now).is_none()
     }
 
     /// Records that it does not answer. Returns whether it did before.
@@ -259,6 +248,11 @@
         self.lease.read_clock(clock, at);
     }
 
+    /// Returns the worker's clock at `now` or a little less, or `None` if it is not known.
+    pub fn clock_at(&self, now: Millis) -> Option<u64> {
+        self.lease.clock_at(now)
+    }
+
     /// Returns the end of a lease of `length` from `now` on, by the worker's clock, or `None` if
     /// that clock is not known.
     ///
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -463,7 +463,8 @@
     }
 
     /// Returns whether a start may be sent that has waited for other orders to its worker: the run is
-    /// still wanted, and the worker neither leaves nor has shrunk below what it is to run.
+    /// still wanted, and the worker neither leaves nor is evacuated nor has shrunk below what it is
+    /// to run.
     pub fn may_send(&self, key: worker::Key, task: &TaskId, run: u32) -> bool {
         let Some(worker) = self.workers.get(key) else {
             return false;
@@ -471,6 +472,7 @@
         let held = worker.runs.get(task).filter(|held| held.run == run);
         held.is_some_and(|held| held.phase == Phase::Ordered)
             && !worker.info.leaving
+            && !worker.evacuated
             && !worker.replaced
             && worker.used.fits(&worker.info.capacity)
     }
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crashes;
 mod election;
+mod evacuation;
 mod fleet;
 mod jobs;
 mod leases;
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -1,6 +1,9 @@
 //! An engine with its workers and its store, advanced step by step on a manual clock.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use basilbridge_common::{
     id::{
@@ -89,6 +92,8 @@
     pub(crate) store_down: bool,
     /// Whether workers report tasks that are not near their end as at work.
     pub(crate) report_at_work: bool,
+    /// Evacuated data centres, which later owners know as well.
+    pub(crate) evacuated: BTreeSet<Name>,
     /// Settings of later owners, except for their epoch.
     pub(crate) settings: Settings,
 }
@@ -110,6 +115,7 @@
             queued: Vec::new(),
             store_down: false,
             report_at_work: false,
+            evacuated: BTreeSet::new(),
             settings: settings(0),
         };
         sim.register_all();
@@ -154,6 +160,7 @@
             ..self.settings.clone()
         };
         self.engine = Engine::new(settings, policy(0), self.now);
+        self.engine.set_evacuated(self.evacuated.clone(), self.now);
         let names: Vec<Name> = self.fleet.workers.keys().cloned().collect();
         self.engine.expect_workers(names);
         self.register_all();
@@ -187,6 +194,12 @@
         }
     }
 
+    /// Evacuates exactly these data centres.
+    pub(crate) fn evacuate(&mut self, names: &[&str]) {
+        self.evacuated = names.iter().map(|name| (*name).into()).collect();
+        self.engine.set_evacuated(self.evacuated.clone(), self.now);
+    }
+
     /// Changes the processor capacity of a worker, which its entry shows at once.
     pub(crate) fn resize(&mut self, name: &str, cpu_millis: u64) {
         let worker = self.fleet.workers.get_mut(name).expect("the test made it");
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -44,6 +44,7 @@
         predecessor_ended: false,
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
+        evacuation_limit: None,
         budget: Budget::default(),
     }
 }
@@ -137,11 +138,17 @@
             memory_mib: 131_072,
             accelerators: 0,
         },
+        data_centre: data_centre(name),
         labels: vec!["a".into(), "r1".into()],
         leaving: false,
     }
 }
 
+/// Returns the data centre of a worker: that of `north/w1` is `north`, and that of `w1` is unknown.
+fn data_centre(name: &str) -> Name {
+    name.split_once('/').map_or("", |(name, _)| name).into()
+}
+
 /// Returns the address of a worker. A worker named `w1-2` has that of `w1`.
 fn address(name: &str) -> Name {
     let machine = name.split('-').next().unwrap_or(name);
