Move runs away from evacuated data centres

Cause: an evacuated data centre was left only when its runs ended, which long tasks do late and long-running ones do not.

Change: every 200 ms the owner chooses which runs move. A task with checkpoints moves if its remaining time exceeds twice the cost of a move (1.5 s and the work that would be repeated); a gang moves as a whole; a long-running task moves if its step has `max_unavailable` and no more of its tasks are away than that, or one at a time if it has only checkpoints. All others stay until they end; long-running ones among them are reported once. A run moves only into capacity that is left after all waiting work has got what it needs, to workers that the advice service has not rejected, and not while work of its team waits for its cap. At most an eighth as many tasks move at a time as the pool has workers, one at least. A new owner moves nothing before inherited tasks may start.

Ruled out: stopping everything at once. What is stopped would compete with arriving work for capacity and advice, and long-running tasks would all be away together.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -230,6 +230,14 @@
                 "data_centre" => %name, "workers" => workers, "runs" => runs),
             Event::DataCentreEmpty { name } => slog::info!(log, "data centre empty";
                 "data_centre" => %name),
+            Event::Staying {
+                task,
+                run,
+                worker,
+                data_centre,
+            } => slog::info!(log, "run stays in evacuated data centre";
+                "task" => %task, "run" => run, "worker" => %worker,
+                "data_centre" => %data_centre),
             Event::Worker {
                 worker,
                 address,
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -41,7 +41,10 @@
         self,
         Engine, //
     },
-    event::Event,
+    event::{
+        Cause,
+        Event, //
+    },
     job::Accepted,
     worker,
 };
@@ -444,7 +447,12 @@
     match event {
         Event::Start { waited, .. } => metrics.time("start_wait", *waited),
         Event::Refused { .. } => metrics.count("starts_refused"),
-        Event::Stop { .. } => metrics.count("stops"),
+        Event::Stop { cause, .. } => {
+            metrics.count("stops");
+            if *cause == Cause::Evacuated {
+                metrics.count("tasks_evacuated");
+            }
+        }
         Event::End { .. } => metrics.count("ends"),
         Event::Lost { .. } => metrics.count("runs_lost"),
         Event::Blamed { is_given_up, .. } => {
@@ -461,7 +469,7 @@
                 metrics.count("evacuations");
             }
         }
-        Event::DataCentreEmpty { .. } => {}
+        Event::DataCentreEmpty { .. } | Event::Staying { .. } => {}
     }
 }
 
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -154,7 +154,7 @@
     pub(crate) machines: HashMap<Name, crash::Machine>,
     /// Jobs whose final state is stored, with the time since when it is.
     pub(crate) retired: VecDeque<(Millis, Name)>,
-    /// Evacuated data centres.
+    /// Evacuated data centres and what moves away from them.
     pub(crate) evacuation: evacuation::Evacuation,
 }
 
@@ -575,7 +575,7 @@
         self.next_tick = now.after(TICK_INTERVAL);
         self.stop_stalled(now);
         self.move_slow(now);
-        self.evacuate();
+        self.evacuate(now);
         self.poll_suspects(now);
         self.drop_unknown_jobs(now);
         self.settle(now);
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -34,6 +34,8 @@
     Stalled,
     /// The worker has turned slow, and the task ends earlier elsewhere.
     Slow,
+    /// The data centre of the worker is evacuated, and the task goes on elsewhere.
+    Evacuated,
 }
 
 /// A decision about a job, or a change of the status of a worker.
@@ -151,6 +153,17 @@
         /// Name of the data centre.
         name: Name,
     },
+    /// A run in an evacuated data centre ends only with its job.
+    Staying {
+        /// Name of the task.
+        task: TaskId,
+        /// Run number.
+        run: u32,
+        /// Name of the worker.
+        worker: Name,
+        /// Name of the data centre.
+        data_centre: Name,
+    },
     /// The status of a worker has changed.
     Worker {
         /// Name of the worker.
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -320,7 +320,7 @@
 }
 
 /// Returns a worker for each of `count` tasks, or `None` if not all of them fit.
-fn choose_workers(
+pub(crate) fn choose_workers(
     mut candidates: Vec<Candidate>,
     demand: &Resources,
     count: usize,
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns the stages with tasks to start, in the order of their ranks.
-    fn ready_stages(&self, now: Millis) -> Vec<Ready> {
+    pub(crate) fn ready_stages(&self, now: Millis) -> Vec<Ready> {
         let mut ready = Vec::new();
         for (key, job) in &self.jobs {
             if job.final_state.is_some() || (job.inherited && !self.is_settled()) {
--- a/crates/workflow/tests/engine/fleet.rs
+++ b/crates/workflow/tests/engine/fleet.rs
@@ -94,6 +94,8 @@
     pub(crate) violations: Vec<String>,
     /// Whether a task crashes each worker that starts it.
     pub(crate) is_deadly: fn(&TaskId) -> bool,
+    /// Checkpoint that all runs report.
+    pub(crate) checkpoint: Option<Name>,
     /// Whether a crashed worker returns under its name; otherwise another one takes its address.
     pub(crate) keeps_name: bool,
     /// All crashes in order.
@@ -110,6 +112,7 @@
             done: Vec::new(),
             violations: Vec::new(),
             is_deadly: |_| false,
+            checkpoint: None,
             keeps_name: false,
             crashes: Vec::new(),
         }
@@ -224,7 +227,7 @@
                 .map(|(task, run)| Running {
                     task: task.clone(),
                     run: run.run,
-                    checkpoint: None,
+                    checkpoint: self.checkpoint.clone(),
                     percent: run.percent(now),
                     measurement: 0.0,
                 })
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod election;
 mod evacuation;
+mod evacuation_moves;
 mod fleet;
 mod jobs;
 mod leases;
