Evacuate data centres in the soak

Cause: no test with real processes requested an evacuation while owners are killed, paused and cut off.

Change: the workers of the soak are in two data centres. Evacuations of 0.5 to 8 s are drawn from a source of their own, so the other faults of a seed stay the same.

--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -47,6 +47,9 @@
 const VMS: usize = 3;
 const WORKERS: usize = 5;
 
+/// The number of data centres, over which the workers are spread.
+const ZONES: usize = 2;
+
 /// How long the list names a worker that has crashed: three heartbeats of the users' settings.
 const HEARTBEATS_MISSED: Duration = Duration::from_millis(4500);
 
@@ -77,6 +80,11 @@
     format!("{ip}:0").parse().expect("an address of loopback")
 }
 
+/// Returns the name of the data centre of a worker.
+fn zone(worker: usize) -> String {
+    format!("zone-{}", worker % ZONES)
+}
+
 impl Cell {
     /// Starts a cell on addresses of its own, so that several run beside each other.
     pub(crate) async fn start(number: u64) -> io::Result<Self> {
@@ -133,10 +141,21 @@
 
     fn register(&self, index: usize, name: &str) {
         let worker = &self.workers[index];
-        let entry = documents::worker(worker.path.address, worker.born, worker.cpu_millis);
+        let zone = zone(index);
+        let entry = documents::worker(worker.path.address, &zone, worker.born, worker.cpu_millis);
         self.store.write("servers", name, Some(&entry));
     }
 
+    /// Evacuates a data centre, or revokes that.
+    fn evacuate(&mut self, place: usize, is_evacuated: bool) {
+        let (key, value) = documents::evacuation(&zone(place));
+        self.store.write("op", &key, is_evacuated.then_some(&value));
+        let workers = self.workers.iter().enumerate();
+        for (_, worker) in workers.filter(|(index, _)| zone(*index) == zone(place)) {
+            self.fleet.set_evacuated(&worker.name, is_evacuated);
+        }
+    }
+
     /// Changes the capacity of a worker, which its entry shows at once.
     fn resize(&mut self, index: usize, cpu_millis: u64) {
         self.workers[index].cpu_millis = cpu_millis;
@@ -188,6 +207,7 @@
                 self.fleet.set_mode(&self.workers[worker].name, manner);
             }
             Kind::Reboot => self.boot_worker(worker),
+            Kind::Evacuate => self.evacuate(fault.place, true),
             Kind::Shrink(percent) => self.resize(worker, WORKER_CPU_MILLIS * percent / 100),
         }
     }
@@ -209,6 +229,7 @@
                 self.fleet
                     .set_mode(&self.workers[worker].name, WorkerMode::Normal);
             }
+            Kind::Evacuate => self.evacuate(fault.place, false),
             Kind::Shrink(_) => self.resize(worker, WORKER_CPU_MILLIS),
             Kind::Reload | Kind::Compact | Kind::Reboot => {}
         }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -39,6 +39,8 @@
     Reboot,
     /// A worker has only this percentage of its capacity.
     Shrink(u64),
+    /// A data centre is evacuated; that is revoked when the fault ends.
+    Evacuate,
 }
 
 impl Kind {
@@ -132,3 +134,20 @@
     }
     shrinks
 }
+
+/// Draws the evacuations of data centres in a run that lasts `length`. Some last longer than the
+/// time within which they have to be in force.
+pub(crate) fn draw_evacuations(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
+    let mut evacuations = Vec::new();
+    let mut at = Duration::from_millis(700);
+    while at < length {
+        evacuations.push(Fault {
+            at,
+            lasts: Duration::from_millis(random.random_range(500..8000)),
+            kind: Kind::Evacuate,
+            place: random.random_range(0..60),
+        });
+        at += Duration::from_millis(random.random_range(500..6000));
+    }
+    evacuations
+}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -297,9 +297,11 @@
     };
     crowd.ready().await;
     let mut faults = fault::draw(&mut random, length);
-    // They have a source of their own, so that the other faults of a seed stay the same.
+    // These have sources of their own, so that the other faults of a seed stay the same.
     let mut shrink_random = SmallRng::seed_from_u64(!seed);
     faults.extend(fault::draw_shrinks(&mut shrink_random, length));
+    let mut evacuation_random = SmallRng::seed_from_u64(seed.rotate_left(32));
+    faults.extend(fault::draw_evacuations(&mut evacuation_random, length));
     let callers = {
         let crowd = crowd.clone();
         tokio::spawn(async move { crowd.press(random, length).await })
