--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod election;
 pub mod engine;
 mod evacuation;
-mod evacuation_room;
 pub mod event;
 pub mod job;
 pub mod journal;
