--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 mod dispatch;
 mod election;
+mod evacuation;
 mod feed;
 pub mod freshness;
 pub mod ingress;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -214,6 +214,30 @@
             } => slog::info!(log, "job over";
                 "job" => %job, "state" => ?state, "after_ms" => elapsed.as_millis() as u64,
                 "objective_ms" => objective.as_millis() as u64),
+            Event::DataCentre {
+                name,
+                evacuated: true,
+                workers,
+                runs,
+            } => slog::info!(log, "data centre evacuated";
+                "data_centre" => %name, "workers" => workers, "runs" => runs),
+            Event::DataCentre {
+                name,
+                workers,
+                runs,
+                ..
+            } => slog::info!(log, "data centre back in use";
+                "data_centre" => %name, "workers" => workers, "runs" => runs),
+            Event::DataCentreEmpty { name } => slog::info!(log, "data centre empty";
+                "data_centre" => %name),
+            Event::Staying {
+                task,
+                run,
+                worker,
+                data_centre,
+            } => slog::info!(log, "run stays in evacuated data centre";
+                "task" => %task, "run" => run, "worker" => %worker,
+                "data_centre" => %data_centre),
             Event::Worker {
                 worker,
                 address,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod elections;
+mod evacuation;
 mod fake_platform;
 mod freshness;
 mod logs;
--- a/crates/cell/tests/cell/requests.rs
+++ b/crates/cell/tests/cell/requests.rs
@@ -153,6 +153,12 @@
         cut_off.node.is_ready() && connected.node.is_ready() && cut_off.node.knows_peer("b")
     })
     .await;
+    // A new owner reads the table once.
+    let first = submit(&connected, "j0").await;
+    until("the end of the first job", async || {
+        state(&connected, "j0").await.contains("completed")
+    })
+    .await;
     platform.set_store_mode("a", StoreMode::TableUnavailable("jobs"));
     let before = platform.reads("operator");
 
@@ -161,6 +167,7 @@
         accepted.push(submit(&cut_off, job).await);
     }
 
+    assert_eq!(first, StatusCode::OK);
     assert_eq!(accepted, vec![StatusCode::OK; 4]);
     assert_eq!(platform.reads("operator"), before);
 }
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -79,6 +79,7 @@
         predecessor_ended: true,
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
+        evacuation_limit: None,
         budget: Budget::default(),
         usage_half_life: Duration::from_secs(4 * 3600),
     };
@@ -99,6 +100,7 @@
                 memory_mib: 131_072,
                 accelerators: 0,
             },
+            data_centre: "".into(),
             labels: vec!["a".into(), format!("rack-{}", number / 8).into()],
             leaving: false,
         };
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -333,7 +333,7 @@
         }
     }
 
-    fn approvals_of(&self, queue: &Name) -> advice::Approvals {
+    pub(crate) fn approvals_of(&self, queue: &Name) -> advice::Approvals {
         self.approvals.get(queue).copied().unwrap_or_default()
     }
 
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -7,6 +7,8 @@
 mod collapse;
 mod crashes;
 mod election;
+mod evacuation;
+mod evacuation_moves;
 mod fleet;
 mod jobs;
 mod leases;
