Describe the sharing of a cell, and check its setting in both modes

Two tests that also passed with the rule they guard switched off are stricter: long-running tasks against a freed slot, and one team whose jobs have different slack.

--- a/crates/workflow/tests/engine/sharing.rs
+++ b/crates/workflow/tests/engine/sharing.rs
@@ -175,49 +175,44 @@
     assert_eq!(start_order(&sim), expected);
 }
 
+/// The slack of jobs differs, so past use would change the order of a team's own jobs.
 #[test]
 fn the_order_is_that_of_deadlines_while_one_team_waits() {
-    let mut sim = shared_simulation(&[("waiting", 1.0), ("running", 100.0)]);
-    for number in 0..8 {
-        check(&mut sim, "running", number);
-    }
-    for number in 0..100 {
-        check(&mut sim, "waiting", number);
-    }
+    let mut sim = shared_simulation(&[("heavy", 100.0), ("light", 100.0), ("busy", 100.0)]);
+    restore_heavy_use(&mut sim);
+    fill_pool(&mut sim);
+    let estimated = |sim: &Simulation, seconds: u64, ago_ms: u64| {
+        let mut job = job(sim, CHECKS, "heavy");
+        job.spec.steps[0].estimate = Duration::from_secs(seconds);
+        job.accepted_at = Millis(sim.now.0 - ago_ms);
+        job
+    };
+    // The first has to end 200 ms before the second and has 2.5 s more slack.
+    let jobs = [estimated(&sim, 10, 7700), estimated(&sim, 5, 0)];
 
-    sim.run(1500);
+    for (number, job) in jobs.into_iter().enumerate() {
+        sim.submit(&format!("heavy-{number}"), job);
+    }
+    sim.run(900);
 
-    let waiting = start_order(&sim);
-    let waiting = waiting.iter().filter(|job| job.starts_with("waiting"));
-    let waiting: Vec<&String> = waiting.collect();
-    let expected: Vec<String> = (0..waiting.len())
-        .map(|at| format!("waiting-{at}"))
-        .collect();
-    assert_eq!(waiting, expected.iter().collect::<Vec<_>>());
+    assert_eq!(start_order(&sim)[32..], ["heavy-0"]);
 }
 
 /// A long-running task has to run again within seconds, whatever its team uses.
 #[test]
 fn long_running_tasks_are_not_ordered_by_share() {
-    let mut sim = shared_simulation(&[("large", 1.0), ("small", 100.0)]);
-    for number in 0..28 {
-        let mut long = job(&sim, LONG_RUNNING, "large");
+    let mut sim = shared_simulation(&[("busy", 1.0), ("idle", 100.0)]);
+    fill_pool(&mut sim);
+    for team in ["busy", "idle"] {
+        let mut long = job(&sim, LONG_RUNNING, team);
         long.spec.steps[0].long_running = true;
-        sim.submit(&format!("plan-{number}"), long);
-    }
-    sim.run(500);
-
-    for (id, team) in [("plan-large", "large"), ("plan-small", "small")] {
-        for number in 0..8 {
-            let mut long = job(&sim, LONG_RUNNING, team);
-            long.spec.steps[0].long_running = true;
-            sim.submit(&format!("{id}{number}"), long);
-            sim.run(10);
-        }
+        sim.submit(&format!("plan-lasting-{team}"), long);
+        sim.run(50);
     }
 
-    assert_eq!(starts_with(&sim, "plan-large"), 4);
-    assert_eq!(starts_with(&sim, "plan-small"), 0);
+    sim.run(800);
+
+    assert_eq!(start_order(&sim)[32..], ["plan-lasting-busy"]);
 }
 
 /// A team at its cap can't start what waits, so it is not in competition with the others.
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -62,6 +62,7 @@
             drain_grace: arguments.drain_grace,
             drain_limit: arguments.drain_limit,
             max_requests: arguments.max_requests,
+            usage_half_life: arguments.usage_half_life,
             bootstrap_key: arguments.bootstrap_key.as_deref().map(Hash::of),
         };
         config.check()?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
     time::Duration, //
 };
 
+use basilbridge_cell::config::NodeConfig as CellConfig;
 use basilbridge_common::id::Name;
 use basilbridge_operators::key::Hash;
 use miette::Diagnostic;
@@ -42,6 +43,9 @@
     pub drain_limit: Duration,
     /// The maximum number of submissions in progress, and of callers that wait for jobs.
     pub max_requests: usize,
+    /// The half-life of the past use of teams; zero turns it off. Only cells use it; it is checked
+    /// here like all settings.
+    pub usage_half_life: Duration,
     /// The operator key that is valid while the configuration has none.
     pub bootstrap_key: Option<Hash>,
 }
@@ -120,6 +124,7 @@
             drain_grace: Duration::from_secs(2),
             drain_limit: Duration::from_secs(30),
             max_requests: 2048,
+            usage_half_life: CellConfig::DEFAULT_USAGE_HALF_LIFE,
             bootstrap_key: None,
         }
     }
@@ -168,6 +173,13 @@
             self.max_requests,
             &MAX_REQUESTS,
         ));
+        if !self.usage_half_life.is_zero() {
+            invalid.extend(check_duration(
+                "--usage-half-life",
+                self.usage_half_life,
+                &CellConfig::USAGE_HALF_LIFE,
+            ));
+        }
         if invalid.is_empty() {
             Ok(())
         } else {
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -88,10 +88,18 @@
 /// A half-life of seconds would order waiting work by current usage a second time.
 #[test]
 fn a_half_life_of_past_use_is_off_or_between_a_minute_and_a_month() {
-    let is_valid = |seconds| cell_config(Duration::from_secs(seconds)).check().is_ok();
     let month = 30 * 24 * 3600;
-
-    let valid = [0, 1, 59, 60, 4 * 3600, month, month + 1].map(is_valid);
-
-    assert_eq!(valid, [true, false, false, true, true, true, false]);
+    let half_lives = [0, 1, 59, 60, 4 * 3600, month, month + 1].map(Duration::from_secs);
+    let of_cell = |half_life| cell_config(half_life).check().is_ok();
+    let of_daemon = |half_life| {
+        let mut config = NodeConfig::local("entry-0", "local");
+        config.usage_half_life = half_life;
+        let faults = config.check().err().map(|invalid| invalid.settings);
+        faults.is_none_or(|faults| faults.iter().all(|fault| fault.flag != "--usage-half-life"))
+    };
+
+    let (cell, daemon) = (half_lives.map(of_cell), half_lives.map(of_daemon));
+
+    assert_eq!(cell, [true, false, false, true, true, true, false]);
+    assert_eq!(daemon, cell);
 }
