--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -10,6 +10,7 @@
 mod links;
 mod overload;
 mod pace;
+mod past_use;
 mod ranks;
 mod retries;
 mod schedules;
