--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,7 +26,7 @@
 mod record;
 mod request;
 pub mod rtt;
-mod sharing;
+pub mod sharing;
 pub mod stall;
 mod sweep;
 pub mod traffic;
--- a/crates/cell/src/sharing.rs
+++ b/crates/cell/src/sharing.rs
@@ -106,8 +106,8 @@
 }
 
 /// Returns the teams over their share as `POOL/TEAM=RATIO`, and those with much past use as
-/// `TEAM=RATIO`, separated by spaces, those with the highest ratios first.
-fn summary(report: &Report) -> (String, String) {
+/// `TEAM=RATIO`, separated by spaces, the ten with the highest ratios in descending order.
+pub fn summary(report: &Report) -> (String, String) {
     let over_share = report.over_share.iter();
     let over_share = over_share.map(|((pool, team), ratio)| (format!("{pool}/{team}"), *ratio));
     let past_use = report.past_use.iter();
@@ -121,7 +121,7 @@
     for (name, ratio) in ratios.iter().take(MAX_TEAMS_REPORTED) {
         let separator = if text.is_empty() { "" } else { " " };
         // Writing to a string does not fail.
-        let _ = write!(text, "{separator}{name}={ratio:.1}");
+        let _ = write!(text, "{separator}{name}={ratio:.2}");
     }
     text
 }
--- a/crates/cell/tests/cell/sharing.rs
+++ b/crates/cell/tests/cell/sharing.rs
@@ -1,5 +1,9 @@
-//! The stored past use of teams.
+//! The stored past use of teams, and the log line about their shares.
 
+use std::time::Duration;
+
+use basilbridge_cell::sharing::summary;
+use basilbridge_workflow::sharing::Report;
 use serde_json::Value;
 
 use crate::{
@@ -57,7 +61,7 @@
 async fn no_past_use_is_stored_with_a_half_life_of_zero() {
     let platform = FakePlatform::new(&["w1"]);
     let vm = start_with(&platform, "a", |config| {
-        config.usage_half_life = std::time::Duration::ZERO;
+        config.usage_half_life = Duration::ZERO;
     })
     .await;
     until("readiness", async || vm.node.is_ready()).await;
@@ -72,3 +76,24 @@
 
     assert_eq!(platform.value("title/0", "usage"), None);
 }
+
+/// With hundreds of teams over their share, the one that matters most must not be cut off.
+#[test]
+fn the_log_line_names_the_ten_teams_with_the_highest_ratios() {
+    let ratios = (0..12_u32).map(|number| (number, 1.0 + f64::from(number) / 4.0));
+    let report = Report {
+        over_share: ratios
+            .map(|(number, ratio)| (("pool".into(), format!("t{number}").into()), ratio))
+            .collect(),
+        past_use: [("t1".into(), 2.5)].into(),
+    };
+
+    let (over_share, past_use) = summary(&report);
+
+    assert!(
+        over_share.starts_with("pool/t11=3.75 pool/t10=3.50 "),
+        "{over_share}"
+    );
+    assert!(over_share.ends_with(" pool/t2=1.50"), "{over_share}");
+    assert_eq!(past_use, "t1=2.50");
+}
