--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -281,7 +281,6 @@
         }
         // The service works in order, so it has answered all earlier calls, too.
         relay.occupied_until = Millis(0);
-        relay.blocked_until = Millis(0);
         relay.calls.retain(|call| !is_call(call));
         let mut begins = now;
         for call in &mut relay.calls {
@@ -364,8 +363,7 @@
             .iter()
             .all(|relay| !relay.listed || relay.blocked_until > now);
         let soon = now.after(self.pass_interval + self.overhead);
-        let usable = |relay: &&(usize, &Relay)| {
-            let relay = relay.1;
+        let is_usable = |relay: &Relay| {
             if !relay.listed || (relay.blocked_until > now && !all_blocked) {
                 return false;
             }
@@ -380,13 +378,13 @@
                 Some(Kind::Long) => false,
             }
         };
-        let relays: Vec<(usize, &Relay)> = self.relays.iter().enumerate().collect();
-        let usable = relays.iter().filter(usable);
         let position = |index: usize| match kind {
             Kind::Short => index,
             Kind::Long => self.relays.len() - index,
         };
-        usable
+        let relays = self.relays.iter().enumerate();
+        relays
+            .filter(|(_, relay)| is_usable(relay))
             .min_by_key(|(index, relay)| {
                 (
                     relay.occupied_until > now,
@@ -394,7 +392,7 @@
                     position(*index),
                 )
             })
-            .map(|(index, _)| *index)
+            .map(|(index, _)| index)
     }
 
     fn decay(&mut self, now: Millis) {
