Queue no short call at a VM while another one is idle

Cause: a short call within its part of the VMs was queued behind the one that its VM was making, although a VM of the other part was idle and could have been left over.

Change: within its part, a short call is queued only if no VM is idle, and an idle VM precedes one with an overdue call. New tests: two VMs over the in-memory platform, whose advice service can hold its answers back; the choice of the VM; and that at light load each step makes one call for 30 workers as before.

Tried and not taken: claiming only as many workers as tasks wait instead of tasks over the share of approvals.

--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -47,17 +47,22 @@
     Transaction, //
 };
 use basilbridge_workflow::{
-    advice_request::AdviceReply,
+    advice_request::{
+        AdviceReply,
+        Approval, //
+    },
     job::{
         Spec,
         Step,
         TaskId, //
     },
     order::{
+        AdviceRequest,
         Poll,
         Start, //
     },
     policy::{
+        AdviceSettings,
         Policy,
         Queue,
         Team, //
@@ -75,7 +80,10 @@
 use futures_util::FutureExt;
 use serde_json::json;
 use tokio::{
-    sync::Notify,
+    sync::{
+        Notify,
+        watch, //
+    },
     time::Instant, //
 };
 
@@ -140,9 +148,16 @@
     workers: Arc<Mutex<BTreeMap<Name, Worker>>>,
     /// How many more rows of workers make their decoder panic.
     panics: Arc<AtomicUsize>,
+    /// Whether the advice service holds its answers back.
+    advice_held: watch::Sender<bool>,
+    /// The VMs that have called the advice service.
+    advice_callers: Arc<Mutex<Vec<Name>>>,
     begun: Instant,
 }
 
+/// The version of the configuration with which jobs need advice.
+const ADVISED_VERSION: u64 = 9;
+
 /// How long each task runs.
 const RUN_TIME: Duration = Duration::from_millis(120);
 
@@ -154,6 +169,8 @@
             changed: Arc::default(),
             workers: Arc::default(),
             panics: Arc::default(),
+            advice_held: watch::Sender::new(false),
+            advice_callers: Arc::default(),
             begun: Instant::now(),
         };
         for name in workers {
@@ -218,12 +235,42 @@
         starts.filter(|task| *task.job == *job).count()
     }
 
+    /// Sets whether the advice service holds its answers back.
+    pub(crate) fn hold_advice(&self, held: bool) {
+        self.advice_held.send_replace(held);
+    }
+
+    /// Returns the VMs that have called the advice service, in the order of their calls.
+    pub(crate) fn advice_callers(&self) -> Vec<Name> {
+        let callers = self.advice_callers.lock();
+        callers.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Approves all workers.
+    async fn advise(&self, vm: Name, request: AdviceRequest) -> AdviceReply {
+        let callers = self.advice_callers.lock();
+        callers.unwrap_or_else(PoisonError::into_inner).push(vm);
+        // The sender is a field of this platform, so it is not dropped while this waits.
+        let _ = self.advice_held.subscribe().wait_for(|held| !held).await;
+        let approved = request.workers.into_iter();
+        AdviceReply {
+            approved: approved
+                .map(|worker| Approval {
+                    worker,
+                    ticket: "ticket".into(),
+                })
+                .collect(),
+            ticket_lifetime: request.advice.ticket_lifetime,
+        }
+    }
+
     /// Returns the clients of the VM `vm` for this platform.
     pub(crate) fn clients(&self, vm: &str) -> Clients {
         let vm: Name = vm.into();
         let (writer, reader, watcher) = (self.clone(), self.clone(), self.clone());
-        let (writes, reads, watches) = (vm.clone(), vm.clone(), vm);
+        let (writes, reads, watches, calls) = (vm.clone(), vm.clone(), vm.clone(), vm);
         let (poller, starter, stopper) = (self.clone(), self.clone(), self.clone());
+        let adviser = self.clone();
         Clients {
             store: Store {
                 transact: Arc::new(move |transaction| {
@@ -265,16 +312,9 @@
                 }),
                 throttle: Arc::new(|_, _| async { StopResult::Taken }.boxed()),
             },
-            advise: Arc::new(|request| {
-                let ticket_lifetime = request.advice.ticket_lifetime;
-                let approved = Vec::new();
-                async move {
-                    Ok(AdviceReply {
-                        approved,
-                        ticket_lifetime,
-                    })
-                }
-                .boxed()
+            advise: Arc::new(move |request| {
+                let (platform, vm) = (adviser.clone(), calls.clone());
+                async move { Ok(platform.advise(vm, request).await) }.boxed()
             }),
             formats: formats(Arc::clone(&self.panics)),
             traffic: Traffic::default(),
@@ -589,7 +629,8 @@
     }
 }
 
-/// Decodes a row that holds only the version. From version 10 on, the key is withdrawn.
+/// Decodes a row that holds only the version. From version 10 on, the key is withdrawn. With
+/// [`ADVISED_VERSION`], jobs need advice.
 fn configuration(text: &str) -> Result<Configuration> {
     let version = text
         .parse()
@@ -601,7 +642,11 @@
         max_attempts: 2,
         stretch: 1.5,
         slack: Duration::from_millis(250),
-        advice: None,
+        advice: (version == ADVISED_VERSION).then_some(AdviceSettings {
+            per_call: Duration::from_millis(22),
+            per_worker: Duration::from_micros(310),
+            ticket_lifetime: Duration::from_millis(2500),
+        }),
     };
     let team = Team {
         name: "binders".into(),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entry VMs against an in-memory platform.
 
+mod advice;
 mod elections;
 mod fake_platform;
 mod freshness;
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -355,28 +355,32 @@
             }
         };
         let may_add = is_entitled || may_use_spare;
-        let may_queue = kind == Kind::Short
-            && access != Access::Idle
-            && (may_use_spare || self.in_use(kind) <= self.part(kind));
         let all_blocked = self
             .relays
             .iter()
             .all(|relay| !relay.listed || relay.blocked_until > now);
+        let is_available =
+            |relay: &Relay| relay.listed && (relay.blocked_until <= now || all_blocked);
+        // An idle VM of the other kind's part may be left over.
+        let is_decided = access != Access::Part
+            || !self
+                .relays
+                .iter()
+                .any(|relay| is_available(relay) && relay.calls.is_empty());
+        let may_queue = kind == Kind::Short
+            && access != Access::Idle
+            && (may_use_spare || (is_decided && self.in_use(kind) <= self.part(kind)));
         let soon = now.after(self.pass_interval + self.overhead);
-        let is_usable = |relay: &Relay| {
-            if !relay.listed || (relay.blocked_until > now && !all_blocked) {
-                return false;
-            }
-            match relay.kind() {
-                None => may_add,
-                Some(Kind::Short) => {
-                    may_queue
-                        && relay.calls.len() == 1
-                        && !relay.calls[0].failed
-                        && relay.free_at(now) <= soon
-                }
-                Some(Kind::Long) => false,
+        let is_usable = |relay: &Relay| match relay.kind() {
+            _ if !is_available(relay) => false,
+            None => may_add,
+            Some(Kind::Short) => {
+                may_queue
+                    && relay.calls.len() == 1
+                    && !relay.calls[0].failed
+                    && relay.free_at(now) <= soon
             }
+            Some(Kind::Long) => false,
         };
         let position = |index: usize| match kind {
             Kind::Short => index,
@@ -388,6 +392,7 @@
             .min_by_key(|(index, relay)| {
                 (
                     relay.occupied_until > now,
+                    !relay.calls.is_empty(),
                     relay.free_at(now),
                     position(*index),
                 )
--- a/crates/workflow/tests/engine/advice.rs
+++ b/crates/workflow/tests/engine/advice.rs
@@ -154,6 +154,25 @@
     assert_eq!(used, [false, false, false, true]);
 }
 
+/// A call that waits at the service behind another is late by that one's duration, and by far more
+/// if that one is never answered.
+#[test]
+fn a_short_call_is_not_queued_while_a_vm_is_idle() {
+    let mut relays = relays(2, SHORT, Duration::ZERO);
+    let mut assign = |at| {
+        let now = NOW.after(Duration::from_millis(at));
+        relays.begin_pass(SHORT, Duration::ZERO, now);
+        [Access::Part, Access::Spare]
+            .into_iter()
+            .find_map(|access| relays.assign(SHORT, Kind::Short, access, false, now))
+            .map(|call| call.relay)
+    };
+
+    let calls = [assign(10), assign(40)];
+
+    assert_eq!(calls, [Some("vm0".into()), Some("vm1".into())]);
+}
+
 /// The service still works on a call after its caller has given it up.
 #[test]
 fn a_call_that_was_given_up_counts_until_it_would_have_ended() {
--- a/crates/workflow/tests/engine/advice_budget.rs
+++ b/crates/workflow/tests/engine/advice_budget.rs
@@ -5,7 +5,10 @@
 //! expired before their steps came to their turn.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     hash::{
         DefaultHasher,
         Hash,
@@ -182,8 +185,8 @@
 }
 
 impl Load {
-    fn new() -> Self {
-        let names: Vec<String> = (0..24).map(|number| format!("w{number}")).collect();
+    fn new(workers: usize) -> Self {
+        let names: Vec<String> = (0..workers).map(|number| format!("w{number}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         let mut sim = Simulation::new(&names, quick);
         sim.policy = advised_policy();
@@ -296,7 +299,7 @@
 /// Runs an overload of so many times the short calls that the VMs can make, beside so many long
 /// steps per second.
 fn overload(factor: f64, long: f64) -> Overload {
-    let mut load = Load::new();
+    let mut load = Load::new(24);
     load.run(2000, USUAL, long);
     let begun = load.sim.now;
     load.run(OVERLOAD, SHORT_CALLS_PER_SECOND * factor, long);
@@ -351,6 +354,25 @@
     assert_bounded(&overload);
 }
 
+/// A deployment without overload must be served as before: one call a step, of the size that the
+/// users' time objectives assume.
+#[test]
+fn at_light_load_each_step_makes_one_call_of_the_usual_size() {
+    let mut load = Load::new(40);
+    load.sim.relays = (0..33).map(|number| format!("vm{number}").into()).collect();
+
+    load.run(4000, 20.0, 5.0);
+    load.run(1000, 0.0, 0.0);
+
+    let calls = load.service.calls.iter();
+    let sizes: BTreeSet<usize> = calls.clone().map(|call| call.1.workers.len()).collect();
+    assert_eq!(calls.len(), load.submitted_at.len());
+    assert_eq!(sizes, [30].into());
+    let limit = SHORT.cost(30) + Duration::from_millis(3 * STEP);
+    let waits = load.waits("check", Millis(0), load.sim.now);
+    assert!(waits.iter().all(|wait| *wait <= limit));
+}
+
 /// Both kinds ask for more than there is. A quarter of the VMs makes one long call after the other,
 /// or short calls, in spite of the other kind.
 #[test]
@@ -394,7 +416,7 @@
 
 #[test]
 fn calls_avoid_a_vm_that_has_died() {
-    let mut load = Load::new();
+    let mut load = Load::new(24);
     load.run(2000, USUAL, 2.0);
     let died = load.sim.now;
     load.service.dead.push("vm0".into());
@@ -416,7 +438,7 @@
 /// Calls of the earlier owner still occupy the service, and the new one does not know where.
 #[test]
 fn a_new_owner_queues_at_most_one_call_behind_those_of_its_predecessor() {
-    let mut load = Load::new();
+    let mut load = Load::new(24);
     load.run(2000, SHORT_CALLS_PER_SECOND * 2.0, 20.0);
     load.service.unanswered.clear();
     // The owner prefers its own VM.
@@ -440,7 +462,7 @@
 /// refuse it: 145 starts in one day.
 #[test]
 fn a_start_that_has_outlasted_its_ticket_is_not_sent() {
-    let mut load = Load::new();
+    let mut load = Load::new(24);
     load.run(50, 0.0, 0.0);
     load.sim.submit(
         "check0",
