Split the choice of workers for advice from its requests

Change: the choice of the workers is `advice_workers.rs`, the share of approvals `approvals.rs`, and a round of a pass a struct instead of three arguments. Expired work now also waits while work over quota of the other kind waits for a VM.

--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -1,7 +1,6 @@
 //! Requests to the advice service and the handling of its replies.
 
 use std::{
-    cmp::Reverse,
     collections::{
         BTreeMap,
         HashMap, //
@@ -20,7 +19,6 @@
 use crate::{
     active::OBJECTIVE_ADVICE_WORKERS,
     advice::{
-        self,
         Access,
         Kind, //
     },
@@ -34,22 +32,14 @@
     policy::AdviceSettings,
     pool::{
         Pool,
-        Slot,
-        claim_capacity,
-        fit_count, //
+        claim_capacity, //
     },
     rank::{
         Band,
         Rank, //
     },
-    reserve,
-    retry,
-    schedule::{
-        Ready,
-        TICKET_MARGIN, //
-    },
+    schedule::Ready,
     stage::{
-        Stage,
         Ticket,
         Verdict, //
     },
@@ -84,12 +74,12 @@
 /// A stage whose tasks wait for advice.
 #[derive(Debug)]
 pub(crate) struct Want {
-    ready: Ready,
+    pub(crate) ready: Ready,
     /// Number of tasks.
-    waiting: usize,
+    pub(crate) waiting: usize,
     /// Name of the pool.
-    pool: Name,
-    is_urgent: bool,
+    pub(crate) pool: Name,
+    pub(crate) is_urgent: bool,
     rank: Rank,
     settings: AdviceSettings,
     kind: Kind,
@@ -123,18 +113,18 @@
     }
 
     /// Returns whether the stage may preempt less urgent runs.
-    fn may_preempt(&self) -> bool {
+    pub(crate) fn may_preempt(&self) -> bool {
         self.is_urgent && self.ready.rank.band <= Band::OnTime
     }
 }
 
 /// What the requests for advice of a pass will likely use.
 #[derive(Debug, Default)]
-struct Claims {
-    by_pool: HashMap<Name, Resources>,
-    by_team: HashMap<Name, Resources>,
+pub(crate) struct Claims {
+    pub(crate) by_pool: HashMap<Name, Resources>,
+    pub(crate) by_team: HashMap<Name, Resources>,
     /// Largest capacity of a worker in each dimension, by pool: unclaimed and reclaimable.
-    largest: HashMap<Name, (Resources, Resources)>,
+    pub(crate) largest: HashMap<Name, (Resources, Resources)>,
 }
 
 /// Outcome of an attempt to request advice.
@@ -147,8 +137,30 @@
     NoRelay,
 }
 
-/// Kinds of calls that found no VM, and those for which some stage still waits.
-type PerKind = [bool; 2];
+/// One of the rounds in which a pass gives calls to VMs.
+#[derive(Debug)]
+struct Round {
+    access: Access,
+    /// Whether stages wait that the rounds before left without a call, by kind.
+    waiting: [bool; 2],
+    /// Whether no VM is left, by kind. Calls are only added, so none becomes free within a round.
+    is_full: [bool; 2],
+}
+
+impl Round {
+    fn new(access: Access, waiting: &[&Want]) -> Self {
+        let waits = |kind| waiting.iter().any(|want| want.kind == kind);
+        Self {
+            access,
+            waiting: [waits(Kind::Short), waits(Kind::Long)],
+            is_full: [false; 2],
+        }
+    }
+
+    fn waits(&self, kind: Kind) -> bool {
+        self.waiting[kind as usize]
+    }
+}
 
 impl Engine {
     /// Requests advice for the stages that can use it now, in the order of their ranks and as far
@@ -179,9 +191,9 @@
         };
         self.relays
             .begin_pass(total(Kind::Short), total(Kind::Long), now);
-        let mut is_full = PerKind::default();
         let mut deferred = Vec::new();
         let mut least = Vec::new();
+        let mut round = Round::new(Access::Part, &[]);
         for want in &wants {
             let stage = &self.jobs[want.ready.job].stages[want.ready.stage];
             let is_due = stage.next_request_at <= now;
@@ -190,59 +202,25 @@
             } else if is_due && want.rank.band >= Band::OverQuota {
                 least.push(want);
             } else if is_due {
-                let attempt = self.try_request(
-                    want,
-                    Access::Part,
-                    &mut is_full,
-                    false,
-                    pools,
-                    &mut claims,
-                    now,
-                );
+                let attempt = self.try_request(want, &mut round, pools, &mut claims, now);
                 if attempt == Attempt::NoRelay {
                     deferred.push(want);
                 }
             }
         }
-        let waits = |wants: &[&Want]| {
-            let waits = |kind| wants.iter().any(|want| want.kind == kind);
-            [waits(Kind::Short), waits(Kind::Long)]
-        };
-        let waiting = waits(&deferred);
-        let mut is_full = PerKind::default();
+        let mut round = Round::new(Access::Spare, &deferred);
         deferred.retain(|want| {
-            let other_waits = waiting[want.kind.other() as usize];
-            let attempt = self.try_request(
-                want,
-                Access::Spare,
-                &mut is_full,
-                other_waits,
-                pools,
-                &mut claims,
-                now,
-            );
+            let attempt = self.try_request(want, &mut round, pools, &mut claims, now);
             attempt == Attempt::NoRelay
         });
-        let waiting = waits(&deferred);
-        let mut is_full = PerKind::default();
+        let mut round = Round::new(Access::Idle, &deferred);
         for want in least {
-            let other_waits = waiting[want.kind.other() as usize];
-            let yields =
-                waiting[want.kind as usize] || (want.rank.band == Band::Expired && other_waits);
-            let attempt = if yields {
-                Attempt::NoRelay
-            } else {
-                self.try_request(
-                    want,
-                    Access::Idle,
-                    &mut is_full,
-                    other_waits,
-                    pools,
-                    &mut claims,
-                    now,
-                )
-            };
-            if attempt == Attempt::NoRelay {
+            let is_expired = want.rank.band == Band::Expired;
+            let yields = round.waits(want.kind) || (is_expired && round.waits(want.kind.other()));
+            if yields
+                || self.try_request(want, &mut round, pools, &mut claims, now) == Attempt::NoRelay
+            {
+                round.waiting[want.kind as usize] |= !is_expired;
                 deferred.push(want);
             }
         }
@@ -253,20 +231,20 @@
     }
 
     /// Requests advice for a stage, if a VM may make the call and a reply would be of use now.
-    #[expect(clippy::too_many_arguments, reason = "the state of one pass")]
     fn try_request(
         &mut self,
         want: &Want,
-        access: Access,
-        is_full: &mut PerKind,
-        other_waits: bool,
+        round: &mut Round,
         pools: &mut BTreeMap<Name, Pool>,
         claims: &mut Claims,
         now: Millis,
     ) -> Attempt {
         let kind = want.kind;
-        is_full[kind as usize] |= !self.relays.has_room(kind, access, other_waits, now);
-        if is_full[kind as usize] {
+        let access = round.access;
+        let other_waits = round.waits(kind.other());
+        let is_full = &mut round.is_full[kind as usize];
+        *is_full = *is_full || !self.relays.has_room(kind, access, other_waits, now);
+        if *is_full {
             return Attempt::NoRelay;
         }
         let workers = pools
@@ -334,128 +312,6 @@
         }
     }
 
-    fn approvals_of(&self, queue: &Name) -> advice::Approvals {
-        self.approvals.get(queue).copied().unwrap_or_default()
-    }
-
-    /// Returns the workers that a request names, or `None` if its reply would be of no use now.
-    fn workers_to_name(
-        &self,
-        want: &Want,
-        pool: &Pool,
-        claims: &mut Claims,
-        now: Millis,
-    ) -> Option<Vec<worker::Key>> {
-        let ready = want.ready;
-        let job = &self.jobs[ready.job];
-        let stage = &job.stages[ready.stage];
-        let step = &job.accepted.spec.steps[stage.step];
-        let demand = step.demand();
-        let may_use_reserve = want.is_urgent || step.long_running;
-        let claimed = claims.by_pool.get(&want.pool).copied().unwrap_or_default();
-        if !may_use_reserve && !reserve::admits(&pool.free.minus(&claimed), &pool.capacity, &demand)
-        {
-            return None;
-        }
-        let team = job.accepted.team.as_ref();
-        let claimed = team.and_then(|team| claims.by_team.get(team)).copied();
-        let resources = step.resources.plus(&claimed.unwrap_or_default());
-        if !self.team_allows(team, &resources, may_use_reserve) {
-            return None;
-        }
-        let available = |slot: &Slot| {
-            if want.may_preempt() {
-                slot.reclaimable
-            } else {
-                slot.unclaimed
-            }
-        };
-        let largest = claims
-            .largest
-            .entry(want.pool.clone())
-            .or_insert_with(|| largest_capacities(pool));
-        let largest = if want.may_preempt() {
-            largest.1
-        } else {
-            largest.0
-        };
-        if !demand.fits(&largest) {
-            return None;
-        }
-        let waiting = want.waiting;
-        let needed_until = now.after(TICKET_MARGIN);
-        let max_per_worker = step.max_per_worker.unwrap_or(u32::MAX) as usize;
-        let on_worker = self.stage_tasks_by_worker(ready);
-        let allowed_tasks = |slot: &Slot| {
-            max_per_worker.saturating_sub(on_worker.get(&slot.key).copied().unwrap_or(0))
-        };
-        let fitting = |slot: &Slot, available: &Resources| {
-            fit_count(available, &demand)
-                .min(allowed_tasks(slot))
-                .min(waiting)
-        };
-        let fitting_tasks = |slot: &Slot| fitting(slot, &available(slot));
-        // A call takes longer with each worker that it names, so workers in doubt are named only if
-        // no other may run the stage, or none has become free in time.
-        let waited = waited(stage, now);
-        let trusted = self.has_trusted_worker(ready, step, pool, &[]);
-        let is_eligible = |slot: &Slot| {
-            let is_last_resort = !trusted || (!slot.quarantined && waited >= retry::MAX_WAIT);
-            stage.ticket(slot.key, slot.boot, needed_until).is_none()
-                && stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
-                && (slot.is_trusted() || is_last_resort)
-                && allowed_tasks(slot) > 0
-                && self.has_label(slot.key, step)
-        };
-        let mut slots = pool.slots.iter();
-        if !slots.any(|slot| fitting_tasks(slot) > 0 && is_eligible(slot)) {
-            return None;
-        }
-        // The members of a gang start together or not at all.
-        if step.gang {
-            let slots = pool.slots.iter().filter(|slot| {
-                stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
-                    && self.has_label(slot.key, step)
-            });
-            if slots.map(fitting_tasks).sum::<usize>() < waiting {
-                return None;
-            }
-        }
-        let slots = pool.slots.iter().filter(|slot| is_eligible(slot));
-        let mut candidates: Vec<(bool, usize, usize, worker::Key)> = slots
-            .map(|slot| {
-                (
-                    !stage.verdicts.contains_key(slot.key),
-                    fitting(slot, &slot.unclaimed),
-                    fitting_tasks(slot),
-                    slot.key,
-                )
-            })
-            .collect();
-        let known = candidates.iter().filter(|candidate| !candidate.0);
-        if known.map(|candidate| candidate.2).sum::<usize>() >= waiting {
-            candidates.retain(|candidate| !candidate.0 && candidate.2 > 0);
-        }
-        // Workers that were approved before come first, then those with the most free capacity. A
-        // worker without free capacity may get some while its ticket is valid.
-        candidates.sort_by_key(|(unknown, free, fitting, key)| {
-            (*unknown, Reverse(*free), Reverse(*fitting), *key)
-        });
-        let approvals = self.approvals_of(&job.accepted.queue);
-        let workers = candidates
-            .iter()
-            .map(|(unknown, _, fitting, _)| (!unknown, *fitting));
-        let needed = advice::sufficient_count(workers, waiting, approvals.rate());
-        // More names leave more choice, but take time that other calls need under load.
-        let count = if approvals.is_known() && self.relays.is_short() {
-            needed
-        } else {
-            needed.max(OBJECTIVE_ADVICE_WORKERS)
-        };
-        candidates.truncate(count.min(advice::MAX_WORKERS));
-        Some(candidates.iter().map(|candidate| candidate.3).collect())
-    }
-
     /// Returns whether the ticket of a start that has waited to be sent is still valid. If not, the
     /// worker would refuse it.
     pub fn is_ticket_valid(&self, start: &Start, now: Millis) -> bool {
@@ -536,25 +392,3 @@
             .record(newly_approved, newly_requested);
     }
 }
-
-/// Returns the largest capacity of a worker in each dimension: unclaimed and reclaimable.
-fn largest_capacities(pool: &Pool) -> (Resources, Resources) {
-    let max = |largest: Resources, other: &Resources| Resources {
-        cpu_millis: largest.cpu_millis.max(other.cpu_millis),
-        memory_mib: largest.memory_mib.max(other.memory_mib),
-        accelerators: largest.accelerators.max(other.accelerators),
-    };
-    let mut largest = (Resources::default(), Resources::default());
-    for slot in &pool.slots {
-        largest.0 = max(largest.0, &slot.unclaimed);
-        largest.1 = max(largest.1, &slot.reclaimable);
-    }
-    largest
-}
-
-/// Returns the longest time for which a task of the stage has waited.
-fn waited(stage: &Stage, now: Millis) -> Duration {
-    let waiting = stage.tasks.iter().filter(|task| task.is_waiting());
-    let since = waiting.map(|task| task.waiting_since).min();
-    since.map_or(Duration::ZERO, |since| now.since(since))
-}
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -31,6 +31,7 @@
         objective, //
     },
     advice,
+    approvals::Approvals,
     budget::Budget,
     crash,
     event::{
@@ -127,7 +128,7 @@
     /// Whether runs and ends of jobs that are still unknown have been dropped.
     pub(crate) unknown_jobs_dropped: bool,
     /// Workers that the advice service has lately approved, by queue.
-    pub(crate) approvals: HashMap<Name, advice::Approvals>,
+    pub(crate) approvals: HashMap<Name, Approvals>,
     /// VMs through which the advice service is called.
     pub(crate) relays: advice::Relays,
     /// Latest time at which this owner is known to have held the claim.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod active;
 pub mod advice;
 pub mod advice_request;
+mod advice_workers;
+pub mod approvals;
 pub mod budget;
 pub mod crash;
 mod crash_handling;
--- a/crates/workflow/tests/engine/advice.rs
+++ b/crates/workflow/tests/engine/advice.rs
@@ -11,11 +11,11 @@
 };
 use basilbridge_workflow::{
     advice::{
-        self,
         Access,
         Kind,
         Relays, //
     },
+    approvals,
     job::TaskId,
     policy::AdviceSettings,
     rank::Band,
@@ -196,10 +196,10 @@
 fn one_call_names_as_many_workers_as_the_share_of_approvals_requires() {
     let unknown = || std::iter::repeat((false, 1));
 
-    assert!((4..=6).contains(&advice::sufficient_count(unknown(), 1, 0.7)));
-    assert!((10..=14).contains(&advice::sufficient_count(unknown(), 1, 0.35)));
+    assert!((4..=6).contains(&approvals::sufficient_count(unknown(), 1, 0.7)));
+    assert!((10..=14).contains(&approvals::sufficient_count(unknown(), 1, 0.35)));
     assert_eq!(
-        advice::sufficient_count([(true, 2), (true, 2), (true, 2)], 3, 0.7),
+        approvals::sufficient_count([(true, 2), (true, 2), (true, 2)], 3, 0.7),
         2
     );
 }
