Queue no call for advice at a VM whose call is long overdue

Cause: a VM that is paused, or whose service hangs, could get a second call behind one that it did not answer, and both steps waited for the timeout of 0.6 s.

Change: nothing is queued behind a call that is overdue by more than the longest time between two passes.

Measured: the new test fails without the condition.

--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -340,6 +340,8 @@
     }
 
     /// Returns the index of the VM that makes the next call of this kind, if there is one.
+    ///
+    /// A VM whose call is long overdue may not answer at all, so nothing is queued there.
     fn find(&self, kind: Kind, access: Access, other_waits: bool, now: Millis) -> Option<usize> {
         let is_entitled = self.is_entitled(kind);
         let may_use_spare = match kind {
@@ -378,6 +380,7 @@
                 may_queue
                     && relay.calls.len() == 1
                     && !relay.calls[0].failed
+                    && now.since(relay.calls[0].ends()) <= MAX_PASS_INTERVAL
                     && relay.free_at(now) <= soon
             }
             Some(Kind::Long) => false,
--- a/crates/workflow/tests/engine/advice.rs
+++ b/crates/workflow/tests/engine/advice.rs
@@ -173,6 +173,22 @@
     assert_eq!(calls, [Some("vm0".into()), Some("vm1".into())]);
 }
 
+/// A VM that is paused answers no call, and each one sent there is lost until it times out.
+#[test]
+fn no_call_is_queued_at_a_vm_whose_call_is_long_overdue() {
+    let mut relays = relays(1, SHORT, Duration::ZERO);
+    relays.assign(SHORT, Kind::Short, Access::Spare, false, NOW);
+    let mut may_queue = |at| {
+        let now = NOW.after(Duration::from_millis(at));
+        relays.begin_pass(SHORT, Duration::ZERO, now);
+        relays.has_room(Kind::Short, Access::Spare, false, now)
+    };
+
+    let queued: Vec<bool> = [40, 60, 100, 200].into_iter().map(&mut may_queue).collect();
+
+    assert_eq!(queued, [true, true, false, false]);
+}
+
 /// The service still works on a call after its caller has given it up.
 #[test]
 fn a_call_that_was_given_up_counts_until_it_would_have_ended() {
