--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry VMs against an in-memory platform.
 
 mod admission;
+mod advice;
 mod elections;
 mod evacuation;
 mod fake_platform;
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -281,7 +281,6 @@
         }
         // The service works in order, so it has answered all earlier calls, too.
         relay.occupied_until = Millis(0);
-        relay.blocked_until = Millis(0);
         relay.calls.retain(|call| !is_call(call));
         let mut begins = now;
         for call in &mut relay.calls {
@@ -341,6 +340,8 @@
     }
 
     /// Returns the index of the VM that makes the next call of this kind, if there is one.
+    ///
+    /// A VM whose call is long overdue may not answer at all, so nothing is queued there.
     fn find(&self, kind: Kind, access: Access, other_waits: bool, now: Millis) -> Option<usize> {
         let is_entitled = self.is_entitled(kind);
         let may_use_spare = match kind {
@@ -356,45 +357,50 @@
             }
         };
         let may_add = is_entitled || may_use_spare;
-        let may_queue = kind == Kind::Short
-            && access != Access::Idle
-            && (may_use_spare || self.in_use(kind) <= self.part(kind));
         let all_blocked = self
             .relays
             .iter()
             .all(|relay| !relay.listed || relay.blocked_until > now);
+        let is_available =
+            |relay: &Relay| relay.listed && (relay.blocked_until <= now || all_blocked);
+        // An idle VM of the other kind's part may be left over.
+        let is_decided = access != Access::Part
+            || !self
+                .relays
+                .iter()
+                .any(|relay| is_available(relay) && relay.calls.is_empty());
+        let may_queue = kind == Kind::Short
+            && access != Access::Idle
+            && (may_use_spare || (is_decided && self.in_use(kind) <= self.part(kind)));
         let soon = now.after(self.pass_interval + self.overhead);
-        let usable = |relay: &&(usize, &Relay)| {
-            let relay = relay.1;
-            if !relay.listed || (relay.blocked_until > now && !all_blocked) {
-                return false;
-            }
-            match relay.kind() {
-                None => may_add,
-                Some(Kind::Short) => {
-                    may_queue
-                        && relay.calls.len() == 1
-                        && !relay.calls[0].failed
-                        && relay.free_at(now) <= soon
-                }
-                Some(Kind::Long) => false,
+        let is_usable = |relay: &Relay| match relay.kind() {
+            _ if !is_available(relay) => false,
+            None => may_add,
+            Some(Kind::Short) => {
+                may_queue
+                    && relay.calls.len() == 1
+                    && !relay.calls[0].failed
+                    && now.since(relay.calls[0].ends()) <= MAX_PASS_INTERVAL
+                    && relay.free_at(now) <= soon
             }
+            Some(Kind::Long) => false,
         };
-        let relays: Vec<(usize, &Relay)> = self.relays.iter().enumerate().collect();
-        let usable = relays.iter().filter(usable);
         let position = |index: usize| match kind {
             Kind::Short => index,
             Kind::Long => self.relays.len() - index,
         };
-        usable
+        let relays = self.relays.iter().enumerate();
+        relays
+            .filter(|(_, relay)| is_usable(relay))
             .min_by_key(|(index, relay)| {
                 (
                     relay.occupied_until > now,
+                    !relay.calls.is_empty(),
                     relay.free_at(now),
                     position(*index),
                 )
             })
-            .map(|(index, _)| *index)
+            .map(|(index, _)| index)
     }
 
     fn decay(&mut self, now: Millis) {
@@ -406,65 +412,3 @@
         self.demand_at = now;
     }
 }
-
-/// Number of workers over which approvals are averaged: five calls of the size that the users' time
-/// objective assumes.
-const APPROVALS_MEMORY: f64 = 150.0;
-
-/// Margin of the expected number of approvals, in standard deviations. A second call costs as much
-/// as 70 more workers in the first one.
-const APPROVALS_MARGIN: f64 = 2.0;
-
-/// The workers of a queue that the service has lately approved.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Approvals {
-    approved: f64,
-    requested: f64,
-}
-
-impl Approvals {
-    /// Records a reply.
-    pub fn record(&mut self, approved: usize, requested: usize) {
-        self.approved += approved as f64;
-        self.requested += requested as f64;
-        if self.requested > APPROVALS_MEMORY {
-            let factor = APPROVALS_MEMORY / self.requested;
-            self.approved *= factor;
-            self.requested *= factor;
-        }
-    }
-
-    /// Returns the expected fraction of workers that are approved. Without any reply, approval and
-    /// refusal are equally likely.
-    pub fn rate(&self) -> f64 {
-        (self.approved + 0.5) / (self.requested + 1.0)
-    }
-
-    /// Returns whether there was a reply.
-    pub fn is_known(&self) -> bool {
-        self.requested > 0.0
-    }
-}
-
-/// Returns how many of the workers have to be named for `tasks` tasks, given whether each is known
-/// to be approved and how many of the tasks it has capacity for. A worker without capacity counts
-/// as if it gets some in time, since more names do not help if all are busy.
-pub fn sufficient_count(
-    workers: impl IntoIterator<Item = (bool, usize)>,
-    tasks: usize,
-    rate: f64,
-) -> usize {
-    let (mut mean, mut variance) = (0.0, 0.0);
-    let mut count = 0;
-    for (is_known, room) in workers {
-        let chance = if is_known { 1.0 } else { rate };
-        let room = room.max(1) as f64;
-        mean += room * chance;
-        variance += room * room * chance * (1.0 - chance);
-        count += 1;
-        if mean - APPROVALS_MARGIN * f64::sqrt(variance) >= tasks as f64 {
-            break;
-        }
-    }
-    count
-}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod admission;
 pub mod advice;
 pub mod advice_request;
+mod advice_workers;
+pub mod approvals;
 pub mod availability;
 pub mod budget;
 pub mod crash;
--- a/crates/workflow/tests/engine/advice.rs
+++ b/crates/workflow/tests/engine/advice.rs
@@ -11,11 +11,11 @@
 };
 use basilbridge_workflow::{
     advice::{
-        self,
         Access,
         Kind,
         Relays, //
     },
+    approvals,
     job::TaskId,
     policy::AdviceSettings,
     rank::Band,
@@ -154,6 +154,41 @@
     assert_eq!(used, [false, false, false, true]);
 }
 
+/// A call that waits at the service behind another is late by that one's duration, and by far more
+/// if that one is never answered.
+#[test]
+fn a_short_call_is_not_queued_while_a_vm_is_idle() {
+    let mut relays = relays(2, SHORT, Duration::ZERO);
+    let mut assign = |at| {
+        let now = NOW.after(Duration::from_millis(at));
+        relays.begin_pass(SHORT, Duration::ZERO, now);
+        [Access::Part, Access::Spare]
+            .into_iter()
+            .find_map(|access| relays.assign(SHORT, Kind::Short, access, false, now))
+            .map(|call| call.relay)
+    };
+
+    let calls = [assign(10), assign(40)];
+
+    assert_eq!(calls, [Some("vm0".into()), Some("vm1".into())]);
+}
+
+/// A VM that is paused answers no call, and each one sent there is lost until it times out.
+#[test]
+fn no_call_is_queued_at_a_vm_whose_call_is_long_overdue() {
+    let mut relays = relays(1, SHORT, Duration::ZERO);
+    relays.assign(SHORT, Kind::Short, Access::Spare, false, NOW);
+    let mut may_queue = |at| {
+        let now = NOW.after(Duration::from_millis(at));
+        relays.begin_pass(SHORT, Duration::ZERO, now);
+        relays.has_room(Kind::Short, Access::Spare, false, now)
+    };
+
+    let queued: Vec<bool> = [40, 60, 100, 200].into_iter().map(&mut may_queue).collect();
+
+    assert_eq!(queued, [true, true, false, false]);
+}
+
 /// The service still works on a call after its caller has given it up.
 #[test]
 fn a_call_that_was_given_up_counts_until_it_would_have_ended() {
@@ -177,10 +212,10 @@
 fn one_call_names_as_many_workers_as_the_share_of_approvals_requires() {
     let unknown = || std::iter::repeat((false, 1));
 
-    assert!((4..=6).contains(&advice::sufficient_count(unknown(), 1, 0.7)));
-    assert!((10..=14).contains(&advice::sufficient_count(unknown(), 1, 0.35)));
+    assert!((4..=6).contains(&approvals::sufficient_count(unknown(), 1, 0.7)));
+    assert!((10..=14).contains(&approvals::sufficient_count(unknown(), 1, 0.35)));
     assert_eq!(
-        advice::sufficient_count([(true, 2), (true, 2), (true, 2)], 3, 0.7),
+        approvals::sufficient_count([(true, 2), (true, 2), (true, 2)], 3, 0.7),
         2
     );
 }
