--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -53,6 +53,10 @@
 /// notification of a stored job is answered with it.
 const OUTLOOK_LIFETIME: Duration = Duration::from_millis(200);
 
+/// The largest outlook that is sent in reply to a notification of a stored job. A larger one comes
+/// with the next heartbeat only, so that replies take a small part of the owner's link.
+const MAX_REPLY_BYTES: usize = 4096;
+
 /// The minimum time between two log lines about the outlook.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -161,15 +165,20 @@
         "teams" => teams.collect::<Vec<_>>().join(" "));
 }
 
-/// Returns the outlook as a JSON document; empty if there is no shortage.
+/// Returns the outlook as a JSON document; empty if there is no shortage or the outlook is too large
+/// for a reply.
 pub(crate) fn reply(owner: &Owner) -> Vec<u8> {
-    let outlook = current(owner).map(|outlook| record::encode(&outlook));
-    outlook
-        .transpose()
-        .ok()
-        .flatten()
-        .unwrap_or_default()
-        .into_bytes()
+    let Some(outlook) = current(owner) else {
+        return Vec::new();
+    };
+    match record::encode(&outlook) {
+        Ok(text) if text.len() <= MAX_REPLY_BYTES => text.into_bytes(),
+        Ok(_) => Vec::new(),
+        Err(error) => {
+            slog::error!(owner.node.log, "outlook can't be encoded"; "error" => %error);
+            Vec::new()
+        }
+    }
 }
 
 /// Learns from the owner's answer to the notification of a stored job.
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -23,7 +23,7 @@
 };
 
 /// Number of workers per advice call that the users' rules assume in a queue's time objective.
-const OBJECTIVE_ADVICE_WORKERS: usize = 30;
+pub(crate) const OBJECTIVE_ADVICE_WORKERS: usize = 30;
 
 /// An accepted job and its progress.
 #[derive(Debug)]
--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -24,7 +24,10 @@
 };
 
 use crate::{
-    active::objective,
+    active::{
+        OBJECTIVE_ADVICE_WORKERS,
+        objective, //
+    },
     admission::{
         arrivals::Amount,
         outlook::{
@@ -251,7 +254,9 @@
 
     /// Returns the queues for whose jobs something is short.
     fn short_queues(&self, relays: usize, now: Millis) -> BTreeMap<Name, Queue> {
-        let ready = self.ready_stages(now);
+        // What a new owner has inherited waits too. Until workers have reported its runs, their
+        // capacity counts as free.
+        let ready = self.ready_stages(true, now);
         if ready.is_empty() {
             return BTreeMap::new();
         }
@@ -493,7 +498,9 @@
 
 /// Returns the expected time of one call for advice about a step of the queue.
 fn call_time(queue: &policy::Queue) -> Option<Duration> {
-    queue.advice.map(|advice| advice.cost(advice::MAX_WORKERS))
+    queue
+        .advice
+        .map(|advice| advice.cost(OBJECTIVE_ADVICE_WORKERS))
 }
 
 fn is_long(call: Duration) -> bool {
--- a/crates/workflow/src/admission/rates.rs
+++ b/crates/workflow/src/admission/rates.rs
@@ -51,6 +51,10 @@
 /// its whole rate would otherwise never see its refused callers again.
 const MIN_ROOM_FRACTION: f64 = 0.125;
 
+/// Most teams that are published, those with the least left of their rates. With some 80 bytes each
+/// they take a third of the 64 KB that a row of the ownership table may have.
+const MAX_TEAMS: usize = 256;
+
 /// Returns the limits of the bucket of a team. It counts every accepted job and may go into debt.
 fn limits(weight: f64) -> Limits {
     Limits {
@@ -117,7 +121,7 @@
         let is_first = self.sampled_at == Millis(0);
         let elapsed = now.since(self.sampled_at).as_secs_f64();
         self.sampled_at = now;
-        let mut teams = BTreeMap::new();
+        let mut teams = Vec::new();
         for (name, account) in &mut self.accounts {
             let Some(policy) = policies.get(name) else {
                 continue;
@@ -157,10 +161,13 @@
             };
             account.fractions = [fraction, last];
             if is_near && published {
-                teams.insert(name.clone(), team);
+                teams.push((name.clone(), team));
             }
         }
-        teams
+        let seconds_left = |team: &Team| team.tokens / team.rate.max(f64::EPSILON);
+        teams.sort_by(|(_, a), (_, b)| seconds_left(a).total_cmp(&seconds_left(b)));
+        teams.truncate(MAX_TEAMS);
+        teams.into_iter().collect()
     }
 }
 
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -44,7 +44,7 @@
     /// Starts the waiting tasks that can be started, and makes the preemptions and requests for
     /// advice that the others need.
     pub fn schedule(&mut self, now: Millis) {
-        let ready_stages = self.ready_stages(now);
+        let ready_stages = self.ready_stages(false, now);
         if ready_stages.is_empty() {
             return;
         }
@@ -81,11 +81,12 @@
         window.saturating_sub(bytes)
     }
 
-    /// Returns the stages with tasks to start, in the order of their ranks.
-    pub(crate) fn ready_stages(&self, now: Millis) -> Vec<Ready> {
+    /// Returns the stages with tasks to start, in the order of their ranks. `unsettled` says whether
+    /// to include jobs whose tasks an earlier owner may have started.
+    pub(crate) fn ready_stages(&self, unsettled: bool, now: Millis) -> Vec<Ready> {
         let mut ready = Vec::new();
         for (key, job) in &self.jobs {
-            if job.final_state.is_some() || (job.inherited && !self.is_settled()) {
+            if job.final_state.is_some() || (job.inherited && !unsettled && !self.is_settled()) {
                 continue;
             }
             let Some(queue) = self.queue(job) else {
