Take work that waits longer than estimates tell for a shortage

Work within rates that has waited for half of its slack now counts too, if its pool is full or free workers may be approved for it. The computation of waiting work moves to a file of its own.

--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -1,10 +1,10 @@
-//! How long waiting work takes, and whether there is a shortage.
+//! Whether there is a shortage, and how long new jobs would wait.
 //!
 //! The time that a stage waits is estimated as the work that precedes it by rank over the rate at
 //! which it is worked off, for each resource that it needs: the pool, the advice service and the
-//! link of the owner. A resource is short if work within the rates of teams would wait for it for a
-//! large part of its slack. No number of jobs or workers is compared with a constant, so the same
-//! rule holds for a cell of any size.
+//! link of the owner. A resource is short if work within the rates of teams waits for it for a
+//! large part of its slack, or would by that estimate. No number of jobs or workers is compared
+//! with a constant, so the same rule holds for a cell of any size.
 
 use std::{
     collections::{
@@ -24,18 +24,25 @@
 };
 
 use crate::{
-    active::{
-        OBJECTIVE_ADVICE_WORKERS,
-        objective, //
-    },
+    active::objective,
     admission::{
         arrivals::Amount,
         outlook::{
             Outlook,
             Queue, //
         },
+        work::{
+            Rates,
+            Resource,
+            Waiting,
+            Work,
+            advice_parts,
+            amounts,
+            call_time,
+            is_long, //
+        },
     },
-    advice, budget,
+    budget,
     engine::Engine,
     job::Accepted,
     policy,
@@ -49,193 +56,16 @@
         Ready,
         TICKET_MARGIN, //
     },
+    stage::{
+        Stage,
+        Verdict, //
+    },
 };
 
 /// Part of a job's slack that waiting for one resource may use up. The rest is left for errors of
 /// estimates and for the other resources.
 const SLACK_FRACTION: f64 = 0.5;
 
-/// Part of a resource that is assumed to be left for late work and work in excess of a rate. Work on
-/// time takes all of it only for a short time.
-const MIN_LEFT_FRACTION: f64 = 0.05;
-
-/// Longest wait that is published.
-const MAX_WAIT: Duration = Duration::from_secs(3600);
-
-/// Smallest part of the advice service that short or long calls get while there are calls of the
-/// other kind.
-const MIN_ADVICE_PART: f64 = 0.25;
-
-/// Waiting work of one pool.
-#[derive(Debug, Clone, Copy, Default)]
-struct PoolWork {
-    /// What the waiting tasks need at once.
-    demand: Resources,
-    /// The same in thousandths of a resource times seconds.
-    work: [f64; 3],
-}
-
-/// Waiting work up to some rank.
-#[derive(Debug, Clone, Default)]
-struct Work {
-    pools: HashMap<Name, PoolWork>,
-    /// Time of short and of long calls to the advice service, in seconds.
-    advice: [f64; 2],
-    /// Bytes of starts.
-    start_bytes: f64,
-}
-
-/// A resource that can be short.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Resource {
-    Pool(Name),
-    /// Calls to the advice service, either long or short.
-    Advice {
-        long: bool,
-    },
-    OwnerLink,
-}
-
-/// The rates at which work is done.
-struct Rates<'a> {
-    pools: &'a BTreeMap<Name, Pool>,
-    /// Resources of long-running tasks, by pool. They do not become free.
-    long_running: HashMap<Name, Resources>,
-    relays: usize,
-    /// Part of the calls' time that short and long calls get.
-    advice_parts: [f64; 2],
-    link_bytes_per_second: f64,
-}
-
-/// A stage that waits, with what it needs.
-struct Waiting {
-    ready: Ready,
-    queue: Name,
-    count: u64,
-    demand: Resources,
-    estimate: Duration,
-    long_running: bool,
-    call: Option<Duration>,
-    start_bytes: f64,
-}
-
-impl Work {
-    fn add(&mut self, waiting: &Waiting, pool: &Name) {
-        let of_pool = self.pools.entry(pool.clone()).or_default();
-        let total = waiting.demand.times(waiting.count);
-        of_pool.demand = of_pool.demand.plus(&total);
-        if !waiting.long_running {
-            let seconds = waiting.estimate.as_secs_f64();
-            for (work, amount) in of_pool.work.iter_mut().zip(amounts(&total)) {
-                *work += amount * seconds;
-            }
-        }
-        if let Some(call) = waiting.call {
-            self.advice[usize::from(is_long(call))] += call.as_secs_f64();
-        }
-        self.start_bytes += waiting.start_bytes;
-    }
-
-    /// Returns the seconds until the work of a pool is worked off, beside the work `beside` that
-    /// arrives in a second and precedes it.
-    fn pool_seconds(
-        &self,
-        name: &Name,
-        is_urgent: bool,
-        beside: &Amount,
-        rates: &Rates<'_>,
-    ) -> f64 {
-        let (Some(work), Some(pool)) = (self.pools.get(name), rates.pools.get(name)) else {
-            return 0.0;
-        };
-        let long_running = rates.long_running.get(name).copied().unwrap_or_default();
-        let total = pool.capacity.minus(&long_running);
-        let (total, free) = if is_urgent {
-            (total, pool.reclaimable())
-        } else {
-            let reserved = Resources {
-                memory_mib: 0,
-                ..pool
-                    .capacity
-                    .minus(&reserve::unreserved_part(&pool.capacity))
-            };
-            (total.minus(&reserved), pool.free.minus(&reserved))
-        };
-        let demand = amounts(&work.demand);
-        let (total, free) = (amounts(&total), amounts(&free));
-        let mut longest: f64 = 0.0;
-        for index in 0..demand.len() {
-            // What fits into the free capacity does not wait.
-            let missing = (demand[index] - free[index]).max(0.0);
-            if missing > 0.0 {
-                let seconds = work.work[index] * missing / demand[index];
-                let left = total[index] - beside.resources[index];
-                let least = (total[index] * MIN_LEFT_FRACTION).max(1.0);
-                longest = longest.max(seconds / left.max(least));
-            }
-        }
-        longest
-    }
-
-    fn advice_seconds(&self, long: bool, beside: &Amount, rates: &Rates<'_>) -> f64 {
-        let kind = usize::from(long);
-        let total = rates.relays as f64 * rates.advice_parts[kind];
-        let left = total - beside.advice[kind];
-        self.advice[kind] / left.max(total * MIN_LEFT_FRACTION)
-    }
-
-    fn link_seconds(&self, rates: &Rates<'_>) -> f64 {
-        if rates.link_bytes_per_second == 0.0 {
-            return 0.0;
-        }
-        self.start_bytes / rates.link_bytes_per_second
-    }
-
-    /// Returns the seconds until work of a queue that comes after this work can start, for each
-    /// resource that it needs.
-    fn seconds(
-        &self,
-        queue: &policy::Queue,
-        is_urgent: bool,
-        beside: &Amount,
-        rates: &Rates<'_>,
-    ) -> Vec<(Resource, f64)> {
-        let mut seconds = vec![
-            (
-                Resource::Pool(queue.pool.clone()),
-                self.pool_seconds(&queue.pool, is_urgent, beside, rates),
-            ),
-            (Resource::OwnerLink, self.link_seconds(rates)),
-        ];
-        if let Some(call) = call_time(queue) {
-            let long = is_long(call);
-            seconds.push((
-                Resource::Advice { long },
-                self.advice_seconds(long, beside, rates),
-            ));
-        }
-        seconds
-    }
-
-    /// Returns the longest of these times.
-    fn wait(
-        &self,
-        queue: &policy::Queue,
-        is_urgent: bool,
-        beside: &Amount,
-        rates: &Rates<'_>,
-    ) -> Duration {
-        let seconds = self.seconds(queue, is_urgent, beside, rates);
-        let longest = seconds
-            .into_iter()
-            .map(|(_, seconds)| seconds)
-            .fold(0.0, f64::max);
-        Duration::try_from_secs_f64(longest)
-            .unwrap_or(MAX_WAIT)
-            .min(MAX_WAIT)
-    }
-}
-
 impl Engine {
     /// Returns the outlook to publish, or `None` while there is no shortage or the jobs have not
     /// been read. `relays` is the number of VMs through which calls to the advice service can go.
@@ -296,6 +126,9 @@
             let is_within_rate = place.0 <= Band::Late && !stage.long_running;
             if is_within_rate {
                 let limit = self.slack(stage).as_secs_f64() * SLACK_FRACTION;
+                if stage.waited.as_secs_f64() > limit {
+                    short.extend(self.awaited(stage, queue, &pools[&queue.pool]));
+                }
                 let is_urgent = queue.priority == pools[&queue.pool].urgent;
                 let seconds = work.seconds(queue, is_urgent, &Amount::default(), &rates);
                 let exceeding = seconds.into_iter().filter(|(_, seconds)| *seconds > limit);
@@ -402,11 +235,41 @@
                 long_running: step.long_running,
                 call,
                 start_bytes: start_bytes as f64 * count as f64,
+                waited: if job.inherited && !self.is_settled() {
+                    Duration::ZERO
+                } else {
+                    waited(stage, now)
+                },
             });
         }
         stages
     }
 
+    /// Returns what a stage that has waited for long waits for, unless free capacity is only in
+    /// pieces that are too small or on workers that advice rules out.
+    ///
+    /// Estimates of run times are off by several times in some queues, so the time that the work
+    /// ahead of a stage needs does not tell all.
+    fn awaited(&self, waiting: &Waiting, queue: &policy::Queue, pool: &Pool) -> Option<Resource> {
+        let demand = &waiting.demand;
+        let is_full = if queue.priority == pool.urgent {
+            !demand.fits(&pool.reclaimable())
+        } else {
+            !reserve::admits(&pool.free, &pool.capacity, demand)
+        };
+        if is_full {
+            return Some(Resource::Pool(queue.pool.clone()));
+        }
+        let call = waiting.call?;
+        let stage = &self.jobs[waiting.ready.job].stages[waiting.ready.stage];
+        let may_be_advised = pool.slots.iter().any(|slot| {
+            demand.fits(&slot.free) && stage.verdicts.get(slot.key) != Some(&Verdict::Bad)
+        });
+        may_be_advised.then_some(Resource::Advice {
+            long: is_long(call),
+        })
+    }
+
     /// Counts a job within the rate of its team as arriving work.
     pub(crate) fn record_arrival(&mut self, accepted: &Accepted) {
         let Some(queue) = self.policy.queues.get(&accepted.queue) else {
@@ -462,14 +325,14 @@
     }
 }
 
-impl Pool {
-    /// Returns the capacity that the most urgent work could use if it preempted all that it may.
-    fn reclaimable(&self) -> Resources {
-        let slots = self.slots.iter().filter(|slot| !slot.quarantined);
-        slots.fold(Resources::default(), |sum, slot| {
-            sum.plus(&slot.reclaimable)
-        })
-    }
+/// Returns the time for which the first task of a stage has waited for capacity or advice alone. A
+/// task that has failed, or crashed a worker, also waits for a worker that it may be retried on.
+fn waited(stage: &Stage, now: Millis) -> Duration {
+    let waiting = stage.tasks.iter().filter(|task| task.is_waiting());
+    let undisturbed =
+        waiting.filter(|task| !task.history.is_suspect() && task.failed_workers.is_empty());
+    let since = undisturbed.map(|task| task.waiting_since).min();
+    since.map_or(Duration::ZERO, |since| now.since(since))
 }
 
 /// Returns how many of `count` tasks that need `resources` each the cap of a team allows.
@@ -495,33 +358,3 @@
     }
     allowed
 }
-
-/// Returns the expected time of one call for advice about a step of the queue.
-fn call_time(queue: &policy::Queue) -> Option<Duration> {
-    queue
-        .advice
-        .map(|advice| advice.cost(OBJECTIVE_ADVICE_WORKERS))
-}
-
-fn is_long(call: Duration) -> bool {
-    call >= advice::LONG_CALL
-}
-
-/// Returns the parts of the advice service that short and long calls get: what they ask for, and
-/// neither less than [`MIN_ADVICE_PART`] beside calls of the other kind.
-fn advice_parts(seconds: [f64; 2]) -> [f64; 2] {
-    let [short, long] = seconds;
-    if short == 0.0 || long == 0.0 {
-        return [1.0; 2];
-    }
-    let part = (short / (short + long)).clamp(MIN_ADVICE_PART, 1.0 - MIN_ADVICE_PART);
-    [part, 1.0 - part]
-}
-
-fn amounts(resources: &Resources) -> [f64; 3] {
-    [
-        resources.cpu_millis as f64,
-        resources.memory_mib as f64,
-        resources.accelerators as f64,
-    ]
-}
--- a/crates/workflow/src/admission/mod.rs
+++ b/crates/workflow/src/admission/mod.rs
@@ -11,3 +11,4 @@
 pub mod outlook;
 pub mod rates;
 pub mod retry;
+mod work;
--- a/crates/workflow/tests/engine/admission.rs
+++ b/crates/workflow/tests/engine/admission.rs
@@ -23,7 +23,8 @@
         rates::TeamRates,
         retry, //
     },
-    job::Schedule, //
+    job::Schedule,
+    report::Outcome, //
 };
 
 use crate::{
@@ -243,9 +244,7 @@
 }
 
 fn simulation() -> Simulation {
-    let mut sim = Simulation::new(&["w1", "w2"], |_, _| {
-        (800, basilbridge_workflow::report::Outcome::Done, 16_000)
-    });
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| (800, Outcome::Done, 16_000));
     sim.engine.finish_loading(sim.now);
     // Workers are used once they have answered.
     sim.run(100);
@@ -271,6 +270,23 @@
     assert!(waits.queues[CHECKS].contended);
 }
 
+/// Guards against a shortage that is not seen since submitters give estimates that are too short.
+#[test]
+fn work_that_waits_for_a_full_pool_longer_than_estimates_tell_is_a_shortage() {
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| (8000, Outcome::Done, 16_000));
+    sim.engine.finish_loading(sim.now);
+    sim.run(100);
+    submit_all(&mut sim, CHECKS, 10);
+
+    sim.run(100);
+    let at_first = sim.engine.outlook(1, sim.now);
+    sim.run(400);
+    let later = sim.engine.outlook(1, sim.now);
+
+    assert_eq!(at_first, None);
+    assert!(later.is_some_and(|outlook| outlook.queues[CHECKS].contended));
+}
+
 /// Guards against teams that are refused because a job waits for something that nobody can give.
 #[test]
 fn work_that_no_worker_can_run_or_that_its_team_has_no_cap_for_is_no_shortage() {
