--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -69,7 +69,7 @@
 const LATE_WRITE_LIMIT: Duration = Duration::from_secs(60);
 
 /// What this VM knows of the shortage.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Admission {
     inner: Mutex<Inner>,
     /// The number of requests that could not be stored.
@@ -86,6 +86,18 @@
 }
 
 impl Admission {
+    /// Creates the state of the process with the random number `nonce`.
+    pub(crate) fn new(nonce: u64) -> Self {
+        let inner = Inner {
+            knowledge: Knowledge::new(nonce as f64 / u64::MAX as f64),
+            ..Inner::default()
+        };
+        Self {
+            inner: Mutex::new(inner),
+            unstored: AtomicU64::new(0),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -174,12 +174,13 @@
         log: Logger,
     ) -> Arc<Self> {
         let now = timer.now();
+        let nonce = rand::random();
         Arc::new(Self {
             decisions: DecisionLog::new(log.clone(), timer.clone()),
             metrics: Metrics::default(),
             drain_state: DrainState::default(),
             pool: Pool::new(timer.clone()),
-            nonce: rand::random(),
+            nonce,
             shared_view: election::SharedView::default(),
             owner: Mutex::default(),
             configuration: watch::Sender::default(),
@@ -191,7 +192,7 @@
             }),
             freshness: Mutex::default(),
             count_cache: CountCache::default(),
-            admission: Admission::default(),
+            admission: Admission::new(nonce),
             read_configuration: Notify::new(),
             configuration_read: Notify::new(),
             latest_version: AtomicU64::new(0),
--- a/crates/workflow/src/admission/judge.rs
+++ b/crates/workflow/src/admission/judge.rs
@@ -50,8 +50,12 @@
 /// Time constant of the measurement of the jobs that arrive at this VM, in seconds: two outlooks.
 const ARRIVAL_SECONDS: f64 = 1.0;
 
-/// Least part of [`ARRIVAL_SECONDS`] from which the rate of arrivals is estimated.
-const MIN_OBSERVED: f64 = 0.05;
+/// Least part of [`ARRIVAL_SECONDS`] from which the rate of arrivals is estimated. A shorter time
+/// would give a VM that has seen one job a large part of the team's.
+const MIN_OBSERVED: f64 = 0.5;
+
+/// Part of earlier arrivals that is left when they are forgotten.
+const FORGOTTEN: f64 = 0.05;
 
 /// Part of a job that a VM has credited before a team's first job, so that the VMs together neither
 /// admit nor refuse too many at first.
@@ -140,12 +144,25 @@
 /// What one VM knows of the shortage.
 #[derive(Debug, Default)]
 pub struct Knowledge {
+    /// Part of the interval between two returns after which the first refused caller of this VM
+    /// returns. All VMs begin to refuse at the same time, so with the same part for all, the first
+    /// callers of all would return together.
+    phase: f64,
     outlook: Option<(Outlook, Millis)>,
     teams: HashMap<Name, TeamCount>,
     queues: HashMap<Name, QueueCount>,
 }
 
 impl Knowledge {
+    /// Creates the knowledge of a VM. Different VMs need different values of `phase`, between zero
+    /// and one.
+    pub fn new(phase: f64) -> Self {
+        Self {
+            phase,
+            ..Self::default()
+        }
+    }
+
     /// Records an outlook that was received at `now`, unless a newer one is known.
     pub fn learn(&mut self, outlook: Outlook, now: Millis) {
         let is_newer = self
@@ -185,7 +202,7 @@
         let decay = (-elapsed / ARRIVAL_SECONDS).exp();
         count.arrivals = count.arrivals * decay + 1.0;
         count.observed = 1.0 - (1.0 - count.observed) * decay;
-        if decay < MIN_OBSERVED {
+        if decay < FORGOTTEN {
             // What came before is forgotten, and a single job tells no rate.
             count.observed = 0.0;
         }
@@ -210,6 +227,7 @@
         .team
         .and_then(|name| outlook.teams.get(name).copied());
     let is_contended = queue.is_some_and(|queue| queue.contended);
+    let phase = knowledge.phase;
     let mut count = team.and_then(|team| Some((team, knowledge.teams.get_mut(submission.team?)?)));
     let is_within_rate = match &mut count {
         Some((team, count)) => count.admits(team, age),
@@ -240,8 +258,10 @@
     };
     let retry_after = match (count, recent) {
         // In excess of its rate, a team returns as its rate allows, whatever else it was refused for.
-        (Some((team, count)), _) if !is_within_rate => count.next_return(&team, late_by, now),
-        (_, Some(queue)) => queue_count.next_return(late_by, &queue, now),
+        (Some((team, count)), _) if !is_within_rate => {
+            count.next_return(&team, late_by, phase, now)
+        }
+        (_, Some(queue)) => queue_count.next_return(late_by, &queue, phase, now),
         _ => MIN_RETRY,
     };
     Err(Refusal {
@@ -294,13 +314,13 @@
     /// The debt of the team is paid back first, and the job must no longer be too late. Then the refused callers of all VMs return at the
     /// rate that the usual load of the team leaves, each VM's in the order in which it refused them,
     /// so this VM's take the part of that rate that it has of the arrivals.
-    fn next_return(&mut self, team: &Team, late_by: Duration, now: Millis) -> Duration {
+    fn next_return(&mut self, team: &Team, late_by: Duration, phase: f64, now: Millis) -> Duration {
         let observed = self.observed.max(MIN_OBSERVED) * ARRIVAL_SECONDS;
         let part = (self.arrivals / observed / team.offered).min(1.0);
         let rate = (team.room * part).max(f64::EPSILON);
         let debt = (-team.tokens).max(0.0) / team.rate.max(f64::EPSILON);
         let room = now.after(seconds(debt).max(late_by));
-        self.returns.next(room, seconds(1.0 / rate), now)
+        self.returns.next(room, seconds(1.0 / rate), phase, now)
     }
 }
 
@@ -329,18 +349,28 @@
     /// Returns when a refused caller should return: after the time by which its job would be too
     /// late, and after all that were refused before, each of which takes the time of one waiting
     /// job.
-    fn next_return(&mut self, late_by: Duration, queue: &Queue, now: Millis) -> Duration {
+    fn next_return(
+        &mut self,
+        late_by: Duration,
+        queue: &Queue,
+        phase: f64,
+        now: Millis,
+    ) -> Duration {
         let interval = interval(queue, queue.late);
-        self.returns.next(now.after(late_by), interval, now)
+        self.returns.next(now.after(late_by), interval, phase, now)
     }
 }
 
 impl Returns {
     /// Returns the time until the next refused caller returns: not before `earliest`, and `interval`
-    /// after the one before.
-    fn next(&mut self, earliest: Millis, interval: Duration, now: Millis) -> Duration {
+    /// after the one before, or a part `phase` of that after `earliest` for the first.
+    fn next(&mut self, earliest: Millis, interval: Duration, phase: f64, now: Millis) -> Duration {
         let limit = now.after(ORDERED_RETRY);
-        let next = self.last.max(earliest).after(interval);
+        let next = if self.last <= now {
+            earliest.after(interval.mul_f64(phase))
+        } else {
+            self.last.max(earliest).after(interval)
+        };
         self.last = next.min(limit);
         if next <= limit {
             return next.since(now);
--- a/crates/workflow/tests/engine/admission.rs
+++ b/crates/workflow/tests/engine/admission.rs
@@ -138,7 +138,13 @@
 
 #[test]
 fn refused_callers_return_in_the_order_in_which_they_were_refused() {
-    let mut knowledge = knowledge(outlook(-20.0));
+    // The VM has seen the load for a second before it learns of the shortage.
+    let mut knowledge = Knowledge::default();
+    for number in 0..100 {
+        let at = Millis(NOW.0 - 1000 + number * 10);
+        assert_eq!(submit(&mut knowledge, TEAM, at), Ok(()));
+    }
+    knowledge.learn(outlook(-20.0), NOW);
 
     let mut returns = Vec::new();
     for number in 0..50 {
--- a/crates/workflow/tests/engine/collapse.rs
+++ b/crates/workflow/tests/engine/collapse.rs
@@ -51,7 +51,7 @@
 };
 
 /// VMs that judge. Callers choose among them unevenly.
-const VMS: usize = 7;
+const VMS: usize = 33;
 
 /// Interval between two outlooks, and the time until VMs judge by one, in milliseconds.
 const OUTLOOK_INTERVAL: u64 = 500;
@@ -176,7 +176,9 @@
     sim.engine.set_policy(policy_with_teams());
     sim.engine.finish_loading(sim.now);
     let queue = policy_with_teams().queues[CHECKS].clone();
-    let mut vms: Vec<Knowledge> = (0..VMS).map(|_| Knowledge::default()).collect();
+    let mut vms: Vec<Knowledge> = (0..VMS)
+        .map(|vm| Knowledge::new(vm as f64 / VMS as f64))
+        .collect();
     let mut published: VecDeque<(u64, Option<Outlook>)> = VecDeque::new();
     let mut callers = callers(factors);
     let mut admitted: Vec<Caller> = Vec::new();
@@ -200,7 +202,7 @@
         let due = callers.remove(&at).unwrap_or_default();
         for (index, mut caller) in due.into_iter().enumerate() {
             // Two of the VMs get twice as many callers as the others.
-            let choice = at as usize / 10 * 5 + index * 3 + caller.returns as usize;
+            let choice = at as usize / 10 * 11 + index * 3 + caller.returns as usize;
             let vm = &mut vms[choice % (VMS + 2) % VMS];
             let Some(retry_after) = submit(&mut sim, vm, &queue, &caller) else {
                 admitted.push(caller);
