--- a/crates/workflow/src/admission/judge.rs
+++ b/crates/workflow/src/admission/judge.rs
@@ -315,10 +315,10 @@
     fn next_return(&mut self, team: &Team, late_by: Duration, phase: f64, now: Millis) -> Duration {
         let observed = self.observed.max(MIN_OBSERVED) * ARRIVAL_SECONDS;
         let part = (self.arrivals / observed / team.offered).min(1.0);
-        let rate = (team.room * part).max(f64::EPSILON);
+        let rate = (team.return_rate * part).max(f64::EPSILON);
         let debt = (-team.tokens).max(0.0) / team.rate.max(f64::EPSILON);
-        let room = now.after(seconds(debt).max(late_by));
-        self.returns.next(room, seconds(1.0 / rate), phase, now)
+        let earliest = now.after(seconds(debt).max(late_by));
+        self.returns.next(earliest, seconds(1.0 / rate), phase, now)
     }
 }
 
--- a/crates/workflow/src/admission/outlook.rs
+++ b/crates/workflow/src/admission/outlook.rs
@@ -31,8 +31,8 @@
     pub rate: f64,
     /// Estimated jobs per second that it sends to all VMs together, refused ones included.
     pub offered: f64,
-    /// Jobs per second for which its usual load leaves room.
-    pub room: f64,
+    /// Jobs per second at which refused callers of all VMs return, within what its usual load leaves.
+    pub return_rate: f64,
 }
 
 impl Team {
--- a/crates/workflow/src/admission/rates.rs
+++ b/crates/workflow/src/admission/rates.rs
@@ -45,11 +45,11 @@
 
 /// Part of what the usual load of a team leaves of its rate that refused callers may use. The rest
 /// works off what waits.
-const ROOM_PART: f64 = 0.5;
+const RETURN_PART: f64 = 0.5;
 
-/// Least part of its rate for which the usual load of a team leaves room. A team that usually sends
+/// Least part of its rate at which refused callers of a team return. A team that usually sends
 /// its whole rate would otherwise never see its refused callers again.
-const MIN_ROOM_FRACTION: f64 = 0.125;
+const MIN_RETURN_FRACTION: f64 = 0.125;
 
 /// Most teams that are published, those with the least left of their rates. With some 80 bytes each
 /// they take a third of the 64 KB that a row of the ownership table may have.
@@ -146,12 +146,12 @@
             }
             let limits = limits(policy.weight);
             let usual = account.usual.unwrap_or(0.0);
-            let least_room = policy.weight * MIN_ROOM_FRACTION;
+            let least = policy.weight * MIN_RETURN_FRACTION;
             let team = Team {
                 tokens: rounded(account.bucket.tokens(&limits, now)),
                 rate: policy.weight,
                 offered: rounded(account.offered),
-                room: rounded(((policy.weight - usual) * ROOM_PART).max(least_room)),
+                return_rate: rounded(((policy.weight - usual) * RETURN_PART).max(least)),
             };
             let is_near = team.tokens < limits.capacity * NEAR_FRACTION;
             let fraction = if is_near && published {
--- a/crates/workflow/tests/engine/admission.rs
+++ b/crates/workflow/tests/engine/admission.rs
@@ -50,7 +50,7 @@
         tokens,
         rate: 10.0,
         offered: 100.0,
-        room: 5.0,
+        return_rate: 5.0,
     };
     let queue = Queue {
         contended: true,
