Let operators evacuate a data centre by an intent

Cause: an operator could not keep new tasks out of a data centre. Marking each worker as leaving in the platform's list is not the operators' to do, and is undone by the list.

Change: `evacuate = ["NAME"]` at the top of an intent. The configuration holds the set; documents without it decode as before. The set is one item for conflicts, so that two operators can't each evacuate a data centre and rely on the other one; changes, stored rows and the audit trail are by data centre. A plan carries the workers and the tasks that are there, `GET /v1/data-centres` and `basilbridge workers` show them later. Owners read the configuration before each decision and before each start is sent. Routing prefers other data centres. A preemption that was under way is cancelled when starts are suspended, since the stopped task could not start again.

Ruled out: moving tasks.

The list of known fields in the test errors_in_json_are_reported_with_line_and_column has one name more, because there is one field more.

--- a/crates/operators/src/change.rs
+++ b/crates/operators/src/change.rs
@@ -1,6 +1,9 @@
 //! Edits of the configuration and the changes that they make.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use basilbridge_common::{
     error::{
@@ -51,6 +54,11 @@
     SetQueue(Name, Replacement<Queue>),
     /// Sets or removes a workload.
     SetWorkload(Name, Replacement<Workload>),
+    /// Sets which data centres are evacuated.
+    ///
+    /// The expected value is the whole set, so that two edits can't evacuate different data centres
+    /// at the same time, each of them relying on the capacity of the other one.
+    SetEvacuated(Replacement<BTreeSet<Name>>),
     /// Makes a key valid; has no effect on a key that is already valid.
     GiveKey(Holder, Hash),
     /// Withdraws a key; has no effect on a key that is not valid.
@@ -104,6 +112,8 @@
     Queue(Queue),
     /// A workload.
     Workload(Workload),
+    /// An evacuated data centre.
+    Evacuation(Name),
     /// A valid key.
     Key(Holder, Hash),
 }
@@ -126,6 +136,7 @@
             Self::Team(name, _) => format!("team/{name}"),
             Self::Queue(queue) => format!("queue/{}", queue.name),
             Self::Workload(workload) => format!("workload/{}", workload.name),
+            Self::Evacuation(name) => format!("evacuate/{name}"),
             Self::Key(Holder::Team(team), hash) => format!("key/{hash}/{team}"),
             Self::Key(Holder::Operator, hash) => format!("key/{hash}"),
         }
@@ -139,6 +150,7 @@
             Self::Team(_, settings) => serde_json::to_string(settings),
             Self::Queue(queue) => serde_json::to_string(queue),
             Self::Workload(workload) => serde_json::to_string(workload),
+            Self::Evacuation(_) => Ok("evacuated".to_owned()),
             Self::Key(_, hash) => Ok(hash.fingerprint()),
         };
         text.unwrap_or_default()
@@ -151,6 +163,7 @@
             Self::SetTeam(name, _) => format!("team/{name}"),
             Self::SetQueue(name, _) => format!("queue/{name}"),
             Self::SetWorkload(name, _) => format!("workload/{name}"),
+            Self::SetEvacuated(_) => "evacuate".to_owned(),
             Self::GiveKey(holder, hash) | Self::WithdrawKey(holder, hash) => {
                 Item::Key(holder.clone(), hash.clone()).key()
             }
@@ -177,6 +190,10 @@
                 let workload = self.workload(name).cloned();
                 workload.map(Item::Workload).into_iter().collect()
             }
+            Operation::SetEvacuated(_) => {
+                let names = self.evacuated.iter().cloned();
+                names.map(Item::Evacuation).collect()
+            }
             Operation::GiveKey(holder, hash) | Operation::WithdrawKey(holder, hash) => {
                 let item = || Item::Key(holder.clone(), hash.clone());
                 self.has_key(holder, hash).then(item).into_iter().collect()
@@ -220,6 +237,9 @@
             Item::Workload(workload) => {
                 upsert(&mut self.workloads, workload, |workload| &workload.name);
             }
+            Item::Evacuation(name) => {
+                self.evacuated.insert(name);
+            }
             Item::Key(holder, hash) => {
                 if let Ok(keys) = self.keys_mut(&holder) {
                     insert_key(keys, hash);
@@ -237,6 +257,9 @@
                 self.workloads
                     .retain(|workload| workload.name != removed.name);
             }
+            Item::Evacuation(name) => {
+                self.evacuated.remove(name);
+            }
             Item::Key(holder, hash) => {
                 if let Ok(keys) = self.keys_mut(holder) {
                     keys.retain(|known| known != hash);
@@ -335,6 +358,10 @@
                     None => self.workloads.retain(|workload| workload.name != *name),
                 }
             }
+            Operation::SetEvacuated(replacement) => {
+                check_expected(&key, &Some(self.evacuated.clone()), replacement)?;
+                self.evacuated = replacement.after.clone().unwrap_or_default();
+            }
             Operation::GiveKey(holder, hash) => {
                 insert_key(self.keys_mut(holder)?, hash.clone());
             }
--- a/crates/operators/src/configuration.rs
+++ b/crates/operators/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The operators' configuration as one versioned document.
 
+use std::collections::BTreeSet;
+
 use basilbridge_common::{
     id::{
         Name,
@@ -28,6 +30,9 @@
     /// The workloads that operators want to run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workloads: Vec<Workload>,
+    /// The data centres in which no task may be started.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated: BTreeSet<Name>,
     /// The hashes of the operators' keys.
     #[serde(default)]
     pub operator_keys: Vec<Hash>,
--- a/crates/operators/src/difference.rs
+++ b/crates/operators/src/difference.rs
@@ -55,6 +55,10 @@
             };
             operations.push(Operation::SetWorkload(name, workload));
         }
+        operations.push(Operation::SetEvacuated(Replacement {
+            before: Some(self.evacuated.clone()),
+            after: Some(next.evacuated.clone()),
+        }));
         operations.extend(key_operations(
             &Holder::Operator,
             &self.operator_keys,
@@ -77,6 +81,7 @@
             Self::SetTeam(_, replacement) => replacement.before != replacement.after,
             Self::SetQueue(_, replacement) => replacement.before != replacement.after,
             Self::SetWorkload(_, replacement) => replacement.before != replacement.after,
+            Self::SetEvacuated(replacement) => replacement.before != replacement.after,
             Self::GiveKey(..) | Self::WithdrawKey(..) => true,
         }
     }
--- a/crates/operators/src/intent/check.rs
+++ b/crates/operators/src/intent/check.rs
@@ -1,7 +1,10 @@
 //! Converts a document to an intent and collects the errors in it.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     ops::Range, //
 };
 
@@ -32,6 +35,7 @@
     let team_nodes = fields.tables("team");
     let queue_nodes = fields.tables("queue");
     let workload_nodes = fields.tables("workload");
+    let evacuate = read_evacuate(&mut fields);
     fields.finish();
     let teams = read_named(team_nodes, errors, |fields, name| {
         let settings = read_team_settings(fields)?;
@@ -54,7 +58,22 @@
             .into_iter()
             .map(|(workload, _)| workload)
             .collect(),
+        evacuate,
+    }
+}
+
+/// Reads the names of the data centres to evacuate, which must be unique.
+fn read_evacuate(fields: &mut Fields<'_, '_>) -> BTreeSet<Name> {
+    let mut names = BTreeSet::new();
+    for node in fields.names("evacuate") {
+        let Some(name) = fields.list_name(node) else {
+            continue;
+        };
+        if !names.insert(name.clone()) {
+            fields.add_error(node.span.clone(), &format!("duplicate name `{name}`"));
+        }
     }
+    names
 }
 
 /// The tables of teams and queues, including those with errors.
--- a/crates/operators/src/intent/fields.rs
+++ b/crates/operators/src/intent/fields.rs
@@ -73,6 +73,14 @@
     }
 
     pub(super) fn tables(&mut self, name: &'static str) -> &'a [Node] {
+        self.list_of(name, "tables")
+    }
+
+    pub(super) fn names(&mut self, name: &'static str) -> &'a [Node] {
+        self.list_of(name, "names")
+    }
+
+    fn list_of(&mut self, name: &'static str, items: &str) -> &'a [Node] {
         match self.take(name) {
             None => &[],
             Some(Node {
@@ -82,7 +90,7 @@
             Some(node) => {
                 self.add_error(
                     node.span.clone(),
-                    &format!("`{name}` must be a list of tables"),
+                    &format!("`{name}` must be a list of {items}"),
                 );
                 &[]
             }
@@ -119,6 +127,23 @@
             return None;
         }
         let (text, span) = self.text("name")?;
+        let name = self.check_name(&text, span.clone())?;
+        Some((name, span))
+    }
+
+    /// Reads an element of a list of names.
+    pub(super) fn list_name(&mut self, node: &Node) -> Option<Name> {
+        match &node.value {
+            Value::Text(text) => self.check_name(text, node.span.clone()),
+            _ => {
+                self.add_error(node.span.clone(), "a name must be a string");
+                None
+            }
+        }
+    }
+
+    /// Checks the length and characters of a name.
+    fn check_name(&mut self, text: &str, span: Range<usize>) -> Option<Name> {
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
         if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(allowed) {
             let message = format!(
@@ -127,7 +152,7 @@
             self.add_error(span, &message);
             return None;
         }
-        Some((text.into(), span))
+        Some(text.into())
     }
 
     pub(super) fn number(&mut self, name: &'static str) -> Option<(f64, Range<usize>)> {
--- a/crates/operators/src/intent/mod.rs
+++ b/crates/operators/src/intent/mod.rs
@@ -1,13 +1,17 @@
 //! Intents: files that state what operators want to run.
 //!
-//! An intent lists all teams, queues and workloads; those that it does not list are removed. It
-//! holds no keys. `docs/operators/intents.md` lists the fields.
+//! An intent lists all teams, queues and workloads; those that it does not list are removed. A data
+//! centre that it does not list as evacuated is in use. It holds no keys.
+//! `docs/operators/intents.md` lists the fields.
 
 mod check;
 mod fields;
 mod tree;
 
-use std::ops::Range;
+use std::{
+    collections::BTreeSet,
+    ops::Range, //
+};
 
 use basilbridge_common::id::Name;
 use basilbridge_derives::data;
@@ -23,7 +27,7 @@
     },
 };
 
-/// The teams, queues and workloads that operators want.
+/// The teams, queues and workloads that operators want, and the data centres to evacuate.
 #[data]
 #[derive(Default)]
 pub struct Intent {
@@ -33,6 +37,9 @@
     pub queues: Vec<Queue>,
     /// The workloads.
     pub workloads: Vec<Workload>,
+    /// The data centres in which no task may be started.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuate: BTreeSet<Name>,
 }
 
 /// A team of an intent.
@@ -164,6 +171,7 @@
             teams: self.teams.iter().map(team).collect(),
             queues: self.queues.clone(),
             workloads: self.workloads.clone(),
+            evacuated: self.evacuate.clone(),
             operator_keys: configuration.operator_keys.clone(),
         };
         next.teams.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod change;
 pub mod configuration;
+pub mod data_centre;
 pub mod difference;
 pub mod intent;
 pub mod key;
@@ -28,6 +29,7 @@
     Edit, //
 };
 use configuration::Configuration;
+use data_centre::DataCentre;
 use plan::Plan;
 
 type Authorize = Arc<dyn Fn(Option<&str>) -> Result<String> + Send + Sync>;
@@ -57,6 +59,8 @@
     pub audit: Audit,
     /// Returns the workers that this VM knows of.
     pub workers: Read<Vec<Worker>>,
+    /// Returns the data centres that this VM knows of.
+    pub data_centres: Read<Vec<DataCentre>>,
     /// Counts the requests in flight.
     pub drain_state: basilbridge_server::drain::DrainState,
 }
--- a/crates/operators/src/plan.rs
+++ b/crates/operators/src/plan.rs
@@ -15,9 +15,11 @@
 use crate::{
     change::{
         Change,
-        Edit, //
+        Edit,
+        Item, //
     },
     configuration::Configuration,
+    data_centre::DataCentre,
     intent::Intent,
     key::Hash,
 };
@@ -42,6 +44,9 @@
     pub changes: Vec<Change>,
     /// The workloads of the intent, which plans do not apply.
     pub left_out: Vec<Name>,
+    /// The data centres that would be evacuated or be in use again.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub data_centres: Vec<DataCentre>,
 }
 
 impl Plan {
@@ -66,9 +71,24 @@
             version: configuration.version,
             changes,
             left_out: left_out.map(|workload| workload.name.clone()).collect(),
+            data_centres: Vec::new(),
         })
     }
 
+    /// Adds the data centres that the plan concerns, out of `all`.
+    #[must_use]
+    pub fn with_data_centres(mut self, all: Vec<DataCentre>) -> Self {
+        let changes = &self.changes;
+        let is_changed = |data_centre: &DataCentre| {
+            let mut items = changes
+                .iter()
+                .flat_map(|change| [&change.before, &change.after]);
+            items.any(|item| *item == Some(Item::Evacuation(data_centre.name.clone())))
+        };
+        self.data_centres = all.into_iter().filter(is_changed).collect();
+        self
+    }
+
     /// Returns whether the plan changes nothing.
     pub fn is_empty(&self) -> bool {
         self.changes.is_empty()
--- a/crates/operators/src/route.rs
+++ b/crates/operators/src/route.rs
@@ -68,6 +68,7 @@
             .with_path_extractor::<AuditPath>()
             .to_async(audit);
         route.get("/v1/workers").to_async(workers);
+        route.get("/v1/data-centres").to_async(data_centres);
     })
 }
 
@@ -168,3 +169,8 @@
     let result = authorize(&state).map(|(app, _)| (app.workers)());
     respond(state, result)
 }
+
+async fn data_centres(state: State) -> HandlerResult {
+    let result = authorize(&state).map(|(app, _)| (app.data_centres)());
+    respond(state, result)
+}
--- a/crates/operators/tests/intent.rs
+++ b/crates/operators/tests/intent.rs
@@ -119,7 +119,7 @@
         messages,
         [
             "line 2, column 35: `share` must be an integer from 1 to 4294967295",
-            "line 3, column 13: unknown field `queues`, expected one of team, queue, workload",
+            "line 3, column 13: unknown field `queues`, expected one of team, queue, workload, evacuate",
         ]
     );
 }
@@ -228,3 +228,48 @@
         assert_eq!(configuration, intent.applied_to(&configuration));
     }
 }
+
+#[test]
+fn data_centres_to_evacuate_are_read_from_toml_and_json() {
+    let toml = Intent::parse("i.toml", "evacuate = [\"north-b\", \"a\"]", Format::Toml).unwrap();
+    let json = Intent::parse("i.json", r#"{"evacuate": ["north-b", "a"]}"#, Format::Json).unwrap();
+
+    let names: Vec<_> = toml.evacuate.iter().map(|name| &**name).collect();
+    assert_eq!(names, ["a", "north-b"]);
+    assert_eq!(toml, json);
+}
+
+#[test]
+fn wrong_and_duplicate_names_of_data_centres_are_all_reported() {
+    let text = "evacuate = [\"a b\", \"c\", 4, \"\", \"c\"]\n";
+
+    let messages = error_messages(text, Format::Toml);
+    let no_list = error_messages("evacuate = \"north-b\"\n", Format::Toml);
+    let json = error_messages(r#"{"evacuate": ["c", "c"]}"#, Format::Json);
+
+    let name = "a name must be 1 to 64 letters, digits, dashes, dots or underscores";
+    assert_eq!(
+        messages,
+        [
+            format!("line 1, column 13: {name}"),
+            "line 1, column 25: a name must be a string".to_owned(),
+            format!("line 1, column 28: {name}"),
+            "line 1, column 32: duplicate name `c`".to_owned(),
+        ]
+    );
+    assert_eq!(
+        no_list,
+        ["line 1, column 12: `evacuate` must be a list of names"]
+    );
+    assert_eq!(json, ["line 1, column 20: duplicate name `c`"]);
+}
+
+#[test]
+fn evacuate_below_a_table_is_an_unknown_field_and_not_ignored() {
+    let text = "[[queue]]\nname = \"q\"\nevacuate = [\"north-b\"]\n";
+
+    let messages = error_messages(text, Format::Toml);
+
+    let unknown = "line 3, column 1: unknown field `evacuate`, expected one of name, open_for";
+    assert_eq!(messages, [unknown]);
+}
--- a/crates/operators/tests/plan.rs
+++ b/crates/operators/tests/plan.rs
@@ -67,6 +67,7 @@
             teams,
             queues,
             workloads: Vec::new(),
+            evacuate: random_names(random).into_iter().map(Into::into).collect(),
         },
     }
 }
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -172,6 +172,33 @@
         }
     }
 
+    /// Lets tasks go on that were to be stopped after a checkpoint, because nothing may start in the
+    /// capacity that they would free. Those on a worker that exceeds its capacity are stopped.
+    pub fn cancel_checkpoints(&mut self) {
+        let pending: Vec<_> = self.checkpointing.iter().copied().collect();
+        for (deadline, key) in pending {
+            let entry = &mut self.tasks[key];
+            let (team, charge) = (entry.team, entry.charge);
+            let State::Running(run) = &mut entry.state else {
+                continue;
+            };
+            let load = self.workers.get(run.worker);
+            if load.is_some_and(|load| !load.used.fits(&load.worker.capacity)) {
+                continue;
+            }
+            run.stop_phase = None;
+            self.checkpointing.remove(&(deadline, key));
+            // Only a victim can have been asked for a checkpoint, unless it was backfilled.
+            if !run.backfill && entry.task.preemptions < policy::MAX_PREEMPTIONS {
+                self.victims.insert(team, run.last_saved, key);
+            }
+            self.shares.update(team, |account| {
+                account.stopping = account.stopping.minus(&charge)
+            });
+            self.update_team_level(team);
+        }
+    }
+
     /// Stops preemptible tasks, those with the least work to lose first, until the others fit the
     /// worker's capacity.
     pub(crate) fn resolve_overcommit(
--- a/src/active_configuration.rs
+++ b/src/active_configuration.rs
@@ -51,6 +51,15 @@
 /// The maximum number of audit entries kept in memory for peers that can't reach the table service.
 const MAX_RECENT_ENTRIES: usize = 500;
 
+/// Why no task may be started in a data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspension {
+    /// Operators have evacuated it.
+    Evacuated,
+    /// The configuration of this VM may be out of date, so the data centre may be evacuated.
+    OutOfDate,
+}
+
 struct State {
     configuration: Arc<Configuration>,
     hash: Hash,
@@ -230,6 +239,18 @@
         Err(Error::new(Kind::StaleConfiguration, message).with_retry_after(MAX_AGE))
     }
 
+    /// Returns why no task may be started in a data centre, or `None` if tasks may be started.
+    ///
+    /// A change counts as in force on a VM that is cut off once its configuration is out of date,
+    /// so an owner must not start tasks after that either.
+    pub fn suspension(&self, data_centre: &Name) -> Option<Suspension> {
+        if self.current().evacuated.contains(data_centre) {
+            return Some(Suspension::Evacuated);
+        }
+        let is_fresh = self.check_freshness().is_ok();
+        (!is_fresh).then_some(Suspension::OutOfDate)
+    }
+
     /// Returns the team of a request for `queue`: the team of the key, or without a key the team
     /// that the queue is open for.
     ///
--- a/src/bin/basilbridge/app.rs
+++ b/src/bin/basilbridge/app.rs
@@ -35,7 +35,10 @@
     },
     key,
     plan,
-    printer,
+    printer::{
+        self,
+        Workers, //
+    },
     teams, //
 };
 
@@ -71,9 +74,11 @@
         Command::Status { job } => print_status(caller.status(job).await?),
         Command::Wait { job } => print_status(wait(&caller, job, timeout).await?),
         Command::Cancel { job } => print_status(caller.cancel(job).await?),
-        Command::Workers => {
-            printer::print(&*operator.workers().await?, json, printer::format_workers)
-        }
+        Command::Workers => printer::print(
+            &list_workers(&operator).await?,
+            json,
+            printer::format_workers,
+        ),
         // Handled by `run`, since it has its own exit codes.
         Command::Plan { .. } => Ok(()),
         Command::Confirm { plan } => plan::confirm(plan, &operator, arguments).await,
@@ -87,6 +92,14 @@
     }
 }
 
+/// Reads the workers and the evacuated data centres.
+async fn list_workers(operator: &Client) -> Result<Workers> {
+    let workers = operator.workers().await?;
+    let mut evacuated = operator.data_centres().await?;
+    evacuated.retain(|data_centre| data_centre.evacuated);
+    Ok(Workers { workers, evacuated })
+}
+
 /// Waits until a job is in a final state and prints its progress to standard error.
 ///
 /// # Errors
--- a/src/bin/basilbridge/audit.rs
+++ b/src/bin/basilbridge/audit.rs
@@ -147,6 +147,14 @@
         };
         return format!("key {} {verb}, {holder}", hash.fingerprint());
     }
+    let item = change.before.as_ref().or(change.after.as_ref());
+    if let Some(Item::Evacuation(name)) = item {
+        let status = match change.after {
+            Some(_) => "in use -> evacuated",
+            None => "evacuated -> in use",
+        };
+        return format!("data centre {name}: {status}");
+    }
     let format_item = |item: &Option<Item>| match item {
         Some(item) => item.content(),
         None => "nothing".to_owned(),
--- a/src/bin/basilbridge/plan.rs
+++ b/src/bin/basilbridge/plan.rs
@@ -16,6 +16,10 @@
     Result, //
 };
 use basilbridge_operators::{
+    change::{
+        Change,
+        Item, //
+    },
     intent::{
         Format,
         Intent, //
@@ -105,6 +109,7 @@
     let mut text = String::new();
     for change in &plan.changes {
         text += &audit::format_change(change);
+        text += &format_data_centre(plan, change);
         text.push('\n');
     }
     if !plan.left_out.is_empty() {
@@ -117,3 +122,15 @@
     let id = &plan.edit.id;
     text + &format!("confirm with: basilbridge confirm {id}\n")
 }
+
+/// Formats the tasks of a data centre that a change evacuates, or returns an empty string.
+fn format_data_centre(plan: &Plan, change: &Change) -> String {
+    let Some(Item::Evacuation(name)) = &change.after else {
+        return String::new();
+    };
+    let mut data_centres = plan.data_centres.iter();
+    let data_centre = data_centres.find(|data_centre| data_centre.name == *name);
+    data_centre.map_or_else(String::new, |data_centre| {
+        format!(", {}", printer::format_tasks(data_centre))
+    })
+}
--- a/src/bin/basilbridge/printer.rs
+++ b/src/bin/basilbridge/printer.rs
@@ -12,7 +12,11 @@
     unit::Resources,
     worker::Worker,
 };
-use serde::Serialize;
+use basilbridge_operators::data_centre::DataCentre;
+use serde::{
+    Serialize,
+    Serializer, //
+};
 
 const MIB_BYTES: u64 = 1024 * 1024;
 
@@ -46,22 +50,74 @@
     text
 }
 
-/// Formats workers as a table.
-pub(crate) fn format_workers(workers: &[Worker]) -> String {
-    let rows = workers.iter().map(|worker| {
+/// The workers that a VM knows of, with the evacuated data centres.
+pub(crate) struct Workers {
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) evacuated: Vec<DataCentre>,
+}
+
+/// A worker in a JSON document.
+#[derive(Serialize)]
+struct WorkerEntry<'a> {
+    #[serde(flatten)]
+    worker: &'a Worker,
+    evacuated: bool,
+}
+
+impl Workers {
+    fn is_evacuated(&self, worker: &Worker) -> bool {
+        let mut evacuated = self.evacuated.iter();
+        evacuated.any(|data_centre| data_centre.name == worker.data_centre)
+    }
+}
+
+impl Serialize for Workers {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.workers.iter().map(|worker| WorkerEntry {
+            worker,
+            evacuated: self.is_evacuated(worker),
+        }))
+    }
+}
+
+/// Formats workers as a table, followed by a line for each evacuated data centre.
+pub(crate) fn format_workers(listed: &Workers) -> String {
+    let rows = listed.workers.iter().map(|worker| {
+        let status = match (worker.leaving, listed.is_evacuated(worker)) {
+            (true, true) => "leaving, evacuated",
+            (true, false) => "leaving",
+            (false, true) => "evacuated",
+            (false, false) => "",
+        };
         [
             worker.name.to_string(),
             worker.data_centre.to_string(),
             worker.rack.to_string(),
             format_resources(&worker.capacity),
             worker.slots.to_string(),
-            if worker.leaving { "leaving" } else { "" }.to_owned(),
+            status.to_owned(),
         ]
     });
-    format_table(
+    let mut text = format_table(
         ["WORKER", "DATA CENTRE", "RACK", "CAPACITY", "SLOTS", ""],
         rows,
-    )
+    );
+    for data_centre in &listed.evacuated {
+        let (name, tasks) = (&data_centre.name, format_tasks(data_centre));
+        let _ = writeln!(text, "data centre {name}: evacuated, {tasks}");
+    }
+    text
+}
+
+/// Formats the number of tasks in a data centre.
+pub(crate) fn format_tasks(data_centre: &DataCentre) -> String {
+    let DataCentre {
+        running, queued, ..
+    } = data_centre;
+    match data_centre.workers {
+        0 => "no worker is listed there".to_owned(),
+        _ => format!("{running} tasks run there, {queued} wait there"),
+    }
 }
 
 /// Formats resources in cores, bytes and accelerators.
--- a/src/client.rs
+++ b/src/client.rs
@@ -28,6 +28,7 @@
         Edit, //
     },
     configuration::Configuration,
+    data_centre::DataCentre,
     plan::{
         self,
         Plan, //
@@ -95,6 +96,12 @@
             .await
     }
 
+    /// Returns the data centres that the VM knows of.
+    pub async fn data_centres(&self) -> Result<Vec<DataCentre>> {
+        self.send(Method::GET, "/v1/data-centres", None::<&()>, None)
+            .await
+    }
+
     /// Returns the configuration that is in force on the VM.
     pub async fn configuration(&self) -> Result<Configuration> {
         self.send(Method::GET, "/v1/configuration", None::<&()>, None)
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -35,6 +35,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    active_configuration::Suspension,
     journal::{
         Closed,
         Ended,
@@ -74,6 +75,7 @@
         wait_for_work(&owner).await;
         while starts.try_join_next().is_some() {}
         let now = owner.services.timer.now();
+        owner.update_suspension();
         let decisions = owner.lock().decide(now, owner.ownership.epoch);
         if owner.lock().scheduler.allotments.is_waiting() {
             owner.services.allotment_requested.notify_one();
@@ -174,7 +176,8 @@
             return;
         }
     }
-    if !owner.lock().mark_sent(&attempt) {
+    // The data centre may have been evacuated since the decision, or while the record was written.
+    if owner.suspension().is_some() || !owner.lock().mark_sent(&attempt) {
         owner.requeue_later(&attempt).await;
         return;
     }
@@ -299,6 +302,30 @@
 }
 
 impl Owner {
+    /// Tells the scheduler whether tasks of the shard may be started.
+    fn update_suspension(&self) {
+        let suspension = self.suspension();
+        let (before, running) = {
+            let mut inner = self.lock();
+            let before = inner.set_suspension(suspension);
+            (before, inner.scheduler.running())
+        };
+        if before == suspension {
+            return;
+        }
+        let data_centre = &*self.ownership.shard.data_centre;
+        let message = match (suspension, before) {
+            (Some(Suspension::Evacuated), _) => "data centre evacuated",
+            (Some(Suspension::OutOfDate), _) => {
+                "starts suspended, configuration may be out of date"
+            }
+            (None, Some(Suspension::Evacuated)) => "data centre back in use",
+            (None, _) => "starts resumed",
+        };
+        slog::info!(self.services.log, "{}", message;
+            "data_centre" => data_centre, "running" => running);
+    }
+
     /// Sends the metric of how long a task waited for its start.
     fn report_wait(&self, attempt: &Attempt) {
         let now = self.services.timer.now();
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -1,6 +1,7 @@
 //! Runs an entry VM with stand-ins for the platform and the workers in one process.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::SocketAddr, //
 };
@@ -124,6 +125,7 @@
         }],
         queues: vec![queue("checks"), queue("plans"), queue("collections")],
         workloads: Vec::new(),
+        evacuated: BTreeSet::new(),
         operator_keys: vec![Hash::of(OPERATOR_KEY)],
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -197,6 +197,15 @@
         self.lock().usage.elsewhere(self.own)
     }
 
+    /// Returns the latest summary of each shard.
+    pub fn summaries(&self) -> Vec<(Shard, Summary)> {
+        let state = self.lock();
+        let shards = state.shards.iter();
+        shards
+            .map(|(shard, shared)| (shard.clone(), shared.summary))
+            .collect()
+    }
+
     /// Returns the age of each shard's summary.
     pub fn ages(&self, now: Millis) -> Vec<(Shard, Duration)> {
         let state = self.lock();
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -383,6 +383,7 @@
             endpoints: self.endpoints.clone(),
             journal: self.journals.open(ownership.clone()),
             tables: self.platform.tables.clone(),
+            configuration: Arc::clone(&self.configuration),
             log,
             metrics: self.metrics.clone(),
             task_lease: self.config.task_lease,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     audit,
+    data_centre,
     node::Node,
     plan, //
 };
@@ -30,7 +31,7 @@
     let (authorizer, reader) = (Arc::clone(node), Arc::clone(node));
     let (writer, auditor) = (Arc::clone(node), Arc::clone(node));
     let (planner, confirmer) = (Arc::clone(node), Arc::clone(node));
-    let lister = Arc::clone(node);
+    let (lister, counter) = (Arc::clone(node), Arc::clone(node));
     App {
         authorize: Arc::new(move |key| authorizer.configuration.authorize_operator(key)),
         configuration: Arc::new(move || (*reader.configuration.current()).clone()),
@@ -55,6 +56,7 @@
             async move { page(&node, after).await }.boxed()
         }),
         workers: Arc::new(move || lister.fleet.workers()),
+        data_centres: Arc::new(move || data_centre::list(&counter)),
         drain_state: node.drain_state.clone(),
     }
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -56,6 +56,10 @@
 };
 
 use crate::{
+    active_configuration::{
+        ActiveConfiguration,
+        Suspension, //
+    },
     journal::{
         Accepted,
         Journal,
@@ -96,6 +100,8 @@
     pub journal: Journal,
     /// The table service, which decides who owns the shard.
     pub tables: Service,
+    /// The configuration in force, which tells whether the shard's data centre is evacuated.
+    pub configuration: Arc<ActiveConfiguration>,
     /// The logger of the shard.
     pub log: Logger,
     /// The client that sends metrics.
@@ -181,6 +187,8 @@
     pub(crate) placements: BTreeMap<id::Task, Placement>,
     pub(crate) workers: BTreeMap<Name, WorkerState>,
     pub(crate) phase: Phase,
+    /// Why the scheduler was told to start nothing.
+    pub(crate) suspension: Option<Suspension>,
     /// Accepted tasks of earlier owners that have not ended and were not found running.
     pub(crate) inherited: BTreeMap<id::Task, shard::Task>,
     /// Starts by earlier owners whose outcome is unknown.
@@ -265,7 +273,11 @@
         let summary = Summary {
             queued: (inner.scheduler.queued() + inner.inherited.len()) as u64,
             running: inner.scheduler.running() as u64,
-            free: capacity.minus(&used),
+            // Routing prefers shards that can start what is sent to them.
+            free: match inner.suspension {
+                Some(_) => Resources::default(),
+                None => capacity.minus(&used),
+            },
         };
         (summary, uses)
     }
@@ -307,6 +319,12 @@
         self.lock().scheduler.nearness()
     }
 
+    /// Returns why no task of the shard may be started, or `None` if tasks may be started.
+    pub(crate) fn suspension(&self) -> Option<Suspension> {
+        let data_centre = &self.ownership.shard.data_centre;
+        self.services.configuration.suspension(data_centre)
+    }
+
     /// Returns whether all work of earlier owners has been found or may be started again.
     pub fn is_recovered(&self) -> bool {
         self.lock().phase == Phase::Recovered
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -7,6 +7,7 @@
 };
 use basilbridge_operators::{
     change::Edit,
+    data_centre::DataCentre,
     plan::{
         Plan,
         Request, //
@@ -15,6 +16,7 @@
 
 use crate::{
     audit::KEPT_ENTRIES,
+    data_centre,
     node::Node, //
 };
 
@@ -24,6 +26,7 @@
 pub async fn create(node: &Node, request: Request) -> Result<Plan> {
     node.configuration.refresh(&node.platform.tables).await?;
     let plan = Plan::new(&request, &node.configuration.current())?;
+    let plan = plan.with_data_centres(data_centres(node, &request));
     if !plan.is_empty() {
         let body = serde_json::to_vec(&plan)
             .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
@@ -33,6 +36,17 @@
     Ok(plan)
 }
 
+/// Returns the data centres that this VM knows of or that the intent evacuates.
+fn data_centres(node: &Node, request: &Request) -> Vec<DataCentre> {
+    let mut all = data_centre::list(node);
+    for name in &request.intent.evacuate {
+        if !all.iter().any(|data_centre| data_centre.name == *name) {
+            all.push(DataCentre::without_workers(name.clone()));
+        }
+    }
+    all
+}
+
 /// Returns the edit of a stored plan, with the operator who confirms it.
 ///
 /// # Errors
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -197,7 +197,7 @@
         state.boot = Some(boot);
         state.claimed = true;
         let worker = state.worker.clone();
-        inner.scheduler.set_worker(worker);
+        inner.schedule_on(worker);
     }
     inner.finish_recovery();
     drop(inner);
--- a/src/router.rs
+++ b/src/router.rs
@@ -123,6 +123,11 @@
         let error = Error::new(error::Kind::Unreachable, "no workers are known yet");
         return Err(error.with_retry_after(node.config.poll_interval));
     };
+    // Work that a shard of an evacuated data centre accepts waits until the evacuation ends.
+    let evacuated = &node.configuration.current().evacuated;
+    let is_in_use = |shard: &Shard| !evacuated.contains(&shard.data_centre);
+    let in_use: Vec<_> = possible.iter().filter(|s| is_in_use(s)).cloned().collect();
+    let possible = if in_use.is_empty() { possible } else { in_use };
     // A shard without an owner accepts no calls yet and is chosen only if no shard has an owner.
     let is_owned = |shard: &Shard| node.directory.find(shard).is_some();
     let owned: Vec<_> = possible.iter().filter(|s| is_owned(s)).cloned().collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    active_configuration::Suspension,
     journal::Accepted,
     owner::{
         Inner,
@@ -43,10 +44,36 @@
         entry.worker = worker.clone();
         entry.unlisted_since = None;
         if entry.boot.is_some() {
-            self.scheduler.set_worker(worker);
+            self.schedule_on(worker);
         }
     }
 
+    /// Tells the scheduler of a worker that has a boot to start tasks on.
+    pub(crate) fn schedule_on(&mut self, worker: Worker) {
+        let leaving = worker.leaving || self.suspension.is_some();
+        self.scheduler.set_worker(Worker { leaving, ..worker });
+    }
+
+    /// Tells the scheduler whether it may start tasks, and returns what it was told before.
+    pub(crate) fn set_suspension(&mut self, suspension: Option<Suspension>) -> Option<Suspension> {
+        let before = std::mem::replace(&mut self.suspension, suspension);
+        if before == suspension {
+            return before;
+        }
+        let states = self.workers.values();
+        let enabled: Vec<_> = states
+            .filter(|state| state.boot.is_some())
+            .map(|state| state.worker.clone())
+            .collect();
+        for worker in enabled {
+            self.schedule_on(worker);
+        }
+        if suspension.is_some() {
+            self.scheduler.cancel_checkpoints();
+        }
+        before
+    }
+
     /// Adds a job without its tasks.
     pub(crate) fn add_job(&mut self, accepted: Accepted) -> watch::Receiver<Status> {
         let id = accepted.job.clone();
--- a/tests/configuration/in_force.rs
+++ b/tests/configuration/in_force.rs
@@ -2,6 +2,7 @@
 //! returns to an older version.
 
 use std::{
+    collections::BTreeSet,
     sync::atomic::Ordering,
     time::Duration, //
 };
@@ -20,15 +21,25 @@
 use basilbridge::{
     active_configuration::{
         MAX_AGE,
-        MAX_READ_AGE, //
+        MAX_READ_AGE,
+        Suspension, //
     },
     audit,
 };
 use basilbridge_common::{
     error::Kind,
-    id::Version, //
+    id::{
+        Name,
+        Version, //
+    },
+};
+use basilbridge_operators::{
+    change::{
+        Operation,
+        Replacement, //
+    },
+    configuration::TeamSettings,
 };
-use basilbridge_operators::configuration::TeamSettings;
 use basilbridge_platform::table::{
     Put,
     Transaction, //
@@ -482,3 +493,58 @@
     assert!(bytes <= budget, "{bytes}");
     assert_eq!(cell.store.counts().over_cap, 0);
 }
+
+/// Guards against an owner that is cut off, does not hear of an evacuation and goes on starting
+/// tasks after the evacuation was reported as in force.
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_is_cut_off_starts_nothing_once_an_evacuation_is_in_force() {
+    let cell = start_cell(3).await;
+    let evacuated: BTreeSet<Name> = BTreeSet::from(["north-b".into()]);
+    let replacement = Replacement {
+        before: Some(BTreeSet::new()),
+        after: Some(evacuated),
+    };
+    let evacuation = edit("evacuation", vec![Operation::SetEvacuated(replacement)]);
+    let suspension = |vm: usize, name: &str| cell.vms[vm].configuration.suspension(&name.into());
+    let before = suspension(2, "north-b");
+    cell.vms[2].fault.send_replace(cut_off());
+
+    let accepted = cell.vms[0].commit_and_wait(evacuation).await.unwrap();
+
+    assert_eq!(before, None);
+    assert!(accepted.in_force);
+    for vm in 0..2 {
+        assert_eq!(suspension(vm, "north-b"), Some(Suspension::Evacuated));
+        assert_eq!(suspension(vm, "south"), None);
+    }
+    assert_eq!(suspension(2, "north-b"), Some(Suspension::OutOfDate));
+    assert_eq!(suspension(2, "south"), Some(Suspension::OutOfDate));
+    cell.vms[2].fault.send_replace(Fault::default());
+    cell.wait(3 * POLL).await;
+    assert_eq!(suspension(2, "north-b"), Some(Suspension::Evacuated));
+    assert_eq!(suspension(2, "south"), None);
+}
+
+/// Guards against a VM that starts after an evacuation, reads the rows of the configuration instead
+/// of its changes, and misses it.
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_later_reads_the_evacuation() {
+    let mut cell = start_cell(2).await;
+    let replacement = Replacement {
+        before: Some(BTreeSet::new()),
+        after: Some(BTreeSet::from(["a".into(), "b".into()])),
+    };
+    let evacuation = edit("evacuation", vec![Operation::SetEvacuated(replacement)]);
+    cell.vms[0].commit_and_wait(evacuation).await.unwrap();
+
+    cell.add_vm();
+    let unread = cell.vms[2].configuration.suspension(&"c".into());
+    cell.wait(3 * POLL).await;
+    let platform = cell.store.platform();
+    let (stored, _) = audit::load_configuration(&platform.tables).await.unwrap();
+
+    assert_eq!(unread, Some(Suspension::OutOfDate));
+    let read = cell.vms[2].configuration.current();
+    assert_eq!(read.evacuated, stored.evacuated);
+    assert_eq!(stored.evacuated.len(), 2);
+}
