--- a/src/owner.rs
+++ b/src/owner.rs
@@ -56,6 +56,11 @@
 };
 
 use crate::{
+    active_configuration::{
+        ActiveConfiguration,
+        Suspension, //
+    },
+    crash::Crashes,
     journal::{
         Accepted,
         Journal,
@@ -96,6 +101,8 @@
     pub journal: Journal,
     /// The table service, which decides who owns the shard.
     pub tables: Service,
+    /// The configuration in force, which tells whether the shard's data centre is evacuated.
+    pub configuration: Arc<ActiveConfiguration>,
     /// The logger of the shard.
     pub log: Logger,
     /// The client that sends metrics.
@@ -126,6 +133,8 @@
 pub(crate) struct Placement {
     pub(crate) worker: Worker,
     pub(crate) attempt: Attempt,
+    /// When the attempt was sent, or found running by this owner; `None` if it was not sent yet.
+    pub(crate) started_at: Option<Millis>,
     /// Whether the end of the task is being written to the journal.
     pub(crate) ending: bool,
 }
@@ -136,6 +145,8 @@
     pub(crate) worker: Worker,
     /// The boot on which the worker accepts new work; nothing is started while this is `None`.
     pub(crate) boot: Option<Boot>,
+    /// When the last renewal that the worker answered was sent.
+    pub(crate) answered_at: Option<Millis>,
     /// Whether the worker has reported what it runs and rejects earlier owners.
     pub(crate) claimed: bool,
     /// When the worker left the platform's list; `None` while the platform lists it.
@@ -152,6 +163,7 @@
         Self {
             worker,
             boot: None,
+            answered_at: None,
             claimed: false,
             unlisted_since: None,
             recorded: false,
@@ -181,12 +193,15 @@
     pub(crate) placements: BTreeMap<id::Task, Placement>,
     pub(crate) workers: BTreeMap<Name, WorkerState>,
     pub(crate) phase: Phase,
+    /// Why the scheduler was told to start nothing.
+    pub(crate) suspension: Option<Suspension>,
     /// Accepted tasks of earlier owners that have not ended and were not found running.
     pub(crate) inherited: BTreeMap<id::Task, shard::Task>,
     /// Starts by earlier owners whose outcome is unknown.
     pub(crate) open_starts: BTreeMap<id::Task, Started>,
     /// Ended jobs, in the order in which they ended.
     pub(crate) finished: VecDeque<(Millis, id::Job)>,
+    pub(crate) crashes: Crashes,
     pub(crate) last_attempt: u64,
     pub(crate) next_job: u64,
 }
@@ -265,7 +280,11 @@
         let summary = Summary {
             queued: (inner.scheduler.queued() + inner.inherited.len()) as u64,
             running: inner.scheduler.running() as u64,
-            free: capacity.minus(&used),
+            // Routing prefers shards that can start what is sent to them.
+            free: match inner.suspension {
+                Some(_) => Resources::default(),
+                None => capacity.minus(&used),
+            },
         };
         (summary, uses)
     }
@@ -307,6 +326,12 @@
         self.lock().scheduler.nearness()
     }
 
+    /// Returns why no task of the shard may be started, or `None` if tasks may be started.
+    pub(crate) fn suspension(&self) -> Option<Suspension> {
+        let data_centre = &self.ownership.shard.data_centre;
+        self.services.configuration.suspension(data_centre)
+    }
+
     /// Returns whether all work of earlier owners has been found or may be started again.
     pub fn is_recovered(&self) -> bool {
         self.lock().phase == Phase::Recovered
