Spread the first returns of refused callers by the VM and by the time

Cause: with the phase of the VM alone, one job of 128 of the team that caused an overload of 16 times waited 300 ms in the window in which service has to be as before (slack 250 ms), since returns of earlier refusals met. Change: the part of the interval follows from the phase and the time of the refusal.

--- a/crates/workflow/src/admission/judge.rs
+++ b/crates/workflow/src/admission/judge.rs
@@ -361,11 +361,13 @@
 
 impl Returns {
     /// Returns the time until the next refused caller returns: not before `earliest`, and `interval`
-    /// after the one before, or a part `phase` of that after `earliest` for the first.
+    /// after the one before, or a part of that after `earliest` for the first. The part follows from
+    /// `phase` and the time, so that neither the VMs nor two overloads have the same one.
     fn next(&mut self, earliest: Millis, interval: Duration, phase: f64, now: Millis) -> Duration {
         let limit = now.after(ORDERED_RETRY);
         let next = if self.last <= now {
-            earliest.after(interval.mul_f64(phase))
+            let part = (phase + now.0 as f64 * SPREAD_FRACTION).fract();
+            earliest.after(interval.mul_f64(part))
         } else {
             self.last.max(earliest).after(interval)
         };
