Count announced jobs against rates after the stored ones have been read

Cause: VMs announce new jobs to an owner that still reads the stored ones. Change: the engine keeps announced jobs until the stored ones are loaded; nothing starts before that in any case. Test: a_job_that_is_announced_before_the_stored_ones_are_read_uses_up_no_rate_but_its_own failed before (601 of 1,000).

--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -163,6 +163,8 @@
     pub(crate) accepted_version: Version,
     /// Announced jobs that the feed has not delivered yet.
     pub(crate) announced: HashSet<Name>,
+    /// Jobs that were announced before the stored ones had been read, in the order of arrival.
+    early_jobs: Vec<(Name, Accepted, Version)>,
     /// Time when an order or a poll last went unanswered.
     pub(crate) last_unanswered_at: Option<Millis>,
     /// Workers on which the start of a suspected task is recorded or being recorded.
@@ -217,6 +219,7 @@
             fenced: false,
             accepted_version: Version(0),
             announced: HashSet::new(),
+            early_jobs: Vec::new(),
             last_unanswered_at: None,
             reserved: SecondaryMap::new(),
             machines: HashMap::new(),
@@ -329,7 +332,16 @@
     /// Accepts a job that the VM which stored it announces ahead of the feed.
     ///
     /// The feed delivers the job later, possibly after it has finished and been removed.
+    ///
+    /// Jobs are counted against the rates of their teams in the order of their acceptance, so one
+    /// that is announced before the stored jobs have been read is accepted after them. Otherwise the
+    /// stored ones would come from the past, in which a team has earned nothing, and all teams would
+    /// exceed their rates after a takeover.
     pub fn announce(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
+        if self.loaded_at.is_none() {
+            self.early_jobs.push((id.clone(), accepted, version));
+            return;
+        }
         if version > self.accepted_version && self.announced.insert(id.clone()) {
             self.accept(
                 id,
@@ -349,6 +361,9 @@
     /// Records that all jobs that were stored when this owner started have been accepted.
     pub fn finish_loading(&mut self, now: Millis) {
         self.loaded_at = Some(now);
+        for (id, accepted, version) in std::mem::take(&mut self.early_jobs) {
+            self.announce(&id, accepted, version, now);
+        }
     }
 
     /// Accepts a job.
@@ -436,6 +451,9 @@
 
     /// Cancels a job. Unknown names are ignored.
     pub fn cancel(&mut self, id: &str, now: Millis) {
+        // The feed delivers a job that was announced and cancelled before the stored jobs were read,
+        // with its cancellation.
+        self.early_jobs.retain(|(early, ..)| **early != *id);
         if let Some(key) = self.jobs_by_id.get(id).copied() {
             self.end_job(key, State::Cancelled, now);
         }
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -94,6 +94,7 @@
     let mut sim = Simulation::new(&["w1"], quick);
     let job = accepted(CHECKS, sim.now, vec![step(1, CORE)]);
     sim.jobs.insert("j1".into(), job.clone());
+    sim.engine.finish_loading(sim.now);
 
     sim.engine
         .announce(&name("j1"), job.clone(), Version(7), sim.now);
--- a/crates/workflow/tests/engine/ranks.rs
+++ b/crates/workflow/tests/engine/ranks.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use basilbridge_common::unit::Millis;
+use basilbridge_common::{
+    id::Version,
+    unit::Millis, //
+};
 use basilbridge_workflow::{
+    engine::Engine,
     quota::TeamQuotas,
     rank::{
         Band,
@@ -14,8 +18,13 @@
 };
 
 use crate::util::{
+    CHECKS,
     TEAM,
-    name, //
+    accepted,
+    name,
+    policy,
+    settings,
+    step, //
 };
 
 const START: Millis = Millis(1_000_000);
@@ -89,6 +98,32 @@
     assert!((20..=28).contains(&entitled), "{entitled}");
 }
 
+/// A new owner hears of new jobs while it reads the stored ones. Counted after a new one, all of
+/// those came from the past, in which their team had earned nothing.
+#[test]
+fn a_job_that_is_announced_before_the_stored_ones_are_read_uses_up_no_rate_but_its_own() {
+    let mut engine = Engine::new(settings(1), policy(0), START);
+    let job = |after: u64| {
+        let at = START.after(Duration::from_millis(after));
+        accepted(CHECKS, at, vec![step(1, 1000)])
+    };
+    let stored = 1000_u64;
+
+    engine.announce(&name("new"), job(12_600), Version(stored + 1), START);
+    // The team is entitled to 100 jobs per second and sends 80.
+    for number in 0..stored {
+        let id = name(&format!("stored{number}"));
+        engine.accept(&id, job(number * 25 / 2), None, true, START);
+    }
+    engine.set_accepted_version(Version(stored));
+    engine.finish_loading(START);
+
+    let is_over = |id: &str| engine.job(id).map(|job| job.over_quota);
+    let excess = (0..stored).filter(|number| is_over(&format!("stored{number}")) != Some(false));
+    assert_eq!(excess.count(), 0);
+    assert_eq!(is_over("new"), Some(false));
+}
+
 #[test]
 fn best_effort_tasks_stop_before_serving_ones_miss_their_target_for_long() {
     let mut percent = 100;
