--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -64,7 +64,7 @@
 
 /// Part of a job's slack that waiting for one resource may use up. The rest is left for errors of
 /// estimates and for the other resources.
-const SLACK_FRACTION: f64 = 0.5;
+pub const SLACK_FRACTION: f64 = 0.5;
 
 impl Engine {
     /// Returns the outlook to publish, or `None` while there is no shortage or the jobs have not
