Run urgent work on the fast workers of a pool

The slack of an urgent job is half of its work, so a slow worker uses it up, and any delay makes the job late.

Change: the engine learns how long tasks take on each worker in proportion to the usual time of their queue. Urgent tasks prefer fast workers, other tasks leave those to them, and calls for advice name workers in that order.

The test failed before.

--- a/crates/workflow/src/advice_workers.rs
+++ b/crates/workflow/src/advice_workers.rs
@@ -28,7 +28,8 @@
     pool::{
         Pool,
         Slot,
-        fit_count, //
+        fit_count,
+        preferred_pace, //
     },
     reserve,
     retry,
@@ -125,10 +126,11 @@
             }
         }
         let slots = pool.slots.iter().filter(|slot| is_eligible(slot));
-        let mut candidates: Vec<(bool, usize, usize, worker::Key)> = slots
+        let mut candidates: Vec<(bool, i32, usize, usize, worker::Key)> = slots
             .map(|slot| {
                 (
                     !stage.verdicts.contains_key(slot.key),
+                    preferred_pace(slot, step, want.is_urgent),
                     fitting(slot, &slot.unclaimed),
                     fitting_tasks(slot),
                     slot.key,
@@ -136,18 +138,25 @@
             })
             .collect();
         let known = candidates.iter().filter(|candidate| !candidate.0);
-        if known.map(|candidate| candidate.2).sum::<usize>() >= waiting {
-            candidates.retain(|candidate| !candidate.0 && candidate.2 > 0);
+        if known.map(|candidate| candidate.3).sum::<usize>() >= waiting {
+            candidates.retain(|candidate| !candidate.0 && candidate.3 > 0);
         }
         // Workers that were approved before come first, then those with the most free capacity. A
         // worker without free capacity may get some while its ticket is valid.
-        candidates.sort_by_key(|(unknown, free, fitting, key)| {
-            (*unknown, Reverse(*free), Reverse(*fitting), *key)
+        candidates.sort_by_key(|(unknown, pace, free, fitting, key)| {
+            (
+                *unknown,
+                *free == 0,
+                *pace,
+                Reverse(*free),
+                Reverse(*fitting),
+                *key,
+            )
         });
         let approvals = self.approvals_of(&job.accepted.queue);
         let workers = candidates
             .iter()
-            .map(|(unknown, _, fitting, _)| (!unknown, *fitting));
+            .map(|(unknown, _, _, fitting, _)| (!unknown, *fitting));
         let needed = sufficient_count(workers, waiting, approvals.rate());
         // More names leave more choice, but take time that other calls need under load.
         let count = if approvals.is_known() && self.relays.is_short() {
@@ -156,7 +165,7 @@
             needed.max(OBJECTIVE_ADVICE_WORKERS)
         };
         candidates.truncate(count.min(advice::MAX_WORKERS));
-        Some(candidates.iter().map(|candidate| candidate.3).collect())
+        Some(candidates.iter().map(|candidate| candidate.4).collect())
     }
 
     /// Returns the recent approvals of a queue.
--- a/crates/workflow/src/pace.rs
+++ b/crates/workflow/src/pace.rs
@@ -85,6 +85,43 @@
     }
 }
 
+/// Number of finished runs over which the pace of a worker is averaged.
+const PACE_MEMORY: f64 = 40.0;
+
+/// Number of runs of usual pace that the pace of a worker starts from, so that a few runs say little.
+const PACE_PRIOR: f64 = 4.0;
+
+/// Relative difference of two paces below which workers count as equally fast.
+const PACE_STEP: f64 = 0.1;
+
+/// How long tasks take on one worker, in proportion to what they usually take.
+///
+/// A machine of an older kind takes longer for everything it runs. Only work with little slack needs
+/// the fast ones.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pace {
+    runs: f64,
+    mean: f64,
+}
+
+impl Pace {
+    /// Records that a task with the estimate `estimate`, of a queue with `durations`, took `time`.
+    pub fn record(&mut self, time: Duration, estimate: Duration, durations: &Durations) {
+        let Some(ratio) = log_ratio(time, estimate).filter(|_| durations.is_regular()) else {
+            return;
+        };
+        let limit = MAX_FACTOR.ln();
+        let difference = (ratio - durations.mean).clamp(-limit, limit);
+        self.runs = (self.runs + 1.0).min(PACE_MEMORY);
+        self.mean += (difference - self.mean) / (self.runs + PACE_PRIOR);
+    }
+
+    /// Returns the class of the worker: zero for the usual pace, less for a faster one.
+    pub fn class(&self) -> i32 {
+        (self.mean / PACE_STEP).round() as i32
+    }
+}
+
 fn log_ratio(time: Duration, estimate: Duration) -> Option<f64> {
     (!estimate.is_zero()).then(|| (time.as_secs_f64().max(0.001) / estimate.as_secs_f64()).ln())
 }
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -52,6 +52,8 @@
     pub(crate) suspect: bool,
     /// Whether its tasks take much longer than elsewhere.
     pub(crate) slow: bool,
+    /// Class of its pace; less is faster.
+    pub(crate) pace: i32,
     /// Whether jobs have failed there, one after the other, so that it gets only work that no other
     /// worker may run.
     pub(crate) quarantined: bool,
@@ -146,6 +148,7 @@
                 capacity: worker.info.capacity,
                 suspect: !worker.failed_jobs.is_empty(),
                 slow: worker.slow_until > now,
+                pace: worker.pace.class(),
                 quarantined: worker.quarantined_until > now,
                 serving: false,
                 best_effort: false,
@@ -233,12 +236,16 @@
             pool.has_quarantined && !self.has_trusted_worker(ready, step, pool, &[]);
         let has_capacity =
             |slot: &Slot| has_capacity(slot) && (!slot.quarantined || may_use_quarantined);
+        let is_urgent = self
+            .queue(&self.jobs[ready.job])
+            .is_some_and(|queue| queue.priority == pool.urgent && !step.long_running);
         let candidate = |slot: &Slot| Candidate {
             key: slot.key,
             free: slot.free,
             remote_data: self.is_remote_from_data(slot.key, step),
             suspect: slot.suspect,
             slow: slot.slow,
+            pace: preferred_pace(slot, step, is_urgent),
             interferes: interferes(slot, step),
             colocation: slot.colocation,
         };
@@ -314,6 +321,20 @@
     (step.best_effort && slot.serving) || (step.latency_target.is_some() && slot.best_effort)
 }
 
+/// Returns the preference for a worker by its pace; less is better.
+///
+/// Urgent work needs fast workers, and other work leaves them to it. Tasks with accelerators are
+/// packed instead, since a task may need all of those of a worker.
+pub(crate) fn preferred_pace(slot: &Slot, step: &Step, is_urgent: bool) -> i32 {
+    if step.resources.accelerators > 0 {
+        0
+    } else if is_urgent {
+        slot.pace
+    } else {
+        -slot.pace
+    }
+}
+
 /// Returns how many tasks that need `demand` fit into `available`, at most 1,000,000.
 pub(crate) fn fit_count(available: &Resources, demand: &Resources) -> usize {
     let count = |available: u64, demand: u64| available.checked_div(demand).unwrap_or(u64::MAX);
--- a/crates/workflow/src/selection.rs
+++ b/crates/workflow/src/selection.rs
@@ -21,6 +21,9 @@
     pub suspect: bool,
     /// Whether its tasks take much longer than elsewhere.
     pub slow: bool,
+    /// Preference by the pace of the worker; less is better. Urgent work prefers fast workers, and
+    /// other work leaves them to it.
+    pub pace: i32,
     /// Whether the worker would run both serving and best-effort tasks.
     pub interferes: bool,
     /// Other runs there, which a crash of the worker would cost.
@@ -47,6 +50,7 @@
                 candidate.colocation.suspect,
                 candidate.interferes,
                 candidate.remote_data,
+                candidate.pace,
                 candidate.free.accelerators,
                 candidate.free.cpu_millis,
                 candidate.free.memory_mib,
--- a/crates/workflow/src/slowness.rs
+++ b/crates/workflow/src/slowness.rs
@@ -40,7 +40,7 @@
     }
 
     /// Records how long a run took that has completed its task.
-    pub(crate) fn record_duration(&mut self, run: &Run, now: Millis) {
+    pub(crate) fn record_duration(&mut self, key: worker::Key, run: &Run, now: Millis) {
         let Some(job) = run
             .position
             .and_then(|position| self.jobs.get(position.job))
@@ -56,6 +56,7 @@
                 self.usual_start = self.usual_start.max(run.started_at);
             }
             durations.record(time, estimate);
+            self.workers[key].pace.record(time, estimate, durations);
         }
     }
 
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -139,6 +139,8 @@
     pub failed_jobs: Vec<Name>,
     /// Time until which it counts as slow.
     pub slow_until: Millis,
+    /// How long its tasks take.
+    pub pace: pace::Pace,
     /// Number of quarantines since the last success.
     pub quarantines: u32,
     /// Time when the list named a boot that has not answered a poll yet.
@@ -178,6 +180,7 @@
             proof_polled_at: None,
             failed_jobs: Vec::new(),
             slow_until: Millis(0),
+            pace: pace::Pace::default(),
             quarantines: 0,
             reboot_listed_at: None,
             unmatched_ends: Vec::new(),
@@ -193,6 +196,7 @@
         self.lease = Lease::default();
         self.exonerate();
         self.slow_until = Millis(0);
+        self.pace = pace::Pace::default();
         self.reboot_listed_at = None;
         self.unmatched_ends.clear();
     }
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -308,7 +308,7 @@
         if let Some(run) = &run
             && end.outcome == Outcome::Done
         {
-            self.record_duration(run, now);
+            self.record_duration(key, run, now);
         }
         let Some(position) = self.position(&end.task) else {
             if self.expects_unknown_jobs(now) {
--- a/crates/workflow/tests/engine/pace.rs
+++ b/crates/workflow/tests/engine/pace.rs
@@ -23,6 +23,7 @@
     simulation::Simulation,
     util::{
         CHECKS,
+        PLANS,
         accepted,
         step, //
     },
@@ -177,3 +178,37 @@
     assert!(durations.is_slow(estimate * 9, estimate));
     assert!(!durations.is_slow(estimate * 2, estimate));
 }
+
+/// Workers of three kinds, of which the slowest takes 1.6 times as long as the fastest. The slack of
+/// an urgent job is half of its work, so on a slow worker any further delay makes it late.
+#[test]
+fn urgent_jobs_run_on_the_fast_workers_and_long_ones_leave_those_free() {
+    const FAST: [&str; 4] = ["w1", "w4", "w7", "w10"];
+    const SLOW: [&str; 4] = ["w3", "w6", "w9", "w12"];
+    let mut sim = Simulation::new(&WORKERS, regular);
+    set_slowness(&mut sim, &FAST, 80);
+    set_slowness(&mut sim, &SLOW, 125);
+    submit_for(&mut sim, 5000);
+    sim.run(2000);
+    sim.events.clear();
+
+    for number in 0..20 {
+        let long = accepted(PLANS, sim.now, vec![step(2, 14 * CORE)]);
+        sim.submit(&format!("p{number}"), long);
+        let urgent = accepted(CHECKS, sim.now, vec![step(4, 14 * CORE)]);
+        sim.submit(&format!("u{number}"), urgent);
+        sim.run(250);
+    }
+    sim.run(2000);
+
+    let ends_on = |job: char, workers: &[&str]| {
+        let ends = sim.events.iter().filter(|event| {
+            matches!(event, Event::End { task, worker, .. }
+                if task.job.starts_with(job) && workers.contains(&&**worker))
+        });
+        ends.count()
+    };
+    assert_eq!(ends_on('u', &FAST), 80);
+    assert_eq!(ends_on('p', &FAST), 0);
+    assert_eq!(sim.fleet.violations, Vec::<String>::new());
+}
