Avoid VMs that were lost for good

Cause: a VM that was replaced stays registered.

Change: the time for which a VM makes no call after a failure doubles up to 30 s. Peers that failed within 10 s are tried last. A connection is given up after 0.4 s, so that a request to a lost VM is known to be unsent.

--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -22,7 +22,10 @@
 use basilbridge_workflow::job::Accepted;
 use bytes::Bytes;
 use http::Method;
-use rand::seq::IteratorRandom;
+use rand::seq::{
+    IteratorRandom,
+    SliceRandom, //
+};
 use serde_json::{
     Value,
     json, //
@@ -188,14 +191,22 @@
     )
 }
 
+/// Returns the peers to try, those first that have not failed lately.
 fn random_peers(node: &Node) -> Vec<SocketAddr> {
-    let view = node.view();
-    let others = view
-        .nodes
-        .iter()
-        .filter(|(name, _)| **name != node.config.name);
-    let addresses = others.map(|(_, peer)| peer.peers);
-    addresses.choose_multiple(&mut rand::rng(), MAX_PEERS_TRIED)
+    let addresses: Vec<SocketAddr> = {
+        let view = node.view();
+        let others = view.nodes.iter();
+        let others = others.filter(|(name, _)| **name != node.config.name);
+        others.map(|(_, peer)| peer.peers).collect()
+    };
+    let (failing, mut chosen): (Vec<_>, Vec<_>) = addresses
+        .into_iter()
+        .partition(|address| node.pool.is_failing(*address));
+    let mut random = rand::rng();
+    chosen.shuffle(&mut random);
+    chosen.extend(failing.into_iter().choose(&mut random));
+    chosen.truncate(MAX_PEERS_TRIED);
+    chosen
 }
 
 async fn forward(
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -22,6 +22,7 @@
     },
     job::Status,
     timer,
+    unit::Millis, //
 };
 use tonic::{
     ConnectError, Request,
@@ -57,8 +58,9 @@
 /// The timeout of an exchange of configurations, in which the peer may have to catch up.
 const CONFIGURE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout for establishing a connection. It is shorter than that of any forwarded request, so
+/// that a request to a lost VM is known to be unsent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The minimum delay before another call to a peer that did not accept one.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
@@ -66,10 +68,15 @@
 /// The maximum delay before another call to a peer that did not accept one.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// How long a peer counts as failing after a call to it failed, unless another succeeds.
+const FAILING_PERIOD: Duration = Duration::from_secs(10);
+
 /// A connection to a peer and the delay after failed attempts to reach it.
 struct Peer {
     channel: Channel,
     backoff: Backoff,
+    /// When the last call failed; `None` if it succeeded.
+    failed_at: Option<Millis>,
 }
 
 /// A pool with one connection to each peer. Clones share the connections.
@@ -250,13 +257,22 @@
                 Ok(convert::client_reply_from_wire(reply.into_inner()))
             }
             Some(Err(status)) => Err(self.error_from_status(address, &status)),
-            None => Err(Error::new(
-                Kind::OutcomeUnknown,
-                format!("the peer at {address} did not answer in time"),
-            )),
+            None => {
+                self.record_timeout(address);
+                Err(Error::new(
+                    Kind::OutcomeUnknown,
+                    format!("the peer at {address} did not answer in time"),
+                ))
+            }
         }
     }
 
+    /// Returns whether the last call to the peer at `address` failed a short time ago.
+    pub fn is_failing(&self, address: SocketAddr) -> bool {
+        let failed_at = self.lock().get(&address).and_then(|peer| peer.failed_at);
+        failed_at.is_some_and(|at| self.timer.now().since(at) < FAILING_PERIOD)
+    }
+
     /// Returns the connection to `address`, which is established on first use.
     ///
     /// Fails with [`Kind::Unreachable`] and the remaining delay while the peer is backed off.
@@ -280,6 +296,7 @@
         let peer = Peer {
             channel: channel.clone(),
             backoff: Backoff::new(MIN_BACKOFF, MAX_BACKOFF),
+            failed_at: None,
         };
         peers.insert(address, peer);
         Ok(channel)
@@ -287,13 +304,22 @@
 
     fn record_failure(&self, address: SocketAddr) {
         if let Some(peer) = self.lock().get_mut(&address) {
-            peer.backoff
-                .record_failure(self.timer.now(), rand::random());
+            let now = self.timer.now();
+            peer.failed_at = Some(now);
+            peer.backoff.record_failure(now, rand::random());
+        }
+    }
+
+    /// Records that a peer has not answered in time. It may only be slow, so it is not backed off.
+    fn record_timeout(&self, address: SocketAddr) {
+        if let Some(peer) = self.lock().get_mut(&address) {
+            peer.failed_at = Some(self.timer.now());
         }
     }
 
     fn record_success(&self, address: SocketAddr) {
         if let Some(peer) = self.lock().get_mut(&address) {
+            peer.failed_at = None;
             peer.backoff.record_success();
         }
     }
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use basilbridge_common::{
+    backoff::Backoff,
     id::Name,
     unit::Millis, //
 };
@@ -28,9 +29,13 @@
 /// long calls stay within their part of the VMs.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time for which a VM makes no call after one through it failed.
+/// Time for which a VM makes no call after one through it failed. It doubles with each further
+/// failure, since a VM that was lost for good stays registered.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1500);
 
+/// Longest time for which a VM makes no call after one through it failed.
+const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(30);
+
 /// Longest time between two scheduling passes that follow each other.
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -113,7 +118,7 @@
     name: Name,
     listed: bool,
     calls: Vec<Call>,
-    blocked_until: Millis,
+    backoff: Backoff,
     /// Time until which the service may work on a call of an earlier owner.
     occupied_until: Millis,
 }
@@ -124,11 +129,15 @@
             name,
             listed: true,
             calls: Vec::new(),
-            blocked_until: Millis(0),
+            backoff: Backoff::new(FAILURE_BACKOFF, MAX_FAILURE_BACKOFF),
             occupied_until,
         }
     }
 
+    fn is_blocked(&self, now: Millis) -> bool {
+        self.backoff.remaining(now).is_some()
+    }
+
     /// Returns the kind of the calls that it makes, if any.
     fn kind(&self) -> Option<Kind> {
         let has_long = self.calls.iter().any(|call| call.kind == Kind::Long);
@@ -268,7 +277,7 @@
             return;
         };
         if !answered {
-            relay.blocked_until = now.after(FAILURE_BACKOFF);
+            relay.backoff.record_failure(now, 1.0);
             if let Some(call) = relay.calls.iter_mut().find(|call| is_call(call)) {
                 call.failed = true;
             }
@@ -279,6 +288,7 @@
             let average = self.overhead.as_secs_f64();
             self.overhead = Duration::from_secs_f64(average + (late - average) * OVERHEAD_GAIN);
         }
+        relay.backoff.record_success();
         // The service works in order, so it has answered all earlier calls, too.
         relay.occupied_until = Millis(0);
         relay.calls.retain(|call| !is_call(call));
@@ -360,9 +370,8 @@
         let all_blocked = self
             .relays
             .iter()
-            .all(|relay| !relay.listed || relay.blocked_until > now);
-        let is_available =
-            |relay: &Relay| relay.listed && (relay.blocked_until <= now || all_blocked);
+            .all(|relay| !relay.listed || relay.is_blocked(now));
+        let is_available = |relay: &Relay| relay.listed && (!relay.is_blocked(now) || all_blocked);
         // An idle VM of the other kind's part may be left over.
         let is_decided = access != Access::Part
             || !self
--- a/crates/workflow/tests/engine/advice.rs
+++ b/crates/workflow/tests/engine/advice.rs
@@ -154,6 +154,28 @@
     assert_eq!(used, [false, false, false, true]);
 }
 
+/// A VM that was lost for good stays registered. Each call through it delayed a step by 0.8 s, twice
+/// in three seconds until the end of the day.
+#[test]
+fn a_vm_through_which_every_call_fails_is_tried_less_and_less() {
+    let mut relays = relays(2, SHORT, Duration::ZERO);
+    let lost = relays.assign(SHORT, Kind::Short, Access::Spare, false, NOW);
+    let lost = lost.unwrap().relay;
+    let mut failed = 0;
+
+    for at in (0..60_000).step_by(100) {
+        let now = NOW.after(Duration::from_millis(at));
+        relays.begin_pass(SHORT, Duration::ZERO, now);
+        if let Some(call) = relays.assign(SHORT, Kind::Short, Access::Spare, false, now) {
+            let answered = call.relay != lost;
+            failed += usize::from(!answered);
+            relays.finish(call.call, answered, now);
+        }
+    }
+
+    assert!(failed <= 7, "{failed}");
+}
+
 /// A call that waits at the service behind another is late by that one's duration, and by far more
 /// if that one is never answered.
 #[test]
