Start jobs that only the new owner knows at once

Change: an owner takes a job from the feed only after a write on the condition of its claim was committed at a later version. So a job that was stored after the claim and is announced to the new owner is known to no other, and need not wait.

The test failed before.

--- a/crates/cell/src/announce.rs
+++ b/crates/cell/src/announce.rs
@@ -33,13 +33,8 @@
         owner::apply_announced(&owner, &id, version, accepted.cloned());
         return;
     }
-    let address = {
-        let view = node.view();
-        let claim = view.claim.as_ref();
-        claim.and_then(|held| Some(view.nodes.get(&held.claim.holder)?.peers))
-    };
     // Without a known owner, the next one learns of the job from the feed.
-    let Some(address) = address else {
+    let Some(address) = node.view().owner_address() else {
         return;
     };
     let accepted = match accepted.map(record::encode).transpose() {
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{
         Arc,
         Mutex,
@@ -374,6 +375,12 @@
         }
     }
 
+    /// Returns the address of the VM that holds the claim.
+    pub(crate) fn owner_address(&self) -> Option<SocketAddr> {
+        let holder = &self.claim.as_ref()?.claim.holder;
+        Some(self.nodes.get(holder)?.peers)
+    }
+
     fn cpu_millis(&self, name: &Name) -> u32 {
         self.nodes.get(name).map_or(0, |node| node.cpu_millis)
     }
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -83,10 +83,8 @@
     let sent = owner.now();
     match owner.node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => {
-            let mut engine = owner.engine();
-            engine.confirm_ownership(sent);
-            engine.handle_stored(batch, version, owner.now());
-            drop(engine);
+            owner.confirm_ownership(sent, version);
+            owner.engine().handle_stored(batch, version, owner.now());
             // Starts may have waited for it.
             owner.wake.notify_one();
             true
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clients;
 pub mod config;
 pub mod configuration;
+pub mod delivery;
 mod dispatch;
 mod election;
 mod evacuation;
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -63,7 +63,9 @@
 };
 
 use crate::{
-    admission, advisor, dispatch,
+    admission, advisor,
+    delivery::Delivery,
+    dispatch,
     election::{
         self,
         Ownership, //
@@ -145,6 +147,7 @@
     /// The number of batches whose write has finished, successfully or not.
     pub(crate) finished_batches: watch::Sender<u64>,
     engine: Mutex<Engine>,
+    delivery: Mutex<Delivery>,
     ended: watch::Sender<bool>,
     /// Whether all jobs have been read from the store.
     loaded: AtomicBool,
@@ -248,18 +251,40 @@
         self.wake.notify_one();
     }
 
-    fn apply_jobs(&self, update: Update) {
+    fn receive_jobs(&self, update: Update) {
         let (Update::All(rows) | Update::Changed(rows)) = update;
+        let ready = self.lock_delivery().deliver(rows);
+        self.apply_jobs(&ready);
+        if !self.lock_delivery().is_empty() {
+            self.heartbeat_due.notify_one();
+        }
+    }
+
+    /// Records that a write on the condition that this VM holds the claim was committed at
+    /// `version`. It was sent at `sent`.
+    pub(crate) fn confirm_ownership(&self, sent: Millis, version: Version) {
+        self.engine().confirm_ownership(sent);
+        let ready = self.lock_delivery().confirm(version);
+        self.apply_jobs(&ready);
+    }
+
+    fn apply_jobs(&self, rows: &[Row]) {
+        let Some(newest) = rows.iter().map(|row| row.version).max() else {
+            return;
+        };
         let now = self.now();
         let mut engine = self.engine();
-        for row in &rows {
+        for row in rows {
             apply_job_row(&self.node.log, &mut engine, row, now);
         }
-        let newest = rows.iter().map(|row| row.version).max();
-        engine.set_accepted_version(newest.unwrap_or_default());
+        engine.set_accepted_version(newest);
         drop(engine);
         self.wake.notify_one();
     }
+
+    fn lock_delivery(&self) -> MutexGuard<'_, Delivery> {
+        self.delivery.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Applies a notification of a stored job, or of its cancellation if `accepted` is `None`.
@@ -296,6 +321,7 @@
 pub(crate) async fn run(node: &Arc<Node>, ownership: Ownership) {
     let settings = engine::Settings {
         epoch: ownership.claim.epoch,
+        claimed_at: ownership.version,
         predecessor_ended: ownership.predecessor_ended,
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
@@ -316,6 +342,7 @@
         heartbeat_due: Notify::new(),
         finished_batches: watch::Sender::new(0),
         engine: Mutex::new(engine),
+        delivery: Mutex::default(),
         ended: watch::Sender::new(false),
         loaded: AtomicBool::new(false),
         stall_detector: stall::StallDetector::new(stall::boot_time()),
@@ -507,7 +534,7 @@
         Some(from),
         feed::JOBS,
         move |update| {
-            receiver.apply_jobs(update);
+            receiver.receive_jobs(update);
         },
     )
     .await;
@@ -594,8 +621,8 @@
     /// Handles the outcome of a heartbeat. Returns whether the ownership goes on.
     async fn handle(&mut self, owner: &Owner, written: WrittenHeartbeat) -> bool {
         match written.outcome {
-            Ok(Outcome::Committed(_)) => {
-                owner.engine().confirm_ownership(written.sent);
+            Ok(Outcome::Committed(version)) => {
+                owner.confirm_ownership(written.sent, version);
                 self.stored_workers = written.workers;
                 self.last_stored_at = owner.now();
                 if self.last_stored_at.since(self.last_offered_at) < YIELD_INTERVAL {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod delivery;
 mod elections;
 mod evacuation;
 mod fake_platform;
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -93,6 +93,7 @@
     };
     let settings = Settings {
         epoch: 0,
+        claimed_at: basilbridge_common::id::Version(0),
         predecessor_ended: true,
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -94,6 +94,8 @@
 pub struct Settings {
     /// Number of owners before this one.
     pub epoch: u32,
+    /// Version of the store at which this owner claimed the workers.
+    pub claimed_at: Version,
     /// Whether the previous owner is known to have ended before this one started.
     pub predecessor_ended: bool,
     /// Time for which a task keeps running without a renewal from its owner.
@@ -336,6 +338,10 @@
     ///
     /// The feed delivers the job later, possibly after it has finished and been removed.
     ///
+    /// A job is announced once, to one owner, and an earlier owner takes no job from the feed that
+    /// was stored after it had lost its claim. So a job that was stored after the claim of this
+    /// owner, and is announced to it, is known to no other.
+    ///
     /// Jobs are counted against the rates of their teams in the order of their acceptance, so one
     /// that is announced before the stored jobs have been read is accepted after them. Otherwise the
     /// stored ones would come from the past, in which a team has earned nothing, and all teams would
@@ -346,13 +352,9 @@
             return;
         }
         if version > self.accepted_version && self.announced.insert(id.clone()) {
-            self.accept(
-                id,
-                accepted,
-                None,
-                self.may_be_known_to_predecessor(now),
-                now,
-            );
+            let inherited =
+                version <= self.settings.claimed_at && self.may_be_known_to_predecessor(now);
+            self.accept(id, accepted, None, inherited, now);
         }
     }
 
@@ -365,6 +367,14 @@
     pub fn finish_loading(&mut self, now: Millis) {
         self.loaded_at = Some(now);
         for (id, accepted, version) in std::mem::take(&mut self.early_jobs) {
+            // A read of the stored jobs may have delivered it, too.
+            let loaded = self
+                .jobs_by_id
+                .get(&id)
+                .and_then(|key| self.jobs.get_mut(*key));
+            if let Some(job) = loaded {
+                job.inherited &= version <= self.settings.claimed_at;
+            }
             self.announce(&id, accepted, version, now);
         }
     }
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -619,3 +619,32 @@
 
     assert_eq!(sim.starts_of("largest"), 1);
 }
+
+/// Passes a job that was stored after the claim to a new owner while one of the workers does not
+/// answer. Returns whether the job starts.
+fn starts_beside_a_silent_worker(announced: bool) -> bool {
+    let mut sim = Simulation::new(&["w1", "w2", "w3"], quick);
+    sim.run(500);
+    sim.take_over();
+    let job = accepted(CHECKS, sim.now, vec![step(1, CORE)]);
+    sim.jobs.insert("j1".into(), job.clone());
+    if announced {
+        sim.engine.announce(&name("j1"), job, Version(1), sim.now);
+    } else {
+        sim.engine.accept_new(&name("j1"), job, Version(1), sim.now);
+    }
+    sim.run_on(1000, |worker| match &**worker {
+        "w3" => Link::LostOrder,
+        _ => Link::Normal,
+    });
+    sim.starts_of("j1") > 0
+}
+
+/// A VM had been frozen while it owned the workers, and one worker had crashed. Jobs that arrived
+/// after the takeover waited for five seconds, until another worker answered at its address. Only
+/// those that were announced to the earlier owner have to.
+#[test]
+fn a_job_that_is_announced_to_a_new_owner_starts_although_a_worker_does_not_answer() {
+    assert!(starts_beside_a_silent_worker(true));
+    assert!(!starts_beside_a_silent_worker(false));
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -168,6 +168,7 @@
         self.epoch += 1;
         let settings = Settings {
             epoch: self.epoch,
+            claimed_at: Version(self.version),
             predecessor_ended: ended,
             ..self.settings.clone()
         };
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use basilbridge_common::{
-    id::Name,
+    id::{
+        Name,
+        Version, //
+    },
     unit::{
         Millis,
         Resources, //
@@ -41,6 +44,7 @@
 pub(crate) fn settings(epoch: u32) -> Settings {
     Settings {
         epoch,
+        claimed_at: Version(0),
         predecessor_ended: false,
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
