Do not wait for workers that left while there was no owner

A worker that had announced to leave exits while all VMs are without power, or while the owner is frozen. The stored list of the earlier owner names it, the platform's list does not, and the new owner does not know that it was about to leave.

Change: the owner also stores which of its workers are about to leave, in a row of its own that versions before do not read. A new owner does not wait for those that are not listed any more, as an owner does that sees such a worker vanish from the list.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -52,6 +52,7 @@
         Claim,
         HEARTBEAT_KEY,
         Heartbeat,
+        LEAVING_KEY,
         NODE_PREFIX,
         OWNERSHIP_TABLE,
         WORKERS_KEY, //
@@ -112,6 +113,8 @@
     pub(crate) nodes: BTreeMap<Name, record::NodeEntry>,
     /// The workers that the owner last listed.
     pub(crate) workers: Vec<Name>,
+    /// Those of them that are about to leave.
+    pub(crate) leaving: Vec<Name>,
     /// Why the owner's process is considered down, and since when; `None` while it answers.
     pub(crate) owner_down: Option<(OwnerDown, Millis)>,
     /// The nonce of the owner that has asked this VM to take over.
@@ -162,6 +165,8 @@
     pub(crate) claim: Claim,
     /// The workers that the previous owner knew.
     pub(crate) workers: Vec<Name>,
+    /// Those of them that had announced to leave.
+    pub(crate) leaving: Vec<Name>,
     /// Whether the previous owner was known to have ended when this VM claimed.
     pub(crate) predecessor_ended: bool,
 }
@@ -229,6 +234,11 @@
                     self.workers = workers;
                 }
             }
+            LEAVING_KEY => {
+                if let Some(leaving) = record::decode_row(log, row) {
+                    self.leaving = leaving;
+                }
+            }
             _ => {}
         }
     }
@@ -520,7 +530,7 @@
 }
 
 async fn try_claim(node: &Arc<Node>) -> Option<Ownership> {
-    let (before, heartbeat_version, workers, predecessor_ended, unproven) = {
+    let (before, heartbeat_version, (workers, leaving), predecessor_ended, unproven) = {
         let view = node.shared_view.lock();
         let heartbeat_version = view
             .last_heartbeat
@@ -530,7 +540,7 @@
         (
             view.claim.clone(),
             heartbeat_version,
-            view.workers.clone(),
+            (view.workers.clone(), view.leaving.clone()),
             ended,
             view.unproven_takeovers(&node.config.name),
         )
@@ -575,6 +585,7 @@
         version,
         claim,
         workers,
+        leaving,
         predecessor_ended,
     })
 }
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -85,6 +85,7 @@
             engine.register_worker(entry, now);
         }
     }
+    engine.forget_departed(&owner.ownership.leaving, now);
     let mut stored: HashMap<&str, (Progress, Version)> = HashMap::new();
     // A job whose progress can't be decoded may have run, so it is not started again.
     let mut undecodable: HashSet<&str> = HashSet::new();
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -85,6 +85,7 @@
         HEARTBEAT_KEY,
         Heartbeat,
         JOB_TABLE,
+        LEAVING_KEY,
         WORKERS_KEY, //
     },
     sharing, stall, sweep, traffic,
@@ -582,21 +583,34 @@
     sequence: u64,
     last_stored_at: Millis,
     last_offered_at: Millis,
-    stored_workers: Vec<Name>,
+    stored_workers: WorkerLists,
+}
+
+/// The workers that a later owner has to expect.
+#[derive(Clone, Default, PartialEq, Eq)]
+struct WorkerLists {
+    all: Vec<Name>,
+    leaving: Vec<Name>,
 }
 
 /// A heartbeat whose write has an outcome.
 struct WrittenHeartbeat {
     sent: Millis,
-    workers: Vec<Name>,
+    workers: WorkerLists,
     outcome: Result<Outcome>,
 }
 
 impl Heartbeats {
     /// Returns the rows of the next heartbeat and the workers that they list.
-    fn next(&mut self, owner: &Owner) -> (Vec<Put>, Vec<Name>) {
+    fn next(&mut self, owner: &Owner) -> (Vec<Put>, WorkerLists) {
         let unstarted = owner.unstarted();
-        let workers = owner.engine().worker_names();
+        let workers = {
+            let engine = owner.engine();
+            WorkerLists {
+                all: engine.worker_names(),
+                leaving: engine.leaving_workers(),
+            }
+        };
         self.sequence += 1;
         let mut puts = Vec::new();
         match record::encode(&Heartbeat {
@@ -609,10 +623,17 @@
                 slog::error!(owner.node.log, "heartbeat can't be encoded"; "error" => %error)
             }
         }
-        if workers != self.stored_workers
-            && let Ok(value) = record::encode(&workers)
-        {
-            puts.push(election::put(WORKERS_KEY, value));
+        let stored = &self.stored_workers;
+        let lists = [
+            (WORKERS_KEY, &workers.all, &stored.all),
+            (LEAVING_KEY, &workers.leaving, &stored.leaving),
+        ];
+        for (key, list, stored) in lists {
+            if list != stored
+                && let Ok(value) = record::encode(list)
+            {
+                puts.push(election::put(key, value));
+            }
         }
         puts.extend(sharing::row(owner, self.sequence));
         (puts, workers)
@@ -671,7 +692,7 @@
         sequence: 0,
         last_stored_at: now,
         last_offered_at: now,
-        stored_workers: Vec::new(),
+        stored_workers: WorkerLists::default(),
     };
     let mut in_flight = FuturesUnordered::new();
     let mut due = now;
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -52,6 +52,9 @@
 /// The key of the owner's list of workers.
 pub(crate) const WORKERS_KEY: &str = "workers";
 
+/// The key of the owner's list of workers that are about to leave.
+pub(crate) const LEAVING_KEY: &str = "leaving";
+
 /// The key of the past use of teams.
 pub(crate) const USAGE_KEY: &str = "usage";
 
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -316,6 +316,14 @@
         names
     }
 
+    /// Returns the names of the workers that are about to leave, in order.
+    pub fn leaving_workers(&self) -> Vec<Name> {
+        let leaving = self.workers.values().filter(|worker| worker.info.leaving);
+        let mut names: Vec<Name> = leaving.map(|worker| worker.info.name.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Accepts a job from the jobs feed, whose row has `version`.
     ///
     /// A feed that was reset delivers all rows again, including those of jobs that were finished
