Log what keeps the owner busy and what waits for it

Cause: the logs of an overload of the large site could not tell a full processor from work that admission does not see, from tasks that hang or from a takeover that waits. control.cpu is a total of the process.

Change: the owner's parts are measured in turns, and a line `load` tells once a second how much of the time they are at work, how late passes begin, and what waits. work_seconds tells the same in the metrics.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -46,6 +46,7 @@
     job_store,
     node::Node,
     owner::Owner,
+    profile::Part,
     record, //
 };
 
@@ -146,7 +147,8 @@
         .unwrap_or_else(PoisonError::into_inner);
     if now.since(published.made_at) >= OUTLOOK_LIFETIME {
         let relays = owner.node.view().nodes.len();
-        published.outlook = owner.engine().outlook(relays, now);
+        let make = || owner.engine().outlook(relays, now);
+        published.outlook = owner.node.clients.profile.time(Part::Outlook, make);
         published.made_at = now;
         if let Some(outlook) = &published.outlook
             && now.since(published.logged_at) >= LOG_INTERVAL
--- a/crates/cell/src/clients.rs
+++ b/crates/cell/src/clients.rs
@@ -44,6 +44,7 @@
 
 use crate::{
     configuration::Configuration,
+    profile::Profile,
     traffic::Traffic, //
 };
 
@@ -160,4 +161,6 @@
     pub formats: Formats,
     /// The bytes that the clients exchange.
     pub traffic: Traffic,
+    /// The processor time of the parts of this VM.
+    pub profile: Profile,
 }
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -17,26 +17,25 @@
 
 use crate::{
     advisor,
-    owner::Owner, //
+    owner::Owner,
+    profile::Part, //
 };
 
 /// Sends an order in the background.
 pub(crate) fn send(owner: &Arc<Owner>, order: Order) {
     let owner = Arc::clone(owner);
-    match order {
-        Order::Start(order) => {
-            tokio::spawn(start(owner, order));
+    let profile = owner.node.clients.profile.clone();
+    tokio::spawn(async move {
+        match order {
+            Order::Start(order) => profile.measure(Part::Order, start(owner, order)).await,
+            Order::Stop(order) => profile.measure(Part::Order, stop(owner, order)).await,
+            Order::Throttle(order) => profile.measure(Part::Order, throttle(owner, order)).await,
+            Order::RequestAdvice(request) => {
+                let advice = advisor::request_advice(owner, request);
+                profile.measure(Part::Advice, advice).await;
+            }
         }
-        Order::Stop(order) => {
-            tokio::spawn(stop(owner, order));
-        }
-        Order::Throttle(order) => {
-            tokio::spawn(throttle(owner, order));
-        }
-        Order::RequestAdvice(request) => {
-            tokio::spawn(advisor::request_advice(owner, request));
-        }
-    }
+    });
 }
 
 async fn start(owner: Arc<Owner>, order: Start) {
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -31,7 +31,10 @@
 use http::StatusCode;
 use std::sync::Arc;
 
-use crate::traffic::Traffic;
+use crate::{
+    profile::Profile,
+    traffic::Traffic, //
+};
 
 /// The largest value that a histogram records, in microseconds; longer times count as this one.
 const MAX_MICROS: u64 = 60_000_000;
@@ -106,20 +109,25 @@
 struct Source {
     metrics: Metrics,
     traffic: Traffic,
+    profile: Profile,
 }
 
 impl std::panic::RefUnwindSafe for Source {}
 
-/// Builds the router that serves `metrics` and `traffic` under `/metrics`.
-pub fn router(metrics: Metrics, traffic: Traffic) -> Router {
+/// Builds the router that serves `metrics`, `traffic` and `profile` under `/metrics`.
+pub fn router(metrics: Metrics, traffic: Traffic, profile: Profile) -> Router {
     let pipeline = new_pipeline()
-        .add(StateMiddleware::new(Source { metrics, traffic }))
+        .add(StateMiddleware::new(Source {
+            metrics,
+            traffic,
+            profile,
+        }))
         .build();
     let (chain, pipelines) = single_pipeline(pipeline);
     build_router(chain, pipelines, |route| {
         route.get("/metrics").to(|state: State| {
             let source = Source::borrow_from(&state);
-            let text = source.metrics.text() + &source.traffic.text();
+            let text = source.metrics.text() + &source.traffic.text() + &source.profile.text();
             let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN_UTF_8, text);
             (state, response)
         });
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -215,7 +215,11 @@
         let ready = Server::start(self.config.ready, ready, settings.clone()).await?;
         let metrics = match self.config.metrics {
             Some(address) => {
-                let router = metrics::router(self.metrics.clone(), self.clients.traffic.clone());
+                let router = metrics::router(
+                    self.metrics.clone(),
+                    self.clients.traffic.clone(),
+                    self.clients.profile.clone(),
+                );
                 Some(Server::start(address, router, settings.clone()).await?)
             }
             None => None,
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -78,6 +78,7 @@
     journal, load,
     node::Node,
     polling,
+    profile::Part,
     record::{
         self,
         CLAIM_KEY,
@@ -88,7 +89,7 @@
         LEAVING_KEY,
         WORKERS_KEY, //
     },
-    sharing, stall, sweep, traffic,
+    report, sharing, stall, sweep,
 };
 
 /// The time between two heartbeats of the owner.
@@ -128,9 +129,6 @@
 /// The time between two scheduling passes without events.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The time between two reports of the use of the link.
-const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
-
 /// The most orders that are open at one worker at once, of its connections.
 const MAX_ORDERS_PER_WORKER: usize = 4;
 
@@ -351,8 +349,9 @@
     });
     *node.owner() = Arc::downgrade(&owner);
     let mut tasks = JoinSet::new();
-    tasks.spawn(send_heartbeats(Arc::clone(&owner)));
-    tasks.spawn(report_traffic(Arc::clone(&owner)));
+    spawn_measured(&mut tasks, &owner, Part::Store, send_heartbeats);
+    tasks.spawn(report::report_traffic(Arc::clone(&owner)));
+    tasks.spawn(report::report_load(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
@@ -374,15 +373,20 @@
     owner.loaded.store(true, Ordering::Release);
     slog::info!(owner.node.log, "jobs loaded"; "epoch" => owner.epoch(),
         "open" => owner.engine().open_counts().0);
-    tasks.spawn(follow_workers(Arc::clone(owner), from.workers));
-    tasks.spawn(follow_jobs(Arc::clone(owner), from.jobs));
+    spawn_measured(tasks, owner, Part::Store, move |owner| {
+        follow_workers(owner, from.workers)
+    });
+    spawn_measured(tasks, owner, Part::Store, move |owner| {
+        follow_jobs(owner, from.jobs)
+    });
     tasks.spawn(follow_policy(Arc::clone(owner)));
-    tasks.spawn(journal::run(Arc::clone(owner)));
+    spawn_measured(tasks, owner, Part::Store, journal::run);
     tasks.spawn(sweep::run(Arc::clone(owner)));
     tasks.spawn(sharing::report(Arc::clone(owner)));
     polling::spawn_pollers(owner, tasks);
     evacuation::refresh(owner).await;
     owner.stall_detector.record_turn(stall::boot_time());
+    let profile = &owner.node.clients.profile;
     loop {
         tokio::select! {
             () = owner.wake.notified() => {}
@@ -393,7 +397,7 @@
         }
         owner.stall_detector.record_turn(stall::boot_time());
         let begun = owner.now();
-        run_pass(owner);
+        profile.time(Part::Pass, || run_pass(owner));
         let pass_interval = (owner.now().since(begun) * PASS_INTERVAL_FACTOR)
             .clamp(MIN_PASS_INTERVAL, MAX_PASS_INTERVAL);
         polling::spawn_pollers(owner, tasks);
@@ -403,10 +407,26 @@
             owner.node.metrics.count("panics");
             return;
         }
+        let paused = owner.now();
         owner.node.timer.sleep(pass_interval).await;
+        profile.record_lateness(owner.now().since(paused).saturating_sub(pass_interval));
     }
 }
 
+/// Spawns a task of the owner and measures its work.
+pub(crate) fn spawn_measured<F>(
+    tasks: &mut JoinSet<()>,
+    owner: &Arc<Owner>,
+    part: Part,
+    task: impl FnOnce(Arc<Owner>) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let profile = owner.node.clients.profile.clone();
+    let task = task(Arc::clone(owner));
+    tasks.spawn(async move { profile.measure(part, task).await });
+}
+
 /// Returns whether one of the tasks that have ended has panicked. What it did would be done by
 /// nobody, so another owner has to start anew.
 fn has_panicked(tasks: &mut JoinSet<()>) -> bool {
@@ -727,22 +747,6 @@
     }
 }
 
-/// Logs how much of the link the messages of each kind use.
-async fn report_traffic(owner: Arc<Owner>) {
-    let node = &owner.node;
-    let mut before = (node.timer.now(), node.clients.traffic.totals());
-    loop {
-        node.timer.sleep(TRAFFIC_INTERVAL).await;
-        let now = (node.timer.now(), node.clients.traffic.totals());
-        let passed = now.0.since(before.0);
-        let link = node.config.link_bytes_per_second;
-        let usage = traffic::usage(&before.1, &now.1, passed, link);
-        slog::info!(node.log, "traffic"; "epoch" => owner.epoch(), "kb_per_s" => usage.rates,
-            "link_percent" => usage.percent);
-        before = now;
-    }
-}
-
 /// Releases ownership, so that another VM can claim it at once.
 async fn release(owner: &Owner) {
     let claim = Claim {
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -13,7 +13,11 @@
 
 use crate::{
     clients::Polled,
-    owner::Owner, //
+    owner::{
+        Owner,
+        spawn_measured, //
+    },
+    profile::Part,
 };
 
 /// The delay between polls of a worker that does not answer.
@@ -30,14 +34,15 @@
 /// Starts polling the workers that are not polled yet.
 pub(crate) fn spawn_pollers(owner: &Arc<Owner>, tasks: &mut JoinSet<()>) {
     for key in owner.engine().take_unpolled() {
-        tasks.spawn(run(Arc::clone(owner), key));
+        spawn_measured(tasks, owner, Part::Poll, |owner| run(owner, key));
     }
 }
 
 /// Polls workers once without waiting, beside the long polls that wait there.
 pub(crate) fn poll_immediately(owner: &Arc<Owner>) {
     for key in owner.engine().take_immediate_polls() {
-        tokio::spawn(poll_once(Arc::clone(owner), key));
+        let (profile, owner) = (owner.node.clients.profile.clone(), Arc::clone(owner));
+        tokio::spawn(async move { profile.measure(Part::Poll, poll_once(owner, key)).await });
     }
 }
 
--- /dev/null
+++ b/crates/cell/src/report.rs
@@ -0,0 +1,74 @@
+//! Logs what keeps the owner busy and what waits for it.
+
+use std::{
+    fmt::Write,
+    sync::Arc,
+    time::Duration, //
+};
+
+use basilbridge_workflow::load::Load;
+
+use crate::{
+    owner::Owner,
+    profile,
+    traffic, //
+};
+
+/// The time between two reports of the use of the link.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The time between two reports of the load. An overload of the processor lasts for seconds.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Logs how much of the link the messages of each kind use.
+pub(crate) async fn report_traffic(owner: Arc<Owner>) {
+    let node = &owner.node;
+    let mut before = (node.timer.now(), node.clients.traffic.totals());
+    loop {
+        node.timer.sleep(TRAFFIC_INTERVAL).await;
+        let now = (node.timer.now(), node.clients.traffic.totals());
+        let passed = now.0.since(before.0);
+        let link = node.config.link_bytes_per_second;
+        let usage = traffic::usage(&before.1, &now.1, passed, link);
+        slog::info!(node.log, "traffic"; "epoch" => owner.epoch(), "kb_per_s" => usage.rates,
+            "link_percent" => usage.percent);
+        before = now;
+    }
+}
+
+/// Logs how much of the processor the parts of the owner use, and what waits.
+pub(crate) async fn report_load(owner: Arc<Owner>) {
+    let node = &owner.node;
+    let profile = &node.clients.profile;
+    let mut before = (node.timer.now(), profile.totals());
+    loop {
+        node.timer.sleep(LOAD_INTERVAL).await;
+        let now = (node.timer.now(), profile.totals());
+        let usage = profile::usage(&before.1, &now.1, now.0.since(before.0));
+        let load = owner.engine().load(now.0);
+        slog::info!(node.log, "load"; "epoch" => owner.epoch(), "busy_percent" => usage.busy_percent,
+            "parts" => usage.parts, "late_ms" => profile.take_lateness().as_millis() as u64,
+            "unanswered" => load.unanswered, "stopping" => load.stopping, "silent" => load.silent,
+            "waiting" => waiting(&load));
+        before = now;
+    }
+}
+
+/// Returns what waits as `QUEUE:STAGES/BEGUN/LATE/TASKS@LONGEST_MS`, separated by spaces.
+pub fn waiting(load: &Load) -> String {
+    let mut text = String::new();
+    for (name, waiting) in &load.queues {
+        let separator = if text.is_empty() { "" } else { " " };
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            "{separator}{name}:{}/{}/{}/{}@{}",
+            waiting.stages,
+            waiting.begun,
+            waiting.late,
+            waiting.tasks,
+            waiting.longest.as_millis()
+        );
+    }
+    text
+}
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -27,6 +27,7 @@
         Limits,
         Route, //
     },
+    profile::Profile,
     traffic::Traffic,
 };
 use basilbridge_common::{
@@ -344,6 +345,7 @@
             }),
             formats: formats(Arc::clone(&self.panics)),
             traffic: Traffic::default(),
+            profile: Profile::default(),
         }
     }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod fake_platform;
 mod freshness;
 mod logs;
+mod profile;
 mod requests;
 mod rtt;
 mod sharing;
