Keep polls within a quarter of the owner's processor

Callers saw: late work on the large site while 44 to 78 of 1,100 workers were silent.

Cause: one order or poll without an answer makes the owner poll all workers every 300 ms for 5 s instead of every second. The interval followed the link only. 1,100 workers at 300 ms are 3,667 polls a second, or 0.3 of a core at 80 us each, of an owner that has 0.5.

Change: the budget knows the processor of the VM, and polls keep to the same part of it as of the link: 704 ms for 1,100 workers on 0.5 core. Small cells keep 300 ms.

The interval was 300 ms for any number of workers on this link before.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -99,10 +99,11 @@
         Ok(())
     }
 
-    /// Returns the budget of the VM's link.
+    /// Returns the budget of the VM's link and processor.
     pub fn budget(&self) -> Budget {
         Budget {
             link_bytes_per_second: self.link_bytes_per_second,
+            cpu_millis: self.cpu_millis,
         }
     }
 
--- a/crates/workflow/src/budget.rs
+++ b/crates/workflow/src/budget.rs
@@ -1,4 +1,4 @@
-//! How much of its link the owner uses for polls and for starts.
+//! How much of its link and of its processor the owner uses for polls, and of its link for starts.
 //!
 //! Heartbeats, renewals of leases and ends of tasks share the owner's link with everything else. If
 //! the link is full they are late, the owner is taken for gone, and its successor begins with even
@@ -22,9 +22,13 @@
 /// `docs/CAPACITY.md`.
 const POLL_BYTES: f64 = 800.0;
 
-/// Fraction of the link that polls may use.
+/// Fraction of the link, and of the processor, that polls may use.
 const POLL_FRACTION: f64 = 0.25;
 
+/// Processor time of a poll whose worker has a few runs, with its connection; see
+/// `docs/CAPACITY.md`.
+const POLL_CPU: Duration = Duration::from_micros(80);
+
 /// Size of a start without its payload, with headers and acknowledgements.
 const START_BYTES: usize = 450;
 
@@ -45,15 +49,18 @@
 /// Least number of open reads of the store.
 const MIN_READS: usize = 2;
 
-/// The capacity of the owner's link.
+/// The capacity of the owner's link and processor.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Budget {
     /// Bytes per second in each direction; zero if unknown, which stands for no limit.
     pub link_bytes_per_second: u64,
+    /// Processor time in thousandths of a core; zero if unknown, which stands for no limit.
+    pub cpu_millis: u32,
 }
 
 impl Budget {
-    /// Returns how long each of `workers` may hold a poll back. `degraded` says whether orders have
+    /// Returns how long each of `workers` may hold a poll back, so that polls keep to their part of the
+    /// link and of the processor. `degraded` says whether orders have
     /// gone unanswered lately.
     pub fn poll_wait(&self, workers: usize, degraded: bool) -> Duration {
         let usual = if degraded {
@@ -61,12 +68,18 @@
         } else {
             POLL_WAIT
         };
-        if self.link_bytes_per_second == 0 {
-            return usual;
-        }
-        let bytes = workers as f64 * POLL_BYTES;
-        let seconds = bytes / (self.link_bytes_per_second as f64 * POLL_FRACTION);
-        usual.max(Duration::from_secs_f64(seconds).min(MAX_POLL_WAIT))
+        let seconds = |amount: f64, per_second: f64| {
+            if per_second > 0.0 {
+                workers as f64 * amount / (per_second * POLL_FRACTION)
+            } else {
+                0.0
+            }
+        };
+        let link = seconds(POLL_BYTES, self.link_bytes_per_second as f64);
+        let cores = f64::from(self.cpu_millis) / 1000.0;
+        let processor = seconds(POLL_CPU.as_secs_f64(), cores);
+        let needed = link.max(processor).min(MAX_POLL_WAIT.as_secs_f64());
+        usual.max(Duration::from_secs_f64(needed))
     }
 
     /// Returns how many reads of the store may be open at once, of `parts` that are to be read.
--- a/crates/workflow/tests/engine/links.rs
+++ b/crates/workflow/tests/engine/links.rs
@@ -263,6 +263,7 @@
 
 fn limited() -> Budget {
     Budget {
+        cpu_millis: 0,
         link_bytes_per_second: LINK_BYTES_PER_SECOND,
     }
 }
@@ -314,3 +315,18 @@
 
     assert_eq!(waits, [300, 640, 1536, 2000]);
 }
+
+#[test]
+fn polls_of_a_thousand_workers_that_go_unanswered_do_not_fill_the_processor() {
+    // The load: one worker of 1,100 is silent, and all are polled three times as often for it.
+    let budget = |cpu_millis| Budget {
+        cpu_millis,
+        ..Budget::default()
+    };
+
+    let half_a_core = [48, 350, 1100].map(|workers| budget(500).poll_wait(workers, true));
+    let small = budget(120).poll_wait(1100, false);
+
+    assert_eq!(half_a_core.map(|wait| wait.as_millis()), [300, 300, 704]);
+    assert_eq!(small, budget::MAX_POLL_WAIT);
+}
