Wake the poller of a worker only when its own ends are stored

Callers saw: a takeover that is slow to start anything, and late work in a burst on the large site.

Cause: each stored batch woke the pollers of all workers with ends that were not stored yet: 30,000 turns a second after a takeover. Each call to another process also woke the timer service, although its timeout was never the first. Passes took a quarter of the processor.

Change: a signal for each worker; the timer service is woken for the first timer only; passes take a tenth of the time.

--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -41,12 +41,11 @@
             let Some(batch) = owner.engine().next_batch() else {
                 break;
             };
-            if !store(&owner, &batch).await {
+            if store(&owner, &batch).await {
+                owner.signal_stored_ends(&batch.stored_ends);
+            } else {
                 owner.node.timer.sleep(RETRY).await;
             }
-            owner
-                .finished_batches
-                .send_modify(|finished| *finished += 1);
             if owner.has_ended() {
                 return;
             }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -46,6 +46,7 @@
         Event, //
     },
     job::Accepted,
+    journal::StoredEnds,
     worker,
 };
 use futures_util::{
@@ -53,6 +54,7 @@
     stream::FuturesUnordered, //
 };
 use slog::Logger;
+use slotmap::SecondaryMap;
 use tokio::{
     sync::{
         Notify,
@@ -123,8 +125,9 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(40);
 
 /// The factor from the duration of a scheduling pass to the time until the next one. A pass visits
-/// all workers, and polls, heartbeats and answers to orders share the processor with it.
-const PASS_INTERVAL_FACTOR: u32 = 3;
+/// all workers, and polls, heartbeats and answers to orders, on which the next pass decides, have to
+/// share the processor with it.
+const PASS_INTERVAL_FACTOR: u32 = 9;
 
 /// The time between two scheduling passes without events.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -143,8 +146,8 @@
     pub(crate) unstored: Notify,
     /// Triggers a heartbeat, whose write shows that this VM still holds the claim.
     heartbeat_due: Notify,
-    /// The number of batches whose write has finished, successfully or not.
-    pub(crate) finished_batches: watch::Sender<u64>,
+    /// Signals that ends of a worker are stored, to its poller.
+    stored_ends: Mutex<SecondaryMap<worker::Key, Arc<Notify>>>,
     engine: Mutex<Engine>,
     delivery: Mutex<Delivery>,
     ended: watch::Sender<bool>,
@@ -216,6 +219,37 @@
         Arc::clone(slots)
     }
 
+    /// Returns the signal that ends of a worker are stored.
+    pub(crate) fn stored_ends(&self, key: worker::Key) -> Arc<Notify> {
+        let mut signals = self.lock_stored_ends();
+        if let Some(signal) = signals.get(key) {
+            return Arc::clone(signal);
+        }
+        let signal = Arc::new(Notify::new());
+        signals.insert(key, Arc::clone(&signal));
+        signal
+    }
+
+    /// Signals that ends of these workers are stored. The pollers of all others go on waiting: under
+    /// load hundreds of them do, and batches end many times a second.
+    pub(crate) fn signal_stored_ends(&self, ends: &[StoredEnds]) {
+        let signals = self.lock_stored_ends();
+        for signal in ends.iter().filter_map(|ends| signals.get(ends.worker)) {
+            signal.notify_one();
+        }
+    }
+
+    /// Drops the signal of a worker that is not polled any more.
+    pub(crate) fn forget_stored_ends(&self, key: worker::Key) {
+        self.lock_stored_ends().remove(key);
+    }
+
+    fn lock_stored_ends(&self) -> MutexGuard<'_, SecondaryMap<worker::Key, Arc<Notify>>> {
+        self.stored_ends
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn apply_workers(&self, update: Update) {
         let now = self.now();
         let decode = &self.node.clients.formats.worker;
@@ -339,7 +373,7 @@
         wake: Notify::new(),
         unstored: Notify::new(),
         heartbeat_due: Notify::new(),
-        finished_batches: watch::Sender::new(0),
+        stored_ends: Mutex::default(),
         engine: Mutex::new(engine),
         delivery: Mutex::default(),
         ended: watch::Sender::new(false),
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -9,7 +9,10 @@
     order::Poll,
     worker, //
 };
-use tokio::task::JoinSet;
+use tokio::{
+    sync::Notify,
+    task::JoinSet, //
+};
 
 use crate::{
     clients::Polled,
@@ -81,9 +84,14 @@
 }
 
 async fn run(owner: Arc<Owner>, key: worker::Key) {
+    let stored = owner.stored_ends(key);
+    poll_until_gone(&owner, key, &stored).await;
+    owner.forget_stored_ends(key);
+}
+
+async fn poll_until_gone(owner: &Arc<Owner>, key: worker::Key, stored: &Notify) {
     let timer = owner.node.timer.clone();
     loop {
-        let mut finished_batches = owner.finished_batches.subscribe();
         let now = owner.now();
         let Some(poll) = owner.engine().poll(key, now) else {
             return;
@@ -101,14 +109,16 @@
                 owner.wake.notify_one();
                 if unstored {
                     owner.unstored.notify_one();
-                    let stored = async {
-                        while owner.engine().has_unstored_ends(key)
-                            && finished_batches.changed().await.is_ok()
-                        {}
+                    let all_stored = async {
+                        while owner.engine().has_unstored_ends(key) {
+                            stored.notified().await;
+                        }
                     };
                     // If the store does not answer in time, poll again anyway.
                     let limit = STORE_TIMEOUT + STORE_TIMEOUT_PER_END * listed;
-                    let _ = timer.timeout(limit.min(MAX_STORE_TIMEOUT), stored).await;
+                    let _ = timer
+                        .timeout(limit.min(MAX_STORE_TIMEOUT), all_stored)
+                        .await;
                 }
             }
             Polled::Fenced => {
@@ -116,7 +126,7 @@
                 return;
             }
             Polled::OtherWorker => {
-                handle_replaced(&owner, key);
+                handle_replaced(owner, key);
                 return;
             }
             Polled::NoAnswer(reason) => {
--- a/crates/common/src/timer.rs
+++ b/crates/common/src/timer.rs
@@ -128,9 +128,11 @@
     /// Waits until `duration` has passed.
     pub async fn sleep(&self, duration: Duration) {
         let (wake, woken) = oneshot::channel();
-        {
+        let is_first = {
             let due = self.now().after(duration);
             let mut queue = self.shared.lock();
+            let first = queue.timers.peek();
+            let is_first = first.is_none_or(|Reverse(first)| due < first.due);
             queue.sequence += 1;
             let sequence = queue.sequence;
             queue.timers.push(Reverse(Timer {
@@ -138,8 +140,12 @@
                 sequence,
                 wake,
             }));
+            is_first
+        };
+        // Each call of another process has a timeout, and only the first timer needs a new wait.
+        if is_first {
+            self.shared.changed.notify_one();
         }
-        self.shared.changed.notify_one();
         // The sender is dropped unused only together with the service, when no wait is left.
         let _ = woken.await;
     }
