Acknowledge ends while jobs change faster than they are stored

Cause: ends were acknowledged only with a batch that left no job to store, and one batch of 45 jobs was written at a time. Under load jobs change faster than that, so nothing was acknowledged at all. A worker with such ends answers each poll at once and lists all of them again. The polls fill the owner's processor, each write takes longer for it, and the overload keeps itself up after the load that began it is gone.

Change: a round takes all jobs that have changed and the ends up to then, is written in several transactions at a time, and acknowledges its ends when they are stored, whatever changes meanwhile. In flight are as many writes as the store works off in a second. Passes may be 120 ms apart, so that they keep to their tenth of the time under load.

--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -1,6 +1,7 @@
 //! Stores the progress of jobs, after which workers may forget the ends of their runs.
 
 use std::{
+    future,
     sync::Arc,
     time::Duration, //
 };
@@ -16,6 +17,7 @@
     Row, //
 };
 use basilbridge_workflow::journal::Batch;
+use futures_util::StreamExt;
 
 use crate::{
     owner::Owner,
@@ -26,23 +28,30 @@
     },
 };
 
-/// The delay before a batch is written, so that ends from several workers share a write.
+/// The delay before a round is written, so that ends from several workers share a write.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 
 /// The delay after a failed write.
 const RETRY: Duration = Duration::from_millis(150);
 
-/// Stores batches until the future is dropped.
+/// The time for which writes may queue at the part of the store, well below their timeout.
+const MAX_QUEUE: Duration = Duration::from_secs(1);
+
+/// The most writes in flight.
+const MAX_WRITES: u32 = 8;
+
+/// Stores rounds until the future is dropped.
 pub(crate) async fn run(owner: Arc<Owner>) {
     loop {
         owner.unstored.notified().await;
         owner.node.timer.sleep(BATCH_DELAY).await;
         loop {
-            let Some(batch) = owner.engine().next_batch() else {
+            let Some(round) = owner.engine().begin_round() else {
                 break;
             };
-            if store(&owner, &batch).await {
-                owner.signal_stored_ends(&batch.stored_ends);
+            if store_all(&owner, &round.batches).await {
+                owner.engine().finish_round(&round.ends);
+                owner.signal_stored_ends(&round.ends);
             } else {
                 owner.node.timer.sleep(RETRY).await;
             }
@@ -53,12 +62,20 @@
     }
 }
 
+/// Stores the batches of a round, several at a time: an owner that is short of processor time takes long
+/// from an answer to the next write. Returns whether all of them are stored.
+async fn store_all(owner: &Owner, batches: &[Batch]) -> bool {
+    let latency = owner.node.store_latency().max(Duration::from_millis(1));
+    let writes = (MAX_QUEUE.as_millis() / latency.as_millis()).min(MAX_WRITES.into());
+    let calls: Vec<_> = batches.iter().map(|batch| store(owner, batch)).collect();
+    futures_util::stream::iter(calls)
+        .buffer_unordered((writes as usize).max(1))
+        .fold(true, |all, stored| future::ready(all && stored))
+        .await
+}
+
 /// Stores one batch. Returns whether its records are stored.
 async fn store(owner: &Owner, batch: &Batch) -> bool {
-    if batch.records.is_empty() {
-        owner.engine().handle_stored(batch, Version(0), owner.now());
-        return true;
-    }
     let mut checks = vec![owner.ownership.check()];
     let mut puts = Vec::with_capacity(batch.records.len());
     for entry in &batch.records {
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -122,7 +122,7 @@
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(4);
 
 /// The maximum time between two scheduling passes that follow each other.
-const MAX_PASS_INTERVAL: Duration = Duration::from_millis(40);
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(120);
 
 /// The factor from the duration of a scheduling pass to the time until the next one. A pass visits
 /// all workers, and polls, heartbeats and answers to orders, on which the next pass decides, have to
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -1,4 +1,4 @@
-//! Batches of progress to store, and the ends that may be acknowledged afterwards.
+//! Rounds of progress to store, and the ends that may be acknowledged after each.
 
 use basilbridge_common::{
     id::{
@@ -30,7 +30,7 @@
     pub progress: Progress,
 }
 
-/// The ends of one worker that are stored once a batch is.
+/// The ends of one worker that are stored once a round is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoredEnds {
     /// Key of the worker.
@@ -46,42 +46,66 @@
 pub struct Batch {
     /// Records to write.
     pub records: Vec<Record>,
-    /// Ends that may be acknowledged once the records are stored.
-    pub stored_ends: Vec<StoredEnds>,
+}
+
+/// All changes up to some time.
+///
+/// Ends may be acknowledged once the jobs that had changed by the time of the round are stored,
+/// however many change meanwhile. If they had to wait until no job is left to store, nothing would be
+/// acknowledged while jobs change faster than they are stored, and workers repeat all ends that are
+/// not acknowledged.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Round {
+    /// Batches of different jobs, which may be stored in any order.
+    pub batches: Vec<Batch>,
+    /// Ends that may be acknowledged once all batches are stored.
+    pub ends: Vec<StoredEnds>,
 }
 
 impl Engine {
-    /// Returns the changes since the last batch, or `None` if there are none.
-    pub fn next_batch(&mut self) -> Option<Batch> {
-        let mut batch = Batch::default();
-        while batch.records.len() < MAX_RECORDS {
-            let Some(key) = self.dirty_jobs.pop_front() else {
-                break;
-            };
+    /// Returns the changes since the last round, or `None` if there are none.
+    pub fn begin_round(&mut self) -> Option<Round> {
+        let mut records = Vec::new();
+        for key in std::mem::take(&mut self.dirty_jobs) {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
             job.dirty = false;
-            batch.records.push(Record {
+            records.push(Record {
                 job: job.id.clone(),
                 replaces: job.version,
                 progress: job.progress(),
             });
         }
-        if self.dirty_jobs.is_empty() {
-            let unacknowledged = self
-                .workers
-                .iter()
-                .filter(|(_, worker)| worker.last_matched_end() > worker.stored);
-            batch.stored_ends = unacknowledged
-                .map(|(key, worker)| StoredEnds {
-                    worker: key,
-                    boot: worker.boot.unwrap_or_default(),
-                    sequence: worker.last_matched_end(),
-                })
-                .collect();
+        let unacknowledged = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.last_matched_end() > worker.stored);
+        let ends: Vec<StoredEnds> = unacknowledged
+            .map(|(key, worker)| StoredEnds {
+                worker: key,
+                boot: worker.boot.unwrap_or_default(),
+                sequence: worker.last_matched_end(),
+            })
+            .collect();
+        let mut batches = Vec::new();
+        while !records.is_empty() {
+            let rest = records.split_off(records.len().min(MAX_RECORDS));
+            batches.push(Batch { records });
+            records = rest;
+        }
+        (!batches.is_empty() || !ends.is_empty()).then_some(Round { batches, ends })
+    }
+
+    /// Records that all batches of a round are stored.
+    pub fn finish_round(&mut self, ends: &[StoredEnds]) {
+        for ends in ends {
+            if let Some(worker) = self.workers.get_mut(ends.worker)
+                && worker.boot == Some(ends.boot)
+            {
+                worker.stored = worker.stored.max(ends.sequence);
+            }
         }
-        (!batch.records.is_empty() || !batch.stored_ends.is_empty()).then_some(batch)
     }
 
     /// Records that a batch is stored under `version`.
@@ -101,13 +125,6 @@
             }
             self.remove_if_finished(key);
         }
-        for ends in &batch.stored_ends {
-            if let Some(worker) = self.workers.get_mut(ends.worker)
-                && worker.boot == Some(ends.boot)
-            {
-                worker.stored = worker.stored.max(ends.sequence);
-            }
-        }
     }
 
     /// Returns a batch to the pending changes because it was not stored, or it is unknown whether
--- a/crates/workflow/tests/engine/links.rs
+++ b/crates/workflow/tests/engine/links.rs
@@ -146,12 +146,15 @@
         self.engine.confirm_ownership(self.now);
         self.engine.tick(self.now);
         self.engine.schedule(self.now);
-        while let Some(batch) = self.engine.next_batch() {
-            self.engine.handle_stored(
-                &batch,
-                basilbridge_common::id::Version(self.now.0),
-                self.now,
-            );
+        while let Some(round) = self.engine.begin_round() {
+            for batch in &round.batches {
+                self.engine.handle_stored(
+                    batch,
+                    basilbridge_common::id::Version(self.now.0),
+                    self.now,
+                );
+            }
+            self.engine.finish_round(&round.ends);
         }
         self.engine.take_events();
         for order in self.engine.take_orders() {
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -11,6 +11,7 @@
 mod evacuation_moves;
 mod fleet;
 mod jobs;
+mod journal;
 mod leases;
 mod links;
 mod overload;
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -23,6 +23,7 @@
         Accepted,
         State, //
     },
+    journal::Batch,
     order::{
         AdviceRequest,
         Order, //
@@ -426,23 +427,33 @@
     }
 
     fn store(&mut self) {
-        while let Some(batch) = self.engine.next_batch() {
+        while let Some(round) = self.engine.begin_round() {
             if self.store_down {
-                self.engine.handle_store_failure(&batch, &[]);
+                for batch in &round.batches {
+                    self.engine.handle_store_failure(batch, &[]);
+                }
                 return;
             }
-            self.version += 1;
-            for record in &batch.records {
-                let stored_version = self.stored.get(&record.job).map(|(_, version)| *version);
-                assert_eq!(stored_version.unwrap_or_default(), record.replaces);
-                let row = (record.progress.clone(), Version(self.version));
-                self.stored.insert(record.job.clone(), row);
+            for batch in &round.batches {
+                self.store_batch(batch);
             }
-            self.engine
-                .handle_stored(&batch, Version(self.version), self.now);
+            self.engine.finish_round(&round.ends);
         }
     }
 
+    /// Stores one batch of a round.
+    pub(crate) fn store_batch(&mut self, batch: &Batch) {
+        self.version += 1;
+        for record in &batch.records {
+            let stored_version = self.stored.get(&record.job).map(|(_, version)| *version);
+            assert_eq!(stored_version.unwrap_or_default(), record.replaces);
+            let row = (record.progress.clone(), Version(self.version));
+            self.stored.insert(record.job.clone(), row);
+        }
+        self.engine
+            .handle_stored(batch, Version(self.version), self.now);
+    }
+
     /// Returns the stored state of a job.
     pub(crate) fn state(&self, id: &str) -> State {
         self.stored
