Tell the next owner what silent workers may run

Callers saw: after a restart of all VMs of the large site no accepted job went on for 7 to 9 s; damage checks in progress were lost.

Cause: starts are not stored, so a new owner waited for every worker that an earlier owner knew before it started anything inherited. 78 workers had gone dark seconds before, and never answer.

Change: an owner stores which workers do not answer and all tasks that they may run, and gives them no new work until a row without them is stored.

Evidence: the test of inherited work failed before (started 7.6 s after the takeover).

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,6 +32,7 @@
 mod request;
 pub mod rtt;
 pub mod sharing;
+mod silence;
 pub mod stall;
 mod sweep;
 pub mod traffic;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -28,6 +28,7 @@
         PROGRESS_TABLE, //
     },
     sharing,
+    silence, //
 };
 
 /// The delay after a failed read.
@@ -37,6 +38,8 @@
 pub(crate) struct FeedStart {
     pub(crate) workers: Version,
     pub(crate) jobs: Version,
+    /// What the previous owner has stored of workers that did not answer it.
+    pub(crate) silence: silence::Stored,
 }
 
 /// Reads all rows of a table, and retries until the store has answered.
@@ -66,11 +69,12 @@
 pub(crate) async fn load(owner: &Owner) -> FeedStart {
     let node = &owner.node;
     let worker_table = node.clients.store.worker_table.clone();
-    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers), usage) = tokio::join!(
+    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers), usage, silence) = tokio::join!(
         read_parts(owner, record::job_tables()),
         read_table(owner, PROGRESS_TABLE.into()),
         read_table(owner, worker_table),
         sharing::read(node),
+        silence::read(node),
     );
     let now = owner.now();
     let decode = &node.clients.formats.worker;
@@ -120,7 +124,14 @@
             engine.cancel(id, now);
         }
     }
+    if let Some(record) = &silence.record {
+        engine.inherit_silence(record.clone());
+    }
     engine.set_accepted_version(jobs);
     engine.finish_loading(now);
-    FeedStart { workers, jobs }
+    FeedStart {
+        workers,
+        jobs,
+        silence,
+    }
 }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -91,7 +91,7 @@
         LEAVING_KEY,
         WORKERS_KEY, //
     },
-    report, sharing, stall, sweep,
+    report, sharing, silence, stall, sweep,
 };
 
 /// The time between two heartbeats of the owner.
@@ -415,6 +415,9 @@
     });
     tasks.spawn(follow_policy(Arc::clone(owner)));
     spawn_measured(tasks, owner, Part::Store, journal::run);
+    spawn_measured(tasks, owner, Part::Store, move |owner| {
+        silence::run(owner, from.silence)
+    });
     tasks.spawn(sweep::run(Arc::clone(owner)));
     tasks.spawn(sharing::report(Arc::clone(owner)));
     polling::spawn_pollers(owner, tasks);
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -55,6 +55,9 @@
 /// The key of the owner's list of workers that are about to leave.
 pub(crate) const LEAVING_KEY: &str = "leaving";
 
+/// The key of the owner's record of workers that do not answer.
+pub(crate) const SILENT_KEY: &str = "silent";
+
 /// The key of the past use of teams.
 pub(crate) const USAGE_KEY: &str = "usage";
 
--- a/crates/workflow/src/availability.rs
+++ b/crates/workflow/src/availability.rs
@@ -24,6 +24,8 @@
     /// No poll has been answered by the boot that the list names. The poll that a boot answers also
     /// raises its epoch to that of this owner.
     Rebooted,
+    /// The store holds a record of what it may run; see [`crate::silence`].
+    Recorded,
     /// It has refused an order or stalled a run a short time ago.
     BackingOff,
     /// It has runs of jobs that are not known, so its free capacity is not known either.
@@ -65,6 +67,8 @@
         Reason::Rebooted
     } else if !is_responsive {
         Reason::Unresponsive
+    } else if worker.is_recorded {
+        Reason::Recorded
     } else if worker.avoid_until > now {
         return Some(Obstacle {
             reason: Reason::BackingOff,
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -259,7 +259,10 @@
             for (stage_index, stage) in job.stages.iter().enumerate() {
                 let tasks = stage.tasks.iter().enumerate();
                 let of_stage = tasks.filter(|(_, task)| {
-                    task.history.record == Record::Inherited && task.history.placement.is_some()
+                    let placement = task.history.placement.as_ref();
+                    task.history.record == Record::Inherited
+                        && placement
+                            .is_some_and(|placement| !self.held.contains_key(&placement.worker))
                 });
                 inherited.extend(of_stage.map(|(index, _)| TaskPosition {
                     job: key,
@@ -273,7 +276,7 @@
                 continue;
             };
             task.history.record = Record::Stored;
-            if !task.is_waiting() {
+            if !task.is_unplaced() {
                 continue;
             }
             let Some(placement) = task.history.placement.take() else {
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::Cell,
     collections::{
+        BTreeMap,
         HashMap,
         HashSet,
         VecDeque, //
@@ -180,6 +181,11 @@
     retired_ids: HashSet<Name>,
     /// Evacuated data centres and what moves away from them.
     pub(crate) evacuation: evacuation::Evacuation,
+    /// Tasks that workers may run which had stopped to answer the previous owner, by worker. They
+    /// wait until the worker answers or its leases are over.
+    pub(crate) held: BTreeMap<Name, Vec<TaskId>>,
+    /// Workers that the stored record of silent workers names, or may name.
+    pub(crate) recorded_silent: HashSet<Name>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
     /// runs depend.
     pub(crate) run_facts: u64,
@@ -236,6 +242,8 @@
             retired: VecDeque::new(),
             retired_ids: HashSet::new(),
             evacuation: evacuation::Evacuation::default(),
+            held: BTreeMap::new(),
+            recorded_silent: HashSet::new(),
             run_facts: 0,
             visited_runs: Cell::default(),
         }
@@ -501,6 +509,7 @@
             let name = info.name.clone();
             let mut worker = Worker::new(info);
             worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
+            worker.is_recorded = self.recorded_silent.contains(&name);
             let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
             self.push_worker_event(key, "listed");
@@ -548,6 +557,7 @@
         self.push_worker_event(key, "unlisted");
         if left {
             self.drop_all_runs(key, "the worker left", now);
+            self.release_held(&name.into());
         }
         self.remove_if_unused(key);
     }
@@ -623,9 +633,7 @@
         }
         let name = worker.info.name.clone();
         self.push_worker_event(key, "replaced");
-        if let Some(unconfirmed) = &mut self.unconfirmed {
-            unconfirmed.remove(&name);
-        }
+        self.confirm_worker(&name);
         self.handle_crash(key, "another worker answers at its address", true, now);
         self.settle(now);
         self.remove_if_unused(key);
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod schedule;
 pub mod selection;
 pub mod sharing;
+pub mod silence;
 mod slowness;
 pub mod stage;
 pub mod takeover;
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -56,11 +56,18 @@
     pub failed_workers: Vec<worker::Key>,
     /// Crashes of its workers.
     pub history: crash::History,
+    /// Whether a worker that does not answer may run it, by the record of an earlier owner.
+    pub held: bool,
 }
 
 impl Task {
     /// Returns whether the task has to be started.
     pub fn is_waiting(&self) -> bool {
+        self.is_unplaced() && !self.held
+    }
+
+    /// Returns whether the task is not done and no worker is known to run it.
+    pub fn is_unplaced(&self) -> bool {
         !self.done && self.worker.is_none()
     }
 
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -82,18 +82,21 @@
         self.unconfirmed.is_none()
     }
 
-    /// Records that a worker has answered, so that it is known what it runs.
+    /// Records that it is known what a worker runs: it has answered, or it has ended.
     pub(crate) fn confirm_worker(&mut self, name: &Name) {
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(name);
         }
+        self.release_held(name);
     }
 
-    /// Decides whether any worker may still run unknown tasks of an earlier owner.
+    /// Decides whether any worker may still run unknown tasks of an earlier owner, or the tasks that
+    /// are held back for it.
     pub(crate) fn settle(&mut self, now: Millis) {
-        let Some(unanswered) = self.unconfirmed.as_ref().map(HashSet::len) else {
+        if self.unconfirmed.is_none() && self.held.is_empty() {
             return;
-        };
+        }
+        let unanswered = self.unconfirmed.as_ref().map_or(0, HashSet::len);
         if self.majority_answered_at.is_none() && unanswered * 2 <= self.expected_count {
             self.majority_answered_at = Some(now);
         }
@@ -104,8 +107,20 @@
             .majority_answered_at
             .unwrap_or_else(|| self.started_at.after(lease));
         let leases_end = answered_at.after(NOTICE_TIME + lease);
-        if unanswered == 0 || self.is_over(leases_end, now) {
+        let are_over = self.is_over(leases_end, now);
+        let was_settled = self.is_settled();
+        if unanswered == 0 || are_over {
             self.unconfirmed = None;
+        }
+        let had_held = !self.held.is_empty();
+        if are_over {
+            let names: Vec<Name> = self.held.keys().cloned().collect();
+            for name in names {
+                self.release_held(&name);
+            }
+        }
+        let is_newly_settled = !was_settled && self.is_settled();
+        if is_newly_settled || (had_held && self.held.is_empty() && self.is_settled()) {
             self.resolve_inherited_placements(now);
         }
     }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -123,6 +123,9 @@
     pub replaced: bool,
     /// Whether its data centre is evacuated.
     pub evacuated: bool,
+    /// Whether the store holds, or may hold, a record of what it may run, which new work would make
+    /// untrue.
+    pub is_recorded: bool,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
     /// Time until which it gets only work that no other worker may run.
@@ -171,6 +174,7 @@
             silent_since: None,
             replaced: false,
             evacuated: false,
+            is_recorded: false,
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -236,7 +236,7 @@
         let wanted = position.is_some_and(|position| {
             let job = &self.jobs[position.job];
             let task = &job.stages[position.stage].tasks[position.index];
-            job.final_state.is_none() && task.is_waiting() && running.run >= task.run
+            job.final_state.is_none() && task.is_unplaced() && running.run >= task.run
         });
         let usage = position.map(|position| {
             let job = &self.jobs[position.job];
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -22,5 +22,6 @@
 mod retries;
 mod schedules;
 mod sharing;
+mod silence;
 mod simulation;
 mod util;
--- /dev/null
+++ b/crates/workflow/tests/engine/silence.rs
@@ -0,0 +1,123 @@
+//! Takeovers while workers do not answer.
+
+use basilbridge_common::id::Name;
+use basilbridge_workflow::{
+    job::TaskId,
+    report::Outcome,
+    silence::Record, //
+};
+
+use crate::{
+    simulation::{
+        Link,
+        Simulation, //
+    },
+    util::{
+        CHECKS,
+        accepted,
+        name,
+        step, //
+    },
+};
+
+const CORE: u64 = 1000;
+
+/// The worker that goes dark.
+const DARK: &str = "w3";
+
+/// Longest time after which all leases of an earlier owner are over, with the time until it notices.
+const LEASES_END_MILLIS: u64 = 8000;
+
+fn link(worker: &Name) -> Link {
+    if **worker == *DARK {
+        Link::LostOrder
+    } else {
+        Link::Normal
+    }
+}
+
+/// A cell of three workers, each with a task of a job, of which one has been dark for 2 s.
+fn cell_with_a_dark_worker() -> Simulation {
+    let mut sim = Simulation::new(&["w1", "w2", DARK], |_, _| {
+        (6_000, Outcome::Done, 40 * CORE)
+    });
+    let job = accepted(CHECKS, sim.now, vec![step(3, 40 * CORE)]);
+    sim.submit("spread", job);
+    sim.run(500);
+    assert_eq!(sim.starts_of("spread"), 3);
+    sim.run_on(2000, link);
+    let job = accepted(CHECKS, sim.now, vec![step(2, 10 * CORE)]);
+    sim.submit("waiting", job);
+    sim
+}
+
+fn held_task(sim: &Simulation) -> TaskId {
+    let record: &Record = &sim.silence;
+    record.workers[DARK][0].clone()
+}
+
+#[test]
+fn inherited_work_does_not_wait_for_a_worker_that_went_dark_before_the_takeover() {
+    let mut sim = cell_with_a_dark_worker();
+
+    sim.take_over();
+    sim.run_on(300, link);
+
+    // It started once the leases of the dark worker were over, 7.6 s later.
+    assert_eq!(sim.starts_of("waiting"), 2);
+}
+
+#[test]
+fn a_task_that_a_dark_worker_may_run_waits_until_the_leases_are_over() {
+    let mut sim = cell_with_a_dark_worker();
+    let held = held_task(&sim);
+
+    sim.take_over();
+    sim.run_on(5000, link);
+    let early = sim.starts_of("spread");
+    sim.run_on(LEASES_END_MILLIS, link);
+
+    assert_eq!(&*held.job, "spread");
+    assert_eq!(early, 3);
+    assert_eq!(sim.starts_of("spread"), 4);
+}
+
+#[test]
+fn a_worker_that_answers_again_gets_no_work_while_the_store_holds_its_record() {
+    let mut sim = cell_with_a_dark_worker();
+    sim.store_down = true;
+
+    let job = accepted(CHECKS, sim.now, vec![step(6, 20 * CORE)]);
+    sim.submit("more", job);
+    sim.run(500);
+    let before = sim.fleet.workers[&name(DARK)].running.len();
+    sim.store_down = false;
+    sim.run(500);
+
+    assert_eq!(before, 1);
+    assert!(sim.fleet.workers[&name(DARK)].running.len() > 1);
+}
+
+#[test]
+fn a_record_holds_for_the_next_owner_only() {
+    // An owner of an earlier version in between may have given the worker other tasks.
+    let mut sim = cell_with_a_dark_worker();
+
+    sim.epoch += 1;
+    sim.take_over();
+    sim.run_on(300, link);
+
+    assert_eq!(sim.starts_of("waiting"), 0);
+}
+
+#[test]
+fn a_dark_worker_that_is_back_goes_on_with_its_task() {
+    let mut sim = cell_with_a_dark_worker();
+
+    sim.take_over();
+    sim.run_on(300, link);
+    sim.run(1000);
+
+    assert_eq!(sim.starts_of("spread"), 3);
+    assert!(sim.silence.workers.is_empty());
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -34,6 +34,7 @@
         StartResult,
         StopResult, //
     },
+    silence,
 };
 
 use crate::{
@@ -95,6 +96,8 @@
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) queued: Vec<Order>,
     pub(crate) store_down: bool,
+    /// The stored record of workers that do not answer.
+    pub(crate) silence: silence::Record,
     /// Whether workers report tasks that are not near their end as at work.
     pub(crate) report_at_work: bool,
     /// Evacuated data centres, which later owners know as well.
@@ -123,6 +126,7 @@
             delayed: Vec::new(),
             queued: Vec::new(),
             store_down: false,
+            silence: silence::Record::default(),
             report_at_work: false,
             evacuated: BTreeSet::new(),
             settings: settings(0),
@@ -184,6 +188,7 @@
                 .accept(id, accepted.clone(), stored, true, self.now);
         }
         self.engine.set_accepted_version(Version(self.version));
+        self.engine.inherit_silence(self.silence.clone());
         self.engine.finish_loading(self.now);
     }
 
@@ -204,10 +209,25 @@
             self.deliver_delayed();
             self.pass(&mut link);
             self.store();
+            self.store_silence();
             self.poll_all(&mut link);
         }
     }
 
+    /// Stores which workers do not answer, if that has changed.
+    fn store_silence(&mut self) {
+        let record = self.engine.silence(self.now);
+        if record == self.silence || (record.workers.is_empty() && self.silence.workers.is_empty())
+        {
+            return;
+        }
+        self.engine.announce_silence(&record);
+        if !self.store_down {
+            self.engine.confirm_silence(&record);
+            self.silence = record;
+        }
+    }
+
     /// Evacuates exactly these data centres.
     pub(crate) fn evacuate(&mut self, names: &[&str]) {
         self.evacuated = names.iter().map(|name| (*name).into()).collect();
