Take no odd entry of the list of workers for a worker

A capacity near the largest number saturated the sums of the pool, so that the reserve and the outlook were those of a pool without end; a job could ask for as much and wrap a sum. Entries that could not be decoded were dropped without a word.

Deep nesting and numbers out of range did no harm before either: the decoder refuses both.

--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -15,13 +15,15 @@
 use basilbridge_platform::table::Row;
 use basilbridge_workflow::{
     job::Accepted,
-    progress::Progress, //
+    progress::Progress,
+    report::WorkerInfo, //
 };
 
 use futures_util::StreamExt;
 
 use crate::{
     feed,
+    node::Node,
     owner::Owner,
     record::{
         self,
@@ -64,6 +66,22 @@
     (rows, version.unwrap_or_default())
 }
 
+/// Decodes an entry of the list of workers. Counts and logs one that names no worker: the list has
+/// other writers.
+pub(crate) fn decode_worker(node: &Node, name: &str, text: &str) -> Option<WorkerInfo> {
+    let entry = (node.clients.formats.worker)(name, text);
+    let reason = match entry.as_ref().map(WorkerInfo::check) {
+        Some(Ok(())) => return entry,
+        Some(Err(reason)) => reason,
+        None => "it can't be decoded",
+    };
+    node.metrics.count("worker_entries_ignored");
+    if node.decisions.admit() {
+        slog::warn!(node.log, "worker entry ignored"; "worker" => name, "why" => reason);
+    }
+    None
+}
+
 /// Reads workers, jobs and their progress into the engine. Returns where to start following
 /// changes.
 pub(crate) async fn load(owner: &Owner) -> FeedStart {
@@ -77,14 +95,13 @@
         silence::read(node),
     );
     let now = owner.now();
-    let decode = &node.clients.formats.worker;
     let mut engine = owner.engine();
     if let Some(usage) = &usage {
         engine.restore_usage(usage, now);
     }
     for row in &worker_rows {
         let text = row.value.as_deref();
-        if let Some(entry) = text.and_then(|text| decode(&row.key, text)) {
+        if let Some(entry) = text.and_then(|text| decode_worker(node, &row.key, text)) {
             engine.expect_workers([entry.name.clone()]);
             engine.register_worker(entry, now);
         }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -252,7 +252,6 @@
 
     fn apply_workers(&self, update: Update) {
         let now = self.now();
-        let decode = &self.node.clients.formats.worker;
         let mut engine = self.engine();
         let (rows, all) = match update {
             Update::All(rows) => (rows, true),
@@ -260,7 +259,10 @@
         };
         let mut listed: HashSet<Name> = HashSet::new();
         for row in rows {
-            let entry = row.value.as_deref().map(|text| decode(&row.key, text));
+            let entry = row
+                .value
+                .as_deref()
+                .map(|text| load::decode_worker(&self.node, &row.key, text));
             match entry {
                 Some(Some(entry)) => {
                     listed.insert(entry.name.clone());
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -22,6 +22,8 @@
 };
 use serde_with::DurationMilliSeconds;
 
+use crate::report::is_plausible;
+
 /// Most tasks of a job, over all occurrences. An owner keeps some hundred bytes for each.
 pub const MAX_TASKS: u64 = 100_000;
 
@@ -169,6 +171,9 @@
         if self.steps.iter().any(|step| step.estimate > MAX_DURATION) {
             return Err("the estimate of a step is too long");
         }
+        if self.steps.iter().any(|step| !is_plausible(&step.resources)) {
+            return Err("a task asks for more than any machine has");
+        }
         let schedule = self.schedule.as_ref();
         if schedule.is_some_and(|schedule| schedule.interval > MAX_DURATION) {
             return Err("the interval between two occurrences is too long");
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -129,3 +129,29 @@
     /// Whether the worker is about to leave.
     pub leaving: bool,
 }
+
+/// Most of each resource that a worker can have, and that a task can ask for: beyond any machine, and
+/// small enough for sums over all workers and tasks.
+pub const MAX_RESOURCE: u64 = u32::MAX as u64;
+
+impl WorkerInfo {
+    /// Checks that the entry can be that of a worker. Others may write to the list of workers, and an
+    /// absurd capacity would hide that of all workers of the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the entry.
+    pub fn check(&self) -> Result<(), &'static str> {
+        if is_plausible(&self.capacity) {
+            Ok(())
+        } else {
+            Err("the capacity is beyond any machine")
+        }
+    }
+}
+
+/// Returns whether a machine can have this amount.
+pub(crate) fn is_plausible(resources: &Resources) -> bool {
+    resources.cpu_millis.max(resources.memory_mib) <= MAX_RESOURCE
+        && resources.accelerators <= MAX_RESOURCE
+}
--- a/crates/workflow/src/reserve.rs
+++ b/crates/workflow/src/reserve.rs
@@ -16,7 +16,7 @@
 pub fn admits(free: &Resources, capacity: &Resources, demand: &Resources) -> bool {
     let admits = |free: u64, capacity: u64, demand: u64| {
         let reserved = (capacity as f64 * RESERVED_FRACTION) as u64;
-        demand == 0 || free >= demand + reserved
+        demand == 0 || free >= demand.saturating_add(reserved)
     };
     admits(free.cpu_millis, capacity.cpu_millis, demand.cpu_millis)
         && admits(
--- a/crates/workflow/tests/engine/capacity.rs
+++ b/crates/workflow/tests/engine/capacity.rs
@@ -1,5 +1,6 @@
 //! Workers whose capacity shrinks and grows while they run tasks.
 
+use basilbridge_common::unit::Millis;
 use basilbridge_workflow::{
     event::{
         Cause,
@@ -9,7 +10,8 @@
         State,
         TaskId, //
     },
-    report::Outcome, //
+    report::Outcome,
+    reserve, //
 };
 
 use crate::{
@@ -22,6 +24,8 @@
         PLANS,
         WORKER_CPU,
         accepted,
+        cpu,
+        entry,
         step, //
     },
 };
@@ -153,3 +157,17 @@
 
     assert_eq!((while_small, sim.starts_of("j1")), (0, 3));
 }
+
+#[test]
+fn absurd_amounts_of_an_entry_or_a_job_are_refused() {
+    // They would saturate the sums of a pool, or wrap them.
+    let mut huge_worker = entry("w1", 1);
+    huge_worker.capacity.memory_mib = u64::MAX;
+    let huge_task = accepted(CHECKS, Millis(0), vec![step(1, u64::MAX)]);
+    let all = cpu(u64::MAX);
+
+    assert!(entry("w1", 1).check().is_ok());
+    assert!(huge_worker.check().is_err());
+    assert!(huge_task.spec.check().is_err());
+    assert!(!reserve::admits(&cpu(64_000), &cpu(64_000), &all));
+}
