Find the most urgent queue of a pool once for each policy

Cause: the sums ask for the most urgent priority of the worker's pool, which went through all queues, once for each worker that had changed instead of once for each pass. Passes and outlooks then took half of the owner's processor.

Change: the priorities are computed when the policy is set.

--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -118,6 +118,8 @@
 pub struct Engine {
     pub(crate) settings: Settings,
     pub(crate) policy: Policy,
+    /// Priority of the most urgent queue of each pool. A configuration can have thousands of queues.
+    pub(crate) urgent_priorities: HashMap<Name, u32>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) jobs_by_id: HashMap<Name, JobKey>,
     pub(crate) workers: SlotMap<worker::Key, Worker>,
@@ -205,6 +207,7 @@
         };
         Self {
             settings,
+            urgent_priorities: urgent_priorities(&policy),
             policy,
             jobs: SlotMap::with_key(),
             jobs_by_id: HashMap::new(),
@@ -251,6 +254,7 @@
 
     /// Replaces the configuration of queues and teams.
     pub fn set_policy(&mut self, policy: Policy) {
+        self.urgent_priorities = urgent_priorities(&policy);
         self.policy = policy;
         self.run_facts += 1;
     }
@@ -953,6 +957,18 @@
     }
 }
 
+/// Returns the priority of the most urgent queue of each pool.
+fn urgent_priorities(policy: &Policy) -> HashMap<Name, u32> {
+    let mut priorities: HashMap<Name, u32> = HashMap::new();
+    for queue in policy.queues.values() {
+        let priority = priorities
+            .entry(queue.pool.clone())
+            .or_insert(queue.priority);
+        *priority = queue.priority.min(*priority);
+    }
+    priorities
+}
+
 /// Returns how orders address a worker.
 pub(crate) fn worker_target(key: worker::Key, worker: &Worker) -> Target {
     Target {
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -130,9 +130,7 @@
 
     /// Returns the priority of the most urgent queue of a pool.
     pub(crate) fn urgent_priority(&self, pool: &Name) -> u32 {
-        let queues = self.policy.queues.values();
-        let of_pool = queues.filter(|queue| queue.pool == *pool);
-        of_pool.map(|queue| queue.priority).min().unwrap_or(0)
+        self.urgent_priorities.get(pool).copied().unwrap_or(0)
     }
 
     /// Returns the priority of a job; jobs of an unknown queue are the least urgent.
--- a/crates/workflow/tests/engine/passes.rs
+++ b/crates/workflow/tests/engine/passes.rs
@@ -50,6 +50,28 @@
     assert!(sim.engine.visited_runs() - before <= runs);
 }
 
+#[test]
+fn a_queue_that_a_new_policy_makes_the_most_urgent_may_preempt() {
+    // The most urgent queue of a pool is found once for each policy, not for each worker.
+    let mut sim = Simulation::new(&["w1"], |_, _| (60_000, Outcome::Done, 60 * CORE));
+    let mut plan = step(1, 40 * CORE);
+    plan.checkpoints = true;
+    sim.submit("plan", accepted(PLANS, sim.now, vec![plan]));
+    sim.run(200);
+    let mut policy = sim.policy.clone();
+    policy.queues.remove(CHECKS);
+    policy.queues.retain(|_, queue| *queue.name == *PLANS);
+    sim.engine.set_policy(policy);
+    sim.run(100);
+    let before = sim.starts_of("check");
+
+    sim.engine.set_policy(sim.policy.clone());
+    sim.submit("check", accepted(CHECKS, sim.now, vec![step(1, 60 * CORE)]));
+    sim.run(1500);
+
+    assert_eq!((before, sim.starts_of("check")), (0, 1));
+}
+
 #[test]
 fn a_changed_policy_is_seen_by_the_next_pass() {
     let mut sim = full_cell();
