Blame crashes on tasks when their silent worker is released

Cause: the placement that an earlier owner had stored for such a task is resolved once its worker is released. A worker that was released by a report that another one answers at its address left nothing held, so that the check of the placements returned early: the crash was not counted.

Change: a release is noted, and the placements are resolved by the same report.

Evidence: the test failed before (no crash counted).

--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -186,6 +186,8 @@
     /// Tasks that workers may run which had stopped to answer the previous owner, by worker. They
     /// wait until the worker answers or its leases are over.
     pub(crate) held: BTreeMap<Name, Vec<TaskId>>,
+    /// Whether the placements on workers that were released from it have to be resolved.
+    pub(crate) has_released: bool,
     /// Workers that the stored record of silent workers names, or may name.
     pub(crate) recorded_silent: HashSet<Name>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
@@ -246,6 +248,7 @@
             retired_ids: HashSet::new(),
             evacuation: evacuation::Evacuation::default(),
             held: BTreeMap::new(),
+            has_released: false,
             recorded_silent: HashSet::new(),
             run_facts: 0,
             visited_runs: Cell::default(),
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -122,7 +122,11 @@
 
     /// Releases the tasks that are held back for a worker, whose runs are known or have ended.
     pub(crate) fn release_held(&mut self, name: &Name) {
-        for task in self.held.remove(name).unwrap_or_default() {
+        let Some(tasks) = self.held.remove(name) else {
+            return;
+        };
+        self.has_released = true;
+        for task in tasks {
             let is_held_elsewhere = self.held.values().any(|tasks| tasks.contains(&task));
             self.set_held(&task, is_held_elsewhere);
         }
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -108,7 +108,7 @@
     /// Decides whether any worker may still run unknown tasks of an earlier owner, or the tasks that
     /// are held back for it.
     pub(crate) fn settle(&mut self, now: Millis) {
-        if self.unconfirmed.is_none() && self.held.is_empty() {
+        if self.unconfirmed.is_none() && self.held.is_empty() && !self.has_released {
             return;
         }
         let unanswered = self.unconfirmed.as_ref().map_or(0, HashSet::len);
@@ -120,15 +120,16 @@
         if unanswered == 0 || are_over {
             self.unconfirmed = None;
         }
-        let had_held = !self.held.is_empty();
         if are_over {
             let names: Vec<Name> = self.held.keys().cloned().collect();
             for name in names {
                 self.release_held(&name);
             }
         }
-        let is_newly_settled = !was_settled && self.is_settled();
-        if is_newly_settled || (had_held && self.held.is_empty() && self.is_settled()) {
+        // The placements on a worker that was held back for are resolved once it is released.
+        let is_due = !was_settled || self.has_released;
+        if self.is_settled() && is_due {
+            self.has_released = false;
             self.resolve_inherited_placements(now);
         }
     }
--- a/crates/workflow/tests/engine/silence.rs
+++ b/crates/workflow/tests/engine/silence.rs
@@ -3,6 +3,7 @@
 use basilbridge_common::id::Name;
 use basilbridge_workflow::{
     job::TaskId,
+    progress::Placement,
     report::Outcome,
     silence::Record, //
 };
@@ -133,6 +134,30 @@
     assert_eq!(sim.starts_of("waiting"), 2);
 }
 
+#[test]
+fn a_crash_that_a_later_owner_learns_of_is_blamed_on_the_task() {
+    // The worker is replaced after the takeover, by which its record ends before its leases do.
+    let mut sim = cell_with_a_dark_worker();
+    let held = held_task(&sim);
+    let placement = Placement {
+        run: 1,
+        worker: name(DARK),
+        boot: sim.fleet.workers[&name(DARK)].boot,
+    };
+    let (progress, _) = sim.stored.entry(name("spread")).or_default();
+    let stage = progress.stages.entry(0).or_default();
+    stage.tasks.entry(held.index).or_default().placement = Some(placement);
+
+    sim.take_over();
+    sim.run_on(300, link);
+    let key = sim.engine.worker_key(DARK).expect("it is listed");
+    sim.engine.handle_replaced(key, sim.now);
+
+    let job = sim.engine.job("spread").expect("it goes on");
+    let task = &job.stages[0].tasks[held.index as usize];
+    assert_eq!(task.history.crashes.len(), 1);
+}
+
 #[test]
 fn a_dark_worker_that_is_back_goes_on_with_its_task() {
     let mut sim = cell_with_a_dark_worker();
