--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -19,6 +19,9 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 6000
+ROW_BYTES = 65536
+TX_BYTES = 1_000_000
+TX_ENTRIES = 100
 HOST = "review.example"
 
 
@@ -194,6 +197,11 @@
         return {**answer, "ver": self.ver, "nowMs": int(time.monotonic() * 1000)}
 
     def transact(self, node, body):
+        entries = [row for field in ("precondition", "puts", "remove") for row in body.get(field, [])]
+        values = [base64.b64decode(row["value"]) for row in body.get("puts", [])]
+        too_long = any(len(value) > ROW_BYTES for value in values)
+        if too_long or len(entries) > TX_ENTRIES or len(json.dumps(body)) > TX_BYTES:
+            return 400, {}
         name = lambda row: (row["table"], row.get("part", ""), row["key"])
         checks = body.get("precondition", [])
         if any(self.rows.get(name(row), (0, ""))[0] != row["ver"] for row in checks):
@@ -252,6 +260,7 @@
         self.born = int(time.time() * 1000)
         self.fence, self.lease_end, self.number, self.seq = 0, 0, 0, 0
         self.running, self.ended, self.highest = {}, [], {}
+        self.ended_at, self.lapsed_at = {}, -1.0  # by the number of the end, in seconds of the record
         self.state, self.up, self.cut, self.beats = "ready", True, False, True
         self.remaining_ms = None
         self.changed = asyncio.Event()
@@ -279,6 +288,7 @@
         run = self.running.pop(task)
         self.number += 1
         self.ended.append([self.number, task, run["run"], how, ""])
+        self.ended_at[self.number] = self.fleet.record.now()
         self.highest[task] = max(self.highest.get(task, 0), run["run"])
         self.fleet.ran(self, task, run["run"], how)
         self.changed.set()
@@ -291,6 +301,8 @@
             self.end(task, "left")
 
     def tick(self):
+        if self.clock() > self.lease_end:
+            self.lapsed_at = self.fleet.record.now()
         for task, run in list(self.running.items()):
             if self.clock() > self.lease_end:
                 self.end(task, "lapsed")
@@ -378,8 +390,8 @@
     def __init__(self, store, record):
         self.store, self.record = store, record
         self.workers, self.broken = {}, []
-        self.starts = []  # (seconds, worker, task, run)
         self.done, self.acked = set(), set()
+        self.starts_of = {}  # task -> [(seconds, worker, run)]
         self.on_start = lambda worker, task, body: None
 
     async def add(self, ip, name, capacity, rack="r1"):
@@ -388,7 +400,7 @@
 
     def started(self, worker, task, run, body):
         self.record.write(f"{worker.name} starts {task} run {run}, fence {body['fence']}")
-        self.starts.append((self.record.now(), worker.name, task, run))
+        self.starts_of.setdefault(task, []).append((self.record.now(), worker.name, run))
         for other in self.workers.values():
             if other is not worker and other.up and task in other.running:
                 self.broke(f"TWICE: {task} starts on {worker.name} while it runs on {other.name}")
@@ -402,8 +414,18 @@
             self.done.add(task)
 
     def noted(self, worker, end):
-        if end[3] == "done":
-            self.acked.add(end[1])
+        """`ackedUpto` has reached an end. It doesn't count if the worker's lease lapsed meanwhile."""
+        number, task, run, how, _ = end
+        at = worker.ended_at[number]
+        if how != "done" or worker.lapsed_at >= at:
+            return
+        self.acked.add(task)
+        for started, other, later_run in self.starts_of[task]:
+            if started > at and (other, later_run) != (worker.name, run):
+                self.broke(
+                    f"TWICE: {task} ended done on {worker.name} at {at:.3f}, which is taken note of,"
+                    f" and run {later_run} started on {other} at {started:.3f}"
+                )
 
     def broke(self, text):
         self.broken.append(text)
