--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -69,11 +69,14 @@
     """The connection is reset."""
 
 
-async def serve(ip, handler):
-    """Serves HTTP/1.1 at a free port. `handler(method, path, query, headers, body)` returns a
-    status and a document, or raises Silent or Reset. Returns the address."""
+async def serve(ip, handler, port=0, opened=None):
+    """Serves HTTP/1.1 at `port`, or a free one. `handler(method, path, query, headers, body)`
+    returns a status and a document, or raises Silent or Reset. Returns the address. Adds what it
+    opens to `opened`, so that a process can be shown to end."""
+    opened = [] if opened is None else opened
 
     async def connection(reader, writer):
+        opened.append(writer.transport.abort)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -100,7 +103,8 @@
         finally:
             writer.transport.abort()
 
-    server = await asyncio.start_server(connection, ip, 0)
+    server = await asyncio.start_server(connection, ip, port)
+    opened.append(server.close)
     return "%s:%d" % server.sockets[0].getsockname()[:2]
 
 
@@ -264,12 +268,31 @@
         self.state, self.up, self.cut, self.beats = "ready", True, False, True
         self.remaining_ms = None
         self.changed = asyncio.Event()
+        self.opened = []
 
-    async def start(self, ip):
-        self.address = await serve(ip, self.answer)
-        self.register()
+    async def start(self, ip, port=0):
+        self.address = await serve(ip, self.answer, port, self.opened)
+        if self.beats:
+            self.register()
         return self
 
+    def crash(self):
+        """The process ends: its address refuses connections, and nobody hears of its runs."""
+        self.up = False
+        for close in self.opened:
+            close()
+        for task, run in self.running.items():
+            self.fleet.record.write(f"{self.name} loses {task} run {run['run']}")
+        self.running.clear()
+
+    async def again(self):
+        """Starts the next life of the worker, at its address."""
+        ip, port = self.address.split(":")
+        life = Worker(self.fleet, self.name, self.capacity, self.rack)
+        life.beats = self.beats
+        self.fleet.workers[self.name] = life
+        return await life.start(ip, int(port))
+
     def register(self):
         self.seq += 1
         entry = {
