--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -9,9 +9,9 @@
 import json
 import os
 import random
+import shutil
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -649,6 +649,7 @@
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
             daemon.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def job_id():
