Log which workers inherited work waits for, and until when

Change: `inherited work waits` every 0.5 s with the workers, the ground of each and the time that is left, `takeover settled` with the evidence that ended the wait, and the metric takeover_wait_seconds. No decision changes.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -206,6 +206,8 @@
                 "clear" => is_clear, "given_up" => is_given_up),
             Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
                 "task" => %task, "run" => run, "worker" => %worker),
+            Event::Settled { waited, evidence } => slog::info!(log, "takeover settled";
+                "waited_ms" => waited.as_millis() as u64, "evidence" => evidence),
             Event::Final {
                 job,
                 state,
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -393,6 +393,7 @@
     spawn_measured(&mut tasks, &owner, Part::Store, send_heartbeats);
     tasks.spawn(report::report_traffic(Arc::clone(&owner)));
     tasks.spawn(report::report_load(Arc::clone(&owner)));
+    tasks.spawn(report::report_waits(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
@@ -564,6 +565,7 @@
             }
         }
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
+        Event::Settled { waited, .. } => metrics.time("takeover_wait", *waited),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
         Event::DataCentre { evacuated, .. } => {
--- a/crates/cell/src/report.rs
+++ b/crates/cell/src/report.rs
@@ -6,7 +6,11 @@
     time::Duration, //
 };
 
-use basilbridge_workflow::load::Load;
+use basilbridge_common::unit::Millis;
+use basilbridge_workflow::{
+    load::Load,
+    wait::Wait, //
+};
 
 use crate::{
     owner::Owner,
@@ -20,6 +24,12 @@
 /// The time between two reports of the load. An overload of the processor lasts for seconds.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time between two reports of what inherited work waits for.
+const WAITS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The most workers that a report of what inherited work waits for names.
+const MAX_WAITS: usize = 12;
+
 /// Logs how much of the link the messages of each kind use.
 pub(crate) async fn report_traffic(owner: Arc<Owner>) {
     let node = &owner.node;
@@ -54,6 +64,32 @@
     }
 }
 
+/// Logs which workers inherited work waits for, until there are none.
+pub(crate) async fn report_waits(owner: Arc<Owner>) {
+    let node = &owner.node;
+    loop {
+        node.timer.sleep(WAITS_INTERVAL).await;
+        let waits = owner.engine().waits();
+        if waits.is_empty() {
+            continue;
+        }
+        slog::info!(node.log, "inherited work waits"; "epoch" => owner.epoch(),
+            "workers" => waits.len(), "for" => workers_waited_for(&waits, owner.now()));
+    }
+}
+
+/// Returns the first workers that are waited for as `WORKER:GROUND@REMAINING_MS`, separated by spaces.
+pub fn workers_waited_for(waits: &[Wait], now: Millis) -> String {
+    let first = waits.iter().take(MAX_WAITS);
+    let texts: Vec<String> = first
+        .map(|wait| {
+            let remaining = wait.until.since(now).as_millis();
+            format!("{}:{}@{remaining}", wait.worker, wait.ground)
+        })
+        .collect();
+    texts.join(" ")
+}
+
 /// Returns what waits as `QUEUE:STAGES/BEGUN/LATE/TASKS@LONGEST_MS`, separated by spaces.
 pub fn waiting(load: &Load) -> String {
     let mut text = String::new();
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -126,6 +126,13 @@
         /// Name of the worker.
         worker: Name,
     },
+    /// Inherited work waits no longer for workers that may run it.
+    Settled {
+        /// Time since this owner started.
+        waited: Duration,
+        /// What shows that nothing else of an earlier owner runs.
+        evidence: &'static str,
+    },
     /// A job has reached its final state.
     Final {
         /// Name of the job.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod stage;
 pub mod takeover;
 pub mod throttle;
+pub mod wait;
 pub mod worker;
 pub mod worker_reply;
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     engine::Engine,
+    event::Event,
     lease, //
 };
 
@@ -110,6 +111,16 @@
         if unanswered == 0 || are_over {
             self.unconfirmed = None;
         }
+        if !was_settled && self.is_settled() {
+            self.events.push(Event::Settled {
+                waited: now.since(self.started_at),
+                evidence: if unanswered == 0 {
+                    "all workers are known"
+                } else {
+                    "the leases are over"
+                },
+            });
+        }
         if are_over {
             let names: Vec<Name> = self.held.keys().cloned().collect();
             for name in names {
