Store with each claim what its owner may assume of the owners before

Cause: a new owner knew nothing of how its predecessors had worked, so it had to count with the longest lease that a worker may grant, and could rely on no row but that of the owner just before it.

Change: a claim stores its lineage in the same transaction: since which epoch and which version of the store all owners in a row keep the same promises, and how long the leases were that they granted. An owner of an earlier version stores none, and the next one begins a new lineage. The row is apart from the claim, which earlier versions go on reading. Nothing uses it yet.

Tests: lineages.rs.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -30,10 +30,16 @@
     Put,
     Row, //
 };
-use basilbridge_workflow::election::{
-    self,
-    Arrivals,
-    Candidate, //
+use basilbridge_workflow::{
+    election::{
+        self,
+        Arrivals,
+        Candidate, //
+    },
+    lineage::{
+        Lineage,
+        Predecessor, //
+    },
 };
 use slog::Logger;
 use tokio::sync::Notify;
@@ -52,6 +58,7 @@
         Claim,
         HEARTBEAT_KEY,
         Heartbeat,
+        LINEAGE_KEY,
         NODE_PREFIX,
         OWNERSHIP_TABLE, //
     },
@@ -103,6 +110,8 @@
     pub(crate) loaded: bool,
     /// The current claim, if there is one.
     pub(crate) claim: Option<StoredClaim>,
+    /// The newest lineage, which may be of an earlier owner.
+    pub(crate) lineage: Option<Lineage>,
     /// The last heartbeat, which may be of an earlier owner.
     pub(crate) last_heartbeat: Option<ReceivedHeartbeat>,
     /// How the heartbeats of owners have arrived.
@@ -159,6 +168,8 @@
     pub(crate) claim: Claim,
     /// Whether the previous owner was known to have ended when this VM claimed.
     pub(crate) predecessor_ended: bool,
+    /// What this owner may assume of the owners before it.
+    pub(crate) lineage: Lineage,
 }
 
 impl Ownership {
@@ -218,6 +229,11 @@
                     self.record_claim(claim, row.version, now);
                 }
             }
+            LINEAGE_KEY => {
+                if let Some(lineage) = record::decode_row(log, row) {
+                    self.lineage = Some(lineage);
+                }
+            }
             HEARTBEAT_KEY => {
                 if let Some(heartbeat) = record::decode_row(log, row) {
                     self.record_heartbeat(heartbeat, row.version, now);
@@ -335,6 +351,21 @@
             || (received.version > stored.version && (earlier_process || replaced_at_address))
     }
 
+    /// Returns the lineage for a claim at `now` that replaces the current one, of an owner that grants
+    /// leases of `lease`.
+    fn next_lineage(&self, lease: Duration, max_lease: Duration, now: Millis) -> Lineage {
+        let Some(stored) = &self.claim else {
+            return Lineage::first(lease);
+        };
+        let before = Predecessor {
+            epoch: stored.claim.epoch,
+            version: stored.version,
+            lineage: self.lineage.clone(),
+            received_at: stored.received_at,
+        };
+        Lineage::after(&before, lease, max_lease, now)
+    }
+
     /// Returns the value of [`Claim::unproven`] for a claim that replaces the current one.
     fn unproven_takeovers(&self, own: &Name) -> u32 {
         let Some(stored) = &self.claim else {
@@ -514,7 +545,7 @@
 }
 
 async fn try_claim(node: &Arc<Node>) -> Option<Ownership> {
-    let (before, heartbeat_version, predecessor_ended, unproven) = {
+    let (before, heartbeat_version, predecessor_ended, unproven, lineage) = {
         let view = node.shared_view.lock();
         let heartbeat_version = view
             .last_heartbeat
@@ -526,6 +557,7 @@
             heartbeat_version,
             ended,
             view.unproven_takeovers(&node.config.name),
+            view.next_lineage(node.config.lease(), node.config.max_lease, node.timer.now()),
         )
     };
     let claim = Claim {
@@ -540,8 +572,11 @@
         check(CLAIM_KEY, stored_version),
         check(HEARTBEAT_KEY, heartbeat_version.unwrap_or_default()),
     ];
-    let value = record::encode(&claim).ok()?;
-    let version = match node.transact(checks, vec![put(CLAIM_KEY, value)]).await {
+    let puts = vec![
+        put(CLAIM_KEY, record::encode(&claim).ok()?),
+        put(LINEAGE_KEY, record::encode(&lineage).ok()?),
+    ];
+    let version = match node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => version,
         Ok(Outcome::Conflict(rows)) => {
             let now = node.timer.now();
@@ -563,11 +598,14 @@
     let since_heartbeat = last_heartbeat_at.map(|at| node.timer.now().since(at).as_millis() as u64);
     slog::info!(node.log, "title claimed"; "epoch" => version.0, "count" => claim.epoch,
         "before" => ?before.map(|stored| stored.claim.holder), "silent_ms" => ?since_heartbeat,
-        "unproven" => unproven);
+        "unproven" => unproven, "lease_ms" => lineage.lease.as_millis() as u64,
+        "earlier_lease_ms" => lineage.earlier_lease.as_millis() as u64,
+        "lineage_from" => lineage.first_epoch);
     Some(Ownership {
         version,
         claim,
         predecessor_ended,
+        lineage,
     })
 }
 
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -363,6 +363,7 @@
         epoch: ownership.claim.epoch,
         claimed_at: ownership.version,
         predecessor_ended: ownership.predecessor_ended,
+        lineage: ownership.lineage.clone(),
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
         evacuation_limit: node.config.evacuation_limit,
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -46,6 +46,9 @@
 /// The key of the ownership claim.
 pub(crate) const CLAIM_KEY: &str = "claim";
 
+/// The key of the lineage of the owner, which is stored with its claim.
+pub(crate) const LINEAGE_KEY: &str = "lineage";
+
 /// The key of the owner's heartbeat.
 pub(crate) const HEARTBEAT_KEY: &str = "pulse";
 
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -30,6 +30,7 @@
         Spec,
         Step, //
     },
+    lineage::Lineage,
     order::Order,
     policy::{
         AdviceSettings,
@@ -95,6 +96,7 @@
         epoch: 0,
         claimed_at: basilbridge_common::id::Version(0),
         predecessor_ended: true,
+        lineage: Lineage::first(Duration::from_millis(5500)),
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
         evacuation_limit: None,
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -50,6 +50,7 @@
         TaskId, //
     },
     lease,
+    lineage::Lineage,
     order::{
         Order,
         Poll,
@@ -101,6 +102,8 @@
     pub claimed_at: Version,
     /// Whether the previous owner is known to have ended before this one started.
     pub predecessor_ended: bool,
+    /// What this owner may assume of the owners before it.
+    pub lineage: Lineage,
     /// Time for which a task keeps running without a renewal from its owner.
     pub lease: Duration,
     /// Longest lease that a worker grants.
--- a/crates/workflow/src/lineage.rs
+++ b/crates/workflow/src/lineage.rs
@@ -64,12 +64,7 @@
 
     /// Returns the lineage of an owner that grants leases of `lease` and claims the workers at `now`.
     /// `max_lease` is the longest lease that a worker grants.
-    pub fn after(
-        before: &Predecessor,
-        lease: Duration,
-        max_lease: Duration,
-        now: Millis,
-    ) -> Self {
+    pub fn after(before: &Predecessor, lease: Duration, max_lease: Duration, now: Millis) -> Self {
         let epoch = before.epoch + 1;
         let known = before.lineage.as_ref();
         let Some(known) = known.filter(|known| known.epoch == before.epoch) else {
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -14,6 +14,7 @@
 mod jobs;
 mod journal;
 mod leases;
+mod lineages;
 mod links;
 mod overload;
 mod pace;
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -24,6 +24,7 @@
         State, //
     },
     journal::Batch,
+    lineage::Lineage,
     order::{
         AdviceRequest,
         Order, //
@@ -199,6 +200,10 @@
             epoch: self.epoch,
             claimed_at: Version(self.version),
             predecessor_ended: ended,
+            lineage: Lineage {
+                epoch: self.epoch,
+                ..self.settings.lineage.clone()
+            },
             ..self.settings.clone()
         };
         self.engine = Engine::new(settings, self.policy.clone(), self.now);
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -23,6 +23,7 @@
         Spec,
         Step, //
     },
+    lineage::Lineage,
     policy::{
         AdviceSettings,
         Policy,
@@ -41,12 +42,25 @@
 /// Processor capacity of a worker in thousandths of a core.
 pub(crate) const WORKER_CPU: u64 = 64_000;
 
+/// Lease that owners grant.
+const LEASE: Duration = Duration::from_millis(5500);
+
+/// Returns the lineage of an owner after `epoch` others that all kept the promises of this version.
+pub(crate) fn lineage(epoch: u32) -> Lineage {
+    Lineage {
+        epoch,
+        earlier_lease: LEASE,
+        ..Lineage::first(LEASE)
+    }
+}
+
 pub(crate) fn settings(epoch: u32) -> Settings {
     Settings {
         epoch,
         claimed_at: Version(0),
         predecessor_ended: false,
-        lease: Duration::from_millis(5500),
+        lineage: lineage(epoch),
+        lease: LEASE,
         max_lease: Duration::from_secs(6),
         evacuation_limit: None,
         budget: Budget::default(),
