Show that each change of the owner makes inherited work wait anew (LOST)

Two tests of the engine, which fail: of three owners in six seconds each waits for all leases anew, so that the task of a worker that ended before the first of them has not started 8 s after that one began (1 start of 2).

--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -27,4 +27,5 @@
 mod sharing;
 mod silence;
 mod simulation;
+mod takeovers;
 mod util;
--- /dev/null
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -0,0 +1,85 @@
+//! How long inherited work waits under owners that change one after the other.
+
+use basilbridge_common::id::Name;
+use basilbridge_workflow::report::Outcome;
+
+use crate::{
+    simulation::{
+        Link,
+        Simulation, //
+    },
+    util::{
+        CHECKS,
+        accepted,
+        step, //
+    },
+};
+
+const CORE: u64 = 1000;
+
+/// Time after the first takeover in which all leases of the owner before it are over, and the time that
+/// owner takes to notice.
+const FIRST_WAIT_MILLIS: u64 = 8000;
+
+/// A cell with a task whose worker fell silent just before its owner was replaced.
+struct Cell {
+    sim: Simulation,
+    worker: Name,
+}
+
+impl Cell {
+    fn new() -> Self {
+        let mut sim = Simulation::new(&["w1", "w2", "w3"], |_, _| (60_000, Outcome::Done, CORE));
+        sim.run(50);
+        sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+        sim.run(2000);
+        let worker = sim.fleet.starts[0].3.clone();
+        let mut cell = Self { sim, worker };
+        cell.run(300);
+        cell.sim.take_over();
+        cell
+    }
+
+    /// Advances while nothing reaches the silent worker.
+    fn run(&mut self, millis: u64) {
+        let silent = self.worker.clone();
+        self.sim.run_on(millis, |name| match *name == silent {
+            true => Link::LostOrder,
+            false => Link::Normal,
+        });
+    }
+}
+
+/// Each owner let the wait begin anew, so that under owners that changed every few seconds the tasks of a
+/// worker that had ended never started. Found on pasar-sewa, two changes of the owner in five seconds.
+#[test]
+fn inherited_work_waits_no_longer_if_the_owner_changes_again() {
+    let mut cell = Cell::new();
+
+    for _ in 0..2 {
+        cell.run(3000);
+        cell.sim.take_over();
+    }
+    cell.run(FIRST_WAIT_MILLIS - 6000);
+
+    assert_eq!(cell.sim.starts_of("j1"), 2);
+    assert_eq!(cell.sim.fleet.violations, Vec::<String>::new());
+}
+
+/// The same for a worker whose entry has expired, which the second owner can't poll.
+#[test]
+fn inherited_work_waits_no_longer_for_an_unlisted_worker_if_the_owner_changes_again() {
+    let mut cell = Cell::new();
+
+    cell.run(2000);
+    let worker = cell.worker.clone();
+    cell.sim.unlist(&worker);
+    for _ in 0..2 {
+        cell.run(2000);
+        cell.sim.take_over();
+    }
+    cell.run(FIRST_WAIT_MILLIS - 6000);
+
+    assert_eq!(cell.sim.starts_of("j1"), 2);
+    assert_eq!(cell.sim.fleet.violations, Vec::<String>::new());
+}
