--- a/crates/cell/src/clients.rs
+++ b/crates/cell/src/clients.rs
@@ -14,6 +14,7 @@
         Name,
         Version, //
     },
+    unit::Millis, //
 };
 use basilbridge_platform::table::{
     Outcome,
@@ -64,6 +65,8 @@
 pub struct Page {
     /// The version of the store.
     pub version: Version,
+    /// The time of the store's steady clock; `None` if the store does not tell it.
+    pub now: Option<Millis>,
     /// The rows in the order of their keys; one without a value was removed.
     pub rows: Vec<Row>,
     /// Whether the range has more rows after these.
--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -97,6 +97,7 @@
             version,
             more,
             rows: next,
+            ..
         } = node.read(range).await?;
         let version = *first.get_or_insert(version);
         let ended = !more || next.is_empty();
--- a/crates/cell/src/owned_row.rs
+++ b/crates/cell/src/owned_row.rs
@@ -13,11 +13,16 @@
     Row, //
 };
 
+use basilbridge_workflow::store_clock::Reading;
+
 use crate::{
     clients::Range,
     election,
     owner::Owner,
-    record::OWNERSHIP_TABLE, //
+    record::{
+        CLAIM_KEY,
+        OWNERSHIP_TABLE, //
+    },
 };
 
 /// The delay after a failed call.
@@ -81,7 +86,13 @@
     }
 }
 
-/// Reads a row. A page that is older than the claim may lack what the owner before has written.
+/// Reads the store's clock into the engine, and retries until the store has answered.
+pub(crate) async fn read_clock(owner: &Owner) {
+    read(owner, CLAIM_KEY).await;
+}
+
+/// Reads a row, and the store's clock with it. A page that is older than the claim may lack what the
+/// owner before has written.
 async fn read(owner: &Owner, key: &str) -> Option<Row> {
     loop {
         let range = Range {
@@ -89,8 +100,17 @@
             from: Some(key.to_owned()),
             to: Some(format!("{key}\0")),
         };
+        let sent = owner.now();
         match owner.node.read(range).await {
             Ok(page) if page.version >= owner.ownership.version => {
+                if let Some(store) = page.now {
+                    let received = owner.now();
+                    owner.engine().set_store_clock(Reading {
+                        sent,
+                        received,
+                        store,
+                    });
+                }
                 return page.rows.into_iter().find(|row| row.value.is_some());
             }
             Ok(_) => {}
--- a/crates/cell/src/silence.rs
+++ b/crates/cell/src/silence.rs
@@ -11,7 +11,10 @@
 use basilbridge_workflow::silence::Record;
 
 use crate::{
-    owned_row::OwnedRow,
+    owned_row::{
+        self,
+        OwnedRow, //
+    },
     owner::Owner,
     record::{
         self,
@@ -23,6 +26,10 @@
 /// as long, and for the write, until it gets new work.
 const INTERVAL: Duration = Duration::from_millis(100);
 
+/// The age from which a reading of the store's clock is not used for another record. Clocks may differ
+/// a little in speed.
+const CLOCK_AGE: Duration = Duration::from_secs(5);
+
 /// The minimum time between two writes that only leave out tasks which have ended.
 const SHORTENING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -30,25 +37,46 @@
 #[derive(Debug)]
 pub(crate) struct Stored {
     row: OwnedRow,
-    /// The record; `None` if the row can't be decoded or its content is not known.
+    /// The record; `None` if the content of the row is not known.
     pub(crate) record: Option<Record>,
 }
 
 /// Reads the stored record, and retries until the store has answered.
 pub(crate) async fn read(owner: &Owner) -> Stored {
-    let (row, found) = OwnedRow::read(owner, SILENT_KEY).await;
-    let record = match found {
-        Some(found) => record::decode_row(&owner.node.log, &found),
-        None => Some(Record::default()),
-    };
-    Stored { row, record }
+    let (mut row, found) = OwnedRow::read(owner, SILENT_KEY).await;
+    let decoded = found.map(|found| record::decode_row(&owner.node.log, &found));
+    if let Some(None) = decoded {
+        discard(owner, &mut row).await;
+    }
+    let record = decoded.flatten().unwrap_or_default();
+    Stored {
+        row,
+        record: Some(record),
+    }
+}
+
+/// Replaces a record that can't be decoded. A later owner may be able to decode it, and would rely on
+/// it that this one followed it.
+async fn discard(owner: &Owner, row: &mut OwnedRow) {
+    match record::encode(&Record::default()) {
+        Ok(value) => while !row.replace(owner, value.clone(), Vec::new()).await {},
+        Err(error) => {
+            slog::error!(owner.node.log, "silent workers can't be encoded"; "error" => %error);
+        }
+    }
 }
 
 /// Keeps the stored record up to date until the future is dropped.
 pub(crate) async fn run(owner: Arc<Owner>, mut stored: Stored) {
     let mut written_at = owner.now();
+    let mut clock_read_at = owner.now();
     loop {
         let now = owner.now();
+        let is_clock_old = now.since(clock_read_at) >= CLOCK_AGE;
+        if is_clock_old && !is_current(&stored, &owner.engine().silence(now), true) {
+            owned_row::read_clock(&owner).await;
+            clock_read_at = owner.now();
+        }
         let may_shorten = now.since(written_at) >= SHORTENING_INTERVAL;
         let record = {
             let mut engine = owner.engine();
@@ -74,7 +102,8 @@
         if stored.row.replace(&owner, value, Vec::new()).await {
             slog::info!(owner.node.log, "silent workers recorded"; "epoch" => owner.epoch(),
                 "workers" => record.workers.len(),
-                "tasks" => record.workers.values().map(Vec::len).sum::<usize>());
+                "tasks" => record.workers.values().map(Vec::len).sum::<usize>(),
+                "unknown" => record.unknown.len(), "leases" => record.leases.len());
             owner.engine().confirm_silence(&record);
             owner.wake.notify_one();
             stored.record = Some(record);
@@ -87,8 +116,8 @@
 /// made it, and one with more tasks is as safe.
 fn is_current(stored: &Stored, record: &Record, may_shorten: bool) -> bool {
     stored.record.as_ref().is_some_and(|stored| {
-        stored == record
-            || (stored.workers.is_empty() && record.workers.is_empty())
+        stored.equals(record)
+            || (stored.is_empty() && record.is_empty())
             || (!may_shorten && stored.covers(record))
     })
 }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -66,6 +66,7 @@
     quota::TeamQuotas,
     report::WorkerInfo,
     sharing::Sharing,
+    store_clock::Reading,
     worker::{
         self,
         JobKey,
@@ -196,6 +197,12 @@
     pub(crate) stored_roster: HashSet<Name>,
     /// Workers that the stored record of silent workers names, or may name.
     pub(crate) recorded_silent: HashSet<Name>,
+    /// Those of them with the end of their leases, which are not extended meanwhile.
+    pub(crate) recorded_leases: HashSet<Name>,
+    /// Times when the leases of silent workers are over, by the record of an earlier owner.
+    pub(crate) inherited_ends: HashMap<Name, Millis>,
+    /// Latest reading of the store's clock.
+    pub(crate) store_clock: Option<Reading>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
     /// runs depend.
     pub(crate) run_facts: u64,
@@ -257,6 +264,9 @@
             has_released: false,
             stored_roster: HashSet::new(),
             recorded_silent: HashSet::new(),
+            recorded_leases: HashSet::new(),
+            inherited_ends: HashMap::new(),
+            store_clock: None,
             run_facts: 0,
             visited_runs: Cell::default(),
         }
@@ -290,6 +300,11 @@
         self.fenced
     }
 
+    /// Records a reading of the store's clock.
+    pub fn set_store_clock(&mut self, reading: Reading) {
+        self.store_clock = Some(reading);
+    }
+
     /// Records that a write that was sent at `sent`, on the condition that this owner holds the
     /// claim, has taken effect. No later owner existed then.
     pub fn confirm_ownership(&mut self, sent: Millis) {
@@ -526,6 +541,7 @@
             let mut worker = Worker::new(info);
             worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
             worker.is_recorded = self.recorded_silent.contains(&name);
+            worker.is_lease_recorded = self.recorded_leases.contains(&name);
             worker.is_on_roster = self.stored_roster.contains(&name);
             let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
@@ -707,10 +723,8 @@
         self.settle(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
-            let (max_lease, started_at) = (self.settings.max_lease, self.started_at);
-            let worker = &self.workers[key];
-            let has_runs = !worker.runs.is_empty();
-            let leases_end = worker.leases_end(max_lease, started_at);
+            let has_runs = !self.workers[key].runs.is_empty();
+            let leases_end = self.leases_end(key);
             if has_runs && self.is_over(leases_end, now) {
                 self.handle_crash(key, "the lease is over", false, now);
             }
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -5,7 +5,8 @@
 //!
 //! - A lease ends by the worker's clock, which may be slow, so its end is an upper bound.
 //! - An earlier owner may extend leases until the worker has answered the new owner, and with that
-//!   has seen its epoch. A lease of that time may have the longest length that a worker grants.
+//!   has seen its epoch. How long such a lease may be is told by the [lineage](crate::lineage) of the
+//!   owner; nothing is longer than what a worker grants.
 //! - A later owner may extend leases as soon as it has claimed the workers. So the end of a lease
 //!   counts only if this owner still held the claim then, which a conditional write that was sent
 //!   afterwards shows; see [`crate::engine::Engine::confirm_ownership`].
@@ -75,13 +76,13 @@
     }
 
     /// Returns the time from which no run holds a lease, unless the worker answers before or
-    /// another owner extends it. `max_length` is the longest lease that a worker grants. Returns
-    /// `None` if the boot has not answered this owner.
-    pub fn end(&self, max_length: Duration) -> Option<Millis> {
+    /// another owner extends it. `earlier_length` is the longest lease of the owners before this one.
+    /// Returns `None` if the boot has not answered this owner.
+    pub fn end(&self, earlier_length: Duration) -> Option<Millis> {
         let (answered_at, reading) = (self.answered_at?, self.reading?);
         let remaining = Duration::from_millis(self.sent_end.saturating_sub(reading.clock));
         let own_end = reading.at.after(worst_case(remaining));
-        Some(own_end.max(answered_at.after(worst_case(max_length))))
+        Some(own_end.max(answered_at.after(worst_case(earlier_length))))
     }
 }
 
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod silence;
 mod slowness;
 pub mod stage;
+pub mod store_clock;
 pub mod takeover;
 pub mod throttle;
 pub mod wait;
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -8,7 +8,10 @@
 //! `docs/design/silence.md`.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -31,6 +34,13 @@
 /// Most tasks in a record, so that it fits into a row of the store.
 const MAX_TASKS: usize = 1000;
 
+/// Most workers in a record of which it is not known what they run, for the same reason.
+const MAX_UNKNOWN: usize = 400;
+
+/// Time by which a stored end of a lease may be later than needed. It changes a little with each
+/// reading of the store's clock.
+const LEASE_TOLERANCE: Duration = Duration::from_millis(300);
+
 /// The workers that do not answer or are about to leave, with all tasks that each of them may run.
 #[data]
 #[derive(Default)]
@@ -41,31 +51,83 @@
     /// Tasks by worker.
     #[serde_as(as = "BTreeMap<_, Vec<DisplayFromStr>>")]
     pub workers: BTreeMap<Name, Vec<TaskId>>,
+    /// Workers that have never answered the owner, so that it does not know what they run.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub unknown: BTreeSet<Name>,
+    /// Times from which the leases of these workers are over, by the store's clock. They are not
+    /// extended before a record without them is stored.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub leases: BTreeMap<Name, Millis>,
 }
 
 impl Record {
-    /// Returns whether this record names the same workers as `other` and all of its tasks, so that
-    /// it says no less.
+    /// Returns whether this record names the same workers as `other` and all of its tasks, and no
+    /// lease much later, so that it says no less.
     pub fn covers(&self, other: &Self) -> bool {
         let has_all = |(name, tasks): (&Name, &Vec<TaskId>)| {
             let known = self.workers.get(name);
             known.is_some_and(|known| tasks.iter().all(|task| known.contains(task)))
         };
-        self.epoch == other.epoch
-            && self.workers.len() == other.workers.len()
+        self.workers.len() == other.workers.len()
             && other.workers.iter().all(has_all)
+            && self.agrees_on_leases(other)
+    }
+
+    /// Returns whether both records are of one owner and name the same workers and tasks, and no
+    /// lease in this one is much later.
+    pub fn equals(&self, other: &Self) -> bool {
+        self.workers == other.workers && self.agrees_on_leases(other)
+    }
+
+    /// Returns whether the record names no worker, so that it is as good as none.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty() && self.unknown.is_empty()
+    }
+
+    fn agrees_on_leases(&self, other: &Self) -> bool {
+        let is_close = |(name, end): (&Name, &Millis)| {
+            let known = self.leases.get(name);
+            known.is_some_and(|known| known.since(*end) < LEASE_TOLERANCE)
+        };
+        self.epoch == other.epoch
+            && self.unknown == other.unknown
+            && self.leases.len() == other.leases.len()
+            && other.leases.iter().all(is_close)
+    }
+
+    fn names(&self) -> impl Iterator<Item = &Name> {
+        self.workers.keys().chain(&self.unknown)
+    }
+
+    /// Leaves out workers until the record fits into a row.
+    fn shorten(&mut self) {
+        let mut count = 0;
+        self.workers.retain(|_, tasks| {
+            count += tasks.len();
+            count <= MAX_TASKS
+        });
+        while self.unknown.len() > MAX_UNKNOWN {
+            self.unknown.pop_last();
+        }
+        let (workers, unknown) = (&self.workers, &self.unknown);
+        self.leases
+            .retain(|name, _| workers.contains_key(name) || unknown.contains(name));
     }
 }
 
 impl Engine {
     /// Returns the record to store at `now`.
     pub fn silence(&self, now: Millis) -> Record {
-        let mut silent: BTreeMap<Name, Vec<TaskId>> = self
-            .held
-            .iter()
-            .map(|(name, tasks)| (name.clone(), tasks.clone()))
-            .collect();
-        for worker in self.workers.values() {
+        let mut record = Record {
+            epoch: self.settings.epoch,
+            ..Record::default()
+        };
+        for (name, tasks) in &self.held {
+            record.workers.insert(name.clone(), tasks.clone());
+            self.record_lease(&mut record, name, self.unanswered_leases_end(name));
+        }
+        for (key, worker) in &self.workers {
+            let name = &worker.info.name;
             let is_silent = worker.unresponsive
                 && worker
                     .silent_since
@@ -76,47 +138,72 @@
             if (is_silent || worker.info.leaving) && is_known {
                 let mut tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
                 tasks.sort_unstable();
-                silent.insert(worker.info.name.clone(), tasks);
+                record.workers.insert(name.clone(), tasks);
+                if is_silent {
+                    self.record_lease(&mut record, name, self.leases_end(key));
+                }
             }
         }
-        let mut count = 0;
-        silent.retain(|_, tasks| {
-            count += tasks.len();
-            count <= MAX_TASKS
-        });
-        Record {
-            epoch: self.settings.epoch,
-            workers: silent,
+        self.record_unknown(&mut record, now);
+        record.shorten();
+        record
+    }
+
+    /// Adds the workers that this owner still waits for and that have not answered it for a while.
+    ///
+    /// Without the end of their leases, which is certain once most workers have answered, the record
+    /// would say no more than the roster does.
+    fn record_unknown(&self, record: &mut Record, now: Millis) {
+        let begun = self.loaded_at.unwrap_or(now);
+        let is_end_certain = self.store_clock.is_some() && self.majority_answered_at.is_some();
+        if !is_end_certain || now.since(begun) < MIN_SILENCE {
+            return;
+        }
+        for name in self.unconfirmed.iter().flatten() {
+            let has_answered = self
+                .worker(name)
+                .is_some_and(|worker| worker.boot.is_some());
+            if !has_answered && !name.is_empty() {
+                record.unknown.insert(name.clone());
+                self.record_lease(record, name, self.unanswered_leases_end(name));
+            }
         }
     }
 
-    /// Records that the store may hold `record` from now on, so that its workers get no new work.
-    pub fn announce_silence(&mut self, record: &Record) {
-        for name in record.workers.keys() {
-            self.set_recorded(name, true);
+    fn record_lease(&self, record: &mut Record, name: &Name, end: Millis) {
+        if let Some(clock) = &self.store_clock {
+            record.leases.insert(name.clone(), clock.to_store(end));
         }
     }
 
+    /// Records that the store may hold `record` from now on, so that its workers get no new work and
+    /// no longer leases than it says.
+    pub fn announce_silence(&mut self, record: &Record) {
+        self.recorded_silent.extend(record.names().cloned());
+        self.recorded_leases.extend(record.leases.keys().cloned());
+        self.update_silence_marks();
+    }
+
     /// Records that the store holds `record` and nothing else.
     pub fn confirm_silence(&mut self, record: &Record) {
-        let withdrawn = self.recorded_silent.iter();
-        let withdrawn: Vec<Name> = withdrawn
-            .filter(|name| !record.workers.contains_key(*name))
-            .cloned()
-            .collect();
-        for name in withdrawn {
-            self.set_recorded(&name, false);
-        }
-        self.announce_silence(record);
+        self.recorded_silent = record.names().cloned().collect();
+        self.recorded_leases = record.leases.keys().cloned().collect();
+        self.update_silence_marks();
     }
 
-    /// Applies the record that the previous owner has stored, after the stored jobs have been
-    /// accepted. Only the tasks in it wait for its workers.
+    /// Applies the record that an earlier owner has stored, after the stored jobs have been
+    /// accepted. Only the tasks in it wait for its workers, and none longer than until the leases in
+    /// it are over.
+    ///
+    /// An owner that follows a record gives its workers neither work nor longer leases before it has
+    /// replaced the record. One of an earlier version in between may have done both.
     pub fn inherit_silence(&mut self, record: Record) {
         self.announce_silence(&record);
-        if record.epoch.checked_add(1) != Some(self.settings.epoch) {
+        let next = record.epoch.saturating_add(1);
+        if next > self.settings.epoch || next < self.settings.lineage.first_epoch {
             return;
         }
+        self.inherit_leases(&record);
         for (name, tasks) in record.workers {
             let Some(unconfirmed) = &mut self.unconfirmed else {
                 return;
@@ -138,6 +225,16 @@
         }
     }
 
+    fn inherit_leases(&mut self, record: &Record) {
+        let Some(clock) = self.store_clock else {
+            return;
+        };
+        for (name, end) in &record.leases {
+            self.inherited_ends
+                .insert(name.clone(), clock.to_local(*end));
+        }
+    }
+
     /// Releases the tasks that are held back for a worker, whose runs are known or have ended.
     pub(crate) fn release_held(&mut self, name: &Name) {
         let Some(tasks) = self.held.remove(name) else {
@@ -158,14 +255,11 @@
         }
     }
 
-    fn set_recorded(&mut self, name: &Name, is_recorded: bool) {
-        if is_recorded {
-            self.recorded_silent.insert(name.clone());
-        } else {
-            self.recorded_silent.remove(name);
-        }
-        if let Some(key) = self.workers_by_name.get(name) {
-            self.workers[*key].is_recorded = is_recorded;
+    fn update_silence_marks(&mut self) {
+        for worker in self.workers.values_mut() {
+            let name = &worker.info.name;
+            worker.is_recorded = self.recorded_silent.contains(name);
+            worker.is_lease_recorded = self.recorded_leases.contains(name);
         }
     }
 }
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -19,7 +19,8 @@
 use crate::{
     engine::Engine,
     event::Event,
-    lease, //
+    lease,
+    worker, //
 };
 
 /// Maximum time for which the earlier owner may continue before it notices its replacement: one
@@ -86,19 +87,64 @@
         if self.settings.epoch == 0 {
             return Millis(0);
         }
-        let lease = lease::worst_case(self.settings.max_lease);
+        let lease = lease::worst_case(self.earlier_lease());
         let answered_at = self
             .majority_answered_at
             .unwrap_or_else(|| self.started_at.after(lease));
         answered_at.after(NOTICE_TIME + lease)
     }
 
+    /// Returns the longest lease that an earlier owner may have granted.
+    fn earlier_lease(&self) -> Duration {
+        let lineage = &self.settings.lineage;
+        lineage.earlier_lease.min(self.settings.max_lease)
+    }
+
+    /// Returns the time when all leases of a worker are over, unless it answers before.
+    pub(crate) fn leases_end(&self, key: worker::Key) -> Millis {
+        let (max_lease, earlier_lease) = (self.settings.max_lease, self.earlier_lease());
+        self.workers[key].leases_end(max_lease, earlier_lease, self.started_at)
+    }
+
+    /// Returns the time when the leases of a worker that has not answered this owner are over. An
+    /// earlier owner may have told it, so that the wait does not begin anew with each owner.
+    pub(crate) fn unanswered_leases_end(&self, name: &Name) -> Millis {
+        let end = self.earlier_leases_end();
+        let inherited = self.inherited_ends.get(name);
+        inherited.map_or(end, |inherited| end.min(*inherited))
+    }
+
+    /// Stops waiting for the workers whose leases are over by the record of an earlier owner.
+    fn drop_ended(&mut self, now: Millis) {
+        let has_answered = |name: &Name| {
+            let worker = self.worker(name);
+            worker.is_some_and(|worker| worker.boot.is_some())
+        };
+        let ended = self.inherited_ends.iter();
+        let ended: Vec<(Name, Millis)> = ended
+            .filter(|(name, end)| now >= **end && !has_answered(name))
+            .map(|(name, end)| (name.clone(), *end))
+            .collect();
+        for (name, end) in ended {
+            if !self.is_over(end, now) {
+                continue;
+            }
+            self.inherited_ends.remove(&name);
+            let is_awaited = |names: &HashSet<Name>| names.contains(&name);
+            if self.unconfirmed.as_ref().is_some_and(is_awaited) {
+                self.expected_count -= 1;
+            }
+            self.confirm_worker(&name);
+        }
+    }
+
     /// Decides whether any worker may still run unknown tasks of an earlier owner, or the tasks that
     /// are held back for it.
     pub(crate) fn settle(&mut self, now: Millis) {
         if self.unconfirmed.is_none() && self.held.is_empty() && !self.has_released {
             return;
         }
+        self.drop_ended(now);
         let unanswered = self.unconfirmed.as_ref().map_or(0, HashSet::len);
         let is_majority = unanswered * 2 <= self.expected_count;
         // Workers that are only held tasks back for have not answered.
--- a/crates/workflow/src/wait.rs
+++ b/crates/workflow/src/wait.rs
@@ -47,7 +47,6 @@
 impl Engine {
     /// Returns the workers that inherited work waits for, in the order of their names.
     pub fn waits(&self) -> Vec<Wait> {
-        let until = self.earlier_leases_end();
         let unconfirmed = self.unconfirmed.iter().flatten().map(|name| {
             let ground = match self.worker(name) {
                 Some(worker) if worker.boot.is_some() => Ground::Incomplete,
@@ -62,7 +61,7 @@
             .map(|(name, ground)| Wait {
                 worker: name.clone(),
                 ground,
-                until,
+                until: self.unanswered_leases_end(name),
             })
             .collect();
         waits.sort_unstable_by(|left, right| left.worker.cmp(&right.worker));
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -134,6 +134,9 @@
     /// Whether the store holds, or may hold, a record of what it may run, which new work would make
     /// untrue.
     pub is_recorded: bool,
+    /// Whether the store holds, or may hold, the end of its leases, which extending them would make
+    /// untrue.
+    pub is_lease_recorded: bool,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
     /// Time until which it gets only work that no other worker may run.
@@ -186,6 +189,7 @@
             is_on_roster: false,
             evacuated: false,
             is_recorded: false,
+            is_lease_recorded: false,
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
@@ -288,21 +292,27 @@
     /// that clock is not known.
     ///
     /// The leases of an unresponsive worker are not extended: any order may still arrive, so its
-    /// runs would otherwise never count as ended.
+    /// runs would otherwise never count as ended. Nor are those whose end is recorded for the next
+    /// owner.
     pub fn extend_lease(&mut self, length: Duration, now: Millis) -> Option<u64> {
-        if self.unresponsive {
+        if self.unresponsive || self.is_lease_recorded {
             return self.lease.sent_end();
         }
         self.lease.extend(length, now)
     }
 
     /// Returns the time when all runs are guaranteed to have ended, unless the worker answers
-    /// before.
-    pub fn leases_end(&self, max_lease: Duration, epoch_start: Millis) -> Millis {
+    /// before. `earlier_lease` is the longest lease of the owners before this one.
+    pub fn leases_end(
+        &self,
+        max_lease: Duration,
+        earlier_lease: Duration,
+        epoch_start: Millis,
+    ) -> Millis {
         let worst_case = lease::worst_case(max_lease);
         // A start that reached a boot with another clock is valid for the longest lease.
         let reboot_end = self.reboot_listed_at.map(|at| at.after(worst_case));
-        let end = self.lease.end(max_lease);
+        let end = self.lease.end(earlier_lease);
         end.unwrap_or_else(|| epoch_start.after(worst_case))
             .max(reboot_end.unwrap_or_default())
     }
