--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -107,9 +107,14 @@
         }
     }
 
+    /// The longest lease that the owner requests. A worker may end without a word, and a long-running
+    /// task is to run again 6 s later, by a clock that is 2 % slow and with the time to start it.
+    pub const LONGEST_LEASE: Duration = Duration::from_millis(5500);
+
     /// Returns the lease that the owner requests: half a second below the longest that workers
-    /// grant, but never less than a takeover needs.
+    /// grant, but never less than a takeover needs nor more than [`Self::LONGEST_LEASE`].
     pub fn lease(&self) -> Duration {
-        (self.max_lease - Duration::from_millis(500)).max(Self::MIN_LEASE)
+        let granted = self.max_lease.saturating_sub(Duration::from_millis(500));
+        granted.clamp(Self::MIN_LEASE, Self::LONGEST_LEASE)
     }
 }
