--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -1,7 +1,13 @@
 //! How long inherited work waits under owners that change one after the other.
 
-use basilbridge_common::id::Name;
-use basilbridge_workflow::report::Outcome;
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
+use basilbridge_workflow::{
+    report::Outcome,
+    store_clock::Reading, //
+};
 
 use crate::{
     simulation::{
@@ -83,3 +89,22 @@
     assert_eq!(cell.sim.starts_of("j1"), 2);
     assert_eq!(cell.sim.fleet.violations, Vec::<String>::new());
 }
+
+/// A time that is handed on may arrive later, never earlier, however long the calls took that read the
+/// store's clock on both VMs.
+#[test]
+fn a_time_that_is_told_by_the_store_never_becomes_earlier() {
+    let end = Millis(90_000);
+    let took = |millis: u64| Reading {
+        sent: Millis(80_000),
+        received: Millis(80_000 + millis),
+        store: Millis(500 + millis / 2),
+    };
+
+    for (first, second) in [(0, 0), (0, 900), (900, 0), (900, 900)] {
+        let told = took(first).to_store(end);
+        let heard = took(second).to_local(told);
+
+        assert!(heard >= end, "{first} {second}: {heard:?}");
+    }
+}
