Claim only with the lineage that the store holds

A VM that lost a race for the claim learnt of the new claim, not of its lineage, and took the winner for an owner of an earlier version at its next claim: records were ignored and the longest lease counted. And a claim that was never acted on (its answer was lost) was taken as one that had ended the owners before it.

Change: a claim is on the condition of the lineage's row too, which a failed condition returns. Older leases count as over, and jobs as known to no older owner, only after an owner that has sent enough heartbeats.

Test: an_owner_that_sent_no_heartbeats_ends_nothing.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -110,8 +110,9 @@
     pub(crate) loaded: bool,
     /// The current claim, if there is one.
     pub(crate) claim: Option<StoredClaim>,
-    /// The newest lineage, which may be of an earlier owner.
+    /// The newest lineage, which may be of an earlier owner, and the version of its row.
     pub(crate) lineage: Option<Lineage>,
+    pub(crate) lineage_version: Version,
     /// The last heartbeat, which may be of an earlier owner.
     pub(crate) last_heartbeat: Option<ReceivedHeartbeat>,
     /// How the heartbeats of owners have arrived.
@@ -230,9 +231,8 @@
                 }
             }
             LINEAGE_KEY => {
-                if let Some(lineage) = record::decode_row(log, row) {
-                    self.lineage = Some(lineage);
-                }
+                self.lineage = record::decode_row(log, row);
+                self.lineage_version = row.version;
             }
             HEARTBEAT_KEY => {
                 if let Some(heartbeat) = record::decode_row(log, row) {
@@ -357,11 +357,14 @@
         let Some(stored) = &self.claim else {
             return Lineage::first(lease);
         };
+        let heartbeat = self.last_heartbeat.as_ref().filter(|received| {
+            received.version > stored.version && received.heartbeat.sequence >= SETTLED_HEARTBEATS
+        });
         let before = Predecessor {
             epoch: stored.claim.epoch,
-            version: stored.version,
             lineage: self.lineage.clone(),
             received_at: stored.received_at,
+            settled_at: heartbeat.map(|received| received.version),
         };
         Lineage::after(&before, lease, max_lease, now)
     }
@@ -545,7 +548,7 @@
 }
 
 async fn try_claim(node: &Arc<Node>) -> Option<Ownership> {
-    let (before, heartbeat_version, predecessor_ended, unproven, lineage) = {
+    let (before, heartbeat_version, predecessor_ended, unproven, lineage, lineage_version) = {
         let view = node.shared_view.lock();
         let heartbeat_version = view
             .last_heartbeat
@@ -558,6 +561,7 @@
             ended,
             view.unproven_takeovers(&node.config.name),
             view.next_lineage(node.config.lease(), node.config.max_lease, node.timer.now()),
+            view.lineage_version,
         )
     };
     let claim = Claim {
@@ -571,6 +575,7 @@
     let checks = vec![
         check(CLAIM_KEY, stored_version),
         check(HEARTBEAT_KEY, heartbeat_version.unwrap_or_default()),
+        check(LINEAGE_KEY, lineage_version),
     ];
     let puts = vec![
         put(CLAIM_KEY, record::encode(&claim).ok()?),
--- a/crates/workflow/src/lineage.rs
+++ b/crates/workflow/src/lineage.rs
@@ -42,12 +42,13 @@
 pub struct Predecessor {
     /// Number of owners before that one.
     pub epoch: u32,
-    /// Version of the claim's row.
-    pub version: Version,
     /// The newest stored lineage, which may be of an earlier owner.
     pub lineage: Option<Lineage>,
     /// Time when this VM received the claim.
     pub received_at: Millis,
+    /// Version of its newest heartbeat; `None` unless it has sent enough of them that all owners
+    /// before it have noticed their replacement.
+    pub settled_at: Option<Version>,
 }
 
 impl Lineage {
@@ -76,8 +77,10 @@
                 earlier_lease: max_lease,
             };
         };
-        // Leases of the owners before the predecessor are over once its claim is old enough.
-        let is_old = now.since(before.received_at) >= lease::worst_case(max_lease) * 3;
+        // Leases of the owners before the predecessor are over once its claim is old enough, if it
+        // has acted on it.
+        let is_old = before.settled_at.is_some()
+            && now.since(before.received_at) >= lease::worst_case(max_lease) * 3;
         let older = if is_old {
             Duration::ZERO
         } else {
@@ -86,7 +89,7 @@
         Self {
             epoch,
             first_epoch: known.first_epoch,
-            first_version: known.first_version.or(Some(before.version)),
+            first_version: known.first_version.or(before.settled_at),
             lease,
             earlier_lease: known.lease.max(older).min(max_lease),
         }
--- a/crates/workflow/tests/engine/lineages.rs
+++ b/crates/workflow/tests/engine/lineages.rs
@@ -20,9 +20,9 @@
 fn predecessor(epoch: u32, lineage: Option<Lineage>, age: Duration) -> Predecessor {
     Predecessor {
         epoch,
-        version: Version(70),
         lineage,
         received_at: Millis(NOW.0 - age.as_millis() as u64),
+        settled_at: Some(Version(70)),
     }
 }
 
@@ -64,3 +64,23 @@
     assert_eq!(late.earlier_lease, LEASE);
     assert_eq!(late.first_version, Some(Version(0)));
 }
+
+/// A claim whose answer was lost may never have been acted on, so the owner before it goes on.
+#[test]
+fn an_owner_that_sent_no_heartbeats_ends_nothing() {
+    let before = Lineage {
+        epoch: 4,
+        first_version: None,
+        earlier_lease: LONGER_LEASE,
+        ..Lineage::first(LEASE)
+    };
+    let phantom = Predecessor {
+        settled_at: None,
+        ..predecessor(4, Some(before), MAX_LEASE * 4)
+    };
+
+    let lineage = after(&phantom);
+
+    assert_eq!(lineage.earlier_lease, LONGER_LEASE);
+    assert_eq!(lineage.first_version, None);
+}
