Extend no lease after a stall until the claim is certain

An owner that woke from a freeze while the store turned it away went on as before, and extended leases, on workers that its successor did not reach, beyond the time with which that one counts: TWICE. A second freeze during the check of the claim was forgotten.

Change: after a stall no lease is extended before the claim was read, a conditional write that was sent afterwards has succeeded, or most workers have answered polls that were sent afterwards with the epoch of this owner. A new owner counts with the end of leases only once most workers have answered it, so both can't be. An outage of the store for all ends no task.

--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -441,10 +441,12 @@
             () = owner.wake.notified() => {}
             () = owner.node.timer.sleep(IDLE_INTERVAL) => {}
         }
-        if let Some(gap) = owner.stall_detector.gap(stall::boot_time()) {
+        let turn = stall::boot_time();
+        if let Some(gap) = owner.stall_detector.gap(turn) {
+            owner.engine().hold_leases(owner.now());
             check_ownership(owner, gap).await;
         }
-        owner.stall_detector.record_turn(stall::boot_time());
+        owner.stall_detector.record_turn(turn);
         let begun = owner.now();
         profile.time(Part::Pass, || run_pass(owner));
         let pass_interval = (owner.now().since(begun) * PASS_INTERVAL_FACTOR)
@@ -491,11 +493,13 @@
 /// centres have been evacuated.
 ///
 /// If the claim can't be read, the owner goes on: workers reject orders with an epoch below the
-/// highest that they have seen.
+/// highest that they have seen, and no lease is extended before it is certain that no later owner
+/// counts with its end.
 async fn check_ownership(owner: &Owner, gap: Duration) {
     let log = &owner.node.log;
     let outcome = match election::read_claim(&owner.node).await {
         Ok(Some((_, version))) if version == owner.ownership.version => {
+            owner.engine().release_leases();
             evacuation::refresh(owner).await;
             "title held"
         }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -50,6 +50,7 @@
         TaskId, //
     },
     lease,
+    lease_hold::Hold,
     lineage::Lineage,
     order::{
         Order,
@@ -201,6 +202,8 @@
     pub(crate) recorded_leases: HashSet<Name>,
     /// Times when the leases of silent workers are over, by the record of an earlier owner.
     pub(crate) inherited_ends: HashMap<Name, Millis>,
+    /// Stall after which leases are not extended yet.
+    pub(crate) lease_hold: Option<Hold>,
     /// Latest reading of the store's clock.
     pub(crate) store_clock: Option<Reading>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
@@ -266,6 +269,7 @@
             recorded_silent: HashSet::new(),
             recorded_leases: HashSet::new(),
             inherited_ends: HashMap::new(),
+            lease_hold: None,
             store_clock: None,
             run_facts: 0,
             visited_runs: Cell::default(),
@@ -300,15 +304,27 @@
         self.fenced
     }
 
-    /// Records a reading of the store's clock.
+    /// Records a reading of the store's clock, unless a newer one is known: answers may be behind.
     pub fn set_store_clock(&mut self, reading: Reading) {
-        self.store_clock = Some(reading);
+        if self
+            .store_clock
+            .is_none_or(|known| !known.is_newer_than(&reading))
+        {
+            self.store_clock = Some(reading);
+        }
     }
 
     /// Records that a write that was sent at `sent`, on the condition that this owner holds the
     /// claim, has taken effect. No later owner existed then.
     pub fn confirm_ownership(&mut self, sent: Millis) {
         self.owned_at = self.owned_at.max(sent);
+        if self
+            .lease_hold
+            .as_ref()
+            .is_some_and(|hold| sent >= hold.since)
+        {
+            self.release_leases();
+        }
     }
 
     /// Returns whether tasks wait for a proof that no later owner has extended their leases, and
@@ -542,6 +558,7 @@
             worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
             worker.is_recorded = self.recorded_silent.contains(&name);
             worker.is_lease_recorded = self.recorded_leases.contains(&name);
+            worker.is_lease_held = self.lease_hold.is_some();
             worker.is_on_roster = self.stored_roster.contains(&name);
             let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod job;
 pub mod journal;
 pub mod lease;
+pub mod lease_hold;
 pub mod lineage;
 pub mod load;
 pub mod order;
--- a/crates/workflow/src/store_clock.rs
+++ b/crates/workflow/src/store_clock.rs
@@ -18,6 +18,11 @@
 }
 
 impl Reading {
+    /// Returns whether the store's clock was later in this reading than `other` tells.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        self.store.0 + other.sent.0 > other.store.0 + self.sent.0
+    }
+
     /// Returns the time of the store at the time `local` of this VM, or a little later.
     pub fn to_store(&self, local: Millis) -> Millis {
         convert(local, self.sent, self.store)
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -137,6 +137,8 @@
     /// Whether the store holds, or may hold, the end of its leases, which extending them would make
     /// untrue.
     pub is_lease_recorded: bool,
+    /// Whether this owner may have been replaced unnoticed, so that it extends no lease.
+    pub is_lease_held: bool,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
     /// Time until which it gets only work that no other worker may run.
@@ -190,6 +192,7 @@
             evacuated: false,
             is_recorded: false,
             is_lease_recorded: false,
+            is_lease_held: false,
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
@@ -293,9 +296,9 @@
     ///
     /// The leases of an unresponsive worker are not extended: any order may still arrive, so its
     /// runs would otherwise never count as ended. Nor are those whose end is recorded for the next
-    /// owner.
+    /// owner, or any after a stall.
     pub fn extend_lease(&mut self, length: Duration, now: Millis) -> Option<u64> {
-        if self.unresponsive || self.is_lease_recorded {
+        if self.unresponsive || self.is_lease_recorded || self.is_lease_held {
             return self.lease.sent_end();
         }
         self.lease.extend(length, now)
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -67,6 +67,7 @@
         let was_silent = worker.unresponsive;
         worker.read_clock(inventory.clock, now);
         let received = worker.received;
+        self.record_answer(key, sent);
         if was_silent {
             self.push_worker_event(key, "heard again");
         }
