Hand on inherited ends of leases at once, and never too early

The first record of an owner left out workers whose end it had inherited but that had not answered it yet, so an owner that lived for less than a second made the wait begin anew. A worker whose leases were over by the record was in no record until the owner's own wait was over. An end that had become later was not corrected, one that was told by a reading of the store's clock before a suspension was too early, and a worker that had listed a part of its ends was not waited for once the leases of earlier owners were over (an older fault).

Change: workers with an inherited end stay in the record; what may run unknown tasks decides whether a worker is known; ends are compared both ways; the clock is read again after 20 ms of suspension; workers that have answered are waited for until they list all or their own leases end. An owner whose predecessor has surely ended waits no time for it to notice.

--- a/crates/cell/src/silence.rs
+++ b/crates/cell/src/silence.rs
@@ -8,6 +8,7 @@
     time::Duration, //
 };
 
+use basilbridge_common::unit::Millis;
 use basilbridge_workflow::silence::Record;
 
 use crate::{
@@ -20,6 +21,7 @@
         self,
         SILENT_KEY, //
     },
+    stall,
 };
 
 /// The time between two looks at which workers do not answer. A worker that answers again waits for
@@ -30,6 +32,9 @@
 /// a little in speed.
 const CLOCK_AGE: Duration = Duration::from_secs(5);
 
+/// The longest suspension between a reading and its use, far below the margin of a lease.
+const MAX_SUSPENSION: Duration = Duration::from_millis(20);
+
 /// The minimum time between two writes that only leave out tasks which have ended.
 const SHORTENING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -66,22 +71,52 @@
     }
 }
 
+/// When the store's clock was read, by two clocks of this VM.
+///
+/// A time that is told by an older reading would be too early if the VM was suspended since: its steady
+/// clock stood still.
+#[derive(Debug)]
+struct ClockAge {
+    read_at: Millis,
+    /// Time of a clock that counts suspended time.
+    read_at_boot_time: Duration,
+}
+
+impl ClockAge {
+    fn new(now: Millis) -> Self {
+        Self {
+            read_at: now,
+            read_at_boot_time: stall::boot_time(),
+        }
+    }
+
+    /// Returns whether the store's clock has to be read again at `now`.
+    fn is_old(&self, now: Millis) -> bool {
+        let passed = now.since(self.read_at);
+        let with_suspension = stall::boot_time().saturating_sub(self.read_at_boot_time);
+        passed >= CLOCK_AGE || with_suspension.saturating_sub(passed) > MAX_SUSPENSION
+    }
+}
+
 /// Keeps the stored record up to date until the future is dropped.
 pub(crate) async fn run(owner: Arc<Owner>, mut stored: Stored) {
     let mut written_at = owner.now();
-    let mut clock_read_at = owner.now();
+    // The engine has a reading that is as old as the load.
+    let mut clock_age: Option<ClockAge> = None;
     loop {
         let now = owner.now();
-        let is_clock_old = now.since(clock_read_at) >= CLOCK_AGE;
-        if is_clock_old && !is_current(&stored, &owner.engine().silence(now), true) {
+        let is_clock_old = |age: &Option<ClockAge>| age.as_ref().is_none_or(|age| age.is_old(now));
+        if is_clock_old(&clock_age) && !is_current(&stored, &owner.engine().silence(now), true) {
+            clock_age = Some(ClockAge::new(now));
             owned_row::read_clock(&owner).await;
-            clock_read_at = owner.now();
+            continue;
         }
         let may_shorten = now.since(written_at) >= SHORTENING_INTERVAL;
         let record = {
             let mut engine = owner.engine();
             let record = engine.silence(now);
-            (!is_current(&stored, &record, may_shorten)).then(|| {
+            let is_due = !is_current(&stored, &record, may_shorten) && !is_clock_old(&clock_age);
+            is_due.then(|| {
                 // Under one lock, so that its workers get no work that it does not name.
                 engine.announce_silence(&record);
                 record
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -58,7 +58,8 @@
     /// Returns the worker's clock at `now` or a little less, or `None` if it is not known.
     pub fn clock_at(&self, now: Millis) -> Option<u64> {
         let reading = self.reading?;
-        Some(reading.clock + now.since(reading.at).as_millis() as u64)
+        let passed = now.since(reading.at).mul_f64(1.0 - CLOCK_DRIFT);
+        Some(reading.clock + passed.as_millis() as u64)
     }
 
     /// Returns the end of a lease of `length` from `now` on, by the worker's clock, or `None` if
--- a/crates/workflow/src/roster.rs
+++ b/crates/workflow/src/roster.rs
@@ -13,7 +13,10 @@
 
 use basilbridge_common::id::Name;
 
-use crate::engine::Engine;
+use crate::{
+    engine::Engine,
+    takeover::UNKNOWN, //
+};
 
 impl Engine {
     /// Returns the names to store, in order: of the workers that are listed or may have runs, and of
@@ -38,7 +41,6 @@
 
     /// Expects workers whose names can't be read, so that all leases of earlier owners are waited for.
     pub fn expect_unknown_workers(&mut self) {
-        const UNKNOWN: &str = "";
         self.expect_workers([UNKNOWN.into()]);
     }
 
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -41,6 +41,9 @@
 /// reading of the store's clock.
 const LEASE_TOLERANCE: Duration = Duration::from_millis(300);
 
+/// Time by which it may be earlier: clocks are read in milliseconds.
+const ROUNDING: Duration = Duration::from_millis(3);
+
 /// The workers that do not answer or are about to leave, with all tasks that each of them may run.
 #[data]
 #[derive(Default)]
@@ -74,7 +77,7 @@
     }
 
     /// Returns whether both records are of one owner and name the same workers and tasks, and no
-    /// lease in this one is much later.
+    /// lease in this one is earlier or much later.
     pub fn equals(&self, other: &Self) -> bool {
         self.workers == other.workers && self.agrees_on_leases(other)
     }
@@ -87,7 +90,9 @@
     fn agrees_on_leases(&self, other: &Self) -> bool {
         let is_close = |(name, end): (&Name, &Millis)| {
             let known = self.leases.get(name);
-            known.is_some_and(|known| known.since(*end) < LEASE_TOLERANCE)
+            known.is_some_and(|known| {
+                known.since(*end) < LEASE_TOLERANCE && end.since(*known) < ROUNDING
+            })
         };
         self.epoch == other.epoch
             && self.unknown == other.unknown
@@ -124,7 +129,12 @@
         };
         for (name, tasks) in &self.held {
             record.workers.insert(name.clone(), tasks.clone());
-            self.record_lease(&mut record, name, self.unanswered_leases_end(name));
+            match self.workers_by_name.get(name) {
+                Some(key) if self.workers[*key].boot.is_some() => {
+                    self.record_lease(&mut record, name, self.leases_end(*key));
+                }
+                _ => self.record_unanswered_lease(&mut record, name),
+            }
         }
         for (key, worker) in &self.workers {
             let name = &worker.info.name;
@@ -133,8 +143,8 @@
                     .silent_since
                     .is_some_and(|since| now.since(since) >= MIN_SILENCE);
             // What an earlier owner started on a worker that never answered this one is not known
-            // before all leases of that owner are over.
-            let is_known = worker.is_inventoried || now >= self.earlier_leases_end();
+            // before the leases of that owner are over.
+            let is_known = worker.is_inventoried || !self.may_run_unknown(name);
             if (is_silent || worker.info.leaving) && is_known {
                 let mut tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
                 tasks.sort_unstable();
@@ -149,27 +159,30 @@
         record
     }
 
-    /// Adds the workers that this owner still waits for and that have not answered it for a while.
-    ///
-    /// Without the end of their leases, which is certain once most workers have answered, the record
+    /// Adds the workers that this owner still waits for, if the end of their leases is told by an
+    /// earlier owner, or is certain and they have not answered for a while. Without it the record
     /// would say no more than the roster does.
     fn record_unknown(&self, record: &mut Record, now: Millis) {
         let begun = self.loaded_at.unwrap_or(now);
-        let is_end_certain = self.store_clock.is_some() && self.majority_answered_at.is_some();
-        if !is_end_certain || now.since(begun) < MIN_SILENCE {
-            return;
-        }
+        let is_old = now.since(begun) >= MIN_SILENCE;
         for name in self.unconfirmed.iter().flatten() {
-            let has_answered = self
-                .worker(name)
-                .is_some_and(|worker| worker.boot.is_some());
-            if !has_answered && !name.is_empty() {
-                record.unknown.insert(name.clone());
-                self.record_lease(record, name, self.unanswered_leases_end(name));
+            if (is_old || self.inherited_ends.contains_key(name)) && !self.has_answered(name) {
+                self.record_unanswered_lease(record, name);
+                if record.leases.contains_key(name) {
+                    record.unknown.insert(name.clone());
+                }
             }
         }
     }
 
+    /// Adds the end of the leases of a worker that has not answered this owner, if it is certain.
+    fn record_unanswered_lease(&self, record: &mut Record, name: &Name) {
+        let is_known = self.inherited_ends.contains_key(name);
+        if is_known || (self.is_earlier_end_certain() && !name.is_empty()) {
+            self.record_lease(record, name, self.unanswered_leases_end(name));
+        }
+    }
+
     fn record_lease(&self, record: &mut Record, name: &Name, end: Millis) {
         if let Some(clock) = &self.store_clock {
             record.leases.insert(name.clone(), clock.to_store(end));
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -27,6 +27,9 @@
 /// poll of a worker, including the time for which the worker holds it back.
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 
+/// Name that stands for workers which an earlier owner knew and that can't be read.
+pub(crate) const UNKNOWN: &str = "";
+
 /// Time after loading during which workers may report jobs that are still unknown here: jobs that
 /// arrived while the stored ones were read, and that the earlier owner has started. It covers
 /// [`NOTICE_TIME`] and the delay of the feed of a slow store.
@@ -82,18 +85,39 @@
     /// Returns the time when all leases of earlier owners are over, as far as it is known by now.
     ///
     /// The earlier owner extends leases until it polls a worker that has seen the new epoch. If most
-    /// workers answer nobody, it is given the time of another lease to notice.
+    /// workers answer nobody, it is given the time of another lease to notice. One that is known to
+    /// have ended extends none.
     pub(crate) fn earlier_leases_end(&self) -> Millis {
         if self.settings.epoch == 0 {
             return Millis(0);
         }
         let lease = lease::worst_case(self.earlier_lease());
+        if self.settings.predecessor_ended {
+            return self.started_at.after(lease);
+        }
         let answered_at = self
             .majority_answered_at
             .unwrap_or_else(|| self.started_at.after(lease));
         answered_at.after(NOTICE_TIME + lease)
     }
 
+    /// Returns whether [`Engine::earlier_leases_end`] does not change any more.
+    pub(crate) fn is_earlier_end_certain(&self) -> bool {
+        self.settings.predecessor_ended || self.majority_answered_at.is_some()
+    }
+
+    /// Returns whether a worker has answered this owner, if only with a part of its ends.
+    pub(crate) fn has_answered(&self, name: &Name) -> bool {
+        let worker = self.worker(name);
+        worker.is_some_and(|worker| worker.boot.is_some())
+    }
+
+    /// Returns whether a worker may run tasks of an earlier owner that are not known.
+    pub(crate) fn may_run_unknown(&self, name: &Name) -> bool {
+        let is_awaited = |names: &HashSet<Name>| names.contains(name) || names.contains(UNKNOWN);
+        self.unconfirmed.as_ref().is_some_and(is_awaited) || self.held.contains_key(name)
+    }
+
     /// Returns the longest lease that an earlier owner may have granted.
     fn earlier_lease(&self) -> Duration {
         let lineage = &self.settings.lineage;
@@ -116,13 +140,9 @@
 
     /// Stops waiting for the workers whose leases are over by the record of an earlier owner.
     fn drop_ended(&mut self, now: Millis) {
-        let has_answered = |name: &Name| {
-            let worker = self.worker(name);
-            worker.is_some_and(|worker| worker.boot.is_some())
-        };
         let ended = self.inherited_ends.iter();
         let ended: Vec<(Name, Millis)> = ended
-            .filter(|(name, end)| now >= **end && !has_answered(name))
+            .filter(|(name, end)| now >= **end && !self.has_answered(name))
             .map(|(name, end)| (name.clone(), *end))
             .collect();
         for (name, end) in ended {
@@ -138,6 +158,21 @@
         }
     }
 
+    /// Stops waiting for all workers that have not answered this owner, whose leases are over.
+    ///
+    /// One that has answered with a part of its ends holds a lease of this owner. It may have ended
+    /// tasks that it has not told of.
+    fn drop_unanswered(&mut self) {
+        let awaited = self.unconfirmed.iter().flatten().chain(self.held.keys());
+        let unanswered: Vec<Name> = awaited
+            .filter(|name| !self.has_answered(name))
+            .cloned()
+            .collect();
+        for name in unanswered {
+            self.confirm_worker(&name);
+        }
+    }
+
     /// Decides whether any worker may still run unknown tasks of an earlier owner, or the tasks that
     /// are held back for it.
     pub(crate) fn settle(&mut self, now: Millis) {
@@ -154,7 +189,10 @@
         }
         let are_over = self.is_over(self.earlier_leases_end(), now);
         let was_settled = self.is_settled();
-        if unanswered == 0 || are_over {
+        if are_over {
+            self.drop_unanswered();
+        }
+        if self.unconfirmed.as_ref().is_some_and(HashSet::is_empty) {
             self.unconfirmed = None;
         }
         if !was_settled && self.is_settled() {
@@ -167,12 +205,6 @@
                 },
             });
         }
-        if are_over {
-            let names: Vec<Name> = self.held.keys().cloned().collect();
-            for name in names {
-                self.release_held(&name);
-            }
-        }
         // The placements on a worker that was held back for are resolved once it is released.
         let is_due = !was_settled || self.has_released;
         if self.is_settled() && is_due {
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -5,6 +5,7 @@
     unit::Millis, //
 };
 use basilbridge_workflow::{
+    job::State,
     report::Outcome,
     store_clock::Reading, //
 };
@@ -27,6 +28,10 @@
 /// owner takes to notice.
 const FIRST_WAIT_MILLIS: u64 = 8000;
 
+/// Time after which a new owner counts with the end of all earlier leases, also if it has heard no worker
+/// out.
+const NO_MAJORITY_WAIT_MILLIS: u64 = 14_000;
+
 /// A cell with a task whose worker fell silent just before its owner was replaced.
 struct Cell {
     sim: Simulation,
@@ -108,3 +113,71 @@
         assert!(heard >= end, "{first} {second}: {heard:?}");
     }
 }
+
+/// An owner replaced the record that it had inherited by one without the workers that had not answered
+/// it yet, so that the wait began anew if it ended within a second.
+#[test]
+fn an_owner_that_lives_for_a_moment_hands_on_what_it_has_inherited() {
+    let mut cell = Cell::new();
+
+    cell.run(3000);
+    for _ in 0..4 {
+        cell.sim.take_over();
+        cell.run(250);
+    }
+    cell.run(FIRST_WAIT_MILLIS - 4000);
+
+    assert_eq!(cell.sim.starts_of("j1"), 2);
+    assert_eq!(cell.sim.fleet.violations, Vec::<String>::new());
+}
+
+/// A worker whose list of ends was cut short held a lease of the new owner, but its other ends were not
+/// waited for once the leases of the owner before were over.
+#[test]
+fn ends_that_a_worker_has_not_listed_yet_are_waited_for_beyond_the_leases_of_earlier_owners() {
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| (100, Outcome::Done, 50));
+    sim.run(50);
+    sim.store_down = true;
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(2000, 50)]));
+    sim.run(1000);
+
+    sim.take_over();
+    for _ in 0..NO_MAJORITY_WAIT_MILLIS / 10 {
+        sim.engine.confirm_ownership(sim.now);
+        sim.run(10);
+    }
+    let meanwhile = sim.starts_of("j1");
+    sim.store_down = false;
+    sim.run(4000);
+
+    assert_eq!(meanwhile, 2000);
+    assert_eq!(sim.starts_of("j1"), 2000);
+    assert_eq!(sim.state("j1"), State::Completed);
+}
+
+/// An owner that was frozen extended leases with which the next one did not count.
+#[test]
+fn an_owner_that_was_stalled_extends_leases_only_once_it_is_known_to_hold_the_claim() {
+    let mut sim = Simulation::new(&["w1", "w2", "w3"], |_, _| (60_000, Outcome::Done, CORE));
+    sim.run(50);
+    let key = sim.engine.worker_key("w1").expect("it is listed");
+    let lease = |sim: &mut Simulation| {
+        let poll = sim.engine.poll(key, sim.now);
+        poll.and_then(|poll| poll.lease_end)
+    };
+    let before = lease(&mut sim);
+
+    sim.now = Millis(sim.now.0 + 3000);
+    sim.engine.hold_leases(sim.now);
+    let stalled = lease(&mut sim);
+    sim.engine.confirm_ownership(sim.now);
+    let confirmed = lease(&mut sim);
+    sim.engine.hold_leases(sim.now);
+    sim.store_down = true;
+    sim.run(50);
+    let answered = lease(&mut sim);
+
+    assert_eq!(stalled, before);
+    assert!(confirmed > before);
+    assert!(answered > confirmed);
+}
