Store starts of long-running tasks before they are sent

Cause: starts were not stored, so a new owner knew of no task where an earlier one had started it.

Change: the order to start a long-running task is kept back until the row of its job holds the start: run, worker and boot. The record stays until that run is known to have ended. A new owner trusts it for jobs that no owner before its lineage can know, holds back the tasks with a record for just that worker, and starts all others at once. The simulation now stores the record of silent workers again after a write whose outcome it does not know, as the cell does.

--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -137,7 +137,8 @@
     accepted.sort_by_key(|(row, accepted)| (accepted.accepted_at, row.version));
     for (row, accepted) in accepted {
         let progress = stored.remove(row.key.as_str());
-        engine.accept(&row.key.as_str().into(), accepted, progress, true, now);
+        let id = row.key.as_str().into();
+        engine.accept(&id, accepted, row.version, progress, true, now);
     }
     // A job whose removal was interrupted has only its progress left.
     for id in stored.into_keys() {
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -9,7 +9,10 @@
 };
 
 use basilbridge_common::{
-    id::Name,
+    id::{
+        Name,
+        Version, //
+    },
     unit::{
         Millis,
         Resources, //
@@ -94,7 +97,7 @@
     };
     let settings = Settings {
         epoch: 0,
-        claimed_at: basilbridge_common::id::Version(0),
+        claimed_at: Version(0),
         predecessor_ended: true,
         lineage: Lineage::first(Duration::from_millis(5500)),
         lease: Duration::from_millis(5500),
@@ -173,7 +176,7 @@
             schedule: None,
         },
     };
-    engine.accept(&name.into(), accepted, None, false, now);
+    engine.accept(&name.into(), accepted, Version(1), None, false, now);
 }
 
 /// Answers all pending orders: requests for advice with approval of two workers out of three,
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -46,6 +46,8 @@
     pub final_state_stored: bool,
     /// Whether an earlier owner may have started tasks of the job.
     pub inherited: bool,
+    /// Whether all owners that may have started its long-running tasks have stored these starts.
+    pub starts_are_stored: bool,
     /// Whether the job exceeds the rate that its team is entitled to.
     pub over_quota: bool,
 }
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -272,23 +272,28 @@
             }
         }
         for position in inherited {
-            let Some(task) = self.task_mut(position) else {
-                continue;
-            };
-            task.history.record = Record::Stored;
-            if !task.is_unplaced() {
-                continue;
-            }
-            let Some(placement) = task.history.placement.take() else {
-                continue;
-            };
-            self.mark_dirty(position.job);
-            let lives = self.worker(&placement.worker).is_some_and(|worker| {
-                worker.boot == Some(placement.boot) && !worker.unresponsive && !worker.replaced
-            });
-            if !lives {
-                self.record_crash(position, placement.run, &placement.worker, false, now);
-            }
+            self.resolve_inherited_placement(position, now);
+        }
+    }
+
+    /// Does so for one task, whose worker has answered or has ended.
+    pub(crate) fn resolve_inherited_placement(&mut self, position: TaskPosition, now: Millis) {
+        let Some(task) = self.task_mut(position) else {
+            return;
+        };
+        task.history.record = Record::Stored;
+        if !task.is_unplaced() {
+            return;
+        }
+        let Some(placement) = task.history.placement.take() else {
+            return;
+        };
+        self.mark_dirty(position.job);
+        let lives = self.worker(&placement.worker).is_some_and(|worker| {
+            worker.boot == Some(placement.boot) && !worker.unresponsive && !worker.replaced
+        });
+        if !lives {
+            self.record_crash(position, placement.run, &placement.worker, false, now);
         }
     }
 
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -54,6 +54,7 @@
     order::{
         Order,
         Poll,
+        Start,
         Stop,
         Target, //
     },
@@ -66,6 +67,7 @@
     quota::TeamQuotas,
     report::WorkerInfo,
     sharing::Sharing,
+    start_record::Awaited,
     worker::{
         self,
         JobKey,
@@ -190,6 +192,11 @@
     /// Tasks that workers may run which had stopped to answer the previous owner, by worker. They
     /// wait until the worker answers or its leases are over.
     pub(crate) held: BTreeMap<Name, Vec<TaskId>>,
+    /// Starts of long-running tasks that are sent once they are stored, by task.
+    pub(crate) unstored_starts: HashMap<TaskId, Start>,
+    /// Long-running tasks that earlier owners may have started on workers which have not answered
+    /// this one, by worker.
+    pub(crate) awaited_starts: BTreeMap<Name, Vec<Awaited>>,
     /// Whether the placements on workers that were released from it have to be resolved.
     pub(crate) has_released: bool,
     /// Names of workers that the next owner is certain to find in the store.
@@ -254,6 +261,8 @@
             retired_ids: HashSet::new(),
             evacuation: evacuation::Evacuation::default(),
             held: BTreeMap::new(),
+            unstored_starts: HashMap::new(),
+            awaited_starts: BTreeMap::new(),
             has_released: false,
             stored_roster: HashSet::new(),
             recorded_silent: HashSet::new(),
@@ -354,13 +363,8 @@
     /// row is written once.
     pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
         if self.is_first(id, version) {
-            self.accept(
-                id,
-                accepted,
-                None,
-                self.may_be_known_to_predecessor(now),
-                now,
-            );
+            let inherited = self.may_be_known_to_predecessor(now);
+            self.accept(id, accepted, version, None, inherited, now);
         }
     }
 
@@ -384,7 +388,7 @@
         if self.is_first(id, version) {
             let inherited =
                 version <= self.settings.claimed_at && self.may_be_known_to_predecessor(now);
-            self.accept(id, accepted, None, inherited, now);
+            self.accept(id, accepted, version, None, inherited, now);
         }
     }
 
@@ -407,6 +411,7 @@
     /// Records that all jobs that were stored when this owner started have been accepted.
     pub fn finish_loading(&mut self, now: Millis) {
         self.loaded_at = Some(now);
+        self.await_stored_starts();
         for (id, accepted, version) in std::mem::take(&mut self.early_jobs) {
             // A read of the stored jobs may have delivered it, too.
             let loaded = self
@@ -420,7 +425,7 @@
         }
     }
 
-    /// Accepts a job.
+    /// Accepts a job, whose row has `row_version`.
     ///
     /// `stored` is the progress that an earlier owner has stored, and `inherited` says whether an
     /// earlier owner may have started tasks of the job.
@@ -428,6 +433,7 @@
         &mut self,
         id: &Name,
         accepted: Accepted,
+        row_version: Version,
         stored: Option<(Progress, Version)>,
         inherited: bool,
         now: Millis,
@@ -464,8 +470,11 @@
         } else {
             Vec::new()
         };
+        // The progress is read only with the stored jobs.
+        let is_read = self.loaded_at.is_none() || row_version > self.settings.claimed_at;
         let job = Job {
             id: id.clone(),
+            starts_are_stored: is_read && self.trusts_starts(row_version, &accepted.spec),
             accepted,
             stages,
             final_state: None,
@@ -657,7 +666,7 @@
         }
         let name = worker.info.name.clone();
         self.push_worker_event(key, "replaced");
-        self.confirm_worker(&name);
+        self.confirm_worker(&name, now);
         self.handle_crash(key, "another worker answers at its address", true, now);
         self.settle(now);
         self.remove_if_unused(key);
@@ -830,6 +839,8 @@
         now: Millis,
     ) -> Option<worker::Run> {
         let run = self.workers.get_mut(key)?.remove_run(task)?;
+        self.unstored_starts
+            .retain(|waiting, start| waiting != task || start.run != run.run);
         if let Some((team, resources)) = &run.team {
             if let Some(used) = self.team_usage.get_mut(team) {
                 *used = used.minus(resources);
@@ -870,6 +881,7 @@
         if task.worker == Some(worker) && task.run == run {
             task.worker = None;
             task.waiting_since = now;
+            self.forget_start(position);
         }
         self.remove_if_finished(position.job);
     }
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -123,6 +123,7 @@
                     self.retire(&record.job, now);
                 }
             }
+            self.send_stored_starts(key, &record.progress, now);
             self.remove_if_finished(key);
         }
     }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod silence;
 mod slowness;
 pub mod stage;
+mod start_record;
 pub mod takeover;
 pub mod throttle;
 pub mod wait;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -17,7 +17,6 @@
         RUNS_PER_EPOCH,
         worker_target, //
     },
-    evacuation,
     event::Event,
     job::Step,
     order::{
@@ -239,7 +238,7 @@
             .is_none_or(|team| team.allows(&used.plus(resources), urgent))
     }
 
-    /// Records a run and orders its worker to start it. Does nothing if the clock of the worker is
+    /// Records a run and orders its worker to start it, at once or when the start is stored. Does nothing if the clock of the worker is
     /// unknown.
     pub(crate) fn start_run(
         &mut self,
@@ -250,13 +249,10 @@
         checkpoint: Option<Name>,
         now: Millis,
     ) {
-        let lease = self.settings.lease;
-        let worker = &mut self.workers[key];
-        let Some(lease_end) = worker.extend_lease(lease, now) else {
+        let Some(lease_end) = self.lease_end(key, now) else {
             return;
         };
-        let start_end = evacuation::start_end(self.settings.evacuation_limit, worker, now);
-        let lease_end = lease_end.min(start_end.unwrap_or(u64::MAX));
+        let worker = &self.workers[key];
         let boot = worker.info.boot;
         let job = &mut self.jobs[ready.job];
         let task_id = job.task_id(ready.stage, index);
@@ -300,7 +296,7 @@
             throttle_percent: 100,
             stop_sent: None,
         };
-        self.orders.push(Order::Start(Start {
+        let start = Start {
             target: worker_target(key, worker),
             task: task_id.clone(),
             run,
@@ -308,7 +304,7 @@
             lease_end,
             ticket,
             checkpoint,
-        }));
+        };
         self.events.push(Event::Start {
             task: task_id.clone(),
             run,
@@ -316,6 +312,11 @@
             waited,
         });
         self.add_run(key, task_id, state, now);
+        if self.jobs[ready.job].stores_starts(ready.stage) {
+            self.hold_until_stored(position, start);
+        } else {
+            self.orders.push(Order::Start(start));
+        }
     }
 }
 
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -23,6 +23,9 @@
     /// Where a run is about to start, or may have crashed its worker.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub placement: Option<Placement>,
+    /// Latest start of a long-running task, unless that run is known to have ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start: Option<Placement>,
 }
 
 /// A run on a boot of a worker.
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -84,13 +84,14 @@
     }
 
     /// Returns the stages with tasks to start, in the order of their ranks. `unsettled` says whether
-    /// to include jobs whose tasks an earlier owner may have started.
+    /// to include those whose tasks an earlier owner may have started.
     pub(crate) fn ready_stages(&self, unsettled: bool, now: Millis) -> Vec<Ready> {
         let mut ready = Vec::new();
         for (key, job) in &self.jobs {
-            if job.final_state.is_some() || (job.inherited && !unsettled && !self.is_settled()) {
+            if job.final_state.is_some() {
                 continue;
             }
+            let is_open = !job.inherited || unsettled || self.is_settled();
             let Some(queue) = self.queue(job) else {
                 continue;
             };
@@ -98,8 +99,12 @@
                 if stage.is_complete() || !job.is_stage_ready(stage_index, now) {
                     continue;
                 }
-                let waiting = stage.waiting_count();
                 let step = &job.accepted.spec.steps[stage.step];
+                let is_known = job.starts_are_stored && step.long_running;
+                if !is_open && !is_known {
+                    continue;
+                }
+                let waiting = stage.waiting_count();
                 if waiting == 0 || (step.gang && waiting < stage.tasks.len()) {
                     continue;
                 }
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -146,7 +146,8 @@
         self.has_released = true;
         for task in tasks {
             let is_held_elsewhere = self.held.values().any(|tasks| tasks.contains(&task));
-            self.set_held(&task, is_held_elsewhere);
+            let is_held = is_held_elsewhere || self.awaits_start(&task);
+            self.set_held(&task, is_held);
         }
     }
 
--- a/crates/workflow/src/stage.rs
+++ b/crates/workflow/src/stage.rs
@@ -11,7 +11,10 @@
 
 use crate::{
     crash,
-    progress,
+    progress::{
+        self,
+        Placement, //
+    },
     worker, //
 };
 
@@ -56,8 +59,10 @@
     pub failed_workers: Vec<worker::Key>,
     /// Crashes of its workers.
     pub history: crash::History,
-    /// Whether a worker that does not answer may run it, by the record of an earlier owner.
+    /// Whether a worker that does not answer may run it, by a record of an earlier owner.
     pub held: bool,
+    /// Latest start of a long-running task, unless that run is known to have ended.
+    pub start: Option<Placement>,
 }
 
 impl Task {
@@ -78,6 +83,7 @@
             checkpoint: self.checkpoint.clone(),
             crashes: self.history.crashes.clone(),
             placement: self.history.placement.clone(),
+            start: self.start.clone(),
         };
         (stored != progress::Task::default()).then_some(stored)
     }
@@ -91,6 +97,8 @@
             placement: stored.placement.clone(),
             record: crash::Record::Inherited,
         };
+        self.start = stored.start.clone();
+        self.run = stored.start.as_ref().map_or(0, |start| start.run);
     }
 }
 
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -1,10 +1,10 @@
 //! When tasks of an earlier owner may be started again.
 //!
-//! Starts are not stored. A task that an earlier owner accepted may be running on any worker that
+//! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any worker that
 //! has not answered this owner yet. It therefore waits until all workers have answered, or until
 //! the leases granted by the earlier owner are guaranteed to have expired. Jobs that arrive before
 //! the earlier owner has noticed its replacement wait too, since it may receive and start them as
-//! well. See `docs/design/programs.md`.
+//! well. See `docs/design/programs.md`, and [`crate::start_record`] for long-running tasks.
 
 use std::{
     collections::HashSet,
@@ -71,11 +71,12 @@
     }
 
     /// Records that it is known what a worker runs: it has listed all of it, or it has ended.
-    pub(crate) fn confirm_worker(&mut self, name: &Name) {
+    pub(crate) fn confirm_worker(&mut self, name: &Name, now: Millis) {
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(name);
         }
         self.release_held(name);
+        self.release_starts(name, now);
     }
 
     /// Returns the time when all leases of earlier owners are over, as far as it is known by now.
@@ -126,6 +127,7 @@
             for name in names {
                 self.release_held(&name);
             }
+            self.release_all_starts(now);
         }
         // The placements on a worker that was held back for are resolved once it is released.
         let is_due = !was_settled || self.has_released;
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -90,7 +90,7 @@
             let worker = &mut self.workers[key];
             if !std::mem::replace(&mut worker.is_inventoried, true) {
                 let name = worker.info.name.clone();
-                self.confirm_worker(&name);
+                self.confirm_worker(&name, now);
             }
         }
         self.settle(now);
@@ -285,6 +285,7 @@
                 task.run = running.run;
                 task.worker = Some(key);
                 job.started = true;
+                self.record_start(position, key, running.run);
                 self.keep_checkpoint(position, running.run, running.checkpoint.as_ref());
                 self.events.push(Event::Adopted {
                     task: running.task.clone(),
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -145,7 +145,7 @@
         .announce(&name("j1"), job.clone(), Version(7), sim.now);
     let stored = Some((finished, Version(8)));
     sim.engine
-        .accept(&name("j1"), job.clone(), stored, true, sim.now);
+        .accept(&name("j1"), job.clone(), Version(7), stored, true, sim.now);
     // Another part was read at this version of the store.
     sim.engine.set_accepted_version(Version(5));
     sim.engine.finish_loading(sim.now);
--- a/crates/workflow/tests/engine/links.rs
+++ b/crates/workflow/tests/engine/links.rs
@@ -9,7 +9,10 @@
 };
 
 use basilbridge_common::{
-    id::Name,
+    id::{
+        Name,
+        Version, //
+    },
     unit::Millis, //
 };
 use basilbridge_workflow::{
@@ -140,7 +143,8 @@
         let mut job = accepted(CHECKS, self.now, vec![step(10, 14 * CORE)]);
         job.spec.payload = "x".repeat(PAYLOAD).into();
         let id: Name = format!("j{number}").into();
-        self.engine.accept(&id, job, None, false, self.now);
+        self.engine
+            .accept(&id, job, Version(1), None, false, self.now);
     }
 
     fn pass(&mut self) {
@@ -149,11 +153,8 @@
         self.engine.schedule(self.now);
         while let Some(round) = self.engine.begin_round() {
             for batch in &round.batches {
-                self.engine.handle_stored(
-                    batch,
-                    basilbridge_common::id::Version(self.now.0),
-                    self.now,
-                );
+                self.engine
+                    .handle_stored(batch, Version(self.now.0), self.now);
             }
             self.engine.finish_round(&round.ends);
         }
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod jobs;
 mod journal;
+mod lasting;
 mod leases;
 mod lineages;
 mod links;
--- a/crates/workflow/tests/engine/ranks.rs
+++ b/crates/workflow/tests/engine/ranks.rs
@@ -113,7 +113,7 @@
     // The team is entitled to 100 jobs per second and sends 80.
     for number in 0..stored {
         let id = name(&format!("stored{number}"));
-        engine.accept(&id, job(number * 25 / 2), None, true, START);
+        engine.accept(&id, job(number * 25 / 2), Version(1), None, true, START);
     }
     engine.set_accepted_version(Version(stored));
     engine.finish_loading(START);
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -90,6 +90,8 @@
     pub(crate) engine: Engine,
     pub(crate) fleet: Fleet,
     pub(crate) jobs: BTreeMap<Name, Accepted>,
+    /// Versions of the rows of these jobs.
+    pub(crate) job_versions: BTreeMap<Name, Version>,
     pub(crate) stored: BTreeMap<Name, (Progress, Version)>,
     pub(crate) version: u64,
     pub(crate) events: Vec<Event>,
@@ -105,6 +107,8 @@
     pub(crate) unlisted: BTreeSet<Name>,
     /// The stored record of workers that do not answer.
     pub(crate) silence: silence::Record,
+    /// Whether the engine does not know which record is stored.
+    silence_is_unclear: bool,
     /// Whether workers report tasks that are not near their end as at work.
     pub(crate) report_at_work: bool,
     /// Evacuated data centres, which later owners know as well.
@@ -126,6 +130,7 @@
             engine: util::engine(0, now),
             fleet: Fleet::new(workers, behaviour),
             jobs: BTreeMap::new(),
+            job_versions: BTreeMap::new(),
             stored: BTreeMap::new(),
             version: 0,
             events: Vec::new(),
@@ -137,6 +142,7 @@
             leaving: BTreeSet::new(),
             unlisted: BTreeSet::new(),
             silence: silence::Record::default(),
+            silence_is_unclear: false,
             report_at_work: false,
             evacuated: BTreeSet::new(),
             settings: settings(0),
@@ -181,6 +187,7 @@
     pub(crate) fn submit(&mut self, id: &str, accepted: Accepted) {
         self.version += 1;
         self.jobs.insert(id.into(), accepted.clone());
+        self.job_versions.insert(id.into(), Version(self.version));
         self.engine
             .accept_new(&id.into(), accepted, Version(self.version), self.now);
         self.engine.set_accepted_version(Version(self.version));
@@ -196,6 +203,7 @@
     /// is known to have ended.
     pub(crate) fn take_over_from(&mut self, ended: bool) {
         self.epoch += 1;
+        self.silence_is_unclear = false;
         let settings = Settings {
             epoch: self.epoch,
             claimed_at: Version(self.version),
@@ -216,8 +224,9 @@
         self.register_crashed();
         for (id, accepted) in &self.jobs {
             let stored = self.stored.get(id).cloned();
+            let version = self.job_versions[id];
             self.engine
-                .accept(id, accepted.clone(), stored, true, self.now);
+                .accept(id, accepted.clone(), version, stored, true, self.now);
         }
         self.engine.set_accepted_version(Version(self.version));
         self.engine.inherit_silence(self.silence.clone());
@@ -280,11 +289,12 @@
     /// Stores which workers do not answer, if that has changed.
     fn store_silence(&mut self) {
         let record = self.engine.silence(self.now);
-        if record == self.silence || (record.workers.is_empty() && self.silence.workers.is_empty())
-        {
+        let is_empty = record.workers.is_empty() && self.silence.workers.is_empty();
+        if (record == self.silence || is_empty) && !self.silence_is_unclear {
             return;
         }
         self.engine.announce_silence(&record);
+        self.silence_is_unclear = self.store_down;
         if !self.store_down {
             self.engine.confirm_silence(&record);
             self.silence = record;
@@ -458,8 +468,10 @@
         }
     }
 
+    /// Returns the boot of a worker; zero if it has crashed.
     fn boot_of(&self, name: &Name) -> u64 {
-        self.fleet.workers[name].boot
+        let worker = self.fleet.workers.get(name);
+        worker.map_or(0, |worker| worker.boot)
     }
 
     fn delay(&mut self, by: u64, epoch: u64, order: Order) {
@@ -511,7 +523,8 @@
         }
     }
 
-    fn store(&mut self) {
+    /// Stores all changes.
+    pub(crate) fn store(&mut self) {
         while let Some(round) = self.engine.begin_round() {
             if self.store_down {
                 for batch in &round.batches {
