--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod silence;
 mod slowness;
 pub mod stage;
+mod start_record;
 pub mod store_clock;
 pub mod takeover;
 pub mod throttle;
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -1,10 +1,10 @@
 //! When tasks of an earlier owner may be started again.
 //!
-//! Starts are not stored. A task that an earlier owner accepted may be running on any worker that
+//! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any worker that
 //! has not answered this owner yet. It therefore waits until all workers have answered, or until
 //! the leases granted by the earlier owner are guaranteed to have expired. Jobs that arrive before
 //! the earlier owner has noticed its replacement wait too, since it may receive and start them as
-//! well. See `docs/design/programs.md`.
+//! well. See `docs/design/programs.md`, and [`crate::start_record`] for long-running tasks.
 
 use std::{
     collections::HashSet,
@@ -75,11 +75,12 @@
     }
 
     /// Records that it is known what a worker runs: it has listed all of it, or it has ended.
-    pub(crate) fn confirm_worker(&mut self, name: &Name) {
+    pub(crate) fn confirm_worker(&mut self, name: &Name, now: Millis) {
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(name);
         }
         self.release_held(name);
+        self.release_starts(name, now);
     }
 
     /// Returns the time when all leases of earlier owners are over, as far as it is known by now.
@@ -115,7 +116,9 @@
     /// Returns whether a worker may run tasks of an earlier owner that are not known.
     pub(crate) fn may_run_unknown(&self, name: &Name) -> bool {
         let is_awaited = |names: &HashSet<Name>| names.contains(name) || names.contains(UNKNOWN);
-        self.unconfirmed.as_ref().is_some_and(is_awaited) || self.held.contains_key(name)
+        let is_inventoried = self.worker(name).is_some_and(|worker| worker.is_inventoried);
+        let is_expected = self.unconfirmed.as_ref().is_some_and(is_awaited);
+        !is_inventoried && (is_expected || self.held.contains_key(name))
     }
 
     /// Returns the longest lease that an earlier owner may have granted.
@@ -154,7 +157,7 @@
             if self.unconfirmed.as_ref().is_some_and(is_awaited) {
                 self.expected_count -= 1;
             }
-            self.confirm_worker(&name);
+            self.confirm_worker(&name, now);
         }
     }
 
@@ -162,14 +165,14 @@
     ///
     /// One that has answered with a part of its ends holds a lease of this owner. It may have ended
     /// tasks that it has not told of.
-    fn drop_unanswered(&mut self) {
+    fn drop_unanswered(&mut self, now: Millis) {
         let awaited = self.unconfirmed.iter().flatten().chain(self.held.keys());
         let unanswered: Vec<Name> = awaited
             .filter(|name| !self.has_answered(name))
             .cloned()
             .collect();
         for name in unanswered {
-            self.confirm_worker(&name);
+            self.confirm_worker(&name, now);
         }
     }
 
@@ -190,7 +193,8 @@
         let are_over = self.is_over(self.earlier_leases_end(), now);
         let was_settled = self.is_settled();
         if are_over {
-            self.drop_unanswered();
+            self.drop_unanswered(now);
+            self.release_known_starts(now);
         }
         if self.unconfirmed.as_ref().is_some_and(HashSet::is_empty) {
             self.unconfirmed = None;
