Let the soak watch long-running jobs through chains of owners

A task that does not run for 3 s, with room for it, from 6 s after its last run and after 4 s without a fault, is lost (RULES.md, LOST). Workers crash and come back at another address, or are not heard, and two or three owners end within two seconds after it, by signals or because the store refuses them; the last such chain comes as the other faults end. One run in three has leases of up to 10 s.

--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -50,6 +50,9 @@
 /// The number of data centres, over which the workers are spread.
 const ZONES: usize = 2;
 
+/// How many times a worker may come back at another address after a crash.
+const SPARE_PATHS: usize = 3;
+
 /// How long the list names a worker that has crashed: three heartbeats of the users' settings.
 const HEARTBEATS_MISSED: Duration = Duration::from_millis(4500);
 
@@ -59,6 +62,8 @@
 struct Worker {
     name: String,
     path: Proxy,
+    /// Paths to it at addresses that no worker has had.
+    spare_paths: Vec<Proxy>,
     born: u64,
     cpu_millis: u64,
     is_draining: bool,
@@ -76,6 +81,9 @@
     workers: Vec<Worker>,
     /// Workers that another has replaced, and since when.
     replaced: Vec<(Instant, String)>,
+    /// Owners that stand still, and those that the store refuses.
+    paused: Vec<usize>,
+    refused: Vec<usize>,
     _servers: Vec<Server>,
 }
 
@@ -90,7 +98,7 @@
 
 impl Cell {
     /// Starts a cell on addresses of its own, so that several run beside each other.
-    pub(crate) async fn start(number: u64) -> io::Result<Self> {
+    pub(crate) async fn start(number: u64, max_lease: Duration) -> io::Result<Self> {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{number}"));
         fs::create_dir_all(&folder)?;
         let net = format!("127.{}.{}", 20 + number / 250 % 200, number % 250);
@@ -103,15 +111,23 @@
             paths: Vec::new(),
             workers: Vec::new(),
             replaced: Vec::new(),
+            paused: Vec::new(),
+            refused: Vec::new(),
             _servers: Vec::new(),
         };
+        cell.fleet.set_max_lease(max_lease);
         for index in 0..WORKERS {
             let name = format!("worker-{index}");
             let server = cell.fleet.serve(&name, any(&format!("{net}.1"))).await?;
             let path = Proxy::start(any(&format!("{net}.2")), server.address).await?;
+            let mut spare_paths = Vec::new();
+            for _ in 0..SPARE_PATHS {
+                spare_paths.push(Proxy::start(any(&format!("{net}.2")), server.address).await?);
+            }
             cell.workers.push(Worker {
                 name,
                 path,
+                spare_paths,
                 born: FIRST_BIRTH,
                 cpu_millis: WORKER_CPU_MILLIS,
                 is_draining: false,
@@ -128,7 +144,13 @@
             let server = cell.store.serve(address, Arc::clone(&door)).await?;
             let path = Proxy::start(any(&format!("{net}.2")), server.address).await?;
             let ip = format!("{net}.{}", 10 + index);
-            let vm = Vm::start(&folder, &format!("vm-{index}"), &ip, path.address)?;
+            let vm = Vm::start(
+                &folder,
+                &format!("vm-{index}"),
+                &ip,
+                path.address,
+                max_lease,
+            )?;
             cell.vms.push(vm);
             cell.doors.push(door);
             cell.paths.push(path);
@@ -203,6 +225,18 @@
         self.register(index, &self.fleet.worker_of(machine));
     }
 
+    /// Crashes a worker. While there are addresses left, nothing answers at its address any more,
+    /// and the next worker comes at another.
+    fn crash(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        self.fleet.crash(&worker.name);
+        worker.path.reset();
+        if let Some(path) = worker.spare_paths.pop() {
+            let former = std::mem::replace(&mut worker.path, path);
+            former.set(Mode::Silent);
+        }
+    }
+
     /// Starts the workers that are due after a crash, and removes those that another has replaced
     /// from the list once they have missed their heartbeats.
     pub(crate) fn restart_crashed(&mut self) {
@@ -260,8 +294,18 @@
             Kind::Depose(signal) => {
                 if let Some(owner) = self.owner() {
                     self.vms[owner].signal(signal);
+                    if signal == Signal::STOP {
+                        self.paused.push(owner);
+                    }
                 }
             }
+            Kind::Refuse => {
+                if let Some(owner) = self.owner() {
+                    self.set_door(owner, StoreMode::Unavailable);
+                    self.refused.push(owner);
+                }
+            }
+            Kind::Crash => self.crash(worker),
             Kind::Shrink(percent) => self.resize(worker, WORKER_CPU_MILLIS * percent / 100),
         }
     }
@@ -295,12 +339,20 @@
                 }
             }
             Kind::Depose(_) => {
+                for owner in std::mem::take(&mut self.paused) {
+                    self.vms[owner].signal(Signal::CONT);
+                }
                 for vm in &mut self.vms {
                     vm.boot()?;
                 }
             }
+            Kind::Refuse => {
+                for owner in std::mem::take(&mut self.refused) {
+                    self.set_door(owner, StoreMode::Normal);
+                }
+            }
             Kind::Shrink(_) => self.resize(worker, WORKER_CPU_MILLIS),
-            Kind::Reload | Kind::Compact | Kind::Reboot => {}
+            Kind::Reload | Kind::Compact | Kind::Reboot | Kind::Crash => {}
         }
         Ok(())
     }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -48,6 +48,10 @@
     Drain,
     /// The process that owns the workers gets a signal.
     Depose(Signal),
+    /// The store refuses the process that owns the workers.
+    Refuse,
+    /// A worker crashes; another one comes, mostly at another address.
+    Crash,
 }
 
 impl Kind {
@@ -73,6 +77,9 @@
     pub(crate) place: usize,
 }
 
+/// The time from the crash of a worker to the last change of the owner in a chain, about.
+const CHAIN_TIME: Duration = Duration::from_millis(2500);
+
 /// Draws the faults of a run that lasts `length`.
 pub(crate) fn draw(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
     let mut faults = Vec::new();
@@ -166,6 +173,46 @@
     departures
 }
 
+/// Draws chains of owners that end within two seconds, each with a worker that has crashed or is not
+/// heard shortly before. The last chain comes as the other faults end, at `end`.
+pub(crate) fn draw_chains(random: &mut SmallRng, end: Duration) -> Vec<Fault> {
+    let mut chains = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(1000..4000));
+    while at + CHAIN_TIME * 2 < end {
+        draw_chain(random, at, &mut chains);
+        at += Duration::from_millis(random.random_range(3000..8000));
+    }
+    draw_chain(random, end.saturating_sub(CHAIN_TIME), &mut chains);
+    chains
+}
+
+fn draw_chain(random: &mut SmallRng, begin: Duration, chain: &mut Vec<Fault>) {
+    let deaf = [Mode::Deaf, Mode::Silent][random.random_range(0..2)];
+    let of_worker = [Kind::Crash, Kind::Crash, Kind::WorkerPath(deaf)][random.random_range(0..3)];
+    chain.push(Fault {
+        at: begin,
+        lasts: Duration::from_millis(random.random_range(1000..2500)),
+        kind: of_worker,
+        place: random.random_range(0..60),
+    });
+    let mut at = begin + Duration::from_millis(random.random_range(50..900));
+    for _ in 0..random.random_range(2..4) {
+        let kind = [
+            Kind::Depose(Signal::KILL),
+            Kind::Depose(Signal::TERM),
+            Kind::Depose(Signal::STOP),
+            Kind::Refuse,
+        ][random.random_range(0..4)];
+        chain.push(Fault {
+            at,
+            lasts: Duration::from_millis(random.random_range(400..1500)),
+            kind,
+            place: 0,
+        });
+        at += Duration::from_millis(random.random_range(200..900));
+    }
+}
+
 /// Draws the evacuations of data centres in a run that lasts `length`. Some last longer than the
 /// time within which they have to be in force.
 pub(crate) fn draw_evacuations(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cell;
 mod fault;
+mod lasting;
 mod proxy;
 mod run;
 mod vm;
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -58,15 +58,20 @@
 const LONG_ONE_IN: u64 = 8;
 const LONG_FACTOR: u32 = 4;
 
+/// Leases of the users' platforms; one run in so many has the long ones.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+const LONG_LEASE: Duration = Duration::from_secs(10);
+const LONG_LEASE_ONE_IN: u64 = 3;
+
 /// The time between two looks for crashed workers that are due to start again.
 const RESTART_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The most VMs that a caller tries with one job.
-const TRIES: usize = 4;
+pub(crate) const TRIES: usize = 4;
 
 /// How a submission ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fate {
+pub(crate) enum Fate {
     Accepted,
     /// All answers said that it does not run.
     Refused,
@@ -96,30 +101,36 @@
 
 /// What callers know of their jobs.
 #[derive(Debug, Default)]
-struct Book {
-    fates: BTreeMap<String, Fate>,
+pub(crate) struct Book {
+    pub(crate) fates: BTreeMap<String, Fate>,
     /// Jobs whose cancellation was answered or given up, with whether it was acknowledged.
-    cancelled: BTreeMap<String, bool>,
+    pub(crate) cancelled: BTreeMap<String, bool>,
     /// Jobs whose cancellation was sent. It may take effect before its answer arrives.
-    cancelling: BTreeSet<String>,
+    pub(crate) cancelling: BTreeSet<String>,
     broken: Vec<String>,
 }
 
 #[derive(Clone)]
-struct Crowd {
-    caller: Caller,
-    fleet: Arc<Fleet>,
-    vms: Arc<[SocketAddr]>,
-    timer: timer::Service,
+pub(crate) struct Crowd {
+    pub(crate) caller: Caller,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) vms: Arc<[SocketAddr]>,
+    pub(crate) timer: timer::Service,
     book: Arc<Mutex<Book>>,
 }
 
 impl Crowd {
-    fn book(&self) -> std::sync::MutexGuard<'_, Book> {
+    pub(crate) fn book(&self) -> std::sync::MutexGuard<'_, Book> {
         self.book.lock().expect("no holder has panicked")
     }
 
-    async fn submit(&self, id: String, asked: SubmittedJob, first: usize, cancels: bool) {
+    pub(crate) async fn submit(
+        &self,
+        id: String,
+        asked: SubmittedJob,
+        first: usize,
+        cancels: bool,
+    ) {
         let body = documents::job(&asked).to_string();
         self.fleet.register_job(&id, asked);
         let mut fate = Fate::Refused;
@@ -211,6 +222,8 @@
                 tasks_per_step: steps,
                 cpu_millis: random.random_range(500..2000),
                 is_deadly: random.random_range(0..DEADLY_ONE_IN) == 0,
+                is_lasting: false,
+                max_per_worker: 0,
             };
             let first = random.random_range(0..self.vms.len());
             let cancels = random.random_range(0..10) == 0;
@@ -241,15 +254,12 @@
         }
     }
 
-    /// Waits until all accepted jobs are over, and says which are not in time.
-    async fn settle(&self) {
+    /// Waits until those of the jobs that were accepted are over, and says which are not in time.
+    pub(crate) async fn settle(&self, jobs: Vec<String>) {
         let accepted: Vec<String> = {
             let book = self.book();
-            let fates = book.fates.iter();
-            fates
-                .filter(|(_, fate)| **fate == Fate::Accepted)
-                .map(|(id, _)| id.clone())
-                .collect()
+            let is_accepted = |id: &String| book.fates.get(id) == Some(&Fate::Accepted);
+            jobs.into_iter().filter(is_accepted).collect()
         };
         let begun = Instant::now();
         let mut open = accepted;
@@ -294,7 +304,15 @@
 pub(crate) async fn run(seed: u64, length: Duration) -> Report {
     let mut random = SmallRng::seed_from_u64(seed);
     let timer = timer::Service::start();
-    let mut cell = Cell::start(seed).await.expect("a cell starts on loopback");
+    let has_long_lease = seed.is_multiple_of(LONG_LEASE_ONE_IN);
+    let max_lease = if has_long_lease {
+        LONG_LEASE
+    } else {
+        MAX_LEASE
+    };
+    let mut cell = Cell::start(seed, max_lease)
+        .await
+        .expect("a cell starts on loopback");
     let crowd = Crowd {
         caller: Caller::new(),
         fleet: Arc::clone(&cell.fleet),
@@ -311,6 +329,17 @@
     faults.extend(fault::draw_evacuations(&mut evacuation_random, length));
     let mut departure_random = SmallRng::seed_from_u64(!seed.rotate_left(32));
     faults.extend(fault::draw_departures(&mut departure_random, length));
+    let ends = faults.iter().map(|fault| fault.at + fault.lasts);
+    let end = ends.max().unwrap_or(length);
+    let mut chain_random = SmallRng::seed_from_u64(seed.rotate_left(16));
+    faults.extend(fault::draw_chains(&mut chain_random, end));
+    let lasting = {
+        let (crowd, random) = (
+            crowd.clone(),
+            SmallRng::seed_from_u64(!seed.rotate_left(16)),
+        );
+        tokio::spawn(async move { crowd.press_lasting(random).await })
+    };
     let callers = {
         let crowd = crowd.clone();
         tokio::spawn(async move { crowd.press(random, length).await })
@@ -325,6 +354,7 @@
     for (at, begins, index) in steps {
         while begun.elapsed() < at {
             cell.restart_crashed();
+            cell.fleet.watch_lasting();
             let left = at.saturating_sub(begun.elapsed());
             timer.sleep(left.min(RESTART_INTERVAL)).await;
         }
@@ -335,13 +365,20 @@
         }
     }
     callers.await.expect("the callers do not panic");
+    let lasting = lasting.await.expect("the callers do not panic");
     cell.heal().expect("a process starts");
-    let settled = crowd.settle();
+    cell.fleet.begin_calm();
+    let mut others: Vec<String> = crowd.book().fates.keys().cloned().collect();
+    others.retain(|id| !lasting.contains(id));
+    let settled = futures_util::future::join(crowd.settle(others), crowd.settle_lasting(lasting));
     tokio::pin!(settled);
     loop {
         tokio::select! {
-            () = &mut settled => break,
-            () = timer.sleep(RESTART_INTERVAL) => cell.restart_crashed(),
+            _ = &mut settled => break,
+            () = timer.sleep(RESTART_INTERVAL) => {
+                cell.restart_crashed();
+                cell.fleet.watch_lasting();
+            }
         }
     }
     report(&crowd, &cell, faults.len())
--- a/tests/soak/vm.rs
+++ b/tests/soak/vm.rs
@@ -15,6 +15,7 @@
         Child,
         Command, //
     },
+    time::Duration,
 };
 
 use basilbridge_adapter_standins::documents;
@@ -39,9 +40,10 @@
         name: &str,
         ip: &str,
         store: SocketAddr,
+        max_lease: Duration,
     ) -> io::Result<Self> {
         let settings = folder.join(format!("{name}.toml"));
-        fs::write(&settings, documents::settings(name, ip, store))?;
+        fs::write(&settings, documents::settings(name, ip, store, max_lease))?;
         let callers = format!("{ip}:{}", documents::CALLERS_PORT);
         let mut vm = Self {
             callers: callers.parse().map_err(io::Error::other)?,
