--- a/crates/workflow/tests/engine/lasting.rs
+++ b/crates/workflow/tests/engine/lasting.rs
@@ -1,5 +1,7 @@
 //! Long-running tasks across changes of the owner.
 
+use std::collections::BTreeSet;
+
 use basilbridge_common::{
     id::{
         Name,
@@ -223,6 +225,26 @@
     assert_eq!(sim.starts_of("service"), 1);
 }
 
+#[test]
+fn a_gang_that_lasts_starts_together_once_it_is_stored() {
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| (600_000, Outcome::Done, TASK_CPU));
+    sim.run(100);
+    sim.store_down = true;
+
+    let mut gang = lasting(2);
+    gang.gang = true;
+    sim.submit("service", accepted(LONG_RUNNING, sim.now, vec![gang]));
+    sim.run(500);
+    let unstored = sim.starts_of("service");
+    sim.store_down = false;
+    sim.run(200);
+
+    let times: BTreeSet<Millis> = sim.fleet.starts.iter().map(|(at, ..)| *at).collect();
+    assert_eq!(unstored, 0);
+    assert_eq!(sim.starts_of("service"), 2);
+    assert_eq!(times.len(), 1);
+}
+
 #[test]
 fn a_start_whose_job_is_cancelled_before_it_is_stored_is_not_sent() {
     let mut sim = Simulation::new(&["w1"], |_, _| (600_000, Outcome::Done, TASK_CPU));
