--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -67,13 +67,8 @@
 
 async fn poll_once(owner: Arc<Owner>, key: worker::Key) {
     let sent = owner.now();
-    let poll = next_poll(&owner, key, sent);
-    let Some(poll) = poll.map(|poll| Poll {
-        max_wait: Duration::ZERO,
-        acknowledged: 0,
-        is_immediate: true,
-        ..poll
-    }) else {
+    let poll = owner.engine().immediate_poll(key);
+    let Some(poll) = poll else {
         return;
     };
     owner.node.metrics.count("looks");
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -298,6 +298,7 @@
         };
         let start = Start {
             target: worker_target(key, worker),
+            boot: worker.boot.unwrap_or(worker.info.boot),
             task: task_id.clone(),
             run,
             payload: job.accepted.spec.payload.clone(),
