--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -116,7 +116,9 @@
     /// Returns whether a worker may run tasks of an earlier owner that are not known.
     pub(crate) fn may_run_unknown(&self, name: &Name) -> bool {
         let is_awaited = |names: &HashSet<Name>| names.contains(name) || names.contains(UNKNOWN);
-        let is_inventoried = self.worker(name).is_some_and(|worker| worker.is_inventoried);
+        let is_inventoried = self
+            .worker(name)
+            .is_some_and(|worker| worker.is_inventoried);
         let is_expected = self.unconfirmed.as_ref().is_some_and(is_awaited);
         !is_inventoried && (is_expected || self.held.contains_key(name))
     }
