Send starts and the ends of leases only to the boot that they are meant for

Cause: the end of a lease is a time on the clock of a boot, and the adapter sent it on any connection. A worker that was back under its name took it by its new clock, and began runs that the sender believed on the boot before.

Change: a start names its boot, and is sent only on a connection on which this boot has answered; a new connection is polled first, and a start for another boot is not sent. Immediate polls extend nothing, and share their connections with the starts.

--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -6,10 +6,7 @@
 };
 
 use basilbridge_common::id::Name;
-use basilbridge_workflow::{
-    order::Poll,
-    worker, //
-};
+use basilbridge_workflow::worker;
 use tokio::{
     sync::Notify,
     task::JoinSet, //
@@ -52,13 +49,8 @@
 
 async fn poll_once(owner: Arc<Owner>, key: worker::Key) {
     let sent = owner.now();
-    let poll = owner.engine().poll(key, sent);
-    let Some(poll) = poll.map(|poll| Poll {
-        max_wait: Duration::ZERO,
-        acknowledged: 0,
-        is_immediate: true,
-        ..poll
-    }) else {
+    let poll = owner.engine().immediate_poll(key);
+    let Some(poll) = poll else {
         return;
     };
     owner.node.metrics.count("looks");
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -604,6 +604,20 @@
         })
     }
 
+    /// Returns a poll of a worker beside the one that is waiting there, or `None` if the worker has
+    /// ended or is not known. It only asks: the other one extends the lease and acknowledges ends.
+    pub fn immediate_poll(&self, key: worker::Key) -> Option<Poll> {
+        let worker = self.workers.get(key).filter(|worker| !worker.replaced)?;
+        Some(Poll {
+            target: worker_target(key, worker),
+            lease_end: None,
+            acknowledged: 0,
+            boot: worker.boot,
+            is_immediate: true,
+            max_wait: Duration::ZERO,
+        })
+    }
+
     /// Returns the workers that no earlier call returned, so that the caller starts to poll them.
     pub fn take_unpolled(&mut self) -> Vec<worker::Key> {
         let mut keys = Vec::new();
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -28,6 +28,9 @@
 pub struct Start {
     /// Worker that receives the order.
     pub target: Target,
+    /// Boot that the run and the end of the lease are meant for. The order is sent only on a
+    /// connection on which this boot has answered: it ends with the boot.
+    pub boot: u64,
     /// Name of the task.
     pub task: TaskId,
     /// Run number.
@@ -115,16 +118,16 @@
     /// Worker that receives the order.
     pub target: Target,
     /// New end of the leases by the worker's clock, in milliseconds; `None` until the clock is
-    /// known.
+    /// known, and for polls that extend none.
     pub lease_end: Option<u64>,
     /// Sequence number up to which ends are stored, so that the worker may discard them.
     pub acknowledged: u64,
-    /// Boot that the sequence number belongs to. A later one would discard ends that it has not
-    /// reported, so the number is sent only on a connection on which this boot has answered: it ends
-    /// with the boot.
+    /// Boot that the end of the leases and the sequence number belong to. A later one has another
+    /// clock, and would discard ends that it has not reported. So both are sent only on a connection
+    /// on which this boot has answered: it ends with the boot.
     pub boot: Option<u64>,
-    /// Whether it is sent beside another poll that the worker holds back. Such a poll acknowledges
-    /// nothing.
+    /// Whether it is sent beside another poll that the worker holds back. Such a poll extends and
+    /// acknowledges nothing.
     pub is_immediate: bool,
     /// Maximum time for which the worker may hold the answer back until a run ends.
     pub max_wait: Duration,
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -302,6 +302,7 @@
         };
         self.orders.push(Order::Start(Start {
             target: worker_target(key, worker),
+            boot: worker.boot.unwrap_or(worker.info.boot),
             task: task_id.clone(),
             run,
             payload: job.accepted.spec.payload.clone(),
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -525,11 +525,13 @@
     sim.fleet.reboot(&name("w1"), sim.now);
     sim.submit("j2", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
     sim.pass(&mut |_| Link::Normal);
-    // The poll that was held back by the earlier boot gets no answer. The run ends on the new boot.
+    // The poll that was held back by the earlier boot gets no answer. The start for that boot is not
+    // sent to the new one, which the list names then.
     let key = sim.engine.worker_key("w1").expect("the worker is listed");
     sim.engine.handle_poll_failure(key, sim.now);
     sim.now = Millis(sim.now.0 + 300);
 
+    sim.register_all();
     sim.run(1000);
 
     assert_eq!(sim.fleet.violations, Vec::<String>::new());
