--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -238,8 +238,8 @@
             .is_none_or(|team| team.allows(&used.plus(resources), urgent))
     }
 
-    /// Records a run and orders its worker to start it, at once or when the start is stored. Does nothing if the clock of the worker is
-    /// unknown.
+    /// Records a run and orders its worker to start it, at once or when the start is stored. Does
+    /// nothing if the clock of the worker is unknown.
     pub(crate) fn start_run(
         &mut self,
         ready: Ready,
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -1,10 +1,11 @@
 //! When tasks of an earlier owner may be started again.
 //!
-//! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any worker that
-//! has not answered this owner yet. It therefore waits until all workers have answered, or until
-//! the leases granted by the earlier owner are guaranteed to have expired. Jobs that arrive before
+//! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any
+//! worker that has not answered this owner yet. It therefore waits until all workers have answered, or
+//! until the leases granted by earlier owners are guaranteed to have expired. Long-running tasks, whose
+//! starts are stored, wait for one worker only; see `docs/design/lasting.md`. Jobs that arrive before
 //! the earlier owner has noticed its replacement wait too, since it may receive and start them as
-//! well. See `docs/design/programs.md`, and [`crate::start_record`] for long-running tasks.
+//! well. See `docs/design/takeover.md`.
 
 use std::{
     collections::HashSet,
