Take over only from the claim that was handed over (LOST)

What callers saw: nothing of the system made progress any more, jobs were not over (LOST) and a deadly task went on crashing workers (BUDGET), from two changes of the owner on until one of the VMs ended.

Cause: a VM that was asked to take over noted the process of the owner, not its claim. Once two VMs had handed over to each other, each took every later claim of the other for the one that it was to replace: some ten claims a second, each owner replaced before it had read the jobs. Class: knowledge about a claim that outlives it.

Change: the version of the claim's row is noted, which the request was checked against.

Test: vms_that_have_handed_over_to_each_other_do_not_go_on_to_replace_each_other, which failed before.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -121,8 +121,9 @@
     pub(crate) nodes: BTreeMap<Name, record::NodeEntry>,
     /// Why the owner's process is considered down, and since when; `None` while it answers.
     pub(crate) owner_down: Option<(OwnerDown, Millis)>,
-    /// The nonce of the owner that has asked this VM to take over.
-    pub(crate) handed_over_by: Option<u64>,
+    /// The version of the claim whose owner has asked this VM to take over. A process can claim again
+    /// after that.
+    pub(crate) handed_over: Option<Version>,
 }
 
 /// A claim as read from the store.
@@ -295,7 +296,7 @@
         let reclaims = claim.holder == *own
             && claim.nonce != nonce
             && election::reclaims_ownership(self.cpu_millis(own), &self.successors(None));
-        if reclaims || self.handed_over_by == Some(claim.nonce) {
+        if reclaims || self.handed_over == Some(stored.version) {
             return Some(reachable);
         }
         let last_heartbeat_at = self
@@ -441,13 +442,16 @@
     }
     let begun = node.timer.now();
     let read = node.timer.timeout(FAST_STORE_LIMIT, read_claim(node)).await;
-    let current = matches!(read, Some(Ok(Some((claim, _)))) if claim.nonce == nonce);
-    if !current || node.drain_state.is_draining() {
-        slog::info!(node.log, "owner not relieved"; "current" => current,
+    let version = match read {
+        Some(Ok(Some((claim, version)))) if claim.nonce == nonce => Some(version),
+        _ => None,
+    };
+    if version.is_none() || node.drain_state.is_draining() {
+        slog::info!(node.log, "owner not relieved"; "current" => version.is_some(),
             "read_ms" => node.timer.now().since(begun).as_millis() as u64);
         return false;
     }
-    node.shared_view.lock().handed_over_by = Some(nonce);
+    node.shared_view.lock().handed_over = version;
     slog::info!(node.log, "owner hands over");
     node.shared_view.changed.notify_waiters();
     true
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -71,6 +71,42 @@
     assert_eq!(platform.starts("j1"), 3);
 }
 
+/// Each took the other's later claims for the one that it had been asked to replace, so that they claimed in
+/// turns without end. Found by seed 3010 of the soak.
+#[tokio::test]
+async fn vms_that_have_handed_over_to_each_other_do_not_go_on_to_replace_each_other() {
+    let platform = FakePlatform::new(&["w1"]);
+    let first = start(&platform, "a").await;
+    until("a claim", async || owner_name(&platform).is_some()).await;
+    let second = start(&platform, "b").await;
+    until("the entry of the peer", async || {
+        first.node.knows_peer("b") && second.node.is_ready()
+    })
+    .await;
+    for (owner, peer) in [("a", "b"), ("b", "a")] {
+        platform.set_store_mode(owner, StoreMode::Unavailable);
+        until("the change of ownership", async || {
+            owner_name(&platform).as_deref() == Some(peer)
+        })
+        .await;
+        platform.set_store_mode(owner, StoreMode::Normal);
+        until("readiness", async || {
+            first.node.is_ready() && second.node.is_ready()
+        })
+        .await;
+    }
+
+    submit(&first, "j1").await;
+    until("the end of the job", async || {
+        state(&first, "j1").await.contains("completed")
+    })
+    .await;
+
+    let claim = platform.value("title/0", "claim").expect("there is one");
+    let claim: serde_json::Value = serde_json::from_str(&claim).expect("a claim is JSON");
+    assert_eq!(claim["epoch"], 2);
+}
+
 /// While the ownership table is unreachable, no peer could claim ownership.
 #[tokio::test]
 async fn an_owner_continues_while_only_the_ownership_table_is_unreachable_for_all() {
