Log when the claim is unconfirmed, and each worker that is given up

The users' record does not tell who extended leases, that an owner lived on without the store, or on which evidence its successor stopped waiting for a worker; all lines about changes of the owner were of level INFO, which the record leaves out.

Change: the owner warns every 2 s while the store has not confirmed the claim for 1.5 s, with the number of workers that answer it meanwhile; each worker that is not waited for any longer is logged with the evidence, the wait and the time since most workers had answered; `title claimed` and `takeover settled` are warnings. Two counters. No decision changes.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -605,7 +605,7 @@
         .as_ref()
         .map(|received| received.received_at);
     let since_heartbeat = last_heartbeat_at.map(|at| node.timer.now().since(at).as_millis() as u64);
-    slog::info!(node.log, "title claimed"; "epoch" => version.0, "count" => claim.epoch,
+    slog::warn!(node.log, "title claimed"; "epoch" => version.0, "count" => claim.epoch,
         "before" => ?before.map(|stored| stored.claim.holder), "silent_ms" => ?since_heartbeat,
         "unproven" => unproven, "lease_ms" => lineage.lease.as_millis() as u64,
         "earlier_lease_ms" => lineage.earlier_lease.as_millis() as u64,
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -206,7 +206,16 @@
                 "clear" => is_clear, "given_up" => is_given_up),
             Event::Adopted { task, run, worker } => slog::info!(log, "run taken over";
                 "task" => %task, "run" => run, "worker" => %worker),
-            Event::Settled { waited, evidence } => slog::info!(log, "takeover settled";
+            Event::Abandoned {
+                worker,
+                evidence,
+                waited,
+                since_majority,
+            } => slog::warn!(log, "worker abandoned";
+                "worker" => %worker, "evidence" => evidence,
+                "waited_ms" => waited.as_millis() as u64,
+                "since_majority_ms" => ?since_majority.map(|time| time.as_millis() as u64)),
+            Event::Settled { waited, evidence } => slog::warn!(log, "takeover settled";
                 "waited_ms" => waited.as_millis() as u64, "evidence" => evidence),
             Event::Final {
                 job,
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -395,6 +395,7 @@
     tasks.spawn(report::report_traffic(Arc::clone(&owner)));
     tasks.spawn(report::report_load(Arc::clone(&owner)));
     tasks.spawn(report::report_waits(Arc::clone(&owner)));
+    tasks.spawn(report::report_doubt(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
@@ -570,6 +571,7 @@
             }
         }
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
+        Event::Abandoned { .. } => metrics.count("workers_abandoned"),
         Event::Settled { waited, .. } => metrics.time("takeover_wait", *waited),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
--- a/crates/cell/src/report.rs
+++ b/crates/cell/src/report.rs
@@ -27,6 +27,12 @@
 /// The time between two reports of what inherited work waits for.
 const WAITS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The time between two looks at whether the store confirms the claim.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time between two reports that it does not.
+const DOUBT_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The most workers that a report of what inherited work waits for names.
 const MAX_WAITS: usize = 12;
 
@@ -78,6 +84,34 @@
     }
 }
 
+/// Logs when the store has not confirmed the claim for a while, and how many workers answer meanwhile.
+pub(crate) async fn report_doubt(owner: Arc<Owner>) {
+    let node = &owner.node;
+    let mut reported: Option<Millis> = None;
+    loop {
+        node.timer.sleep(DOUBT_INTERVAL).await;
+        let now = node.timer.now();
+        let doubt = owner.engine().claim_doubt(now);
+        match (doubt, reported) {
+            (Some(_), None) => node.metrics.count("claims_unconfirmed"),
+            (Some(_), Some(at)) if now.since(at) < DOUBT_REPORT_INTERVAL => continue,
+            (Some(_), Some(_)) => {}
+            (None, Some(_)) => {
+                slog::warn!(node.log, "claim confirmed again"; "epoch" => owner.epoch());
+                reported = None;
+                continue;
+            }
+            (None, None) => continue,
+        }
+        if let Some(doubt) = doubt {
+            slog::warn!(node.log, "claim unconfirmed"; "epoch" => owner.epoch(),
+                "silent_ms" => doubt.since_proof.as_millis() as u64,
+                "workers" => doubt.workers, "answering" => doubt.answering);
+        }
+        reported = Some(now);
+    }
+}
+
 /// Returns the first workers that are waited for as `WORKER:GROUND@REMAINING_MS`, separated by spaces.
 pub fn workers_waited_for(waits: &[Wait], now: Millis) -> String {
     let first = waits.iter().take(MAX_WAITS);
--- a/crates/workflow/src/event.rs
+++ b/crates/workflow/src/event.rs
@@ -133,6 +133,17 @@
         /// What shows that nothing else of an earlier owner runs.
         evidence: &'static str,
     },
+    /// A worker that has not answered is not waited for any longer.
+    Abandoned {
+        /// Name of the worker.
+        worker: Name,
+        /// What shows that nothing of an earlier owner runs there.
+        evidence: &'static str,
+        /// Time since this owner started.
+        waited: Duration,
+        /// Time since most workers had answered this owner; `None` if they have not.
+        since_majority: Option<Duration>,
+    },
     /// A job has reached its final state.
     Final {
         /// Name of the job.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -48,6 +48,7 @@
 mod start_record;
 pub mod store_clock;
 pub mod takeover;
+pub mod tenure;
 pub mod throttle;
 pub mod wait;
 pub mod worker;
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -26,7 +26,7 @@
 
 /// Maximum time for which the earlier owner may continue before it notices its replacement: one
 /// poll of a worker, including the time for which the worker holds it back.
-const NOTICE_TIME: Duration = Duration::from_millis(1500);
+pub(crate) const NOTICE_TIME: Duration = Duration::from_millis(1500);
 
 /// Name that stands for workers which an earlier owner knew and that can't be read.
 pub(crate) const UNKNOWN: &str = "";
@@ -144,6 +144,17 @@
         inherited.map_or(end, |inherited| end.min(*inherited))
     }
 
+    /// Stops waiting for a worker that has not answered this owner.
+    fn abandon_worker(&mut self, name: &Name, evidence: &'static str, now: Millis) {
+        self.events.push(Event::Abandoned {
+            worker: name.clone(),
+            evidence,
+            waited: now.since(self.started_at),
+            since_majority: self.majority_answered_at.map(|at| now.since(at)),
+        });
+        self.confirm_worker(name, now);
+    }
+
     /// Stops waiting for the workers whose leases are over by the record of an earlier owner.
     fn drop_ended(&mut self, now: Millis) {
         let ended = self.inherited_ends.iter();
@@ -160,7 +171,7 @@
             if self.unconfirmed.as_ref().is_some_and(is_awaited) {
                 self.expected_count -= 1;
             }
-            self.confirm_worker(&name, now);
+            self.abandon_worker(&name, "the recorded end of its leases is over", now);
         }
     }
 
@@ -175,7 +186,7 @@
             .cloned()
             .collect();
         for name in unanswered {
-            self.confirm_worker(&name, now);
+            self.abandon_worker(&name, "the leases of earlier owners are over", now);
         }
     }
 
