Show that a deposed owner and its successor run the same tasks

Two engines now act on one fleet of the simulation: the old owner without the store and with a few workers, its successor with the store and the others.

The fleet's check of ends is that of the rule now: an end that is acknowledged later counts also against starts that came in between, unless the worker's leases had lapsed; it was looser (starts before the acknowledgement were not seen) and stricter (a lapse was not seen). Polls whose answer is lost reach their worker.

--- a/crates/workflow/tests/engine/fleet.rs
+++ b/crates/workflow/tests/engine/fleet.rs
@@ -59,6 +59,10 @@
     highest: BTreeMap<TaskId, u32>,
     pub(crate) ended: Vec<Ended>,
     sequence: u64,
+    /// Times of the ends, by their number.
+    ended_at: BTreeMap<u64, Millis>,
+    /// Latest time at which no lease was valid.
+    lapsed_at: Millis,
 }
 
 /// Behaviour of a run, given its task and run number: its duration in milliseconds, its outcome and
@@ -226,8 +230,21 @@
             .ended
             .iter()
             .filter(|end| end.sequence <= acknowledged_up_to);
-        let done = acknowledged.filter(|end| end.outcome == Outcome::Done);
-        self.done.extend(done.map(|end| end.task.clone()));
+        // An end counts only if the worker has held a lease since.
+        let done = acknowledged.filter(|end| {
+            end.outcome == Outcome::Done && worker.lapsed_at < worker.ended_at[&end.sequence]
+        });
+        for end in done {
+            let ended_at = worker.ended_at[&end.sequence];
+            let later = self.starts.iter().find(|(at, task, run, name)| {
+                *at > ended_at && *task == end.task && (*run, name) != (end.run, &poll.target.name)
+            });
+            if let Some((_, task, run, name)) = later {
+                self.violations
+                    .push(format!("{task} was done before run {run} on {name}"));
+            }
+            self.done.push(end.task.clone());
+        }
         worker.ended.retain(|end| end.sequence > acknowledged_up_to);
         Some(report::Inventory {
             boot: worker.boot,
@@ -359,6 +376,8 @@
             highest: BTreeMap::new(),
             ended: Vec::new(),
             sequence: 0,
+            ended_at: BTreeMap::new(),
+            lapsed_at: Millis(0),
         }
     }
 
@@ -371,6 +390,9 @@
     fn advance(&mut self, now: Millis) {
         let clock = now.since(self.booted).as_millis() as u64;
         let lapsed = clock >= self.lease_end;
+        if lapsed {
+            self.lapsed_at = now;
+        }
         let ended_tasks: Vec<TaskId> = self
             .running
             .iter()
@@ -388,6 +410,7 @@
                 Outcome::Lapsed
             };
             self.sequence += 1;
+            self.ended_at.insert(self.sequence, now.min(run.ends));
             self.ended.push(Ended {
                 sequence: self.sequence,
                 task,
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -19,6 +19,7 @@
 mod links;
 mod overload;
 mod pace;
+mod partitions;
 mod passes;
 mod past_use;
 mod ranks;
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -123,6 +123,17 @@
     pub(crate) policy: Policy,
     /// VMs through which the advice service is called.
     pub(crate) relays: Vec<Name>,
+    /// Whether a worker has refused a poll of the engine, which knows a later owner.
+    pub(crate) is_fenced: bool,
+    /// Whether the feed of jobs delivers nothing, also not that there is nothing new.
+    pub(crate) feed_is_silent: bool,
+}
+
+/// An owner that has been replaced and does not know it.
+pub(crate) struct Deposed {
+    engine: Engine,
+    epoch: u32,
+    silence_is_unclear: bool,
 }
 
 impl Simulation {
@@ -154,6 +165,8 @@
             relays: (0..RELAYS)
                 .map(|number| format!("vm{number}").into())
                 .collect(),
+            is_fenced: false,
+            feed_is_silent: false,
         };
         sim.engine.set_store_clock(sim.store_clock());
         sim.register_all();
@@ -207,6 +220,25 @@
         self.engine.set_accepted_version(Version(self.version));
     }
 
+    /// Stores a job and announces it to an owner that has been replaced, and to no other.
+    pub(crate) fn announce_to(&mut self, deposed: &mut Deposed, id: &str, accepted: Accepted) {
+        self.version += 1;
+        let version = Version(self.version);
+        self.jobs.insert(id.into(), accepted.clone());
+        self.job_versions.insert(id.into(), version);
+        deposed
+            .engine
+            .announce(&id.into(), accepted, version, self.now);
+    }
+
+    /// Delivers a stored job to the engine by the feed.
+    pub(crate) fn deliver(&mut self, id: &str) {
+        let (accepted, version) = (self.jobs[id].clone(), self.job_versions[id]);
+        self.engine
+            .accept_new(&id.into(), accepted, version, self.now);
+        self.engine.set_accepted_version(version);
+    }
+
     /// Replaces the owner by one that knows only what is stored. The old owner may still be
     /// running.
     pub(crate) fn take_over(&mut self) {
@@ -216,8 +248,14 @@
     /// Replaces the owner by one that knows only what is stored. `ended` says whether the old owner
     /// is known to have ended.
     pub(crate) fn take_over_from(&mut self, ended: bool) {
+        self.take_over_beside(ended);
+    }
+
+    /// Replaces the owner like [`Simulation::take_over_from`], and returns the old one, which goes on.
+    pub(crate) fn take_over_beside(&mut self, ended: bool) -> Deposed {
+        let epoch = self.epoch;
         self.epoch += 1;
-        self.silence_is_unclear = false;
+        let silence_is_unclear = std::mem::take(&mut self.silence_is_unclear);
         let settings = Settings {
             epoch: self.epoch,
             claimed_at: Version(self.version),
@@ -228,7 +266,8 @@
             },
             ..self.settings.clone()
         };
-        self.engine = Engine::new(settings, self.policy.clone(), self.now);
+        let engine = Engine::new(settings, self.policy.clone(), self.now);
+        let engine = std::mem::replace(&mut self.engine, engine);
         self.engine.set_store_clock(self.store_clock());
         self.engine.set_evacuated(self.evacuated.clone(), self.now);
         self.engine.inherit_roster(&self.roster);
@@ -246,6 +285,41 @@
         self.engine.set_accepted_version(Version(self.version));
         self.engine.inherit_silence(self.silence.clone());
         self.engine.finish_loading(self.now);
+        Deposed {
+            engine,
+            epoch,
+            silence_is_unclear,
+        }
+    }
+
+    /// Lets an owner that has been replaced and can't reach the store act once. Returns whether it goes
+    /// on: no worker has refused it.
+    pub(crate) fn act_deposed(
+        &mut self,
+        deposed: &mut Deposed,
+        mut link: impl FnMut(&Name) -> Link,
+    ) -> bool {
+        self.swap(deposed);
+        let store_down = std::mem::replace(&mut self.store_down, true);
+        let is_fenced = std::mem::take(&mut self.is_fenced);
+        self.pass(&mut link);
+        self.store();
+        self.store_silence();
+        self.poll_all(&mut link);
+        let goes_on = !self.is_fenced && !self.engine.is_fenced();
+        self.is_fenced = is_fenced;
+        self.store_down = store_down;
+        self.swap(deposed);
+        goes_on
+    }
+
+    fn swap(&mut self, deposed: &mut Deposed) {
+        std::mem::swap(&mut self.engine, &mut deposed.engine);
+        std::mem::swap(&mut self.epoch, &mut deposed.epoch);
+        std::mem::swap(
+            &mut self.silence_is_unclear,
+            &mut deposed.silence_is_unclear,
+        );
     }
 
     /// Advances by `millis` in steps of 10 ms, each with a scheduling pass and a poll of each
@@ -521,12 +595,18 @@
                 self.engine.handle_poll_failure(key, self.now);
                 continue;
             }
-            if !matches!(self.link(&name, link), Link::Normal | Link::Queued) {
+            let epoch = u64::from(self.epoch) + 1;
+            let state = self.link(&name, link);
+            if !matches!(state, Link::Normal | Link::Queued) {
+                if state == Link::LostReply {
+                    self.fleet.poll(epoch, &poll, self.now);
+                }
                 self.engine.handle_poll_failure(key, self.now);
                 continue;
             }
-            let epoch = u64::from(self.epoch) + 1;
-            if let Some(mut inventory) = self.fleet.poll(epoch, &poll, self.now) {
+            let answer = self.fleet.poll(epoch, &poll, self.now);
+            self.is_fenced |= answer.is_none();
+            if let Some(mut inventory) = answer {
                 for running in inventory.running.iter_mut().filter(|_| self.report_at_work) {
                     running.percent = 100.0;
                 }
