Extend leases only with a proof that no other owner counts with their end

Cause: the successor waited for 1.5 s and a lease, in which the old owner was to notice its replacement, since it polls workers that refuse its epoch by then. An owner that is cut off with some workers polls none of those, and went on to extend their leases. Without answers of most workers the successor waited for a lease more and started their tasks too. Class: one side waits for a time in which the other is to notice, and the other does not bind itself to it.

Change: an owner extends leases only to 1.5 s and a lease after a proof that it has no successor: a committed write on the condition of the claim, or more than half of the workers of the stored roster that accept its epoch, on boots that had answered before the last such write. The successor reckons the same time from when half of the workers of the roster that it has read have answered, so one worker is in both counts; before that it starts nothing that an unanswered worker may run. Half an hour after the last write the workers prove nothing, and the successor waits no longer than that. No worker joins the roster before the successor has its half. A read of the claim, which may be behind, proves nothing any more. The lineage counts the promises, so that nothing is assumed of owners that do not keep this one.

Why it works: the worker in both counts accepted the old owner before it answered the successor and refuses it since, so no proof is later than the time from which the successor reckons. Waits after an ordinary takeover stay as they are.

Tests of leases pass the base of a lease; engines of tests begin with the proof that their claim is.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -168,6 +168,8 @@
     pub(crate) version: Version,
     /// The claim as stored.
     pub(crate) claim: Claim,
+    /// When the claim was sent.
+    pub(crate) sent: Millis,
     /// Whether the previous owner was known to have ended when this VM claimed.
     pub(crate) predecessor_ended: bool,
     /// What this owner may assume of the owners before it.
@@ -585,6 +587,7 @@
         put(CLAIM_KEY, record::encode(&claim).ok()?),
         put(LINEAGE_KEY, record::encode(&lineage).ok()?),
     ];
+    let sent = node.timer.now();
     let version = match node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => version,
         Ok(Outcome::Conflict(rows)) => {
@@ -613,6 +616,7 @@
     Some(Ownership {
         version,
         claim,
+        sent,
         predecessor_ended,
         lineage,
     })
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -372,6 +372,7 @@
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
+    engine.confirm_ownership(ownership.sent);
     engine.set_evacuated(node.evacuations.names(), node.timer.now());
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
@@ -444,7 +445,8 @@
         }
         let turn = stall::boot_time();
         if let Some(gap) = owner.stall_detector.gap(turn) {
-            owner.engine().hold_leases(owner.now());
+            owner.engine().hold_leases(gap, owner.now());
+            owner.heartbeat_due.notify_one();
             check_ownership(owner, gap).await;
         }
         owner.stall_detector.record_turn(turn);
@@ -493,14 +495,13 @@
 /// Checks after a stall of `gap` whether another VM has claimed ownership meanwhile, and which data
 /// centres have been evacuated.
 ///
-/// If the claim can't be read, the owner goes on: workers reject orders with an epoch below the
-/// highest that they have seen, and no lease is extended before it is certain that no later owner
-/// counts with its end.
+/// The owner goes on if the claim can't be read, or is read as it was: workers reject orders with an
+/// epoch below the highest that they have seen, and no lease is extended before a write proves that no
+/// later owner counts with its end. A read may be behind.
 async fn check_ownership(owner: &Owner, gap: Duration) {
     let log = &owner.node.log;
     let outcome = match election::read_claim(&owner.node).await {
         Ok(Some((_, version))) if version == owner.ownership.version => {
-            owner.engine().release_leases();
             evacuation::refresh(owner).await;
             "title held"
         }
--- a/crates/cell/src/report.rs
+++ b/crates/cell/src/report.rs
@@ -106,7 +106,8 @@
         if let Some(doubt) = doubt {
             slog::warn!(node.log, "claim unconfirmed"; "epoch" => owner.epoch(),
                 "silent_ms" => doubt.since_proof.as_millis() as u64,
-                "workers" => doubt.workers, "answering" => doubt.answering);
+                "workers" => doubt.workers, "answering" => doubt.answering,
+                "proven" => doubt.is_proven);
         }
         reported = Some(now);
     }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -39,7 +39,9 @@
     advice,
     approvals::Approvals,
     budget::Budget,
-    crash, evacuation,
+    crash,
+    electorate::Electorate,
+    evacuation,
     event::{
         Cause,
         Event, //
@@ -50,7 +52,6 @@
         TaskId, //
     },
     lease,
-    lease_hold::Hold,
     lineage::Lineage,
     order::{
         Order,
@@ -70,6 +71,7 @@
     sharing::Sharing,
     start_record::Awaited,
     store_clock::Reading,
+    tenure::Tenure,
     worker::{
         self,
         JobKey,
@@ -149,8 +151,8 @@
     /// Workers that may still run tasks of an earlier owner and have not answered this one. `None`
     /// once such runs are either known or guaranteed to have ended.
     pub(crate) unconfirmed: Option<HashSet<Name>>,
-    /// Initial number of unconfirmed workers.
-    pub(crate) expected_count: usize,
+    /// Workers whose answers count against an earlier owner.
+    pub(crate) electorate: Electorate,
     /// Time when at least half of them had answered.
     pub(crate) majority_answered_at: Option<Millis>,
     /// Time when the stored jobs had been read.
@@ -209,8 +211,10 @@
     pub(crate) recorded_leases: HashSet<Name>,
     /// Times when the leases of silent workers are over, by the record of an earlier owner.
     pub(crate) inherited_ends: HashMap<Name, Millis>,
-    /// Stall after which leases are not extended yet.
-    pub(crate) lease_hold: Option<Hold>,
+    /// Most names of workers that the store may hold for the next owner.
+    pub(crate) roster_size: usize,
+    /// What proves that this owner has no successor.
+    pub(crate) tenure: Tenure,
     /// Latest reading of the store's clock.
     pub(crate) store_clock: Option<Reading>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
@@ -249,7 +253,7 @@
             started_at: now,
             next_tick: now,
             unconfirmed: (!first).then(HashSet::new),
-            expected_count: 0,
+            electorate: Electorate::default(),
             majority_answered_at: None,
             loaded_at: None,
             unknown_jobs_dropped: false,
@@ -278,7 +282,8 @@
             recorded_silent: HashSet::new(),
             recorded_leases: HashSet::new(),
             inherited_ends: HashMap::new(),
-            lease_hold: None,
+            roster_size: 0,
+            tenure: Tenure::default(),
             store_clock: None,
             run_facts: 0,
             visited_runs: Cell::default(),
@@ -323,19 +328,6 @@
         }
     }
 
-    /// Records that a write that was sent at `sent`, on the condition that this owner holds the
-    /// claim, has taken effect. No later owner existed then.
-    pub fn confirm_ownership(&mut self, sent: Millis) {
-        self.owned_at = self.owned_at.max(sent);
-        if self
-            .lease_hold
-            .as_ref()
-            .is_some_and(|hold| sent >= hold.since)
-        {
-            self.release_leases();
-        }
-    }
-
     /// Returns whether tasks wait for a proof that no later owner has extended their leases, and
     /// resets that.
     pub fn take_needs_confirmation(&mut self) -> bool {
@@ -567,7 +559,6 @@
             worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
             worker.is_recorded = self.recorded_silent.contains(&name);
             worker.is_lease_recorded = self.recorded_leases.contains(&name);
-            worker.is_lease_held = self.lease_hold.is_some();
             worker.is_on_roster = self.stored_roster.contains(&name);
             let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
@@ -621,15 +612,18 @@
     pub fn poll(&mut self, key: worker::Key, now: Millis) -> Option<Poll> {
         let lease = self.settings.lease;
         let worker_count = self.workers.len();
+        let base = self.lease_base(now);
+        let needs_acceptance = self.needs_acceptance(now);
         let worker = self
             .workers
             .get_mut(key)
             .filter(|worker| !worker.replaced)?;
         let known =
             worker.boot.is_some() && worker.received == worker.stored && !worker.unresponsive;
-        let degraded = self
-            .last_unanswered_at
-            .is_some_and(|last| now.since(last) < DEGRADED_PERIOD);
+        let degraded = needs_acceptance
+            || self
+                .last_unanswered_at
+                .is_some_and(|last| now.since(last) < DEGRADED_PERIOD);
         let wait = self.settings.budget.poll_wait(worker_count, degraded);
         let lease = if worker.info.leaving {
             lease.min(lease::before_departure(wait))
@@ -638,7 +632,7 @@
         };
         Some(Poll {
             target: worker_target(key, worker),
-            lease_end: worker.extend_lease(lease, now),
+            lease_end: worker.extend_lease(lease, base, now),
             acknowledged: worker.confirmed_stored(),
             boot: worker.boot,
             is_immediate: false,
@@ -755,6 +749,7 @@
             return;
         }
         self.next_tick = now.after(TICK_INTERVAL);
+        self.count_acceptance(now);
         self.stop_stalled(now);
         self.move_slow(now);
         self.evacuate(now);
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -62,10 +62,16 @@
         Some(reading.clock + passed.as_millis() as u64)
     }
 
-    /// Returns the end of a lease of `length` from `now` on, by the worker's clock, or `None` if
-    /// that clock is not known.
-    pub fn extend(&mut self, length: Duration, now: Millis) -> Option<u64> {
-        let end = self.clock_at(now)? + length.as_millis() as u64;
+    /// Returns the time when the boot first answered this owner, or later.
+    pub fn answered_at(&self) -> Option<Millis> {
+        self.answered_at
+    }
+
+    /// Returns the end of a lease of `length` from `base` on, which is `now` or earlier, by the
+    /// worker's clock, or `None` if that clock is not known.
+    pub fn extend(&mut self, length: Duration, base: Millis, now: Millis) -> Option<u64> {
+        let remaining = length.saturating_sub(now.since(base));
+        let end = self.clock_at(now)? + remaining.as_millis() as u64;
         self.sent_end = self.sent_end.max(end);
         Some(self.sent_end)
     }
--- a/crates/workflow/src/lineage.rs
+++ b/crates/workflow/src/lineage.rs
@@ -16,12 +16,19 @@
 
 use crate::lease;
 
+/// The promises of this version. Owners of earlier versions made none, or fewer.
+const PROMISES: u32 = 2;
+
 /// The owners in a row, up to the one with `epoch`, that keep the same promises: they grant no lease
-/// longer than the lineage says, follow the record of silent workers that they have inherited, and
-/// store the starts of long-running tasks before they send them.
+/// longer than the lineage says, extend none without a proof that they have no successor, follow the
+/// record of silent workers that they have inherited, and store the starts of long-running tasks
+/// before they send them.
 #[data]
 #[derive(Eq)]
 pub struct Lineage {
+    /// Version of the promises.
+    #[serde(default)]
+    pub promises: u32,
     /// Number of owners before the one that stored this.
     pub epoch: u32,
     /// Number of owners before the first of them.
@@ -55,6 +62,7 @@
     /// Returns the lineage of the first owner of a cell.
     pub fn first(lease: Duration) -> Self {
         Self {
+            promises: PROMISES,
             epoch: 0,
             first_epoch: 0,
             first_version: Some(Version(0)),
@@ -68,8 +76,11 @@
     pub fn after(before: &Predecessor, lease: Duration, max_lease: Duration, now: Millis) -> Self {
         let epoch = before.epoch + 1;
         let known = before.lineage.as_ref();
-        let Some(known) = known.filter(|known| known.epoch == before.epoch) else {
+        let Some(known) =
+            known.filter(|known| known.promises == PROMISES && known.epoch == before.epoch)
+        else {
             return Self {
+                promises: PROMISES,
                 epoch,
                 first_epoch: epoch,
                 first_version: None,
@@ -87,6 +98,7 @@
             known.earlier_lease
         };
         Self {
+            promises: PROMISES,
             epoch,
             first_epoch: known.first_epoch,
             first_version: known.first_version.or(before.settled_at),
--- a/crates/workflow/src/roster.rs
+++ b/crates/workflow/src/roster.rs
@@ -21,11 +21,21 @@
 impl Engine {
     /// Returns the names to store, in order: of the workers that are listed or may have runs, and of
     /// those that this owner still waits for itself.
+    ///
+    /// Before half of the stored ones have answered, no worker joins them. The next owner would take
+    /// its answer for one of those that an earlier owner counts with.
     pub fn roster(&self) -> Vec<Name> {
         let awaited = self.unconfirmed.iter().flatten();
         let known = self.workers_by_name.keys();
         let names: BTreeSet<&Name> = known.chain(awaited).chain(self.held.keys()).collect();
-        names.into_iter().cloned().collect()
+        let is_closed = self.settings.epoch > 0
+            && self.majority_answered_at.is_none()
+            && self.electorate.is_stored();
+        names
+            .into_iter()
+            .filter(|name| !is_closed || self.stored_roster.contains(*name))
+            .cloned()
+            .collect()
     }
 
     /// Returns whether a worker waits for its name to be stored.
@@ -36,6 +46,7 @@
     /// Expects the workers that an earlier owner has stored, which may still run its tasks.
     pub fn inherit_roster(&mut self, names: &[Name]) {
         self.confirm_roster(names);
+        self.electorate.elect(names);
         self.expect_workers(names.iter().cloned());
     }
 
@@ -47,12 +58,14 @@
     /// Records that the store may hold `names` from now on instead of what it held before.
     pub fn announce_roster(&mut self, names: &[Name]) {
         let names: HashSet<&Name> = names.iter().collect();
+        self.roster_size = self.roster_size.max(names.len());
         self.stored_roster.retain(|name| names.contains(name));
         self.update_roster_marks();
     }
 
     /// Records that the store holds `names` and nothing else.
     pub fn confirm_roster(&mut self, names: &[Name]) {
+        self.roster_size = names.len();
         self.stored_roster = names.iter().cloned().collect();
         self.update_roster_marks();
     }
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -217,6 +217,9 @@
             return;
         }
         self.inherit_leases(&record);
+        for name in record.names() {
+            self.electorate.exclude(name);
+        }
         for (name, tasks) in record.workers {
             let Some(unconfirmed) = &mut self.unconfirmed else {
                 return;
@@ -228,9 +231,7 @@
             {
                 continue;
             }
-            if unconfirmed.remove(&name) {
-                self.expected_count -= 1;
-            }
+            unconfirmed.remove(&name);
             for task in &tasks {
                 self.set_held(task, true);
             }
--- a/crates/workflow/src/start_record.rs
+++ b/crates/workflow/src/start_record.rs
@@ -137,8 +137,9 @@
 
     /// Returns the end of the lease of a run that starts now, by the clock of its worker.
     pub(crate) fn lease_end(&mut self, key: worker::Key, now: Millis) -> Option<u64> {
+        let base = self.lease_base(now);
         let worker = &mut self.workers[key];
-        let lease_end = worker.extend_lease(self.settings.lease, now)?;
+        let lease_end = worker.extend_lease(self.settings.lease, base, now)?;
         let start_end = evacuation::start_end(self.settings.evacuation_limit, worker, now);
         Some(lease_end.min(start_end.unwrap_or(u64::MAX)))
     }
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -21,13 +21,13 @@
     engine::Engine,
     event::Event,
     lease,
+    tenure::{
+        MAX_STORE_SILENCE,
+        NOTICE_TIME, //
+    },
     worker, //
 };
 
-/// Maximum time for which the earlier owner may continue before it notices its replacement: one
-/// poll of a worker, including the time for which the worker holds it back.
-pub(crate) const NOTICE_TIME: Duration = Duration::from_millis(1500);
-
 /// Name that stands for workers which an earlier owner knew and that can't be read.
 pub(crate) const UNKNOWN: &str = "";
 
@@ -45,8 +45,10 @@
                 let worker = self.workers_by_name.get(name).map(|key| &workers[*key]);
                 worker.is_some_and(|worker| worker.is_inventoried)
             };
-            unconfirmed.extend(names.into_iter().filter(|name| !has_answered(name)));
-            self.expected_count = unconfirmed.len();
+            for name in names.into_iter().filter(|name| !has_answered(name)) {
+                self.electorate.add_listed(&name);
+                unconfirmed.insert(name);
+            }
         }
     }
 
@@ -80,15 +82,16 @@
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(name);
         }
+        self.electorate.record_answer(name);
         self.release_held(name);
         self.release_starts(name, now);
     }
 
     /// Returns the time when all leases of earlier owners are over, as far as it is known by now.
     ///
-    /// The earlier owner extends leases until it polls a worker that has seen the new epoch. If most
-    /// workers answer nobody, it is given the time of another lease to notice. One that is known to
-    /// have ended extends none.
+    /// The earlier owner extends leases up to [`NOTICE_TIME`] and a lease after the last proof that it
+    /// has no successor, which it can't have once half of the workers have answered this one, or
+    /// [`MAX_STORE_SILENCE`] after the claim. One that is known to have ended extends none.
     pub(crate) fn earlier_leases_end(&self) -> Millis {
         if self.settings.epoch == 0 {
             return Millis(0);
@@ -97,10 +100,10 @@
         if self.settings.predecessor_ended {
             return self.started_at.after(lease);
         }
-        let answered_at = self
+        let proven_until = self
             .majority_answered_at
-            .unwrap_or_else(|| self.started_at.after(lease));
-        answered_at.after(NOTICE_TIME + lease)
+            .unwrap_or_else(|| self.started_at.after(MAX_STORE_SILENCE));
+        proven_until.after(NOTICE_TIME + lease)
     }
 
     /// Returns whether [`Engine::earlier_leases_end`] does not change any more.
@@ -167,10 +170,6 @@
                 continue;
             }
             self.inherited_ends.remove(&name);
-            let is_awaited = |names: &HashSet<Name>| names.contains(&name);
-            if self.unconfirmed.as_ref().is_some_and(is_awaited) {
-                self.expected_count -= 1;
-            }
             self.abandon_worker(&name, "the recorded end of its leases is over", now);
         }
     }
@@ -198,10 +197,7 @@
         }
         self.drop_ended(now);
         let unanswered = self.unconfirmed.as_ref().map_or(0, HashSet::len);
-        let is_majority = unanswered * 2 <= self.expected_count;
-        // Workers that are only held tasks back for have not answered.
-        let has_answers = self.expected_count > 0 || self.held.is_empty();
-        if self.majority_answered_at.is_none() && is_majority && has_answers {
+        if self.majority_answered_at.is_none() && self.electorate.has_majority() {
             self.majority_answered_at = Some(now);
         }
         let are_over = self.is_over(self.earlier_leases_end(), now);
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -137,8 +137,9 @@
     /// Whether the store holds, or may hold, the end of its leases, which extending them would make
     /// untrue.
     pub is_lease_recorded: bool,
-    /// Whether this owner may have been replaced unnoticed, so that it extends no lease.
-    pub is_lease_held: bool,
+    /// Time when the latest poll was sent that this boot has answered, so that no later owner had
+    /// reached it by then.
+    pub accepted_at: Millis,
     /// Time until which it gets no new work.
     pub avoid_until: Millis,
     /// Time until which it gets only work that no other worker may run.
@@ -192,7 +193,7 @@
             evacuated: false,
             is_recorded: false,
             is_lease_recorded: false,
-            is_lease_held: false,
+            accepted_at: Millis(0),
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
             polled: false,
@@ -217,6 +218,7 @@
         self.received = 0;
         self.stored = 0;
         self.lease = Lease::default();
+        self.accepted_at = Millis(0);
         self.exonerate();
         self.slow_until = Millis(0);
         self.pace = pace::Pace::default();
@@ -291,17 +293,29 @@
         self.lease.clock_at(now)
     }
 
-    /// Returns the end of a lease of `length` from `now` on, by the worker's clock, or `None` if
-    /// that clock is not known.
+    /// Returns whether the boot that answers has answered this owner before `time`.
+    pub fn booted_before(&self, time: Millis) -> bool {
+        self.lease.answered_at().is_some_and(|at| at <= time)
+    }
+
+    /// Returns the end of a lease of `length` from `base` on, by the worker's clock, or `None` if
+    /// that clock is not known. `base` is `now` or earlier, or `None` if no lease may be extended.
     ///
     /// The leases of an unresponsive worker are not extended: any order may still arrive, so its
     /// runs would otherwise never count as ended. Nor are those whose end is recorded for the next
-    /// owner, or any after a stall.
-    pub fn extend_lease(&mut self, length: Duration, now: Millis) -> Option<u64> {
-        if self.unresponsive || self.is_lease_recorded || self.is_lease_held {
-            return self.lease.sent_end();
+    /// owner.
+    pub fn extend_lease(
+        &mut self,
+        length: Duration,
+        base: Option<Millis>,
+        now: Millis,
+    ) -> Option<u64> {
+        match base {
+            Some(base) if !self.unresponsive && !self.is_lease_recorded => {
+                self.lease.extend(length, base, now)
+            }
+            _ => self.lease.sent_end(),
         }
-        self.lease.extend(length, now)
     }
 
     /// Returns the time when all runs are guaranteed to have ended, unless the worker answers
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -67,7 +67,9 @@
         let was_silent = worker.unresponsive;
         worker.read_clock(inventory.clock, now);
         let received = worker.received;
-        self.record_answer(key, sent);
+        let name = worker.info.name.clone();
+        self.record_acceptance(key, sent);
+        self.electorate.record_answer(&name);
         if was_silent {
             self.push_worker_event(key, "heard again");
         }
--- a/crates/workflow/tests/engine/leases.rs
+++ b/crates/workflow/tests/engine/leases.rs
@@ -111,7 +111,7 @@
         if number(&mut random, 12) == 0 {
             let delay = [5, 200, 3000][number(&mut random, 3) as usize];
             let back = [5, 300, 2000][number(&mut random, 3) as usize];
-            let own = lease.extend(LENGTH, Millis(now)).unwrap_or(0);
+            let own = lease.extend(LENGTH, Millis(now), Millis(now)).unwrap_or(0);
             let message = Message {
                 arrives: now + delay,
                 lease_end: (!from_earlier_owner).then_some(own),
@@ -148,7 +148,7 @@
     let mut lease = Lease::default();
 
     lease.read_clock(500, first_answer);
-    lease.extend(Duration::from_millis(1000), first_answer);
+    lease.extend(Duration::from_millis(1000), first_answer, first_answer);
 
     let end = lease.end(MAX_LENGTH).unwrap();
     assert!(end >= first_answer.after(MAX_LENGTH));
--- a/crates/workflow/tests/engine/partitions.rs
+++ b/crates/workflow/tests/engine/partitions.rs
@@ -1,6 +1,9 @@
 //! An owner and its successor on two sides of a partition. See `docs/design/takeover.md`.
 
-use std::cmp::Reverse;
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
 
 use basilbridge_common::id::Name;
 use basilbridge_workflow::{
@@ -235,6 +238,61 @@
     held(&partition);
 }
 
+/// New workers on the side of a successor outnumbered those that accept the old owner.
+#[test]
+fn workers_that_join_behind_a_partition_do_not_outvote_those_that_accept_the_old_owner() {
+    let mut partition = Partition::new(8, LONG);
+
+    partition.split();
+    for number in 0..12 {
+        partition.sim.add_worker(&format!("new{number}"));
+    }
+    partition.run(2000);
+    partition.sim.take_over();
+    partition.run(HEAL_MILLIS);
+    partition.heal();
+    partition.run(60_000);
+
+    held(&partition);
+}
+
+/// A worker that had answered the successor forgets its epoch when it boots anew, and accepts the old
+/// owner again.
+#[test]
+fn a_worker_that_boots_anew_proves_nothing_to_an_owner_without_the_store() {
+    let mut partition = Partition::new(6, LONG);
+    let rebooted = busiest(&partition.sim)[6].clone();
+
+    partition.deposed = Some(partition.split_workers());
+    partition.run(200);
+    partition.sim.fleet.reboot(&rebooted, partition.sim.now);
+    partition.kept.push(rebooted);
+    partition.run(HEAL_MILLIS);
+    partition.heal();
+    partition.run(60_000);
+
+    held(&partition);
+}
+
+/// A successor that most workers never answer, since they have ended, must not wait forever.
+#[test]
+fn the_answers_of_workers_prove_nothing_half_an_hour_after_the_last_word_from_the_store() {
+    let mut sim = Simulation::new(&WORKERS, LONG);
+    sim.run(100);
+    let mut is_proven_after = |minutes: u64| {
+        sim.store_down = true;
+        sim.now = sim.now.after(Duration::from_secs(60 * minutes));
+        sim.run(100);
+        sim.engine.is_proven(sim.now)
+    };
+
+    let in_time = is_proven_after(29);
+    let too_late = is_proven_after(2);
+
+    assert!(in_time);
+    assert!(!too_late);
+}
+
 /// Work of a worker that is cut off with the old owner waits no longer than its leases last.
 #[test]
 fn inherited_work_of_the_smaller_side_starts_once_its_leases_are_over() {
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -42,7 +42,8 @@
 use crate::{
     fleet::{
         Behaviour,
-        Fleet, //
+        Fleet,
+        Worker, //
     },
     util::{
         self,
@@ -268,6 +269,7 @@
         };
         let engine = Engine::new(settings, self.policy.clone(), self.now);
         let engine = std::mem::replace(&mut self.engine, engine);
+        self.engine.confirm_ownership(self.now);
         self.engine.set_store_clock(self.store_clock());
         self.engine.set_evacuated(self.evacuated.clone(), self.now);
         self.engine.inherit_roster(&self.roster);
@@ -350,6 +352,14 @@
         self.register_all();
     }
 
+    /// Adds a worker, which is listed at once.
+    pub(crate) fn add_worker(&mut self, name: &str) {
+        let mut worker = Worker::new(1);
+        worker.booted = self.now;
+        self.fleet.workers.insert(name.into(), worker);
+        self.register_all();
+    }
+
     /// Removes the entry of a worker from the list.
     pub(crate) fn unlist(&mut self, name: &Name) {
         self.unlisted.insert(name.clone());
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -1,5 +1,7 @@
 //! How long inherited work waits under owners that change one after the other.
 
+use std::time::Duration;
+
 use basilbridge_common::{
     id::Name,
     unit::Millis, //
@@ -32,6 +34,9 @@
 /// out.
 const NO_MAJORITY_WAIT_MILLIS: u64 = 14_000;
 
+/// How long an owner is frozen.
+const STALL: Duration = Duration::from_millis(3000);
+
 /// A cell with a task whose worker fell silent just before its owner was replaced.
 struct Cell {
     sim: Simulation,
@@ -167,12 +172,12 @@
     };
     let before = lease(&mut sim);
 
-    sim.now = Millis(sim.now.0 + 3000);
-    sim.engine.hold_leases(sim.now);
+    sim.now = sim.now.after(STALL);
+    sim.engine.hold_leases(STALL, sim.now);
     let stalled = lease(&mut sim);
     sim.engine.confirm_ownership(sim.now);
     let confirmed = lease(&mut sim);
-    sim.engine.hold_leases(sim.now);
+    sim.engine.hold_leases(STALL, sim.now);
     sim.store_down = true;
     sim.run(50);
     let answered = lease(&mut sim);
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -175,7 +175,10 @@
 }
 
 pub(crate) fn engine(epoch: u32, now: Millis) -> Engine {
-    Engine::new(settings(epoch), policy(0), now)
+    let mut engine = Engine::new(settings(epoch), policy(0), now);
+    // The claim is a conditional write too.
+    engine.confirm_ownership(now);
+    engine
 }
 
 pub(crate) fn name(text: &str) -> Name {
