Tell the jobs of an earlier owner by versions, not by the time of their arrival

Cause: a successor took jobs that the feed delivered 1.5 s after most workers had answered for unknown to the owner before it, and dropped runs and ends of unknown jobs 2.5 s after it had read the stored ones. The feed may be silent for longer, and an owner that was cut off went on to start jobs that VMs announced to it.

Change: an owner starts a job that was stored after its last committed write only with a proof of at most 1.5 s that it has no successor. The successor commits a write that is sent 1.5 s after half of the workers have answered, and takes jobs up to the version of that write for inherited, whenever they arrive. Runs and ends of unknown jobs are kept until the feed has delivered that version.

The simulation's feed now tells that nothing new is there, as the store's does each second.

--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -304,7 +304,7 @@
     /// Records that a write on the condition that this VM holds the claim was committed at
     /// `version`. It was sent at `sent`.
     pub(crate) fn confirm_ownership(&self, sent: Millis, version: Version) {
-        self.engine().confirm_ownership(sent);
+        self.engine().confirm_ownership(sent, version);
         let ready = self.lock_delivery().confirm(version);
         self.apply_jobs(&ready);
     }
@@ -372,7 +372,7 @@
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
-    engine.confirm_ownership(ownership.sent);
+    engine.confirm_ownership(ownership.sent, ownership.version);
     engine.set_evacuated(node.evacuations.names(), node.timer.now());
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -44,6 +44,8 @@
     pub dirty: bool,
     /// Whether the final state is stored.
     pub final_state_stored: bool,
+    /// Version of its row.
+    pub row_version: Version,
     /// Whether an earlier owner may have started tasks of the job.
     pub inherited: bool,
     /// Whether all owners that may have started its long-running tasks have stored these starts.
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -165,6 +165,11 @@
     pub(crate) relays: advice::Relays,
     /// Latest time at which this owner is known to have held the claim.
     pub(crate) owned_at: Millis,
+    /// Latest version at which it is known to have held the claim.
+    pub(crate) owned_version: Version,
+    /// Version from which on jobs are known to no earlier owner that can still start them; `None`
+    /// until that is known.
+    pub(crate) sole_since: Option<Version>,
     /// Whether a decision waits for a later [`Engine::confirm_ownership`].
     pub(crate) needs_confirmation: bool,
     /// Bytes of starts that may still be sent in this pass.
@@ -229,6 +234,11 @@
     pub fn new(settings: Settings, policy: Policy, now: Millis) -> Self {
         let first = settings.epoch == 0;
         let sharing = Sharing::new(settings.usage_half_life);
+        let sole_since = match (first, settings.predecessor_ended) {
+            (true, _) => Some(Version(0)),
+            (false, true) => Some(settings.claimed_at),
+            (false, false) => None,
+        };
         let occupied_until = if first {
             Millis(0)
         } else {
@@ -260,6 +270,8 @@
             approvals: HashMap::new(),
             relays: advice::Relays::new(occupied_until),
             owned_at: Millis(0),
+            owned_version: Version(0),
+            sole_since,
             needs_confirmation: false,
             start_window: 0,
             usual_start: Millis(0),
@@ -386,7 +398,7 @@
     /// row is written once.
     pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
         if self.is_first(id, version) {
-            let inherited = self.may_be_known_to_predecessor(now);
+            let inherited = self.may_be_known_to_predecessor(version);
             self.accept(id, accepted, version, None, inherited, now);
         }
     }
@@ -410,7 +422,7 @@
         }
         if self.is_first(id, version) {
             let inherited =
-                version <= self.settings.claimed_at && self.may_be_known_to_predecessor(now);
+                version <= self.settings.claimed_at && self.may_be_known_to_predecessor(version);
             self.accept(id, accepted, version, None, inherited, now);
         }
     }
@@ -505,6 +517,7 @@
             version,
             dirty: false,
             final_state_stored: false,
+            row_version,
             inherited,
             over_quota,
         };
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -91,6 +91,9 @@
             if job.final_state.is_some() {
                 continue;
             }
+            if !self.may_start(job, now) {
+                continue;
+            }
             let is_open = !job.inherited || unsettled || self.is_settled();
             let Some(queue) = self.queue(job) else {
                 continue;
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -3,9 +3,8 @@
 //! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any
 //! worker that has not answered this owner yet. It therefore waits until all workers have answered, or
 //! until the leases granted by earlier owners are guaranteed to have expired. Long-running tasks, whose
-//! starts are stored, wait for one worker only; see `docs/design/lasting.md`. Jobs that arrive before
-//! the earlier owner has noticed its replacement wait too, since it may receive and start them as
-//! well. See `docs/design/takeover.md`.
+//! starts are stored, wait for one worker only; see `docs/design/lasting.md`. Jobs that were stored while
+//! an earlier owner may have been able to start them wait too. See `docs/design/takeover.md`.
 
 use std::{
     collections::HashSet,
@@ -13,8 +12,11 @@
 };
 
 use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 
 use crate::{
@@ -31,11 +33,6 @@
 /// Name that stands for workers which an earlier owner knew and that can't be read.
 pub(crate) const UNKNOWN: &str = "";
 
-/// Time after loading during which workers may report jobs that are still unknown here: jobs that
-/// arrived while the stored ones were read, and that the earlier owner has started. It covers
-/// [`NOTICE_TIME`] and the delay of the feed of a slow store.
-const UNKNOWN_JOB_TIME: Duration = Duration::from_millis(2500);
-
 impl Engine {
     /// Adds workers that an earlier owner knew, which may still run its tasks.
     pub fn expect_workers(&mut self, names: impl IntoIterator<Item = Name>) {
@@ -52,24 +49,36 @@
         }
     }
 
-    /// Returns whether the earlier owner may still start jobs that arrive now.
+    /// Returns whether an earlier owner may have started a job whose row has `version`.
     ///
-    /// It notices its replacement when it polls one of the workers that have answered this owner,
-    /// so at the latest [`NOTICE_TIME`] after half of them have. An owner that is known to have
-    /// ended cannot know jobs that are not stored.
-    pub(crate) fn may_be_known_to_predecessor(&self, now: Millis) -> bool {
-        let noticed = self
-            .majority_answered_at
-            .is_some_and(|since| now.since(since) >= NOTICE_TIME);
-        !self.settings.predecessor_ended && !self.is_settled() && !noticed
+    /// Such an owner starts nothing that was stored after its last proof that it has no successor,
+    /// except within [`NOTICE_TIME`]. When a row arrives here says nothing: the feed may be late.
+    pub(crate) fn may_be_known_to_predecessor(&self, version: Version) -> bool {
+        self.sole_since.is_none_or(|since| version <= since)
     }
 
     /// Returns whether reports about unknown jobs may concern jobs that are still to arrive.
-    pub(crate) fn expects_unknown_jobs(&self, now: Millis) -> bool {
-        let loaded = self.loaded_at.unwrap_or(self.started_at);
-        !self.settings.predecessor_ended
-            && self.settings.epoch > 0
-            && now.since(loaded) < UNKNOWN_JOB_TIME
+    pub(crate) fn expects_unknown_jobs(&self) -> bool {
+        self.settings.epoch > 0
+            && self
+                .sole_since
+                .is_none_or(|since| self.accepted_version < since)
+    }
+
+    /// Records that this owner held the claim at `version`, by a write that was sent at `sent`. No
+    /// earlier owner can start what is stored later, if it could start nothing at `sent`.
+    pub(crate) fn confirm_succession(&mut self, sent: Millis, version: Version) {
+        if self.sole_since.is_none() && sent >= self.last_start() {
+            self.sole_since = Some(version);
+        }
+    }
+
+    /// Returns the time from which on no earlier owner starts or extends anything.
+    fn last_start(&self) -> Millis {
+        let proven_until = self
+            .majority_answered_at
+            .unwrap_or_else(|| self.started_at.after(MAX_STORE_SILENCE));
+        proven_until.after(NOTICE_TIME)
     }
 
     /// Returns whether tasks of an earlier owner may be started.
@@ -100,10 +109,7 @@
         if self.settings.predecessor_ended {
             return self.started_at.after(lease);
         }
-        let proven_until = self
-            .majority_answered_at
-            .unwrap_or_else(|| self.started_at.after(MAX_STORE_SILENCE));
-        proven_until.after(NOTICE_TIME + lease)
+        self.last_start().after(lease)
     }
 
     /// Returns whether [`Engine::earlier_leases_end`] does not change any more.
--- a/crates/workflow/src/tenure.rs
+++ b/crates/workflow/src/tenure.rs
@@ -16,9 +16,13 @@
 
 use std::time::Duration;
 
-use basilbridge_common::unit::Millis;
+use basilbridge_common::{
+    id::Version,
+    unit::Millis, //
+};
 
 use crate::{
+    active::Job,
     engine::Engine,
     worker, //
 };
@@ -60,9 +64,11 @@
 
 impl Engine {
     /// Records that a write that was sent at `sent`, on the condition that this owner holds the
-    /// claim, has taken effect. No later owner existed then.
-    pub fn confirm_ownership(&mut self, sent: Millis) {
+    /// claim, has taken effect at `version`. No later owner existed then.
+    pub fn confirm_ownership(&mut self, sent: Millis, version: Version) {
         self.owned_at = self.owned_at.max(sent);
+        self.owned_version = self.owned_version.max(version);
+        self.confirm_succession(sent, version);
         if sent >= self.tenure.stalled_at {
             self.tenure.stalled_for = Duration::ZERO;
         }
@@ -82,6 +88,13 @@
             .is_some_and(|proof| now.since(proof) <= NOTICE_TIME)
     }
 
+    /// Returns whether tasks of a job may be started. One that was announced after the last word from
+    /// the store may have been stored after a successor had claimed the workers, which takes it from
+    /// the store.
+    pub(crate) fn may_start(&self, job: &Job, now: Millis) -> bool {
+        job.row_version <= self.owned_version || self.is_proven(now)
+    }
+
     /// Returns the time from which the leases may last that are extended at `now`, or `None` if none may
     /// be extended.
     pub(crate) fn lease_base(&self, now: Millis) -> Option<Millis> {
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -193,7 +193,7 @@
 
     /// Applies what workers have reported of a job before the job was known.
     pub(crate) fn attach_early_reports(&mut self, id: &Name, now: Millis) {
-        if !self.expects_unknown_jobs(now) {
+        if !self.expects_unknown_jobs() {
             return;
         }
         let keys: Vec<worker::Key> = self.workers.keys().collect();
@@ -225,10 +225,9 @@
         }
     }
 
-    /// Stops the runs and drops the ends of jobs that did not arrive in time.
+    /// Stops the runs and drops the ends of jobs that do not exist.
     pub(crate) fn drop_unknown_jobs(&mut self, now: Millis) {
-        if self.expects_unknown_jobs(now) || std::mem::replace(&mut self.unknown_jobs_dropped, true)
-        {
+        if self.expects_unknown_jobs() || std::mem::replace(&mut self.unknown_jobs_dropped, true) {
             return;
         }
         let keys: Vec<worker::Key> = self.workers.keys().collect();
@@ -297,7 +296,7 @@
                 });
             }
             Some(_) => self.stop(key, &running.task, Cause::Superseded, now),
-            None if self.expects_unknown_jobs(now) => {}
+            None if self.expects_unknown_jobs() => {}
             None => self.stop(key, &running.task, Cause::Unknown, now),
         }
     }
@@ -327,7 +326,7 @@
             self.record_duration(key, run, now);
         }
         let Some(position) = self.position(&end.task) else {
-            if self.expects_unknown_jobs(now) {
+            if self.expects_unknown_jobs() {
                 self.workers[key].unmatched_ends.push(end.clone());
             }
             return;
--- a/crates/workflow/tests/engine/links.rs
+++ b/crates/workflow/tests/engine/links.rs
@@ -148,7 +148,7 @@
     }
 
     fn pass(&mut self) {
-        self.engine.confirm_ownership(self.now);
+        self.engine.confirm_ownership(self.now, Version(1));
         self.engine.tick(self.now);
         self.engine.schedule(self.now);
         while let Some(round) = self.engine.begin_round() {
--- a/crates/workflow/tests/engine/partitions.rs
+++ b/crates/workflow/tests/engine/partitions.rs
@@ -329,8 +329,10 @@
     let job = accepted(CHECKS, partition.sim.now, vec![step(1, TASK_CPU)]);
     partition.sim.announce_to(&mut deposed, "j2", job);
     partition.deposed = Some(deposed);
+    partition.sim.feed_is_silent = true;
     partition.run(3000);
     partition.sim.deliver("j2");
+    partition.sim.feed_is_silent = false;
     partition.run(HEAL_MILLIS);
     partition.heal();
     partition.run(60_000);
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -269,7 +269,8 @@
         };
         let engine = Engine::new(settings, self.policy.clone(), self.now);
         let engine = std::mem::replace(&mut self.engine, engine);
-        self.engine.confirm_ownership(self.now);
+        self.engine
+            .confirm_ownership(self.now, Version(self.version));
         self.engine.set_store_clock(self.store_clock());
         self.engine.set_evacuated(self.evacuated.clone(), self.now);
         self.engine.inherit_roster(&self.roster);
@@ -465,7 +466,11 @@
     pub(crate) fn pass(&mut self, link: &mut impl FnMut(&Name) -> Link) {
         self.store_roster();
         if !self.store_down {
-            self.engine.confirm_ownership(self.now);
+            self.engine
+                .confirm_ownership(self.now, Version(self.version));
+            if !self.feed_is_silent {
+                self.engine.set_accepted_version(Version(self.version));
+            }
         }
         self.engine.set_relays(&self.relays);
         self.engine.tick(self.now);
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 use basilbridge_workflow::{
     job::State,
@@ -148,7 +151,7 @@
 
     sim.take_over();
     for _ in 0..NO_MAJORITY_WAIT_MILLIS / 10 {
-        sim.engine.confirm_ownership(sim.now);
+        sim.engine.confirm_ownership(sim.now, Version(sim.version));
         sim.run(10);
     }
     let meanwhile = sim.starts_of("j1");
@@ -175,7 +178,7 @@
     sim.now = sim.now.after(STALL);
     sim.engine.hold_leases(STALL, sim.now);
     let stalled = lease(&mut sim);
-    sim.engine.confirm_ownership(sim.now);
+    sim.engine.confirm_ownership(sim.now, Version(sim.version));
     let confirmed = lease(&mut sim);
     sim.engine.hold_leases(STALL, sim.now);
     sim.store_down = true;
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -177,7 +177,7 @@
 pub(crate) fn engine(epoch: u32, now: Millis) -> Engine {
     let mut engine = Engine::new(settings(epoch), policy(0), now);
     // The claim is a conditional write too.
-    engine.confirm_ownership(now);
+    engine.confirm_ownership(now, Version(0));
     engine
 }
 
