Count the end of an owner only if it had outlived those before it

Cause: an owner that was known to have ended, after eight heartbeats, was taken for the last one that could extend leases: the one before it was to have noticed its replacement within those four seconds. Behind a partition it does not, and the third owner waited for one lease from its own claim only. The same class as the faults before.

Change: an owner stores the row `succession` once no earlier owner can start or extend anything, as it knows by its own count of workers and a committed write. The known end of an owner, the version from which a lineage knows all jobs, and the end of leases of earlier versions rest on that row.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -60,7 +60,9 @@
         Heartbeat,
         LINEAGE_KEY,
         NODE_PREFIX,
-        OWNERSHIP_TABLE, //
+        OWNERSHIP_TABLE,
+        SUCCESSION_KEY,
+        Succession, //
     },
 };
 
@@ -78,10 +80,6 @@
 /// the other VMs.
 const CLAIM_STAGGER: Duration = Duration::from_millis(30);
 
-/// The number of heartbeats after which the previous owner is known to have noticed its
-/// replacement. They take four seconds, twice as long as noticing and reading the jobs may take.
-const SETTLED_HEARTBEATS: u64 = 8;
-
 /// The time within which the store has to answer a VM that is asked to take over from an owner that
 /// can't reach the store. If the store is slow for all VMs, taking over does not help.
 const FAST_STORE_LIMIT: Duration = Duration::from_millis(100);
@@ -113,6 +111,8 @@
     /// The newest lineage, which may be of an earlier owner, and the version of its row.
     pub(crate) lineage: Option<Lineage>,
     pub(crate) lineage_version: Version,
+    /// The newest completed succession, which may be of an earlier owner, and the version of its row.
+    pub(crate) succession: Option<(Succession, Version)>,
     /// The last heartbeat, which may be of an earlier owner.
     pub(crate) last_heartbeat: Option<ReceivedHeartbeat>,
     /// How the heartbeats of owners have arrived.
@@ -237,6 +237,10 @@
                 self.lineage = record::decode_row(log, row);
                 self.lineage_version = row.version;
             }
+            SUCCESSION_KEY => {
+                let succession = record::decode_row(log, row);
+                self.succession = succession.map(|succession| (succession, row.version));
+            }
             HEARTBEAT_KEY => {
                 if let Some(heartbeat) = record::decode_row(log, row) {
                     self.record_heartbeat(heartbeat, row.version, now);
@@ -329,29 +333,26 @@
     /// ended: the owner released its ownership, was an earlier process of the VM `own`, or was
     /// replaced by another process at its address.
     ///
-    /// A claimant that lost the response to its claim may never have acted as the owner while the
-    /// previous owner went on. So the holder must also have sent heartbeats for long enough that
-    /// the previous owner has noticed its replacement.
+    /// The owners before it may go on behind a partition, so it must have outlived them.
     fn is_owner_known_ended(&self, own: &Name, nonce: u64) -> bool {
         let Some(stored) = &self.claim else {
             return true;
         };
         let claim = &stored.claim;
-        let settled = |received: &&ReceivedHeartbeat| {
-            received.heartbeat.unstarted.is_some()
-                && received.heartbeat.sequence >= SETTLED_HEARTBEATS
-        };
-        let Some(received) = self.last_heartbeat.as_ref().filter(settled) else {
-            return false;
-        };
         let earlier_process = claim.holder == *own && claim.nonce != nonce;
         let replaced = OwnerDown::Replaced(claim.nonce);
         let replaced_at_address = self
             .owner_down
             .is_some_and(|(owner_down, _)| owner_down == replaced);
-        // A release changes the claim, so no heartbeat is newer than a released claim.
-        claim.released
-            || (received.version > stored.version && (earlier_process || replaced_at_address))
+        let has_ended = claim.released || earlier_process || replaced_at_address;
+        has_ended && self.succession_of(claim).is_some()
+    }
+
+    /// Returns the version at which the owner with this claim had outlived all owners before it; `None`
+    /// if that is not known.
+    fn succession_of(&self, claim: &Claim) -> Option<Version> {
+        let (succession, version) = self.succession.as_ref()?;
+        (succession.epoch == claim.epoch).then_some(*version)
     }
 
     /// Returns the lineage for a claim at `now` that replaces the current one, of an owner that grants
@@ -360,14 +361,11 @@
         let Some(stored) = &self.claim else {
             return Lineage::first(lease);
         };
-        let heartbeat = self.last_heartbeat.as_ref().filter(|received| {
-            received.version > stored.version && received.heartbeat.sequence >= SETTLED_HEARTBEATS
-        });
         let before = Predecessor {
             epoch: stored.claim.epoch,
             lineage: self.lineage.clone(),
             received_at: stored.received_at,
-            settled_at: heartbeat.map(|received| received.version),
+            settled_at: self.succession_of(&stored.claim),
         };
         Lineage::after(&before, lease, max_lease, now)
     }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -90,7 +90,9 @@
         Claim,
         HEARTBEAT_KEY,
         Heartbeat,
-        JOB_TABLE, //
+        JOB_TABLE,
+        SUCCESSION_KEY,
+        Succession, //
     },
     report, roster, sharing, silence, stall, sweep,
 };
@@ -658,6 +660,8 @@
 /// The progress of the owner's heartbeats.
 struct Heartbeats {
     sequence: u64,
+    /// Whether the store has the succession of the owner.
+    is_succession_stored: bool,
     last_stored_at: Millis,
     last_offered_at: Millis,
 }
@@ -665,6 +669,8 @@
 /// A heartbeat whose write has an outcome.
 struct WrittenHeartbeat {
     sent: Millis,
+    /// Whether it contains the succession of the owner.
+    has_succession: bool,
     outcome: Result<Outcome>,
 }
 
@@ -688,11 +694,23 @@
         puts
     }
 
+    /// Returns the row which says that the owner has outlived those before it, if it has and the store
+    /// does not have it.
+    fn succession(&self, owner: &Owner) -> Option<Put> {
+        if self.is_succession_stored || !owner.engine().is_sole() {
+            return None;
+        }
+        let epoch = owner.ownership.claim.epoch;
+        let value = record::encode(&Succession { epoch }).ok()?;
+        Some(election::put(SUCCESSION_KEY, value))
+    }
+
     /// Handles the outcome of a heartbeat. Returns whether the ownership goes on.
     async fn handle(&mut self, owner: &Owner, written: WrittenHeartbeat) -> bool {
         match written.outcome {
             Ok(Outcome::Committed(version)) => {
                 owner.confirm_ownership(written.sent, version);
+                self.is_succession_stored |= written.has_succession;
                 self.last_stored_at = owner.now();
                 if self.last_stored_at.since(self.last_offered_at) < YIELD_INTERVAL {
                     return true;
@@ -738,6 +756,7 @@
     let now = owner.now();
     let mut heartbeats = Heartbeats {
         sequence: 0,
+        is_succession_stored: false,
         last_stored_at: now,
         last_offered_at: now,
     };
@@ -761,12 +780,16 @@
         }
         let sent = owner.now();
         due = sent.after(HEARTBEAT_INTERVAL);
-        let puts = heartbeats.next(&owner);
+        let mut puts = heartbeats.next(&owner);
+        let succession = heartbeats.succession(&owner);
+        let has_succession = succession.is_some();
+        puts.extend(succession);
         let owner = &owner;
         in_flight.push(async move {
             let checks = vec![owner.ownership.check()];
             WrittenHeartbeat {
                 sent,
+                has_succession,
                 outcome: owner.node.transact(checks, puts).await,
             }
         });
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -49,6 +49,9 @@
 /// The key of the lineage of the owner, which is stored with its claim.
 pub(crate) const LINEAGE_KEY: &str = "lineage";
 
+/// The key of the completed succession of an owner.
+pub(crate) const SUCCESSION_KEY: &str = "succession";
+
 /// The key of the owner's heartbeat.
 pub(crate) const HEARTBEAT_KEY: &str = "pulse";
 
@@ -89,6 +92,13 @@
     pub unproven: u32,
 }
 
+/// Says that an owner has outlived all owners before it: they start and extend nothing any more.
+#[data]
+pub(crate) struct Succession {
+    /// The number of claims before that of the owner.
+    pub epoch: u32,
+}
+
 /// A heartbeat of the owner.
 #[data]
 #[derive(Default)]
--- a/crates/workflow/src/lineage.rs
+++ b/crates/workflow/src/lineage.rs
@@ -53,8 +53,7 @@
     pub lineage: Option<Lineage>,
     /// Time when this VM received the claim.
     pub received_at: Millis,
-    /// Version of its newest heartbeat; `None` unless it has sent enough of them that all owners
-    /// before it have noticed their replacement.
+    /// Version at which it had outlived all owners before it; `None` unless that is known.
     pub settled_at: Option<Version>,
 }
 
@@ -88,8 +87,8 @@
                 earlier_lease: max_lease,
             };
         };
-        // Leases of the owners before the predecessor are over once its claim is old enough, if it
-        // has acted on it.
+        // Leases of the owners before the predecessor are over once its claim is old enough, if they
+        // are known to extend none.
         let is_old = before.settled_at.is_some()
             && now.since(before.received_at) >= lease::worst_case(max_lease) * 3;
         let older = if is_old {
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -57,6 +57,11 @@
         self.sole_since.is_none_or(|since| version <= since)
     }
 
+    /// Returns whether all owners before this one are known to start and extend nothing any more.
+    pub fn is_sole(&self) -> bool {
+        self.sole_since.is_some()
+    }
+
     /// Returns whether reports about unknown jobs may concern jobs that are still to arrive.
     pub(crate) fn expects_unknown_jobs(&self) -> bool {
         self.settings.epoch > 0
--- a/crates/workflow/tests/engine/partitions.rs
+++ b/crates/workflow/tests/engine/partitions.rs
@@ -238,6 +238,26 @@
     held(&partition);
 }
 
+/// An owner that had sent heartbeats for four seconds was taken to have outlived those before it, also if
+/// most workers still accepted one of them. Its end then hid that the other lived on.
+#[test]
+fn the_end_of_a_successor_does_not_show_that_the_owner_before_it_has_ended() {
+    for kept in [3, 8] {
+        let mut partition = Partition::new(kept, LONG);
+
+        partition.split();
+        partition.run(5000);
+        let is_sole = partition.sim.engine.is_sole();
+        partition.sim.take_over_from(is_sole);
+        partition.run(HEAL_MILLIS);
+        partition.heal();
+        partition.run(60_000);
+
+        assert_eq!(is_sole, kept == 3);
+        held(&partition);
+    }
+}
+
 /// New workers on the side of a successor outnumbered those that accept the old owner.
 #[test]
 fn workers_that_join_behind_a_partition_do_not_outvote_those_that_accept_the_old_owner() {
