Show faults of a deposed owner that the first partitions leave out

Cause: six ways in which an owner, or the counting of a majority, rests on what the other side does not keep by evidence. None has its own test.

Change: tests only, in crates/workflow/tests/engine/deposed.rs.

--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -7,6 +7,7 @@
 mod collapse;
 mod crashes;
 mod departures;
+mod deposed;
 mod election;
 mod evacuation;
 mod evacuation_moves;
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -231,6 +231,13 @@
             .announce(&id.into(), accepted, version, self.now);
     }
 
+    /// Delivers the list of workers to an owner that has been replaced, and to no other.
+    pub(crate) fn list_to(&mut self, deposed: &mut Deposed) {
+        self.swap(deposed);
+        self.register_all();
+        self.swap(deposed);
+    }
+
     /// Delivers a stored job to the engine by the feed.
     pub(crate) fn deliver(&mut self, id: &str) {
         let (accepted, version) = (self.jobs[id].clone(), self.job_versions[id]);
