Show that an owner of a shard that is cut off runs tasks twice

Cause: the owners of shards (src/) start repeatable tasks without a word from the store. docs/design/clocks.md names two judgements that rest on the task lease, 1 % and 10 s; both fail in a partition of VMs, store and workers.

--- a/tests/faults/cell.rs
+++ b/tests/faults/cell.rs
@@ -5,7 +5,10 @@
 //! even if its sender has been killed.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -44,7 +47,10 @@
     unit::Resources,
     worker::Worker,
 };
-use basilbridge_endpoints::Client;
+use basilbridge_endpoints::{
+    Client,
+    command::Command, //
+};
 use basilbridge_platform::{
     Platform,
     object,
@@ -77,6 +83,9 @@
 const MAX_RENEWAL_WAIT: Duration = Duration::from_millis(1500);
 const MAX_DELAY_MS: u64 = 4000;
 
+/// Name of the platform, which is its store and its list, in a cut.
+pub(crate) const PLATFORM: &str = "platform";
+
 /// Runs a future on its own paused clock. Tasks that it spawned end with it.
 pub(crate) fn run<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -115,6 +124,8 @@
 struct Shared {
     random: SmallRng,
     network_faults: NetworkFaults,
+    /// VMs, and the workers or the platform that they can't reach.
+    cuts: BTreeSet<(SocketAddr, Name)>,
     entry_vms: BTreeMap<SocketAddr, EntryVm>,
     next_port: u16,
 }
@@ -137,6 +148,7 @@
             shared: Arc::new(Mutex::new(Shared {
                 random: SmallRng::seed_from_u64(seed),
                 network_faults: NetworkFaults::default(),
+                cuts: BTreeSet::new(),
                 entry_vms: BTreeMap::new(),
                 next_port: 1,
             })),
@@ -153,6 +165,11 @@
         self.lock().network_faults = network_faults;
     }
 
+    /// Cuts a VM off from a worker or from the platform. Calls in flight are still answered.
+    pub(crate) fn cut(&self, address: SocketAddr, target: &str) {
+        self.lock().cuts.insert((address, target.into()));
+    }
+
     /// Waits until `done` holds and returns the time waited.
     ///
     /// Panics after [`MAX_WAIT_STEPS`] steps of the clock.
@@ -208,8 +225,8 @@
             session,
             config,
             clock.clone(),
-            self.platform(&paused),
-            self.endpoints(&paused),
+            self.platform(address, &paused),
+            self.endpoints(address, &paused),
             log::silent(),
             Metrics::none(),
         );
@@ -275,8 +292,18 @@
         }
     }
 
+    /// Returns a function that tells whether a VM is cut off from the `target` of a call.
+    fn cut_check<I>(
+        &self,
+        address: SocketAddr,
+        target: impl Fn(&I) -> Name + Send + Sync + 'static,
+    ) -> impl Fn(&I) -> bool + Send + Sync + 'static {
+        let cell = self.clone();
+        move |input| cell.lock().cuts.contains(&(address, target(input)))
+    }
+
     /// Returns the platform as a VM reaches it over the network.
-    fn platform(&self, paused: &Arc<Flag>) -> Platform {
+    fn platform(&self, address: SocketAddr, paused: &Arc<Flag>) -> Platform {
         let store = self.store.platform();
         let (writer, reader) = (store.tables.clone(), store.tables.clone());
         let (putter, getter) = (store.objects.clone(), store.objects.clone());
@@ -286,43 +313,76 @@
         let read_error = unknown(Kind::StoreUnavailable);
         Platform {
             tables: Service::new(
-                self.link(paused, CALL_TIMEOUT, write_error, move |transaction| {
-                    let tables = writer.clone();
-                    async move { tables.transact(transaction).await }.boxed()
-                }),
-                self.link(paused, CALL_TIMEOUT, read_error, move |query| {
-                    let tables = reader.clone();
-                    async move { tables.scan(query).await }.boxed()
-                }),
+                self.link(
+                    paused,
+                    CALL_TIMEOUT,
+                    write_error,
+                    self.cut_check(address, |_| PLATFORM.into()),
+                    move |transaction| {
+                        let tables = writer.clone();
+                        async move { tables.transact(transaction).await }.boxed()
+                    },
+                ),
+                self.link(
+                    paused,
+                    CALL_TIMEOUT,
+                    read_error,
+                    self.cut_check(address, |_| PLATFORM.into()),
+                    move |query| {
+                        let tables = reader.clone();
+                        async move { tables.scan(query).await }.boxed()
+                    },
+                ),
             ),
             objects: object::Store::new(
                 {
-                    let put = self.link(paused, CALL_TIMEOUT, write_error, move |(key, body)| {
-                        let objects = putter.clone();
-                        async move { objects.put(key, body).await }.boxed()
-                    });
+                    let put = self.link(
+                        paused,
+                        CALL_TIMEOUT,
+                        write_error,
+                        self.cut_check(address, |_| PLATFORM.into()),
+                        move |(key, body)| {
+                            let objects = putter.clone();
+                            async move { objects.put(key, body).await }.boxed()
+                        },
+                    );
                     Arc::new(move |key, body| put((key, body)))
                 },
-                self.link(paused, CALL_TIMEOUT, read_error, move |key| {
-                    let objects = getter.clone();
-                    async move { objects.get(key).await }.boxed()
-                }),
+                self.link(
+                    paused,
+                    CALL_TIMEOUT,
+                    read_error,
+                    self.cut_check(address, |_| PLATFORM.into()),
+                    move |key| {
+                        let objects = getter.clone();
+                        async move { objects.get(key).await }.boxed()
+                    },
+                ),
             ),
             vms: {
-                let list = self.link(paused, CALL_TIMEOUT, read_error, move |()| lister());
+                let list = self.link(
+                    paused,
+                    CALL_TIMEOUT,
+                    read_error,
+                    self.cut_check(address, |_| PLATFORM.into()),
+                    move |()| lister(),
+                );
                 Arc::new(move || list(()))
             },
         }
     }
 
     /// Returns the workers as a VM reaches them over the network.
-    fn endpoints(&self, paused: &Arc<Flag>) -> Client {
+    fn endpoints(&self, address: SocketAddr, paused: &Arc<Flag>) -> Client {
         let fleet = self.fleet.client();
         let unanswered = || Error::new(Kind::OutcomeUnknown, "no answer came");
         let link = self.link(
             paused,
             CALL_TIMEOUT + MAX_RENEWAL_WAIT,
             unanswered,
+            self.cut_check(address, |(worker, _): &(Worker, Command)| {
+                worker.name.clone()
+            }),
             move |(worker, command)| {
                 let fleet = fleet.clone();
                 async move { fleet.send(&worker, command).await }.boxed()
@@ -339,6 +399,7 @@
             paused,
             CALL_TIMEOUT,
             unanswered,
+            |_| false,
             move |(address, message)| {
                 let node = cell.node(address);
                 async move {
@@ -354,18 +415,21 @@
     /// Returns a function that calls `serve` over a network that delays and loses messages, from a
     /// VM that may be paused.
     ///
-    /// A call without an answer within `timeout` returns the error `unknown`.
+    /// A call without an answer within `timeout` returns the error `unknown`. So does one that
+    /// `is_cut` tells to be lost.
     fn link<I: Send + 'static, O: Send + 'static>(
         &self,
         paused: &Arc<Flag>,
         timeout: Duration,
         unknown: impl Fn() -> Error + Copy + Send + Sync + 'static,
+        is_cut: impl Fn(&I) -> bool + Send + Sync + 'static,
         serve: impl Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync + 'static,
     ) -> Arc<dyn Fn(I) -> BoxFuture<'static, Result<O>> + Send + Sync> {
         let cell = self.clone();
         let paused = Arc::clone(paused);
         Arc::new(move |input| {
-            let round_trip = cell.draw_round_trip();
+            let mut round_trip = cell.draw_round_trip();
+            round_trip.request_lost |= is_cut(&input);
             let response = serve(input);
             let timer = cell.timer.clone();
             let paused = Arc::clone(&paused);
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell whose VMs, workers and store fail, on one paused clock.
 
 mod cell;
+mod deposed;
 mod evacuation;
 mod fault;
 mod fences;
