Start nothing on a boot before the claim is confirmed after its first answer

Cause: a worker that boots anew forgets the epoch of the successor that it had answered. An owner that had lost the store a moment ago, and still followed the list, started waiting tasks there, while its successor had heard all workers and started them too. The promise that an owner starts only where its successor would find it held for boots that the successor had heard, not for the next ones.

Change: a worker gets work only once a write on the condition of the claim was committed that was sent after the first answer of its boot; such a boot triggers a heartbeat, so work waits for one answer of the store. The same mark tells which boots count for the proof of no successor.

--- a/crates/workflow/src/availability.rs
+++ b/crates/workflow/src/availability.rs
@@ -24,6 +24,9 @@
     /// No poll has been answered by the boot that the list names. The poll that a boot answers also
     /// raises its epoch to that of this owner.
     Rebooted,
+    /// The store has not confirmed the claim since its boot first answered, so a later owner may know
+    /// another boot of it only; see [`crate::tenure`].
+    Unconfirmed,
     /// The next owner would not know that it may run something; see [`Engine::roster`].
     ///
     /// [`Engine::roster`]: crate::engine::Engine::roster
@@ -71,6 +74,8 @@
         Reason::Rebooted
     } else if !is_responsive {
         Reason::Unresponsive
+    } else if !worker.is_boot_confirmed {
+        Reason::Unconfirmed
     } else if !worker.is_on_roster {
         Reason::OffRoster
     } else if worker.is_recorded {
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -167,6 +167,8 @@
     pub(crate) owned_at: Millis,
     /// Latest version at which it is known to have held the claim.
     pub(crate) owned_version: Version,
+    /// Workers whose boot has answered since.
+    pub(crate) unconfirmed_boots: Vec<worker::Key>,
     /// Version from which on jobs are known to no earlier owner that can still start them; `None`
     /// until that is known.
     pub(crate) sole_since: Option<Version>,
@@ -271,6 +273,7 @@
             relays: advice::Relays::new(occupied_until),
             owned_at: Millis(0),
             owned_version: Version(0),
+            unconfirmed_boots: Vec::new(),
             sole_since,
             needs_confirmation: false,
             start_window: 0,
--- a/crates/workflow/src/tenure.rs
+++ b/crates/workflow/src/tenure.rs
@@ -69,6 +69,7 @@
         self.owned_at = self.owned_at.max(sent);
         self.owned_version = self.owned_version.max(version);
         self.confirm_succession(sent, version);
+        self.confirm_boots(sent);
         if sent >= self.tenure.stalled_at {
             self.tenure.stalled_for = Duration::ZERO;
         }
@@ -117,7 +118,25 @@
     /// Records that a worker has answered a poll that was sent at `sent`, with the epoch of this owner.
     pub(crate) fn record_acceptance(&mut self, key: worker::Key, sent: Millis) {
         let worker = &mut self.workers[key];
+        let is_first = worker.accepted_at == Millis(0);
         worker.accepted_at = worker.accepted_at.max(sent);
+        if is_first {
+            self.unconfirmed_boots.push(key);
+            self.needs_confirmation = true;
+        }
+    }
+
+    /// Records that no later owner can have reached the boots that had answered by `sent`.
+    fn confirm_boots(&mut self, sent: Millis) {
+        let workers = &mut self.workers;
+        self.unconfirmed_boots.retain(|key| {
+            let Some(worker) = workers.get_mut(*key) else {
+                return false;
+            };
+            worker.is_boot_confirmed = worker.had_answered(sent);
+            !worker.is_boot_confirmed
+        });
+        self.needs_confirmation |= !self.unconfirmed_boots.is_empty();
     }
 
     /// Determines since when most workers have accepted this owner, if that is needed.
@@ -125,12 +144,9 @@
         if !self.needs_acceptance(now) {
             return;
         }
-        let owned_at = self.owned_at;
         let voters = self.workers.values().filter(|worker| {
-            worker.is_on_roster
-                && !worker.is_recorded
-                && worker.booted_before(owned_at)
-                && !worker.replaced
+            let is_counted = worker.is_on_roster && !worker.is_recorded;
+            is_counted && worker.is_boot_confirmed && !worker.replaced
         });
         let mut accepted: Vec<Millis> = voters.map(|worker| worker.accepted_at).collect();
         let majority = self.roster_size / 2;
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -137,6 +137,8 @@
     /// Whether the store holds, or may hold, the end of its leases, which extending them would make
     /// untrue.
     pub is_lease_recorded: bool,
+    /// Whether this owner is known to have held the claim after that boot had first answered.
+    pub is_boot_confirmed: bool,
     /// Time when the latest poll was sent that this boot has answered, so that no later owner had
     /// reached it by then.
     pub accepted_at: Millis,
@@ -193,6 +195,7 @@
             evacuated: false,
             is_recorded: false,
             is_lease_recorded: false,
+            is_boot_confirmed: false,
             accepted_at: Millis(0),
             avoid_until: Millis(0),
             quarantined_until: Millis(0),
@@ -218,6 +221,7 @@
         self.received = 0;
         self.stored = 0;
         self.lease = Lease::default();
+        self.is_boot_confirmed = false;
         self.accepted_at = Millis(0);
         self.exonerate();
         self.slow_until = Millis(0);
@@ -293,8 +297,8 @@
         self.lease.clock_at(now)
     }
 
-    /// Returns whether the boot that answers has answered this owner before `time`.
-    pub fn booted_before(&self, time: Millis) -> bool {
+    /// Returns whether the boot that answers had answered this owner by `time`.
+    pub fn had_answered(&self, time: Millis) -> bool {
         self.lease.answered_at().is_some_and(|at| at <= time)
     }
 
--- a/tests/faults/cell.rs
+++ b/tests/faults/cell.rs
@@ -364,7 +364,7 @@
                     paused,
                     CALL_TIMEOUT,
                     read_error,
-                    self.cut_check(address, |_| PLATFORM.into()),
+                    self.cut_check(address, |()| PLATFORM.into()),
                     move |()| lister(),
                 );
                 Arc::new(move || list(()))
