--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -304,7 +304,7 @@
     /// Records that a write on the condition that this VM holds the claim was committed at
     /// `version`. It was sent at `sent`.
     pub(crate) fn confirm_ownership(&self, sent: Millis, version: Version) {
-        self.engine().confirm_ownership(sent);
+        self.engine().confirm_ownership(sent, version);
         let ready = self.lock_delivery().confirm(version);
         self.apply_jobs(&ready);
     }
@@ -372,6 +372,7 @@
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
+    engine.confirm_ownership(ownership.sent, ownership.version);
     engine.set_evacuated(node.evacuations.names(), node.timer.now());
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
@@ -395,6 +396,7 @@
     tasks.spawn(report::report_traffic(Arc::clone(&owner)));
     tasks.spawn(report::report_load(Arc::clone(&owner)));
     tasks.spawn(report::report_waits(Arc::clone(&owner)));
+    tasks.spawn(report::report_doubt(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
@@ -443,7 +445,8 @@
         }
         let turn = stall::boot_time();
         if let Some(gap) = owner.stall_detector.gap(turn) {
-            owner.engine().hold_leases(owner.now());
+            owner.engine().hold_leases(gap, owner.now());
+            owner.heartbeat_due.notify_one();
             check_ownership(owner, gap).await;
         }
         owner.stall_detector.record_turn(turn);
@@ -492,14 +495,13 @@
 /// Checks after a stall of `gap` whether another VM has claimed ownership meanwhile, and which data
 /// centres have been evacuated.
 ///
-/// If the claim can't be read, the owner goes on: workers reject orders with an epoch below the
-/// highest that they have seen, and no lease is extended before it is certain that no later owner
-/// counts with its end.
+/// The owner goes on if the claim can't be read, or is read as it was: workers reject orders with an
+/// epoch below the highest that they have seen, and no lease is extended before a write proves that no
+/// later owner counts with its end. A read may be behind.
 async fn check_ownership(owner: &Owner, gap: Duration) {
     let log = &owner.node.log;
     let outcome = match election::read_claim(&owner.node).await {
         Ok(Some((_, version))) if version == owner.ownership.version => {
-            owner.engine().release_leases();
             evacuation::refresh(owner).await;
             "title held"
         }
@@ -570,6 +572,7 @@
             }
         }
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
+        Event::Abandoned { .. } => metrics.count("workers_abandoned"),
         Event::Settled { waited, .. } => metrics.time("takeover_wait", *waited),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -39,7 +39,9 @@
     advice,
     approvals::Approvals,
     budget::Budget,
-    crash, evacuation,
+    crash,
+    electorate::Electorate,
+    evacuation,
     event::{
         Cause,
         Event, //
@@ -50,7 +52,6 @@
         TaskId, //
     },
     lease,
-    lease_hold::Hold,
     lineage::Lineage,
     order::{
         Order,
@@ -70,6 +71,7 @@
     sharing::Sharing,
     start_record::Awaited,
     store_clock::Reading,
+    tenure::Tenure,
     worker::{
         self,
         JobKey,
@@ -149,8 +151,8 @@
     /// Workers that may still run tasks of an earlier owner and have not answered this one. `None`
     /// once such runs are either known or guaranteed to have ended.
     pub(crate) unconfirmed: Option<HashSet<Name>>,
-    /// Initial number of unconfirmed workers.
-    pub(crate) expected_count: usize,
+    /// Workers whose answers count against an earlier owner.
+    pub(crate) electorate: Electorate,
     /// Time when at least half of them had answered.
     pub(crate) majority_answered_at: Option<Millis>,
     /// Time when the stored jobs had been read.
@@ -163,6 +165,11 @@
     pub(crate) relays: advice::Relays,
     /// Latest time at which this owner is known to have held the claim.
     pub(crate) owned_at: Millis,
+    /// Latest version at which it is known to have held the claim.
+    pub(crate) owned_version: Version,
+    /// Version from which on jobs are known to no earlier owner that can still start them; `None`
+    /// until that is known.
+    pub(crate) sole_since: Option<Version>,
     /// Whether a decision waits for a later [`Engine::confirm_ownership`].
     pub(crate) needs_confirmation: bool,
     /// Bytes of starts that may still be sent in this pass.
@@ -209,8 +216,10 @@
     pub(crate) recorded_leases: HashSet<Name>,
     /// Times when the leases of silent workers are over, by the record of an earlier owner.
     pub(crate) inherited_ends: HashMap<Name, Millis>,
-    /// Stall after which leases are not extended yet.
-    pub(crate) lease_hold: Option<Hold>,
+    /// Most names of workers that the store may hold for the next owner.
+    pub(crate) roster_size: usize,
+    /// What proves that this owner has no successor.
+    pub(crate) tenure: Tenure,
     /// Latest reading of the store's clock.
     pub(crate) store_clock: Option<Reading>,
     /// Number of changes of the policy and of what is known of crashes, on which the summaries of
@@ -225,6 +234,11 @@
     pub fn new(settings: Settings, policy: Policy, now: Millis) -> Self {
         let first = settings.epoch == 0;
         let sharing = Sharing::new(settings.usage_half_life);
+        let sole_since = match (first, settings.predecessor_ended) {
+            (true, _) => Some(Version(0)),
+            (false, true) => Some(settings.claimed_at),
+            (false, false) => None,
+        };
         let occupied_until = if first {
             Millis(0)
         } else {
@@ -249,13 +263,15 @@
             started_at: now,
             next_tick: now,
             unconfirmed: (!first).then(HashSet::new),
-            expected_count: 0,
+            electorate: Electorate::default(),
             majority_answered_at: None,
             loaded_at: None,
             unknown_jobs_dropped: false,
             approvals: HashMap::new(),
             relays: advice::Relays::new(occupied_until),
             owned_at: Millis(0),
+            owned_version: Version(0),
+            sole_since,
             needs_confirmation: false,
             start_window: 0,
             usual_start: Millis(0),
@@ -278,7 +294,8 @@
             recorded_silent: HashSet::new(),
             recorded_leases: HashSet::new(),
             inherited_ends: HashMap::new(),
-            lease_hold: None,
+            roster_size: 0,
+            tenure: Tenure::default(),
             store_clock: None,
             run_facts: 0,
             visited_runs: Cell::default(),
@@ -323,19 +340,6 @@
         }
     }
 
-    /// Records that a write that was sent at `sent`, on the condition that this owner holds the
-    /// claim, has taken effect. No later owner existed then.
-    pub fn confirm_ownership(&mut self, sent: Millis) {
-        self.owned_at = self.owned_at.max(sent);
-        if self
-            .lease_hold
-            .as_ref()
-            .is_some_and(|hold| sent >= hold.since)
-        {
-            self.release_leases();
-        }
-    }
-
     /// Returns whether tasks wait for a proof that no later owner has extended their leases, and
     /// resets that.
     pub fn take_needs_confirmation(&mut self) -> bool {
@@ -394,7 +398,7 @@
     /// row is written once.
     pub fn accept_new(&mut self, id: &Name, accepted: Accepted, version: Version, now: Millis) {
         if self.is_first(id, version) {
-            let inherited = self.may_be_known_to_predecessor(now);
+            let inherited = self.may_be_known_to_predecessor(version);
             self.accept(id, accepted, version, None, inherited, now);
         }
     }
@@ -418,7 +422,7 @@
         }
         if self.is_first(id, version) {
             let inherited =
-                version <= self.settings.claimed_at && self.may_be_known_to_predecessor(now);
+                version <= self.settings.claimed_at && self.may_be_known_to_predecessor(version);
             self.accept(id, accepted, version, None, inherited, now);
         }
     }
@@ -513,6 +517,7 @@
             version,
             dirty: false,
             final_state_stored: false,
+            row_version,
             inherited,
             over_quota,
         };
@@ -567,7 +572,6 @@
             worker.evacuated = self.evacuation.includes(&worker.info.data_centre);
             worker.is_recorded = self.recorded_silent.contains(&name);
             worker.is_lease_recorded = self.recorded_leases.contains(&name);
-            worker.is_lease_held = self.lease_hold.is_some();
             worker.is_on_roster = self.stored_roster.contains(&name);
             let key = self.workers.insert(worker);
             self.workers_by_name.insert(name, key);
@@ -621,15 +625,18 @@
     pub fn poll(&mut self, key: worker::Key, now: Millis) -> Option<Poll> {
         let lease = self.settings.lease;
         let worker_count = self.workers.len();
+        let base = self.lease_base(now);
+        let needs_acceptance = self.needs_acceptance(now);
         let worker = self
             .workers
             .get_mut(key)
             .filter(|worker| !worker.replaced)?;
         let known =
             worker.boot.is_some() && worker.received == worker.stored && !worker.unresponsive;
-        let degraded = self
-            .last_unanswered_at
-            .is_some_and(|last| now.since(last) < DEGRADED_PERIOD);
+        let degraded = needs_acceptance
+            || self
+                .last_unanswered_at
+                .is_some_and(|last| now.since(last) < DEGRADED_PERIOD);
         let wait = self.settings.budget.poll_wait(worker_count, degraded);
         let lease = if worker.info.leaving {
             lease.min(lease::before_departure(wait))
@@ -638,7 +645,7 @@
         };
         Some(Poll {
             target: worker_target(key, worker),
-            lease_end: worker.extend_lease(lease, now),
+            lease_end: worker.extend_lease(lease, base, now),
             acknowledged: worker.confirmed_stored(),
             boot: worker.boot,
             is_immediate: false,
@@ -755,6 +762,7 @@
             return;
         }
         self.next_tick = now.after(TICK_INTERVAL);
+        self.count_acceptance(now);
         self.stop_stalled(now);
         self.move_slow(now);
         self.evacuate(now);
--- a/crates/workflow/src/takeover.rs
+++ b/crates/workflow/src/takeover.rs
@@ -3,9 +3,8 @@
 //! Starts of most tasks are not stored. A task that an earlier owner accepted may be running on any
 //! worker that has not answered this owner yet. It therefore waits until all workers have answered, or
 //! until the leases granted by earlier owners are guaranteed to have expired. Long-running tasks, whose
-//! starts are stored, wait for one worker only; see `docs/design/lasting.md`. Jobs that arrive before
-//! the earlier owner has noticed its replacement wait too, since it may receive and start them as
-//! well. See `docs/design/takeover.md`.
+//! starts are stored, wait for one worker only; see `docs/design/lasting.md`. Jobs that were stored while
+//! an earlier owner may have been able to start them wait too. See `docs/design/takeover.md`.
 
 use std::{
     collections::HashSet,
@@ -13,29 +12,27 @@
 };
 
 use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 
 use crate::{
     engine::Engine,
     event::Event,
     lease,
+    tenure::{
+        MAX_STORE_SILENCE,
+        NOTICE_TIME, //
+    },
     worker, //
 };
 
-/// Maximum time for which the earlier owner may continue before it notices its replacement: one
-/// poll of a worker, including the time for which the worker holds it back.
-const NOTICE_TIME: Duration = Duration::from_millis(1500);
-
 /// Name that stands for workers which an earlier owner knew and that can't be read.
 pub(crate) const UNKNOWN: &str = "";
 
-/// Time after loading during which workers may report jobs that are still unknown here: jobs that
-/// arrived while the stored ones were read, and that the earlier owner has started. It covers
-/// [`NOTICE_TIME`] and the delay of the feed of a slow store.
-const UNKNOWN_JOB_TIME: Duration = Duration::from_millis(2500);
-
 impl Engine {
     /// Adds workers that an earlier owner knew, which may still run its tasks.
     pub fn expect_workers(&mut self, names: impl IntoIterator<Item = Name>) {
@@ -45,29 +42,43 @@
                 let worker = self.workers_by_name.get(name).map(|key| &workers[*key]);
                 worker.is_some_and(|worker| worker.is_inventoried)
             };
-            unconfirmed.extend(names.into_iter().filter(|name| !has_answered(name)));
-            self.expected_count = unconfirmed.len();
+            for name in names.into_iter().filter(|name| !has_answered(name)) {
+                self.electorate.add_listed(&name);
+                unconfirmed.insert(name);
+            }
         }
     }
 
-    /// Returns whether the earlier owner may still start jobs that arrive now.
+    /// Returns whether an earlier owner may have started a job whose row has `version`.
     ///
-    /// It notices its replacement when it polls one of the workers that have answered this owner,
-    /// so at the latest [`NOTICE_TIME`] after half of them have. An owner that is known to have
-    /// ended cannot know jobs that are not stored.
-    pub(crate) fn may_be_known_to_predecessor(&self, now: Millis) -> bool {
-        let noticed = self
-            .majority_answered_at
-            .is_some_and(|since| now.since(since) >= NOTICE_TIME);
-        !self.settings.predecessor_ended && !self.is_settled() && !noticed
+    /// Such an owner starts nothing that was stored after its last proof that it has no successor,
+    /// except within [`NOTICE_TIME`]. When a row arrives here says nothing: the feed may be late.
+    pub(crate) fn may_be_known_to_predecessor(&self, version: Version) -> bool {
+        self.sole_since.is_none_or(|since| version <= since)
     }
 
     /// Returns whether reports about unknown jobs may concern jobs that are still to arrive.
-    pub(crate) fn expects_unknown_jobs(&self, now: Millis) -> bool {
-        let loaded = self.loaded_at.unwrap_or(self.started_at);
-        !self.settings.predecessor_ended
-            && self.settings.epoch > 0
-            && now.since(loaded) < UNKNOWN_JOB_TIME
+    pub(crate) fn expects_unknown_jobs(&self) -> bool {
+        self.settings.epoch > 0
+            && self
+                .sole_since
+                .is_none_or(|since| self.accepted_version < since)
+    }
+
+    /// Records that this owner held the claim at `version`, by a write that was sent at `sent`. No
+    /// earlier owner can start what is stored later, if it could start nothing at `sent`.
+    pub(crate) fn confirm_succession(&mut self, sent: Millis, version: Version) {
+        if self.sole_since.is_none() && sent >= self.last_start() {
+            self.sole_since = Some(version);
+        }
+    }
+
+    /// Returns the time from which on no earlier owner starts or extends anything.
+    fn last_start(&self) -> Millis {
+        let proven_until = self
+            .majority_answered_at
+            .unwrap_or_else(|| self.started_at.after(MAX_STORE_SILENCE));
+        proven_until.after(NOTICE_TIME)
     }
 
     /// Returns whether tasks of an earlier owner may be started.
@@ -80,15 +91,16 @@
         if let Some(unconfirmed) = &mut self.unconfirmed {
             unconfirmed.remove(name);
         }
+        self.electorate.record_answer(name);
         self.release_held(name);
         self.release_starts(name, now);
     }
 
     /// Returns the time when all leases of earlier owners are over, as far as it is known by now.
     ///
-    /// The earlier owner extends leases until it polls a worker that has seen the new epoch. If most
-    /// workers answer nobody, it is given the time of another lease to notice. One that is known to
-    /// have ended extends none.
+    /// The earlier owner extends leases up to [`NOTICE_TIME`] and a lease after the last proof that it
+    /// has no successor, which it can't have once half of the workers have answered this one, or
+    /// [`MAX_STORE_SILENCE`] after the claim. One that is known to have ended extends none.
     pub(crate) fn earlier_leases_end(&self) -> Millis {
         if self.settings.epoch == 0 {
             return Millis(0);
@@ -97,10 +109,7 @@
         if self.settings.predecessor_ended {
             return self.started_at.after(lease);
         }
-        let answered_at = self
-            .majority_answered_at
-            .unwrap_or_else(|| self.started_at.after(lease));
-        answered_at.after(NOTICE_TIME + lease)
+        self.last_start().after(lease)
     }
 
     /// Returns whether [`Engine::earlier_leases_end`] does not change any more.
@@ -144,6 +153,17 @@
         inherited.map_or(end, |inherited| end.min(*inherited))
     }
 
+    /// Stops waiting for a worker that has not answered this owner.
+    fn abandon_worker(&mut self, name: &Name, evidence: &'static str, now: Millis) {
+        self.events.push(Event::Abandoned {
+            worker: name.clone(),
+            evidence,
+            waited: now.since(self.started_at),
+            since_majority: self.majority_answered_at.map(|at| now.since(at)),
+        });
+        self.confirm_worker(name, now);
+    }
+
     /// Stops waiting for the workers whose leases are over by the record of an earlier owner.
     fn drop_ended(&mut self, now: Millis) {
         let ended = self.inherited_ends.iter();
@@ -156,11 +176,7 @@
                 continue;
             }
             self.inherited_ends.remove(&name);
-            let is_awaited = |names: &HashSet<Name>| names.contains(&name);
-            if self.unconfirmed.as_ref().is_some_and(is_awaited) {
-                self.expected_count -= 1;
-            }
-            self.confirm_worker(&name, now);
+            self.abandon_worker(&name, "the recorded end of its leases is over", now);
         }
     }
 
@@ -175,7 +191,7 @@
             .cloned()
             .collect();
         for name in unanswered {
-            self.confirm_worker(&name, now);
+            self.abandon_worker(&name, "the leases of earlier owners are over", now);
         }
     }
 
@@ -187,10 +203,7 @@
         }
         self.drop_ended(now);
         let unanswered = self.unconfirmed.as_ref().map_or(0, HashSet::len);
-        let is_majority = unanswered * 2 <= self.expected_count;
-        // Workers that are only held tasks back for have not answered.
-        let has_answers = self.expected_count > 0 || self.held.is_empty();
-        if self.majority_answered_at.is_none() && is_majority && has_answers {
+        if self.majority_answered_at.is_none() && self.electorate.has_majority() {
             self.majority_answered_at = Some(now);
         }
         let are_over = self.is_over(self.earlier_leases_end(), now);
