tests: partitions drawn at random

Cause: the cases of tests/partitions are those that were thought of. Change: random-1 to random-4 draw the paths of each daemon anew every 1 to 4 s, from a seed.

--- a/tests/partitions/partitions.py
+++ b/tests/partitions/partitions.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import os
+import random
 import shutil
 import subprocess
 import sys
@@ -138,6 +139,32 @@
     await until(cell, HEAL_S)
 
 
+@case("random-1", LONG_MS, SHORT_MS, seed=1)
+@case("random-2", LONG_MS, SHORT_MS, seed=2)
+@case("random-3", LONG_MS, SHORT_MS, seed=3)
+@case("random-4", LONG_MS, SHORT_MS, seed=4)
+async def at_random(cell, seed):
+    """Every 1 to 4 s each daemon is in touch with the store, its peers and each worker anew, or not."""
+    draw = random.Random(seed)
+    at = 0
+    while at < HEAL_S:
+        cell.paths.states.clear()
+        for daemon in cell.names():
+            reached = draw.choice([0.2, 0.5, 0.8, 1.0])
+            for worker in cell.fleet.workers:
+                if draw.random() > reached:
+                    cell.paths.set(daemon, [worker], draw.choice([CUT, CUT, NO_ANSWERS]))
+            if draw.random() < 0.5:
+                cell.paths.set(daemon, ["store"], draw.choice([CUT, CUT, NO_ANSWERS]))
+            for other in cell.names():
+                if draw.random() < 0.5:
+                    cell.paths.set(daemon, [other], CUT)
+        cell.paths.wake()
+        cell.record.write(f"paths: {cell.paths.states}")
+        at += draw.uniform(1, 4)
+        await until(cell, min(at, HEAL_S))
+
+
 @case("store-away-12", LONG_MS, strict=True, seconds=12)
 @case("store-away-45", LONG_MS, strict=True, seconds=45)
 async def store_away(cell, seconds):
