Show that a cell stands still if most workers are gone after a takeover

Cause: since no worker joins the roster before half of the stored names have answered. If most of them are gone for good, none ever does, and a worker off the roster gets no work. settle() returns before it counts the majority once nothing is awaited, so the roster stays closed also under an owner that has waited for all leases.

Change: two tests in deposed.rs, left failing. All twelve workers of a cell are replaced while nobody owns it, and the list has dropped the old ones.

--- a/crates/workflow/tests/engine/deposed.rs
+++ b/crates/workflow/tests/engine/deposed.rs
@@ -1,7 +1,10 @@
 //! What an owner that has been replaced, or ended unseen, may still do beside its successors. See
 //! `docs/design/takeover.md`.
 
-use basilbridge_common::id::Name;
+use basilbridge_common::{
+    id::Name,
+    unit::Millis, //
+};
 use basilbridge_workflow::{
     job::{
         State,
@@ -275,3 +278,42 @@
     assert!(highest <= CAP_CPU, "{highest} of {CAP_CPU}");
     heal(&mut sim);
 }
+
+/// Creates a busy cell of which all workers are replaced while nobody owns them. The list no longer names
+/// the old ones, which answer no successor.
+fn replaced_cell(has_owner_ended: bool) -> Simulation {
+    let mut sim = busy_cell();
+    for name in names(0..12) {
+        sim.fleet.workers.remove(&name);
+        sim.unlisted.insert(name);
+    }
+    sim.now = Millis(sim.now.0 + 10_000);
+    sim.take_over_from(has_owner_ended);
+    add_workers(&mut sim, &names(12..24));
+    sim
+}
+
+/// The successor let no worker join its roster before half of the old ones had answered, and none did.
+#[test]
+fn new_jobs_start_on_new_workers_once_the_old_ones_are_gone() {
+    for has_owner_ended in [true, false] {
+        let mut sim = replaced_cell(has_owner_ended);
+
+        sim.submit("j2", accepted(CHECKS, sim.now, vec![step(6, TASK_CPU)]));
+        sim.run(15_000);
+
+        assert_eq!(sim.starts_of("j2"), 6, "{has_owner_ended}");
+    }
+}
+
+/// The successor waited for most of the old workers to answer.
+#[test]
+fn work_of_workers_that_are_all_gone_starts_again() {
+    for has_owner_ended in [true, false] {
+        let mut sim = replaced_cell(has_owner_ended);
+
+        sim.run(15_000);
+
+        assert_eq!(sim.starts_of("j1"), 48, "{has_owner_ended}");
+    }
+}
