Count tasks of a shard as lost only after a proof of its ownership

What callers could see: a repeatable task in two places at once. An owner that is cut off from the platform and from the worker of a task took its lease for lapsed, or for ended with an earlier boot, and started it on a worker that its successor did not reach. The successor had adopted the task where it ran.

Cause: the judgement rested on the owner's clock alone (docs/design/clocks.md).

Change: before an owner counts the tasks of a worker as lost, it reads the row of the shard, as it does before it starts work on a boot (src/ownership.rs). While the store is away such tasks wait.

--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -131,6 +131,7 @@
                 .is_some_and(|before| before != boot)
             {
                 // The tasks of an earlier answer ended with that boot.
+                wait_for_ownership(owner).await;
                 lose_attempts(owner, &worker.name, true);
             }
             let to_stop = takeover::apply_claim_answer(owner, worker, answer);
@@ -291,9 +292,18 @@
         }
     };
     disable(owner, worker);
+    wait_for_ownership(owner).await;
     lose_attempts(owner, &worker.name, has_rebooted);
 }
 
+/// Waits for a proof that this VM owns the shard after the leases of a worker have lapsed or it has
+/// rebooted. A later owner may have extended these leases, or may start what was lost itself.
+async fn wait_for_ownership(owner: &Owner) {
+    while !ownership::is_current(owner).await {
+        owner.services.timer.sleep(CLAIM_INTERVAL).await;
+    }
+}
+
 fn current_boot(owner: &Owner, worker: &Worker) -> Option<Boot> {
     owner.lock().workers.get(&worker.name)?.boot
 }
