--- a/crates/workflow/src/availability.rs
+++ b/crates/workflow/src/availability.rs
@@ -24,8 +24,6 @@
     /// No poll has been answered by the boot that the list names. The poll that a boot answers also
     /// raises its epoch to that of this owner.
     Rebooted,
-    /// A later owner may have been answered by the boot before, and gone on without this one.
-    UnprovenBoot,
     /// The next owner would not know that it may run something; see [`Engine::roster`].
     ///
     /// [`Engine::roster`]: crate::engine::Engine::roster
@@ -73,8 +71,6 @@
         Reason::Rebooted
     } else if !is_responsive {
         Reason::Unresponsive
-    } else if !worker.is_boot_proven {
-        Reason::UnprovenBoot
     } else if !worker.is_on_roster {
         Reason::OffRoster
     } else if worker.is_recorded {
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -218,8 +218,6 @@
     pub(crate) inherited_ends: HashMap<Name, Millis>,
     /// Most names of workers that the store may hold for the next owner.
     pub(crate) roster_size: usize,
-    /// Whether a worker waits for a proof that this owner has held the claim since its boot answered.
-    pub(crate) has_unproven_boots: bool,
     /// What proves that this owner has no successor.
     pub(crate) tenure: Tenure,
     /// Latest reading of the store's clock.
@@ -297,7 +295,6 @@
             recorded_leases: HashSet::new(),
             inherited_ends: HashMap::new(),
             roster_size: 0,
-            has_unproven_boots: false,
             tenure: Tenure::default(),
             store_clock: None,
             run_facts: 0,
@@ -346,7 +343,7 @@
     /// Returns whether tasks wait for a proof that no later owner has extended their leases, and
     /// resets that.
     pub fn take_needs_confirmation(&mut self) -> bool {
-        std::mem::take(&mut self.needs_confirmation) || self.has_unproven_boots
+        std::mem::take(&mut self.needs_confirmation)
     }
 
     /// Returns whether `time` has passed and no later owner existed then.
--- a/crates/workflow/src/tenure.rs
+++ b/crates/workflow/src/tenure.rs
@@ -24,10 +24,7 @@
 use crate::{
     active::Job,
     engine::Engine,
-    worker::{
-        self,
-        Worker, //
-    },
+    worker, //
 };
 
 /// Time for which an owner goes on after a proof that it has no successor. It covers the time between
@@ -72,24 +69,11 @@
         self.owned_at = self.owned_at.max(sent);
         self.owned_version = self.owned_version.max(version);
         self.confirm_succession(sent, version);
-        if self.has_unproven_boots {
-            self.prove_boots();
-        }
         if sent >= self.tenure.stalled_at {
             self.tenure.stalled_for = Duration::ZERO;
         }
     }
 
-    /// Lets the boots take work that had answered this owner while it held the claim. A later owner
-    /// reaches the same boot or a later one, which refuses what this owner sends.
-    fn prove_boots(&mut self) {
-        let owned_at = self.owned_at;
-        for worker in self.workers.values_mut() {
-            worker.is_boot_proven |= worker.booted_before(owned_at);
-        }
-        self.has_unproven_boots = self.workers.values().any(Worker::awaits_proof);
-    }
-
     /// Extends no lease until there is a new proof that this owner has no successor: it was stalled
     /// for `gap`, for which the clocks of its VM may have stood still.
     pub fn hold_leases(&mut self, gap: Duration, now: Millis) {
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -108,9 +108,6 @@
     /// Whether that boot has listed all its runs and ends to this owner. A list of ends can be cut
     /// short.
     pub is_inventoried: bool,
-    /// Whether this owner has held the claim since that boot first answered it. A boot forgets the
-    /// epoch of a later owner.
-    pub is_boot_proven: bool,
     /// Boots before that one, which have ended.
     former_boots: Vec<u64>,
     /// Runs that it has, or may have.
@@ -183,7 +180,6 @@
             listed: true,
             boot: None,
             is_inventoried: false,
-            is_boot_proven: false,
             former_boots: Vec::new(),
             runs: Runs::default(),
             used: Resources::default(),
@@ -219,7 +215,6 @@
             self.former_boots.push(former);
         }
         self.is_inventoried = false;
-        self.is_boot_proven = false;
         self.received = 0;
         self.stored = 0;
         self.lease = Lease::default();
@@ -298,11 +293,6 @@
         self.lease.clock_at(now)
     }
 
-    /// Returns whether it waits for a proof that this owner has held the claim since its boot answered.
-    pub fn awaits_proof(&self) -> bool {
-        self.boot.is_some() && !self.is_boot_proven
-    }
-
     /// Returns whether the boot that answers has answered this owner before `time`.
     pub fn booted_before(&self, time: Millis) -> bool {
         self.lease.answered_at().is_some_and(|at| at <= time)
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -54,7 +54,6 @@
         if worker.boot != Some(inventory.boot) {
             let rebooted = worker.boot.is_some();
             worker.reboot(inventory.boot);
-            self.has_unproven_boots = true;
             if rebooted {
                 let lost = self.lost_runs(key, &inventory.running);
                 self.drop_earlier_boot(key, sent, inventory, now);
--- a/crates/workflow/tests/engine/admission.rs
+++ b/crates/workflow/tests/engine/admission.rs
@@ -3,11 +3,8 @@
 use std::time::Duration;
 
 use basilbridge_common::{
-    id::{
-        Name,
-        Version, //
-    },
-    unit::Millis,
+    id::Name,
+    unit::Millis, //
 };
 use basilbridge_workflow::{
     admission::{
@@ -403,8 +400,6 @@
     silent.reachable = false;
     sim.take_over();
     sim.run(10);
-    // A write after the answers of the workers.
-    sim.engine.confirm_ownership(sim.now, Version(sim.version));
     let after = sim.engine.outlook(1, sim.now).expect("work waits");
 
     let change = after.teams[TEAM].tokens - before.teams[TEAM].tokens;
--- a/crates/workflow/tests/engine/evacuation.rs
+++ b/crates/workflow/tests/engine/evacuation.rs
@@ -133,7 +133,6 @@
         worker.reboot(1);
         worker.read_clock(5, now);
         worker.is_on_roster = true;
-        worker.is_boot_proven = true;
         worker
     };
     let reason_after = |change: fn(&mut Worker)| {
@@ -159,10 +158,6 @@
         reason_after(|worker| worker.info.boot = 2),
         Some(Reason::Rebooted)
     );
-    assert_eq!(
-        reason_after(|worker| worker.is_boot_proven = false),
-        Some(Reason::UnprovenBoot)
-    );
     assert_eq!(
         reason_after(|worker| worker.is_on_roster = false),
         Some(Reason::OffRoster)
--- a/crates/workflow/tests/engine/jobs.rs
+++ b/crates/workflow/tests/engine/jobs.rs
@@ -219,7 +219,6 @@
 #[test]
 fn failed_runs_are_counted_in_any_order_of_reports() {
     let mut sim = Simulation::new(&["w1", "w2"], always_fails);
-    sim.run(20);
     sim.store_down = true;
     sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
     sim.run(1000);
@@ -338,7 +337,6 @@
 #[test]
 fn ends_are_acknowledged_only_after_they_are_stored() {
     let mut sim = Simulation::new(&["w1"], quick);
-    sim.run(20);
     sim.store_down = true;
     sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
 
--- a/crates/workflow/tests/engine/journal.rs
+++ b/crates/workflow/tests/engine/journal.rs
@@ -20,7 +20,6 @@
 /// A cell in which the tasks of 60 jobs have ended, and nothing is stored.
 fn cell_with_unstored_ends() -> Simulation {
     let mut sim = Simulation::new(&["w1"], |_, _| (100, Outcome::Done, CORE));
-    sim.run(20);
     sim.store_down = true;
     submit(&mut sim, "first");
     sim.run(400);
