Let a worker's boot be confirmed before the ownership table is cut off

Since a worker gets no work before the store has confirmed the claim after the first answer of its boot. The test now waits for the starts of a first job before it cuts the table off; what it asserts of the second job, the claim and the owner is the same.

--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -123,6 +123,12 @@
     } else {
         &second
     };
+    // A worker takes no work before the store has confirmed the claim after its first answer.
+    submit(owner, "j0").await;
+    until("the starts of the first tasks", async || {
+        platform.starts("j0") == 3
+    })
+    .await;
 
     for vm in ["a", "b"] {
         platform.set_store_mode(vm, StoreMode::TableUnavailable("title"));
