Let workers join the roster once the leases of earlier owners are over

Cause: the roster stayed closed until half of the stored names had answered. settle() does not count them any more once nothing is awaited, so an owner that had waited for all leases still let no worker join, and new workers never got work.

Change: the roster opens with the end of the wait. No earlier owner extends a lease or starts a task from then on, so it does not matter which workers the next owner counts.

--- a/crates/workflow/src/roster.rs
+++ b/crates/workflow/src/roster.rs
@@ -22,14 +22,16 @@
     /// Returns the names to store, in order: of the workers that are listed or may have runs, and of
     /// those that this owner still waits for itself.
     ///
-    /// Before half of the stored ones have answered, no worker joins them. The next owner would take
-    /// its answer for one of those that an earlier owner counts with.
+    /// Before half of the stored ones have answered, or the leases of earlier owners are over, no worker
+    /// joins them. The next owner would take its answer for one of those that an earlier owner counts
+    /// with.
     pub fn roster(&self) -> Vec<Name> {
         let awaited = self.unconfirmed.iter().flatten();
         let known = self.workers_by_name.keys();
         let names: BTreeSet<&Name> = known.chain(awaited).chain(self.held.keys()).collect();
         let is_closed = self.settings.epoch > 0
             && self.majority_answered_at.is_none()
+            && !self.is_settled()
             && self.electorate.is_stored();
         names
             .into_iter()
