Raise no lease after a stall before a new proof

An owner whose VM was suspended for some seconds, and which only reaches workers that its successor does not, extended their leases beyond the time with which that one counts.

Polls asked the engine for a lease and withheld it if there had been a gap, but the engine had noted its end as sent, and later polls asked for that. Starts that were stored asked without a look at the gap.

Change: whoever extends leases outside a scheduling pass looks for a gap first, under the same lock (`engine_after_stall`). A proof that was sent in the millisecond of the stall does not count. Of the 1.5 s with which the successor counts, the owner uses 0.9 s: a suspension of up to 0.6 s goes unnoticed.

The test of a stalled owner confirms a millisecond later.

--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -100,7 +100,9 @@
     match owner.node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => {
             owner.confirm_ownership(sent, version);
-            owner.engine().handle_stored(batch, version, owner.now());
+            owner
+                .engine_after_stall()
+                .handle_stored(batch, version, owner.now());
             // Starts may have waited for it.
             owner.wake.notify_one();
             true
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -167,6 +167,17 @@
         self.engine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the engine, which extends no lease if this process may have been stalled since its last
+    /// turn: a proof from before may be older than it seems.
+    pub(crate) fn engine_after_stall(&self) -> MutexGuard<'_, Engine> {
+        let gap = self.stall_detector.gap(stall::boot_time());
+        let mut engine = self.engine();
+        if let Some(gap) = gap {
+            engine.hold_leases(gap, self.now());
+        }
+        engine
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.node.timer.now()
     }
--- a/crates/cell/src/polling.rs
+++ b/crates/cell/src/polling.rs
@@ -5,14 +5,8 @@
     time::Duration, //
 };
 
-use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
-};
-use basilbridge_workflow::{
-    order::Poll,
-    worker, //
-};
+use basilbridge_common::id::Name;
+use basilbridge_workflow::worker;
 use tokio::{
     sync::Notify,
     task::JoinSet, //
@@ -53,18 +47,6 @@
     }
 }
 
-/// Returns the next poll of a worker, or `None` if the worker has ended or is not known.
-///
-/// After a stall in which another VM may have claimed the workers it extends no lease: the next owner
-/// counts with those that were granted before.
-fn next_poll(owner: &Owner, key: worker::Key, now: Millis) -> Option<Poll> {
-    let mut poll = owner.engine().poll(key, now)?;
-    if !owner.may_send_orders() {
-        poll.lease_end = None;
-    }
-    Some(poll)
-}
-
 async fn poll_once(owner: Arc<Owner>, key: worker::Key) {
     let sent = owner.now();
     let poll = owner.engine().immediate_poll(key);
@@ -104,7 +86,8 @@
     let timer = owner.node.timer.clone();
     loop {
         let now = owner.now();
-        let Some(poll) = next_poll(owner, key, now) else {
+        let poll = owner.engine_after_stall().poll(key, now);
+        let Some(poll) = poll else {
             return;
         };
         let (name, address) = (poll.target.name.clone(), poll.target.address.clone());
--- a/crates/workflow/src/tenure.rs
+++ b/crates/workflow/src/tenure.rs
@@ -2,7 +2,7 @@
 //!
 //! An owner goes on without the store, and can't tell an outage from a partition in which another VM has
 //! claimed the workers. So it extends leases only as far as its successor waits for them: to a lease and
-//! [`NOTICE_TIME`] after the latest proof that no successor counts with their end yet. See
+//! [`PROOF_TIME`] after the latest proof that no successor counts with their end yet. See
 //! `docs/design/takeover.md`.
 //!
 //! A successor counts with it once half of the workers have answered it ([`crate::electorate`]). Two
@@ -29,6 +29,10 @@
 
 /// Time for which an owner goes on after a proof that it has no successor. It covers the time between
 /// two polls of a worker, or between two writes.
+const PROOF_TIME: Duration = Duration::from_millis(900);
+
+/// Time with which its successor counts instead: it leaves room for a suspension of the owner's VM that
+/// is too short to be noticed.
 pub(crate) const NOTICE_TIME: Duration = Duration::from_millis(1500);
 
 /// Time after the last word from the store from which the answers of workers prove nothing. A
@@ -70,7 +74,7 @@
         self.owned_version = self.owned_version.max(version);
         self.confirm_succession(sent, version);
         self.confirm_boots(sent);
-        if sent >= self.tenure.stalled_at {
+        if sent > self.tenure.stalled_at {
             self.tenure.stalled_for = Duration::ZERO;
         }
     }
@@ -86,7 +90,7 @@
     /// moment ago.
     pub fn is_proven(&self, now: Millis) -> bool {
         self.proof()
-            .is_some_and(|proof| now.since(proof) <= NOTICE_TIME)
+            .is_some_and(|proof| now.since(proof) <= PROOF_TIME)
     }
 
     /// Returns whether tasks of a job may be started. One that was announced after the last word from
@@ -99,7 +103,7 @@
     /// Returns the time from which the leases may last that are extended at `now`, or `None` if none may
     /// be extended.
     pub(crate) fn lease_base(&self, now: Millis) -> Option<Millis> {
-        Some(self.proof()?.after(NOTICE_TIME).min(now))
+        Some(self.proof()?.after(PROOF_TIME).min(now))
     }
 
     /// Returns the latest time at which no successor is known to have counted with a lease.
@@ -107,12 +111,12 @@
         let limit = MAX_STORE_SILENCE.saturating_sub(self.tenure.stalled_for);
         let accepted_at = self.tenure.accepted_at.min(self.owned_at.after(limit));
         let proof = self.owned_at.max(accepted_at);
-        (proof > Millis(0) && proof >= self.tenure.stalled_at).then_some(proof)
+        (proof > self.tenure.stalled_at).then_some(proof)
     }
 
     /// Returns whether the last word from the store is too old to be the only proof.
     pub(crate) fn needs_acceptance(&self, now: Millis) -> bool {
-        now.since(self.owned_at) >= FRESH_TIME || self.owned_at < self.tenure.stalled_at
+        now.since(self.owned_at) >= FRESH_TIME || self.owned_at <= self.tenure.stalled_at
     }
 
     /// Records that a worker has answered a poll that was sent at `sent`, with the epoch of this owner.
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -338,8 +338,7 @@
     }
 
     /// Wakes an owner that has been replaced after its clock has stood still for `suspension`. It handles an
-    /// answer of each of these workers and prepares the next poll, which the caller sends without a lease,
-    /// before it notices.
+    /// answer of each of these workers before it notices, and prepares the next poll.
     pub(crate) fn wake_deposed(
         &mut self,
         deposed: &mut Deposed,
@@ -356,9 +355,12 @@
             let inventory = inventory.expect("it knows no later owner");
             self.engine
                 .handle_inventory(key, frozen, frozen, &inventory);
-            let _unsent = self.engine.poll(key, frozen);
         }
         self.engine.hold_leases(suspension, self.now);
+        for name in answering {
+            let key = self.engine.worker_key(name).expect("the owner knows it");
+            let _unsent = self.engine.poll(key, frozen);
+        }
         self.swap(deposed);
     }
 
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -178,6 +178,8 @@
     sim.now = sim.now.after(STALL);
     sim.engine.hold_leases(STALL, sim.now);
     let stalled = lease(&mut sim);
+    // What was sent in the millisecond of the stall may have been sent before it.
+    sim.now = Millis(sim.now.0 + 1);
     sim.engine.confirm_ownership(sim.now, Version(sim.version));
     let confirmed = lease(&mut sim);
     sim.engine.hold_leases(STALL, sim.now);
