--- a/crates/workflow/tests/engine/lost_rosters.rs
+++ b/crates/workflow/tests/engine/lost_rosters.rs
@@ -119,7 +119,6 @@
     let start = Millis(1_000_000);
     let mut engine = util::engine(0, start);
     engine.register_worker(entry("w0", 1), start);
-    engine.confirm_roster(&["w0".into()]);
     let key = engine.worker_key("w0").expect("it is registered");
     let answer = |clock| Inventory {
         boot: 1,
