soak: partitions that keep the owner with some workers

A fault `Partition` keeps the owner with one to four workers and cuts it off from the store, the other VMs and the other workers for 4 to 14 s, both ways or one way, and the other VMs from those workers; often the next owner too. Two jobs a run have tasks of 8 to 20 s. A path refuses connections while its far end does, so that the end of a process is seen as before. A process that was told to end and still drains when its fault ends is started once it has ended; it stayed down until the end of the run before, so that chains left one VM. No check is relaxed.

--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -12,7 +12,11 @@
 };
 use rustix::process::Signal;
 
-use crate::proxy::Mode;
+use crate::{
+    cell::WORKERS,
+    partition::Loss,
+    proxy::Mode, //
+};
 
 /// What is done to one part of the cell.
 #[derive(Debug, Clone, Copy)]
@@ -52,6 +56,9 @@
     Refuse,
     /// A worker crashes; another one comes, mostly at another address.
     Crash,
+    /// The process that owns the workers keeps this number of them, and is cut off from the store, the
+    /// other VMs and the other workers. The other VMs are cut off from those that it keeps.
+    Partition { kept: usize, loss: Loss },
 }
 
 impl Kind {
@@ -80,6 +87,10 @@
 /// The time from the crash of a worker to the last change of the owner in a chain, about.
 const CHAIN_TIME: Duration = Duration::from_millis(2500);
 
+/// One run in so many has partitions, up to so many.
+const PARTITION_ONE_IN: u32 = 2;
+const MAX_PARTITIONS: u32 = 2;
+
 /// Draws the faults of a run that lasts `length`.
 pub(crate) fn draw(random: &mut SmallRng, length: Duration) -> Vec<Fault> {
     let mut faults = Vec::new();
@@ -229,3 +240,43 @@
     }
     evacuations
 }
+
+/// Draws the partitions of a run that lasts `length`, among the other faults or right after them, at
+/// `end`. Most outlast the usual lease. The second one meets the owner after the first.
+pub(crate) fn draw_partitions(
+    random: &mut SmallRng,
+    length: Duration,
+    end: Duration,
+) -> Vec<Fault> {
+    let mut partitions = Vec::new();
+    if random.random_range(0..PARTITION_ONE_IN) != 0 {
+        return partitions;
+    }
+    let mut at = if random.random_range(0..3) == 0 {
+        length.mul_f64(random.random_range(0.4..1.0))
+    } else {
+        end + Duration::from_millis(random.random_range(0..2000))
+    };
+    for _ in 0..random.random_range(1..=MAX_PARTITIONS) {
+        let times = [(); 3].map(|()| random.random_range(4000..14_000));
+        let kept = [(); 2].map(|()| random.random_range(1..WORKERS));
+        let loss = [
+            Loss::Both,
+            Loss::Both,
+            Loss::Both,
+            Loss::Sent,
+            Loss::Received,
+        ][random.random_range(0..5)];
+        partitions.push(Fault {
+            at,
+            lasts: Duration::from_millis(times.into_iter().max().unwrap_or_default()),
+            kind: Kind::Partition {
+                kept: kept.into_iter().min().unwrap_or_default(),
+                loss,
+            },
+            place: random.random_range(0..60),
+        });
+        at += Duration::from_millis(random.random_range(2500..7000));
+    }
+    partitions
+}
--- a/tests/soak/lasting.rs
+++ b/tests/soak/lasting.rs
@@ -1,4 +1,4 @@
-//! Callers of long-running jobs.
+//! Callers of jobs that outlast the faults.
 
 use std::time::Duration;
 
@@ -24,11 +24,14 @@
 /// The number of long-running jobs in a run.
 const JOBS: usize = 4;
 
+/// The number of jobs beside them whose tasks end by themselves after a partition.
+const OUTLASTING_JOBS: usize = 2;
+
 /// How long after the last fault long-running jobs are cancelled.
 const WATCH_TIME: Duration = Duration::from_secs(14);
 
 impl Crowd {
-    /// Sends the long-running jobs, and returns their names.
+    /// Sends the long-running jobs and those that outlast a partition, and returns their names.
     pub(crate) async fn press_lasting(&self, mut random: SmallRng) -> Vec<String> {
         let mut sent = Vec::new();
         for _ in 0..JOBS {
@@ -48,10 +51,24 @@
             }
             sent.push(id);
         }
+        for _ in 0..OUTLASTING_JOBS {
+            let id = format!("{:016x}", random.random::<u64>());
+            let asked = SubmittedJob {
+                payload: random.random_range(8000..20_000).to_string(),
+                tasks_per_step: vec![random.random_range(2..6)],
+                cpu_millis: random.random_range(200..900),
+                is_deadly: false,
+                is_lasting: false,
+                max_per_worker: 2,
+            };
+            let first = random.random_range(0..self.vms.len());
+            self.submit(id.clone(), asked, first, false).await;
+            sent.push(id);
+        }
         sent
     }
 
-    /// Watches the long-running jobs for a while, cancels them, and waits until they are over.
+    /// Watches these jobs for a while, cancels them, and waits until they are over.
     pub(crate) async fn settle_lasting(&self, sent: Vec<String>) {
         self.timer.sleep(WATCH_TIME).await;
         for (turn, id) in sent.iter().enumerate() {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 mod cell;
 mod fault;
 mod lasting;
+mod partition;
 mod proxy;
 mod run;
 mod vm;
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -32,15 +32,34 @@
     Silent,
     /// What the far end sends is lost, and what it is sent is not.
     Deaf,
+    /// What the far end is sent is lost, and what it sends is not.
+    Mute,
     /// Connections are closed, and new ones too.
     Closed,
 }
 
-/// A proxy to one address.
+/// The time between two looks for a far end that has refused a connection.
+const REFUSED_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What is set for the connections of a proxy.
+#[derive(Debug, Clone, Copy)]
+struct Setting {
+    mode: Mode,
+    /// Holds instead of `mode` while a partition separates the two ends.
+    cut: Option<Mode>,
+}
+
+impl Setting {
+    fn mode(self) -> Mode {
+        self.cut.unwrap_or(self.mode)
+    }
+}
+
+/// A proxy to one address. It refuses connections while the far end does.
 #[derive(Clone)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
-    mode: Arc<watch::Sender<Mode>>,
+    setting: Arc<watch::Sender<Setting>>,
     /// Counts the ends of the process at the far end.
     resets: Arc<watch::Sender<u64>>,
 }
@@ -55,22 +74,47 @@
     /// Binds `address` and passes connections on to `far`.
     pub(crate) async fn start(address: SocketAddr, far: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let setting = Setting {
+            mode: Mode::Open,
+            cut: None,
+        };
         let proxy = Self {
             address: listener.local_addr()?,
-            mode: Arc::new(watch::Sender::new(Mode::Open)),
+            setting: Arc::new(watch::Sender::new(setting)),
             resets: Arc::default(),
         };
-        let (mode, resets) = (Arc::clone(&proxy.mode), Arc::clone(&proxy.resets));
-        tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                tokio::spawn(connect(near, far, mode.subscribe(), resets.subscribe()));
-            }
-        });
+        let listening = proxy.clone();
+        tokio::spawn(async move { listening.listen(listener, far).await });
         Ok(proxy)
     }
 
+    async fn listen(self, mut listener: TcpListener, far: SocketAddr) {
+        let timer = timer::Service::start();
+        while let Ok((near, _)) = listener.accept().await {
+            if self.setting.borrow().mode() == Mode::Closed {
+                continue;
+            }
+            if let Ok(far) = TcpStream::connect(far).await {
+                let (setting, resets) = (self.setting.subscribe(), self.resets.subscribe());
+                tokio::spawn(connect(near, far, setting, resets));
+                continue;
+            }
+            drop((near, listener));
+            while TcpStream::connect(far).await.is_err() {
+                timer.sleep(REFUSED_INTERVAL).await;
+            }
+            let again = TcpListener::bind(self.address).await;
+            listener = again.expect("nothing else takes the address");
+        }
+    }
+
     pub(crate) fn set(&self, mode: Mode) {
-        self.mode.send_replace(mode);
+        self.setting.send_modify(|setting| setting.mode = mode);
+    }
+
+    /// Begins or ends a cut, which holds whatever else is set.
+    pub(crate) fn cut(&self, cut: Option<Mode>) {
+        self.setting.send_modify(|setting| setting.cut = cut);
     }
 
     /// Ends all connections as the end of the process does that has accepted them. Those that have
@@ -82,32 +126,25 @@
 
 async fn connect(
     near: TcpStream,
-    far: SocketAddr,
-    mode: watch::Receiver<Mode>,
+    far: TcpStream,
+    setting: watch::Receiver<Setting>,
     mut resets: watch::Receiver<u64>,
 ) {
-    if *mode.borrow() == Mode::Closed {
-        return;
-    }
-    // A far end that takes no connection closes the near one, which the caller sees.
-    let Ok(far) = TcpStream::connect(far).await else {
-        return;
-    };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let current = mode.clone();
+    let current = setting.clone();
     let reset = async {
         // The sender lives as long as the proxy.
         let _ = resets.changed().await;
-        if *current.borrow() == Mode::Silent {
+        if current.borrow().mode() == Mode::Silent {
             std::future::pending::<()>().await;
         }
     };
-    let mut closed = mode.clone();
+    let mut closed = setting.clone();
     tokio::select! {
-        () = pass(near_read, far_write, mode.clone(), Side::Requests) => {}
-        () = pass(far_read, near_write, mode, Side::Answers) => {}
-        _ = closed.wait_for(|mode| *mode == Mode::Closed) => {}
+        () = pass(near_read, far_write, setting.clone(), Side::Requests) => {}
+        () = pass(far_read, near_write, setting, Side::Answers) => {}
+        _ = closed.wait_for(|setting| setting.mode() == Mode::Closed) => {}
         () = reset => {}
     }
 }
@@ -115,7 +152,7 @@
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mode: watch::Receiver<Mode>,
+    setting: watch::Receiver<Setting>,
     side: Side,
 ) {
     let timer = timer::Service::start();
@@ -123,12 +160,13 @@
     while let Ok(count) = from.read(&mut buffer).await
         && count > 0
     {
-        let now = *mode.borrow();
+        let now = setting.borrow().mode();
         match now {
             Mode::Delayed(time) => timer.sleep(time).await,
             Mode::Silent => std::future::pending().await,
             Mode::Deaf if side == Side::Answers => std::future::pending().await,
-            Mode::Open | Mode::Deaf | Mode::Closed => {}
+            Mode::Mute if side == Side::Requests => std::future::pending().await,
+            Mode::Open | Mode::Deaf | Mode::Mute | Mode::Closed => {}
         }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -333,6 +333,8 @@
     let end = ends.max().unwrap_or(length);
     let mut chain_random = SmallRng::seed_from_u64(seed.rotate_left(16));
     faults.extend(fault::draw_chains(&mut chain_random, end));
+    let mut partition_random = SmallRng::seed_from_u64(seed.rotate_left(48));
+    faults.extend(fault::draw_partitions(&mut partition_random, length, end));
     let lasting = {
         let (crowd, random) = (
             crowd.clone(),
@@ -344,6 +346,7 @@
         let crowd = crowd.clone();
         tokio::spawn(async move { crowd.press(random, length).await })
     };
+    let mut noted = 0;
     let begun = Instant::now();
     let mut steps: Vec<(Duration, bool, usize)> = Vec::new();
     for (index, fault) in faults.iter().enumerate() {
@@ -354,7 +357,9 @@
     for (at, begins, index) in steps {
         while begun.elapsed() < at {
             cell.restart_crashed();
+            cell.begin_due().expect("a process starts");
             cell.fleet.watch_lasting();
+            cell.note_violations(&mut noted);
             let left = at.saturating_sub(begun.elapsed());
             timer.sleep(left.min(RESTART_INTERVAL)).await;
         }
@@ -377,7 +382,9 @@
             _ = &mut settled => break,
             () = timer.sleep(RESTART_INTERVAL) => {
                 cell.restart_crashed();
+                cell.begin_due().expect("a process starts");
                 cell.fleet.watch_lasting();
+                cell.note_violations(&mut noted);
             }
         }
     }
--- a/tests/soak/vm.rs
+++ b/tests/soak/vm.rs
@@ -31,6 +31,10 @@
     settings: PathBuf,
     log: File,
     child: Option<Child>,
+    /// Whether the process was told to end.
+    is_ending: bool,
+    /// Whether the next process starts as soon as this one has ended.
+    boots_again: bool,
 }
 
 impl Vm {
@@ -50,16 +54,20 @@
             log: File::create(folder.join(format!("{name}.log")))?,
             settings,
             child: None,
+            is_ending: false,
+            boots_again: false,
         };
         vm.boot()?;
         Ok(vm)
     }
 
-    /// Starts the process, unless it runs.
+    /// Starts the process, unless it runs; once it has ended, if it was told to end.
     pub(crate) fn boot(&mut self) -> io::Result<()> {
         if self.is_running() {
+            self.boots_again = self.is_ending;
             return Ok(());
         }
+        (self.is_ending, self.boots_again) = (false, false);
         let child = Command::new(env!("CARGO_BIN_EXE_basilbridged"))
             .arg("--cell")
             .arg(&self.settings)
@@ -70,6 +78,14 @@
         Ok(())
     }
 
+    /// Starts the process that is due after one that was told to end.
+    pub(crate) fn boot_due(&mut self) -> io::Result<()> {
+        if self.boots_again {
+            self.boot()?;
+        }
+        Ok(())
+    }
+
     /// Says whether the process has not ended.
     pub(crate) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -81,6 +97,7 @@
         if self.is_running()
             && let Some(child) = &self.child
         {
+            self.is_ending |= matches!(signal, Signal::TERM | Signal::KILL);
             // A process that has ended in between needs no signal.
             let _ = kill_process(Pid::from_child(child), signal);
         }
