--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -90,7 +90,9 @@
         Claim,
         HEARTBEAT_KEY,
         Heartbeat,
-        JOB_TABLE, //
+        JOB_TABLE,
+        SUCCESSION_KEY,
+        Succession, //
     },
     report, roster, sharing, silence, stall, sweep,
 };
@@ -304,7 +306,7 @@
     /// Records that a write on the condition that this VM holds the claim was committed at
     /// `version`. It was sent at `sent`.
     pub(crate) fn confirm_ownership(&self, sent: Millis, version: Version) {
-        self.engine().confirm_ownership(sent);
+        self.engine().confirm_ownership(sent, version);
         let ready = self.lock_delivery().confirm(version);
         self.apply_jobs(&ready);
     }
@@ -372,6 +374,7 @@
     };
     let policy = node.configuration().policy.clone();
     let mut engine = Engine::new(settings, policy, node.timer.now());
+    engine.confirm_ownership(ownership.sent, ownership.version);
     engine.set_evacuated(node.evacuations.names(), node.timer.now());
     let owner = Arc::new(Owner {
         node: Arc::clone(node),
@@ -395,6 +398,7 @@
     tasks.spawn(report::report_traffic(Arc::clone(&owner)));
     tasks.spawn(report::report_load(Arc::clone(&owner)));
     tasks.spawn(report::report_waits(Arc::clone(&owner)));
+    tasks.spawn(report::report_doubt(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
@@ -443,7 +447,8 @@
         }
         let turn = stall::boot_time();
         if let Some(gap) = owner.stall_detector.gap(turn) {
-            owner.engine().hold_leases(owner.now());
+            owner.engine().hold_leases(gap, owner.now());
+            owner.heartbeat_due.notify_one();
             check_ownership(owner, gap).await;
         }
         owner.stall_detector.record_turn(turn);
@@ -492,14 +497,13 @@
 /// Checks after a stall of `gap` whether another VM has claimed ownership meanwhile, and which data
 /// centres have been evacuated.
 ///
-/// If the claim can't be read, the owner goes on: workers reject orders with an epoch below the
-/// highest that they have seen, and no lease is extended before it is certain that no later owner
-/// counts with its end.
+/// The owner goes on if the claim can't be read, or is read as it was: workers reject orders with an
+/// epoch below the highest that they have seen, and no lease is extended before a write proves that no
+/// later owner counts with its end. A read may be behind.
 async fn check_ownership(owner: &Owner, gap: Duration) {
     let log = &owner.node.log;
     let outcome = match election::read_claim(&owner.node).await {
         Ok(Some((_, version))) if version == owner.ownership.version => {
-            owner.engine().release_leases();
             evacuation::refresh(owner).await;
             "title held"
         }
@@ -570,6 +574,7 @@
             }
         }
         Event::Adopted { .. } => metrics.count("runs_taken_over"),
+        Event::Abandoned { .. } => metrics.count("workers_abandoned"),
         Event::Settled { waited, .. } => metrics.time("takeover_wait", *waited),
         Event::Final { elapsed, .. } => metrics.time("job", *elapsed),
         Event::Worker { .. } => metrics.count("worker_changes"),
@@ -655,6 +660,8 @@
 /// The progress of the owner's heartbeats.
 struct Heartbeats {
     sequence: u64,
+    /// Whether the store has the succession of the owner.
+    is_succession_stored: bool,
     last_stored_at: Millis,
     last_offered_at: Millis,
 }
@@ -662,6 +669,8 @@
 /// A heartbeat whose write has an outcome.
 struct WrittenHeartbeat {
     sent: Millis,
+    /// Whether it contains the succession of the owner.
+    has_succession: bool,
     outcome: Result<Outcome>,
 }
 
@@ -685,11 +694,23 @@
         puts
     }
 
+    /// Returns the row which says that the owner has outlived those before it, if it has and the store
+    /// does not have it.
+    fn succession(&self, owner: &Owner) -> Option<Put> {
+        if self.is_succession_stored || !owner.engine().is_sole() {
+            return None;
+        }
+        let epoch = owner.ownership.claim.epoch;
+        let value = record::encode(&Succession { epoch }).ok()?;
+        Some(election::put(SUCCESSION_KEY, value))
+    }
+
     /// Handles the outcome of a heartbeat. Returns whether the ownership goes on.
     async fn handle(&mut self, owner: &Owner, written: WrittenHeartbeat) -> bool {
         match written.outcome {
             Ok(Outcome::Committed(version)) => {
                 owner.confirm_ownership(written.sent, version);
+                self.is_succession_stored |= written.has_succession;
                 self.last_stored_at = owner.now();
                 if self.last_stored_at.since(self.last_offered_at) < YIELD_INTERVAL {
                     return true;
@@ -735,6 +756,7 @@
     let now = owner.now();
     let mut heartbeats = Heartbeats {
         sequence: 0,
+        is_succession_stored: false,
         last_stored_at: now,
         last_offered_at: now,
     };
@@ -758,12 +780,16 @@
         }
         let sent = owner.now();
         due = sent.after(HEARTBEAT_INTERVAL);
-        let puts = heartbeats.next(&owner);
+        let mut puts = heartbeats.next(&owner);
+        let succession = heartbeats.succession(&owner);
+        let has_succession = succession.is_some();
+        puts.extend(succession);
         let owner = &owner;
         in_flight.push(async move {
             let checks = vec![owner.ownership.check()];
             WrittenHeartbeat {
                 sent,
+                has_succession,
                 outcome: owner.node.transact(checks, puts).await,
             }
         });
--- a/crates/workflow/src/lineage.rs
+++ b/crates/workflow/src/lineage.rs
@@ -16,12 +16,19 @@
 
 use crate::lease;
 
+/// The promises of this version. Owners of earlier versions made none, or fewer.
+const PROMISES: u32 = 2;
+
 /// The owners in a row, up to the one with `epoch`, that keep the same promises: they grant no lease
-/// longer than the lineage says, follow the record of silent workers that they have inherited, and
-/// store the starts of long-running tasks before they send them.
+/// longer than the lineage says, extend none without a proof that they have no successor, follow the
+/// record of silent workers that they have inherited, and store the starts of long-running tasks
+/// before they send them.
 #[data]
 #[derive(Eq)]
 pub struct Lineage {
+    /// Version of the promises.
+    #[serde(default)]
+    pub promises: u32,
     /// Number of owners before the one that stored this.
     pub epoch: u32,
     /// Number of owners before the first of them.
@@ -46,8 +53,7 @@
     pub lineage: Option<Lineage>,
     /// Time when this VM received the claim.
     pub received_at: Millis,
-    /// Version of its newest heartbeat; `None` unless it has sent enough of them that all owners
-    /// before it have noticed their replacement.
+    /// Version at which it had outlived all owners before it; `None` unless that is known.
     pub settled_at: Option<Version>,
 }
 
@@ -55,6 +61,7 @@
     /// Returns the lineage of the first owner of a cell.
     pub fn first(lease: Duration) -> Self {
         Self {
+            promises: PROMISES,
             epoch: 0,
             first_epoch: 0,
             first_version: Some(Version(0)),
@@ -68,8 +75,11 @@
     pub fn after(before: &Predecessor, lease: Duration, max_lease: Duration, now: Millis) -> Self {
         let epoch = before.epoch + 1;
         let known = before.lineage.as_ref();
-        let Some(known) = known.filter(|known| known.epoch == before.epoch) else {
+        let Some(known) =
+            known.filter(|known| known.promises == PROMISES && known.epoch == before.epoch)
+        else {
             return Self {
+                promises: PROMISES,
                 epoch,
                 first_epoch: epoch,
                 first_version: None,
@@ -77,8 +87,8 @@
                 earlier_lease: max_lease,
             };
         };
-        // Leases of the owners before the predecessor are over once its claim is old enough, if it
-        // has acted on it.
+        // Leases of the owners before the predecessor are over once its claim is old enough, if they
+        // are known to extend none.
         let is_old = before.settled_at.is_some()
             && now.since(before.received_at) >= lease::worst_case(max_lease) * 3;
         let older = if is_old {
@@ -87,6 +97,7 @@
             known.earlier_lease
         };
         Self {
+            promises: PROMISES,
             epoch,
             first_epoch: known.first_epoch,
             first_version: known.first_version.or(before.settled_at),
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -1,8 +1,13 @@
 //! How long inherited work waits under owners that change one after the other.
 
+use std::time::Duration;
+
 use basilbridge_common::{
-    id::Name,
-    unit::Millis, //
+    id::{
+        Name,
+        Version, //
+    },
+    unit::Millis,
 };
 use basilbridge_workflow::{
     job::State,
@@ -32,6 +37,9 @@
 /// out.
 const NO_MAJORITY_WAIT_MILLIS: u64 = 14_000;
 
+/// How long an owner is frozen.
+const STALL: Duration = Duration::from_millis(3000);
+
 /// A cell with a task whose worker fell silent just before its owner was replaced.
 struct Cell {
     sim: Simulation,
@@ -143,7 +151,7 @@
 
     sim.take_over();
     for _ in 0..NO_MAJORITY_WAIT_MILLIS / 10 {
-        sim.engine.confirm_ownership(sim.now);
+        sim.engine.confirm_ownership(sim.now, Version(sim.version));
         sim.run(10);
     }
     let meanwhile = sim.starts_of("j1");
@@ -167,12 +175,12 @@
     };
     let before = lease(&mut sim);
 
-    sim.now = Millis(sim.now.0 + 3000);
-    sim.engine.hold_leases(sim.now);
+    sim.now = sim.now.after(STALL);
+    sim.engine.hold_leases(STALL, sim.now);
     let stalled = lease(&mut sim);
-    sim.engine.confirm_ownership(sim.now);
+    sim.engine.confirm_ownership(sim.now, Version(sim.version));
     let confirmed = lease(&mut sim);
-    sim.engine.hold_leases(sim.now);
+    sim.engine.hold_leases(STALL, sim.now);
     sim.store_down = true;
     sim.run(50);
     let answered = lease(&mut sim);
