Stop runs of unknown jobs also if no job arrives

Cause: since a new owner keeps runs of jobs that it does not know until the feed has delivered the version from which on it is the only owner. The feed passed on pages with rows only, so without another job that version never came.

Change: a page without rows is passed on too: it says up to which version there are none.

Measured: runs_of_unknown_jobs_are_stopped_also_if_no_job_arrives fails before (no stop within 60 s) and passes; 57 tests of crates/cell pass.

--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -159,12 +159,11 @@
                 }
                 version_read = Some(page.version);
                 let changed = !page.rows.is_empty();
-                if changed {
-                    apply(Update::Changed(Contents {
-                        rows: page.rows,
-                        complete: page.version,
-                    }));
-                }
+                // Without rows it still says up to which version there are none.
+                apply(Update::Changed(Contents {
+                    rows: page.rows,
+                    complete: page.version,
+                }));
                 node.record_feed_answer(table, begun);
                 if changed && !rate.min_interval.is_zero() {
                     node.timer.sleep(rate.min_interval).await;
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -271,6 +271,7 @@
         let mut engine = self.engine();
         let (rows, all) = match update {
             Update::All(contents) => (contents.rows, true),
+            Update::Changed(contents) if contents.rows.is_empty() => return,
             Update::Changed(contents) => (contents.rows, false),
         };
         let mut listed: HashSet<Name> = HashSet::new();
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -442,3 +442,28 @@
 
     assert_eq!(platform.starts("j1"), 3);
 }
+
+/// A new owner kept runs of jobs that do not exist until the feed delivered another job.
+#[tokio::test]
+async fn runs_of_unknown_jobs_are_stopped_also_if_no_job_arrives() {
+    let platform = FakePlatform::new(&["w1"]);
+    platform.set_run_time(Duration::from_secs(60));
+    let first = start(&platform, "a").await;
+    until("a claim", async || owner_name(&platform).is_some()).await;
+    let second = start(&platform, "b").await;
+    until("the entry of the peer", async || {
+        first.node.knows_peer("b") && second.node.is_ready()
+    })
+    .await;
+    submit(&second, "j1").await;
+    until("the starts", async || platform.starts("j1") == 3).await;
+
+    platform.set_store_mode("a", StoreMode::Unavailable);
+    platform.forget("j1");
+    until("the change of ownership", async || {
+        owner_name(&platform).as_deref() == Some("b")
+    })
+    .await;
+
+    until("the stops", async || platform.stops("j1") >= 3).await;
+}
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -144,6 +144,7 @@
     ended: Vec<Ended>,
     number: u64,
     starts: Vec<TaskId>,
+    stops: Vec<TaskId>,
 }
 
 /// The platform, shared by the VMs of a test.
@@ -263,6 +264,25 @@
         starts.filter(|task| *task.job == *job).count()
     }
 
+    /// Returns how many orders to stop runs of a job's tasks were taken.
+    pub(crate) fn stops(&self, job: &str) -> usize {
+        let workers = self.lock_workers();
+        let stops = workers.values().flat_map(|worker| &worker.stops);
+        stops.filter(|task| *task.job == *job).count()
+    }
+
+    /// Removes all rows about a job.
+    pub(crate) fn forget(&self, job: &str) {
+        let keys: Vec<(Name, String)> = {
+            let rows = self.lock();
+            let about = rows.rows.keys().filter(|(_, key)| key.starts_with(job));
+            about.cloned().collect()
+        };
+        for (table, key) in keys {
+            self.remove(&table, &key);
+        }
+    }
+
     /// Returns how many runs were started on a worker.
     pub(crate) fn starts_on(&self, worker: &str) -> usize {
         self.lock_workers()[worker].starts.len()
@@ -342,7 +362,10 @@
                         let mut workers = platform.lock_workers();
                         match workers.get_mut(&order.target.name) {
                             Some(worker) if epoch < worker.epoch => StopResult::Fenced,
-                            Some(_) => StopResult::Taken,
+                            Some(worker) => {
+                                worker.stops.push(order.task);
+                                StopResult::Taken
+                            }
                             None => StopResult::Unknown,
                         }
                     }
--- a/crates/workflow/src/roster.rs
+++ b/crates/workflow/src/roster.rs
@@ -23,8 +23,7 @@
 pub struct Roster {
     /// Their names, in order.
     pub names: Vec<Name>,
-    /// Those that don't count yet when an owner finds out whether it is the only one; see
-    /// [`crate::electorate`].
+    /// Those that don't count yet when an owner finds out whether it is the only one.
     pub joined: Vec<Name>,
 }
 
--- a/crates/workflow/src/tenure.rs
+++ b/crates/workflow/src/tenure.rs
@@ -2,14 +2,14 @@
 //!
 //! An owner goes on without the store, and can't tell an outage from a partition in which another VM has
 //! claimed the workers. So it extends leases only as far as its successor waits for them: to a lease and
-//! [`PROOF_TIME`] after the latest proof that no successor counts with their end yet. See
+//! `PROOF_TIME` after the latest proof that no successor counts with their end yet. See
 //! `docs/design/takeover.md`.
 //!
-//! A successor counts with it once half of the workers have answered it ([`crate::electorate`]). Two
-//! things prove that it does not:
+//! A successor counts with their end once half of the workers have answered it (`electorate`). Two things
+//! prove that it does not yet:
 //!
-//! - *The store* has committed a write on the condition of the claim, or one that was sent then.
-//! - *Most workers* have accepted polls with the epoch of this owner that were sent then. Each of them
+//! - *The store* has committed a write that was sent then, on the condition of the claim.
+//! - *Most workers* have accepted polls that were sent then, with the epoch of this owner. Each of them
 //!   refuses this owner from its answer to the successor on, unless it boots anew. Only boots count that
 //!   had answered this owner before the last proof from the store: a successor can't have reached them
 //!   before.
