Watch all owners before that may act, not only the last one

Cause: three of the five workers of the roster had crashed and come back under other names in a chain of owners that ended before they had heard half of it. None had outlived those before it, so the end of the last one showed nothing, and no successor ever heard half of the roster.

Change: a claim stores the owners before it that may act, back to the last one that had outlived all before that (row `predecessors`, in the transaction of the claim). The next owner watches all their VMs; once other processes answer there, inherited work waits for one lease from then on.

There is no test of its own yet.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -65,6 +65,9 @@
         LINEAGE_KEY,
         NODE_PREFIX,
         OWNERSHIP_TABLE,
+        PREDECESSORS_KEY,
+        Predecessors,
+        Process,
         SUCCESSION_KEY,
         Succession, //
     },
@@ -117,6 +120,8 @@
     pub(crate) lineage_version: Version,
     /// The newest completed succession, which may be of an earlier owner, and the version of its row.
     pub(crate) succession: Option<(Succession, Version)>,
+    /// The owners before a claim that may act, as stored with it.
+    pub(crate) predecessors: Option<Predecessors>,
     /// The last heartbeat, which may be of an earlier owner.
     pub(crate) last_heartbeat: Option<ReceivedHeartbeat>,
     /// How the heartbeats of owners have arrived.
@@ -176,8 +181,8 @@
     pub(crate) sent: Millis,
     /// Whether the previous owner was known to have ended when this VM claimed.
     pub(crate) predecessor_ended: bool,
-    /// The claim before, if the end of its process would show that no earlier owner acts any more.
-    pub(crate) predecessor: Option<Claim>,
+    /// The owners before this one that may act; `None` if they are not known.
+    pub(crate) predecessors: Option<Vec<Process>>,
     /// What this owner may assume of the owners before it.
     pub(crate) lineage: Lineage,
 }
@@ -243,6 +248,7 @@
                 self.lineage = record::decode_row(log, row);
                 self.lineage_version = row.version;
             }
+            PREDECESSORS_KEY => self.predecessors = record::decode_row(log, row),
             SUCCESSION_KEY => {
                 let succession = record::decode_row(log, row);
                 self.succession = succession.map(|succession| (succession, row.version));
@@ -354,10 +360,26 @@
         has_ended && self.succession_of(claim).is_some()
     }
 
-    /// Returns the current claim if its owner had outlived all owners before it.
-    fn last_predecessor(&self) -> Option<Claim> {
+    /// Returns the owners up to the current claim that may act; `None` if they are not known. Earlier
+    /// ownerships of the process with `nonce` have ended.
+    fn acting_owners(&self, nonce: u64) -> Option<Vec<Process>> {
         let claim = &self.claim.as_ref()?.claim;
-        self.succession_of(claim).map(|_| claim.clone())
+        let mut owners = match self.succession_of(claim) {
+            Some(_) => Vec::new(),
+            None => {
+                let stored = self.predecessors.as_ref();
+                stored
+                    .filter(|stored| stored.epoch == claim.epoch)?
+                    .owners
+                    .clone()
+            }
+        };
+        owners.push(Process {
+            vm: claim.holder.clone(),
+            nonce: claim.nonce,
+        });
+        owners.retain(|owner| owner.nonce != nonce);
+        Some(owners)
     }
 
     /// Returns the version at which the owner with this claim had outlived all owners before it; `None`
@@ -516,33 +538,43 @@
     }
 }
 
-/// Watches the VM of the owner before until another process answers there, so that this one has ended.
-pub(crate) async fn watch_predecessor(owner: Arc<Owner>) {
+/// Watches the VMs of the owners before that may act, until another process answers at each of them, so
+/// that all of these owners have ended.
+pub(crate) async fn watch_predecessors(owner: Arc<Owner>) {
     const RETRY: Duration = Duration::from_millis(200);
     let node = &owner.node;
-    let Some(claim) = owner.ownership.predecessor.clone() else {
+    let Some(mut acting) = owner.ownership.predecessors.clone() else {
         return;
     };
-    let limit = peer::WATCH_HOLD_TIME + WATCH_MARGIN;
-    while !owner.engine().is_settled() && claim.nonce != node.nonce {
-        let address = node
-            .view()
-            .nodes
-            .get(&claim.holder)
-            .map(|entry| entry.peers);
-        if let Some(address) = address
-            && let Ok(Some(found)) = node.pool.watch_process(address, claim.nonce, limit).await
-            && found != claim.nonce
-        {
-            slog::warn!(node.log, "owner before has ended"; "epoch" => owner.epoch());
+    while !owner.engine().is_settled() {
+        let mut left = Vec::new();
+        for process in acting {
+            if !has_ended(node, &process).await {
+                left.push(process);
+            }
+        }
+        if left.is_empty() {
+            slog::warn!(node.log, "owners before have ended"; "epoch" => owner.epoch());
             owner.engine().record_predecessor_end(node.timer.now());
             owner.wake.notify_one();
             return;
         }
+        acting = left;
         node.timer.sleep(RETRY).await;
     }
 }
 
+/// Returns whether another process answers at the address of a VM.
+async fn has_ended(node: &Node, process: &Process) -> bool {
+    let address = node.view().nodes.get(&process.vm).map(|entry| entry.peers);
+    let Some(address) = address else {
+        return false;
+    };
+    let limit = peer::WATCH_HOLD_TIME + WATCH_MARGIN;
+    let found = node.pool.watch_process(address, process.nonce, limit).await;
+    matches!(found, Ok(Some(found)) if found != process.nonce)
+}
+
 /// Follows the ownership table and updates the shared view.
 pub(crate) async fn follow(node: Arc<Node>) {
     let follower = Arc::clone(&node);
@@ -595,7 +627,7 @@
         before,
         heartbeat_version,
         predecessor_ended,
-        predecessor,
+        predecessors,
         unproven,
         lineage,
         lineage_version,
@@ -610,7 +642,7 @@
             view.claim.clone(),
             heartbeat_version,
             ended,
-            view.last_predecessor(),
+            view.acting_owners(node.nonce),
             view.unproven_takeovers(&node.config.name),
             view.next_lineage(node.config.lease(), node.config.max_lease, node.timer.now()),
             view.lineage_version,
@@ -629,10 +661,17 @@
         check(HEARTBEAT_KEY, heartbeat_version.unwrap_or_default()),
         check(LINEAGE_KEY, lineage_version),
     ];
-    let puts = vec![
+    let mut puts = vec![
         put(CLAIM_KEY, record::encode(&claim).ok()?),
         put(LINEAGE_KEY, record::encode(&lineage).ok()?),
     ];
+    if let Some(owners) = &predecessors {
+        let stored = Predecessors {
+            epoch: claim.epoch,
+            owners: owners.clone(),
+        };
+        puts.push(put(PREDECESSORS_KEY, record::encode(&stored).ok()?));
+    }
     let sent = node.timer.now();
     let version = match node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => version,
@@ -664,7 +703,7 @@
         claim,
         sent,
         predecessor_ended,
-        predecessor,
+        predecessors,
         lineage,
     })
 }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -413,7 +413,7 @@
     tasks.spawn(report::report_doubt(Arc::clone(&owner)));
     tasks.spawn(evacuation::follow(Arc::clone(&owner)));
     if !owner.ownership.predecessor_ended {
-        tasks.spawn(election::watch_predecessor(Arc::clone(&owner)));
+        tasks.spawn(election::watch_predecessors(Arc::clone(&owner)));
     }
     tokio::select! {
         () = run_engine(&owner, &mut tasks) => {}
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -52,6 +52,9 @@
 /// The key of the completed succession of an owner.
 pub(crate) const SUCCESSION_KEY: &str = "succession";
 
+/// The key of the owners before the one that holds the claim which may act.
+pub(crate) const PREDECESSORS_KEY: &str = "predecessors";
+
 /// The key of the owner's heartbeat.
 pub(crate) const HEARTBEAT_KEY: &str = "pulse";
 
@@ -102,6 +105,23 @@
     pub epoch: u32,
 }
 
+/// The processes of the owners before a claim, since the last one that had outlived all before it.
+#[data]
+pub(crate) struct Predecessors {
+    /// The number of claims before this one.
+    pub epoch: u32,
+    pub owners: Vec<Process>,
+}
+
+/// A process of an entry VM.
+#[data]
+pub(crate) struct Process {
+    /// The entry VM.
+    pub vm: Name,
+    /// The random number that identifies the process.
+    pub nonce: u64,
+}
+
 /// A heartbeat of the owner.
 #[data]
 #[derive(Default)]
