--- a/review/7/run.py
+++ b/review/7/run.py
@@ -34,7 +34,7 @@
         for worker in holders:
             worker.set_mode("cut")
         await asyncio.sleep(0.3)
-        tasks.append(asyncio.create_task(owner.end(signal.SIGKILL, 0.5)))
+        tasks.append(asyncio.create_task(owner.end(signal.SIGTERM, 0.5)))
     await asyncio.sleep(1.8)
     await cell.submit(second, TASKS, TASK_CPU, 1000, without=owner)
     await asyncio.sleep(CUT_S - 2.1)
