--- a/review/6/run.py
+++ b/review/6/run.py
@@ -19,7 +19,7 @@
 
 async def scenario(cell, has_trouble):
     first, second = standins.new_job(), standins.new_job()
-    listed, begun = asyncio.Event(), cell.store.writes
+    listed = asyncio.Event()
 
     def is_lost(machine, body):
         is_progress = any(row["table"] == PROGRESS for row in body["puts"])
@@ -36,6 +36,7 @@
     await asyncio.sleep(0.2)
     if has_trouble:
         cell.store.is_lost, cell.store.late_s = is_lost, LATE_S
+    begun = cell.store.writes
     cell.fleet.on_listed = on_listed
     owner, holders = cell.owner(), {worker for worker, _ in cell.fleet.running(second)}
     if len(holders) != 1:
