--- a/review/8/run.py
+++ b/review/8/run.py
@@ -37,7 +37,7 @@
         tasks.append(asyncio.create_task(owner.end(signal.SIGTERM, 0.5)))
     await asyncio.sleep(1.8)
     await cell.submit(second, TASKS, TASK_CPU, 1000, without=owner)
-    await asyncio.sleep(CUT_S - 2.1)
+    await asyncio.sleep(CUT_S - 2.3)
     for worker in holders if has_trouble else ():
         worker.set_mode("sound")
     await asyncio.gather(*tasks)
