Tell the next owner which ends are read and not stored

Cause: an owner records what a silent or leaving worker may run, and a run leaves that list when its end is read. Until the progress of its job is stored, only that owner and the worker know the end. If the owner ends then, its successor neither waits for the worker nor holds the task back. The log of the case shows it: `silent workers recorded` with `tasks` 0 while five ends were neither stored nor acknowledged.

Change: the record also names the tasks whose ends `done` or `failed` are read and not stored, and the successor holds them back until the worker answers or its leases are over. Long-running tasks are left out, since they are to start again however they end.

Evidence: PROTOCOL, Running tasks: ends "up to `ackedUpto` are forgotten. The others are returned again"; RULES, TWICE: "unless the worker's lease lapsed between the two". docs/design/evidence.md, "Nothing of an earlier owner runs that is not known".

--- a/crates/cell/src/silence.rs
+++ b/crates/cell/src/silence.rs
@@ -138,6 +138,7 @@
             slog::info!(owner.node.log, "silent workers recorded"; "epoch" => owner.epoch(),
                 "workers" => record.workers.len(),
                 "tasks" => record.workers.values().map(Vec::len).sum::<usize>(),
+                "ended" => record.ended.values().map(Vec::len).sum::<usize>(),
                 "unknown" => record.unknown.len(), "leases" => record.leases.len());
             owner.engine().confirm_silence(&record);
             owner.wake.notify_one();
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -69,6 +69,7 @@
     quota::TeamQuotas,
     report::WorkerInfo,
     sharing::Sharing,
+    silence,
     start_record::Awaited,
     store_clock::Reading,
     tenure::Tenure,
@@ -202,9 +203,9 @@
     retired_ids: HashSet<Name>,
     /// Evacuated data centres and what moves away from them.
     pub(crate) evacuation: evacuation::Evacuation,
-    /// Tasks that workers may run which had stopped to answer the previous owner, by worker. They
-    /// wait until the worker answers or its leases are over.
-    pub(crate) held: BTreeMap<Name, Vec<TaskId>>,
+    /// Tasks that workers which had stopped to answer the previous owner may run, or whose ends only
+    /// they know, by worker. They wait until the worker answers or its leases are over.
+    pub(crate) held: BTreeMap<Name, silence::Held>,
     /// Starts of long-running tasks that are sent once they are stored, by task.
     pub(crate) unstored_starts: HashMap<TaskId, Start>,
     /// Long-running tasks that earlier owners may have started on workers which have not answered
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -103,7 +103,7 @@
             if let Some(worker) = self.workers.get_mut(ends.worker)
                 && worker.boot == Some(ends.boot)
             {
-                worker.stored = worker.stored.max(ends.sequence);
+                worker.record_stored(ends.sequence);
             }
         }
     }
--- a/crates/workflow/src/silence.rs
+++ b/crates/workflow/src/silence.rs
@@ -4,8 +4,10 @@
 //! Starts are not stored, so a new owner waits for all workers before it starts inherited work. One
 //! that crashed without a word, or has left, never answers, and everything would wait until its
 //! leases are over. So an owner stores which tasks such a worker may run, and gives it no new work
-//! until that record is withdrawn. The next owner then holds back just these tasks. See
-//! `docs/design/silence.md`.
+//! until that record is withdrawn. The next owner then holds back just these tasks.
+//!
+//! The same goes for tasks whose ends the owner has read there and not stored yet: the next owner
+//! learns of them from the worker only. See `docs/design/silence.md`.
 
 use std::{
     collections::{
@@ -24,7 +26,8 @@
 
 use crate::{
     engine::Engine,
-    job::TaskId, //
+    job::TaskId,
+    worker::Worker, //
 };
 
 /// Time without an answer after which a worker is recorded. Shorter silences mostly end by
@@ -54,6 +57,11 @@
     /// Tasks by worker.
     #[serde_as(as = "BTreeMap<_, Vec<DisplayFromStr>>")]
     pub workers: BTreeMap<Name, Vec<TaskId>>,
+    /// Tasks that have ended on some of these workers, by worker. The ends are neither stored nor
+    /// acknowledged.
+    #[serde_as(as = "BTreeMap<_, Vec<DisplayFromStr>>")]
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ended: BTreeMap<Name, Vec<TaskId>>,
     /// Workers that have never answered the owner, so that it does not know what they run.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub unknown: BTreeSet<Name>,
@@ -63,23 +71,56 @@
     pub leases: BTreeMap<Name, Millis>,
 }
 
+/// Tasks that are held back for a worker.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Held {
+    /// Tasks that the worker may run.
+    pub(crate) running: Vec<TaskId>,
+    /// Tasks that have ended there.
+    ended: Vec<TaskId>,
+}
+
+impl Held {
+    fn tasks(&self) -> impl Iterator<Item = &TaskId> {
+        self.running.iter().chain(&self.ended)
+    }
+
+    /// Returns whether a task is held back.
+    pub(crate) fn contains(&self, task: &TaskId) -> bool {
+        self.tasks().any(|held| held == task)
+    }
+}
+
 impl Record {
     /// Returns whether this record names the same workers as `other` and all of its tasks, and no
     /// lease much later, so that it says no less.
+    ///
+    /// A task that has ended since counts as named: the worker tells how it ended in both cases.
     pub fn covers(&self, other: &Self) -> bool {
-        let has_all = |(name, tasks): (&Name, &Vec<TaskId>)| {
+        let may_run = |name: &Name, task: &TaskId| {
             let known = self.workers.get(name);
-            known.is_some_and(|known| tasks.iter().all(|task| known.contains(task)))
+            known.is_some_and(|known| known.contains(task))
+        };
+        let may_have_ended = |name: &Name, task: &TaskId| {
+            let known = self.ended.get(name);
+            may_run(name, task) || known.is_some_and(|known| known.contains(task))
+        };
+        let has_all_runs = |(name, tasks): (&Name, &Vec<TaskId>)| {
+            self.workers.contains_key(name) && tasks.iter().all(|task| may_run(name, task))
+        };
+        let has_all_ends = |(name, tasks): (&Name, &Vec<TaskId>)| {
+            tasks.iter().all(|task| may_have_ended(name, task))
         };
         self.workers.len() == other.workers.len()
-            && other.workers.iter().all(has_all)
+            && other.workers.iter().all(has_all_runs)
+            && other.ended.iter().all(has_all_ends)
             && self.agrees_on_leases(other)
     }
 
     /// Returns whether both records are of one owner and name the same workers and tasks, and no
     /// lease in this one is earlier or much later.
     pub fn equals(&self, other: &Self) -> bool {
-        self.workers == other.workers && self.agrees_on_leases(other)
+        self.workers == other.workers && self.ended == other.ended && self.agrees_on_leases(other)
     }
 
     /// Returns whether the record names no worker, so that it is as good as none.
@@ -100,6 +141,13 @@
             && other.leases.iter().all(is_close)
     }
 
+    fn insert(&mut self, name: &Name, held: Held) {
+        self.workers.insert(name.clone(), held.running);
+        if !held.ended.is_empty() {
+            self.ended.insert(name.clone(), held.ended);
+        }
+    }
+
     fn names(&self) -> impl Iterator<Item = &Name> {
         self.workers.keys().chain(&self.unknown)
     }
@@ -107,10 +155,13 @@
     /// Leaves out workers until the record fits into a row.
     fn shorten(&mut self) {
         let mut count = 0;
-        self.workers.retain(|_, tasks| {
-            count += tasks.len();
+        let ended = &self.ended;
+        self.workers.retain(|name, tasks| {
+            count += tasks.len() + ended.get(name).map_or(0, Vec::len);
             count <= MAX_TASKS
         });
+        let workers = &self.workers;
+        self.ended.retain(|name, _| workers.contains_key(name));
         while self.unknown.len() > MAX_UNKNOWN {
             self.unknown.pop_last();
         }
@@ -127,8 +178,8 @@
             epoch: self.settings.epoch,
             ..Record::default()
         };
-        for (name, tasks) in &self.held {
-            record.workers.insert(name.clone(), tasks.clone());
+        for (name, held) in &self.held {
+            record.insert(name, held.clone());
             match self.workers_by_name.get(name) {
                 Some(key) if self.workers[*key].boot.is_some() => {
                     self.record_lease(&mut record, name, self.leases_end(*key));
@@ -146,9 +197,7 @@
             // before the leases of that owner are over.
             let is_known = worker.is_inventoried || !self.may_run_unknown(name);
             if (is_silent || worker.info.leaving) && is_known {
-                let mut tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
-                tasks.sort_unstable();
-                record.workers.insert(name.clone(), tasks);
+                record.insert(name, self.known_tasks(worker));
                 if is_silent {
                     self.record_lease(&mut record, name, self.leases_end(key));
                 }
@@ -159,6 +208,28 @@
         record
     }
 
+    /// Returns what the next owner can't know of a worker that does not answer it.
+    fn known_tasks(&self, worker: &Worker) -> Held {
+        let mut running: Vec<TaskId> = worker.runs.keys().cloned().collect();
+        running.sort_unstable();
+        let ended = worker.unstored_ends.iter();
+        let mut ended: Vec<TaskId> = ended
+            .filter(|end| !self.is_long_running(&end.task) && !running.contains(&end.task))
+            .map(|end| end.task.clone())
+            .collect();
+        ended.sort_unstable();
+        ended.dedup();
+        Held { running, ended }
+    }
+
+    /// Returns whether a task has to be started again however it ends.
+    fn is_long_running(&self, task: &TaskId) -> bool {
+        self.position(task).is_some_and(|position| {
+            let job = &self.jobs[position.job];
+            job.accepted.spec.steps[job.stages[position.stage].step].long_running
+        })
+    }
+
     /// Adds the workers that this owner still waits for, if the end of their leases is told by an
     /// earlier owner, or is certain and they have not answered for a while. Without it the record
     /// would say no more than the roster does.
@@ -210,7 +281,7 @@
     ///
     /// An owner that follows a record gives its workers neither work nor longer leases before it has
     /// replaced the record. One of an earlier version in between may have done both.
-    pub fn inherit_silence(&mut self, record: Record) {
+    pub fn inherit_silence(&mut self, mut record: Record) {
         self.announce_silence(&record);
         let next = record.epoch.saturating_add(1);
         if next > self.settings.epoch || next < self.settings.lineage.first_epoch {
@@ -220,7 +291,7 @@
         for name in record.names() {
             self.electorate.exclude(name);
         }
-        for (name, tasks) in record.workers {
+        for (name, running) in record.workers {
             let Some(unconfirmed) = &mut self.unconfirmed else {
                 return;
             };
@@ -232,10 +303,12 @@
                 continue;
             }
             unconfirmed.remove(&name);
-            for task in &tasks {
+            let ended = record.ended.remove(&name).unwrap_or_default();
+            let held = Held { running, ended };
+            for task in held.tasks() {
                 self.set_held(task, true);
             }
-            self.held.insert(name, tasks);
+            self.held.insert(name, held);
         }
     }
 
@@ -251,14 +324,14 @@
 
     /// Releases the tasks that are held back for a worker, whose runs are known or have ended.
     pub(crate) fn release_held(&mut self, name: &Name) {
-        let Some(tasks) = self.held.remove(name) else {
+        let Some(released) = self.held.remove(name) else {
             return;
         };
         self.has_released = true;
-        for task in tasks {
-            let is_held_elsewhere = self.held.values().any(|tasks| tasks.contains(&task));
-            let is_held = is_held_elsewhere || self.awaits_start(&task);
-            self.set_held(&task, is_held);
+        for task in released.tasks() {
+            let is_held_elsewhere = self.held.values().any(|held| held.contains(task));
+            let is_held = is_held_elsewhere || self.awaits_start(task);
+            self.set_held(task, is_held);
         }
     }
 
--- a/crates/workflow/src/start_record.rs
+++ b/crates/workflow/src/start_record.rs
@@ -206,10 +206,7 @@
             {
                 *used = used.minus(resources);
             }
-            let is_held = self
-                .held
-                .values()
-                .any(|tasks| tasks.contains(&awaited.task));
+            let is_held = self.held.values().any(|held| held.contains(&awaited.task));
             let Some(position) = self.position(&awaited.task) else {
                 continue;
             };
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -1,6 +1,9 @@
 //! What is known about one worker, and when its leases are guaranteed to have expired.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use basilbridge_common::{
     id::Name,
@@ -21,6 +24,7 @@
     progress::Placement,
     report::{
         Ended,
+        Outcome,
         WorkerInfo, //
     },
     runs::Runs,
@@ -96,6 +100,14 @@
     pub stop_sent: Option<Millis>,
 }
 
+/// An end that has been handled and is not stored.
+#[derive(Debug, Clone)]
+pub struct UnstoredEnd {
+    sequence: u64,
+    /// The task that has ended.
+    pub task: TaskId,
+}
+
 /// A worker and its runs.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -118,6 +130,9 @@
     pub received: u64,
     /// Sequence number of the last end that is stored.
     pub stored: u64,
+    /// Ends `done` and `failed` after that one, oldest first: if they are forgotten, their tasks
+    /// start again. At most as many as the worker lists at once.
+    pub unstored_ends: VecDeque<UnstoredEnd>,
     /// Time of the last answer to a poll.
     pub last_response: Option<Millis>,
     /// Whether the last poll was not answered.
@@ -187,6 +202,7 @@
             used: Resources::default(),
             received: 0,
             stored: 0,
+            unstored_ends: VecDeque::new(),
             last_response: None,
             unresponsive: false,
             silent_since: None,
@@ -220,6 +236,7 @@
         self.is_inventoried = false;
         self.received = 0;
         self.stored = 0;
+        self.unstored_ends.clear();
         self.lease = Lease::default();
         self.is_boot_confirmed = false;
         self.accepted_at = Millis(0);
@@ -230,6 +247,24 @@
         self.unmatched_ends.clear();
     }
 
+    /// Records that an end has been handled.
+    pub fn record_received(&mut self, end: &Ended) {
+        self.received = self.received.max(end.sequence);
+        if matches!(end.outcome, Outcome::Done | Outcome::Failed) {
+            self.unstored_ends.push_back(UnstoredEnd {
+                sequence: end.sequence,
+                task: end.task.clone(),
+            });
+        }
+    }
+
+    /// Records that all ends up to `sequence` are stored.
+    pub fn record_stored(&mut self, sequence: u64) {
+        self.stored = self.stored.max(sequence);
+        let stored = self.stored;
+        self.unstored_ends.retain(|end| end.sequence > stored);
+    }
+
     /// Returns the sequence number up to which a poll may acknowledge ends.
     ///
     /// The sequence starts anew with each boot, so a number of an earlier boot would make a new one
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -82,8 +82,7 @@
         };
         for end in new_ends {
             self.handle_end(key, end, now);
-            let worker = &mut self.workers[key];
-            worker.received = worker.received.max(end.sequence);
+            self.workers[key].record_received(end);
         }
         for running in &inventory.running {
             self.handle_running(key, running, now);
--- a/crates/workflow/tests/engine/silence.rs
+++ b/crates/workflow/tests/engine/silence.rs
@@ -2,13 +2,17 @@
 
 use basilbridge_common::id::Name;
 use basilbridge_workflow::{
-    job::TaskId,
+    job::{
+        State,
+        TaskId, //
+    },
     progress::Placement,
     report::Outcome,
     silence::Record, //
 };
 
 use crate::{
+    fleet::Behaviour,
     simulation::{
         Link,
         Simulation, //
@@ -216,3 +220,51 @@
     assert_eq!(sim.starts_of("spread"), 3);
     assert!(sim.silence.workers.is_empty());
 }
+
+/// Creates a cell whose owner has read the ends of two tasks of the dark worker and could not store them. Then the
+/// worker goes dark, or is about to leave.
+fn cell_with_unstored_ends(behaviour: Behaviour, is_leaving: bool) -> Simulation {
+    let mut sim = Simulation::new(&[DARK], behaviour);
+    sim.submit("pair", accepted(CHECKS, sim.now, vec![step(2, 20 * CORE)]));
+    sim.run(200);
+    sim.add_worker("w1");
+    if is_leaving {
+        sim.announce_departure(&DARK.into());
+    }
+    sim.progress_is_lost = true;
+    sim.run(1000);
+    if !is_leaving {
+        sim.run_on(1200, link);
+    }
+    sim
+}
+
+/// An owner had read ends and not stored them when their worker fell silent, or while it was about to leave. It
+/// recorded that the worker ran nothing, and its successor started the tasks again (TWICE, BUDGET).
+#[test]
+fn tasks_whose_ends_are_read_and_not_stored_are_not_started_again_by_the_next_owner() {
+    const DONE: Behaviour = |_, _| (1000, Outcome::Done, 20 * CORE);
+    // The second attempt, which is the last one, ends under the next owner.
+    const FAILED: Behaviour = |_, run| match run {
+        1 => (1000, Outcome::Failed, 20 * CORE),
+        _ => (2500, Outcome::Failed, 20 * CORE),
+    };
+    let cases = [
+        (DONE, false, 2, State::Completed),
+        (DONE, true, 2, State::Completed),
+        (FAILED, false, 4, State::Failed),
+        (FAILED, true, 4, State::Failed),
+    ];
+    for (behaviour, is_leaving, starts, state) in cases {
+        let mut sim = cell_with_unstored_ends(behaviour, is_leaving);
+
+        sim.take_over();
+        sim.progress_is_lost = false;
+        sim.run_on(3000, link);
+        sim.run(1000);
+
+        assert_eq!(sim.starts_of("pair"), starts, "{state:?} {is_leaving}");
+        assert_eq!(sim.state("pair"), state, "{is_leaving}");
+        assert_eq!(sim.fleet.violations, Vec::<String>::new(), "{is_leaving}");
+    }
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -108,6 +108,8 @@
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) queued: Vec<Order>,
     pub(crate) store_down: bool,
+    /// Whether answers to writes of progress are lost, which are not carried out. All else is stored.
+    pub(crate) progress_is_lost: bool,
     /// The stored names of workers that may run something.
     pub(crate) roster: Roster,
     /// Workers that have announced to leave.
@@ -158,6 +160,7 @@
             delayed: Vec::new(),
             queued: Vec::new(),
             store_down: false,
+            progress_is_lost: false,
             roster: Roster::default(),
             leaving: BTreeSet::new(),
             unlisted: BTreeSet::new(),
@@ -684,7 +687,7 @@
     /// Stores all changes.
     pub(crate) fn store(&mut self) {
         while let Some(round) = self.engine.begin_round() {
-            if self.store_down {
+            if self.store_down || self.progress_is_lost {
                 for batch in &round.batches {
                     self.engine.handle_store_failure(batch, &[]);
                 }
