Leave a row when a job is cancelled that is not stored yet

Cause: 410 was given for what the store held at that moment, and nothing was left by which a later submission of the job could fail.

Change: a cancellation that finds no job writes a tombstone into the job's row before it answers 410. Submissions are written on the condition that there is no row, so one that is carried out later fails, also one of an earlier version. A submission that meets a tombstone is stored as cancelled, answered 200 and shown as `cancelled`: "It remains one job". Tombstones go with the rows of finished jobs, after `status_s`.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -37,7 +37,8 @@
             Submission, //
         },
         outlook::Outlook,
-        retry, //
+        retry,
+        tombstones::Tombstones, //
     },
     job::Accepted,
 };
@@ -77,21 +78,26 @@
     unstored: AtomicU64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
     knowledge: Knowledge,
     /// The version of the last heartbeat that was taken into account.
     heartbeat: Version,
     /// Jobs whose write has an unknown outcome, with the time of the write, oldest first.
     unknown_outcomes: VecDeque<(Millis, Name)>,
+    /// The cancellations of unknown jobs that this VM has stored.
+    tombstones: Tombstones,
 }
 
 impl Admission {
-    /// Creates the state of the process with the random number `nonce`.
-    pub(crate) fn new(nonce: u64) -> Self {
+    /// Creates the state of the process with the random number `nonce`, whose rows are kept for
+    /// `retention`.
+    pub(crate) fn new(nonce: u64, retention: Duration) -> Self {
         let inner = Inner {
             knowledge: Knowledge::new(nonce as f64 / u64::MAX as f64),
-            ..Inner::default()
+            heartbeat: Version(0),
+            unknown_outcomes: VecDeque::new(),
+            tombstones: Tombstones::new(retention),
         };
         Self {
             inner: Mutex::new(inner),
@@ -117,6 +123,16 @@
         inner.unknown_outcomes.push_back((now, id.into()));
     }
 
+    /// Counts a cancellation of an unknown job, or refuses it if its client account has left too
+    /// many of them.
+    pub(crate) fn admit_tombstone(&self, team: Option<&Name>, now: Millis) -> Result<()> {
+        let admitted = self.lock().tombstones.admit(team, now);
+        admitted.map_err(|retry_after| {
+            let message = "the client account has cancelled too many jobs that do not exist";
+            Error::new(Kind::Overloaded, message).with_retry_after(retry_after)
+        })
+    }
+
     fn has_unknown_outcome(&self, id: &str, now: Millis) -> bool {
         let inner = self.lock();
         let mut recent = inner.unknown_outcomes.iter().rev();
--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -38,7 +38,8 @@
 };
 
 use crate::{
-    admission, announce,
+    admission,
+    announce,
     clients::Range,
     feed,
     node::Node,
@@ -46,11 +47,15 @@
         self,
         PROGRESS_TABLE, //
     },
+    tombstone::Tombstone, //
 };
 
 /// The delay before a read that returned outdated rows is repeated.
 const RETRY: Duration = Duration::from_millis(80);
 
+/// How often a write is tried whose condition fails because another caller has just changed the row.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// The part of a caller's deadline that is reserved for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -72,14 +77,19 @@
     }
 }
 
-/// Writes a row if all `checks` hold, and returns its version.
-///
-/// Returns `None` if a check fails: then the same call, sent earlier, has written the row.
-async fn create(node: &Node, checks: Vec<Precondition>, put: Put) -> Result<Option<Version>> {
+/// What came of a conditional write.
+enum Written {
+    Committed(Version),
+    /// A check failed; these are the rows that the checks name, as far as there are any.
+    Conflict(Vec<Row>),
+}
+
+/// Writes a row if all `checks` hold.
+async fn write(node: &Node, checks: Vec<Precondition>, put: Put) -> Result<Written> {
     let part = put.table.clone();
     match node.transact(checks, vec![put]).await {
-        Ok(Outcome::Committed(version)) => Ok(Some(version)),
-        Ok(Outcome::Conflict(_)) => Ok(None),
+        Ok(Outcome::Committed(version)) => Ok(Written::Committed(version)),
+        Ok(Outcome::Conflict(rows)) => Ok(Written::Conflict(rows)),
         Err(error) if error.kind == Kind::WriteUnknown => {
             Err(Error::new(Kind::OutcomeUnknown, error.message))
         }
@@ -87,25 +97,79 @@
     }
 }
 
-/// Stores a job and notifies the owner. A job that is sent again is stored once.
-pub(crate) async fn accept(node: &Arc<Node>, id: &str, accepted: &Accepted) -> Result<()> {
+/// Replaces the row of a job, which has `version`, and returns the row that is there instead if it has
+/// not. Its version is zero if there is none.
+async fn replace_job_row(
+    node: &Node,
+    id: &str,
+    version: Version,
+    value: String,
+) -> Result<std::result::Result<Version, Row>> {
+    let table = record::job_table(id);
     let put = Put {
-        table: record::job_table(id),
+        table: table.clone(),
         key: id.to_owned(),
-        value: Some(record::encode(accepted)?),
+        value: Some(value),
     };
-    let created = create(node, vec![job_row(id, id, Version(0))], put).await;
-    if created
+    match write(node, vec![job_row(id, id, version)], put).await? {
+        Written::Committed(version) => Ok(Ok(version)),
+        Written::Conflict(rows) => {
+            let found = rows.into_iter().find(|row| row.key == id);
+            Ok(Err(found.unwrap_or_else(|| Row {
+                table,
+                key: id.to_owned(),
+                version: Version(0),
+                value: None,
+            })))
+        }
+    }
+}
+
+fn contended(node: &Node, id: &str) -> Error {
+    let message = "the row of the job changes too often";
+    unavailable(node, &record::job_table(id), message)
+}
+
+/// Stores a job and notifies the owner. A job that is sent again is stored once, and one that was
+/// cancelled before never runs.
+pub(crate) async fn accept(node: &Arc<Node>, id: &str, accepted: &Accepted) -> Result<()> {
+    let stored = store_job(node, id, accepted).await;
+    if stored
         .as_ref()
         .is_err_and(|error| error.kind == Kind::OutcomeUnknown)
     {
         node.admission.record_unknown_outcome(id, node.timer.now());
     }
-    let created = created?;
-    if let Some(version) = created {
-        announce::send(node, id, version, Some(accepted));
+    stored
+}
+
+async fn store_job(node: &Arc<Node>, id: &str, accepted: &Accepted) -> Result<()> {
+    // The row that the submission replaces, if the job was cancelled before it.
+    let mut tombstone: Option<Row> = None;
+    for _ in 0..MAX_ATTEMPTS {
+        let (version, value) = match &tombstone {
+            Some(row) => (row.version, Tombstone::Cancelled.value().to_owned()),
+            None => (Version(0), record::encode(accepted)?),
+        };
+        let found = match replace_job_row(node, id, version, value).await? {
+            Ok(version) => {
+                if tombstone.is_none() {
+                    announce::send(node, id, version, Some(accepted));
+                }
+                return Ok(());
+            }
+            Err(found) => found,
+        };
+        tombstone = match Tombstone::of(&found) {
+            Some(Tombstone::Unsubmitted) => Some(found),
+            // The same submission, sent earlier, has written the row.
+            Some(Tombstone::Cancelled) => return Ok(()),
+            None if found.value.is_some() => return Ok(()),
+            // The tombstone has been removed.
+            None => None,
+        };
     }
-    Ok(())
+    Err(contended(node, id))
 }
 
 /// Reads one row. Returns `None` if the row is confirmed not to exist.
@@ -162,26 +226,59 @@
     if let Some(state) = stored {
         return Ok(state);
     }
-    read_row(node, &record::job_table(id), id, deadline)
+    let row = read_row(node, &record::job_table(id), id, deadline)
         .await?
         .ok_or_else(not_found_error)?;
-    Ok(State::Queued)
+    match Tombstone::of(&row) {
+        Some(Tombstone::Unsubmitted) => Err(not_found_error()),
+        Some(Tombstone::Cancelled) => Ok(State::Cancelled),
+        None => Ok(State::Queued),
+    }
 }
 
 /// Stores the cancellation of a job and notifies the owner. Has no effect if it was cancelled
 /// before.
-pub(crate) async fn cancel(node: &Arc<Node>, id: &str, deadline: Millis) -> Result<()> {
-    let job = read_row(node, &record::job_table(id), id, deadline)
-        .await?
-        .ok_or_else(not_found_error)?;
+///
+/// Fails with [`Kind::Gone`] if there is no such job, once it is certain that a submission of it which
+/// is stored later does not run, and with [`Kind::Overloaded`] if the client account `team` has
+/// cancelled too many such jobs.
+pub(crate) async fn cancel(
+    node: &Arc<Node>,
+    id: &str,
+    team: Option<&Name>,
+    deadline: Millis,
+) -> Result<()> {
+    let mut job = read_row(node, &record::job_table(id), id, deadline).await?;
+    for _ in 0..MAX_ATTEMPTS {
+        let Some(row) = job else {
+            node.admission.admit_tombstone(team, node.timer.now())?;
+            let value = Tombstone::Unsubmitted.value().to_owned();
+            match replace_job_row(node, id, Version(0), value).await? {
+                Ok(_) => return Err(not_found_error()),
+                Err(found) => job = found.value.is_some().then_some(found),
+            }
+            continue;
+        };
+        return match Tombstone::of(&row) {
+            Some(Tombstone::Unsubmitted) => Err(not_found_error()),
+            Some(Tombstone::Cancelled) => Ok(()),
+            None => cancel_stored(node, id, row.version).await,
+        };
+    }
+    Err(contended(node, id))
+}
+
+/// Stores the cancellation of a job, whose row has `version`.
+async fn cancel_stored(node: &Arc<Node>, id: &str, version: Version) -> Result<()> {
     let key = record::cancel_key(id);
-    let checks = vec![job_row(id, id, job.version), job_row(id, &key, Version(0))];
+    let checks = vec![job_row(id, id, version), job_row(id, &key, Version(0))];
     let put = Put {
         table: record::job_table(id),
         key,
         value: Some("{}".to_owned()),
     };
-    if let Some(version) = create(node, checks, put).await? {
+    // If a check fails, the job is cancelled already or has been removed.
+    if let Written::Committed(version) = write(node, checks, put).await? {
         announce::send(node, id, version, None);
     }
     Ok(())
@@ -243,7 +340,7 @@
         .filter(|row| !begun_or_cancelled.contains(row.key.as_str()))
         .filter(|row| record::cancelled_job(&row.key).is_none());
     let mut counts = Counts::new();
-    for row in unstarted {
+    for row in unstarted.filter(|row| Tombstone::of(row).is_none()) {
         if let Some(accepted) = record::decode_row::<Accepted>(&node.log, row) {
             *counts.entry(accepted.queue).or_default() += 1;
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -37,4 +37,5 @@
 mod silence;
 pub mod stall;
 mod sweep;
+mod tombstone;
 pub mod traffic;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -31,7 +31,8 @@
     },
     roster,
     sharing,
-    silence, //
+    silence,
+    tombstone::Tombstone, //
 };
 
 /// The delay after a failed read.
@@ -127,6 +128,12 @@
             }
         }
     }
+    let (tombstones, job_rows): (Vec<Row>, Vec<Row>) = job_rows
+        .into_iter()
+        .partition(|row| Tombstone::of(row).is_some());
+    for row in tombstones {
+        engine.retire(&row.key.into(), now);
+    }
     let mut accepted: Vec<(&Row, Accepted)> = job_rows
         .iter()
         .filter(|row| record::cancelled_job(&row.key).is_none())
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -195,7 +195,7 @@
             }),
             freshness: Mutex::default(),
             count_cache: CountCache::default(),
-            admission: Admission::new(nonce),
+            admission: Admission::new(nonce, config.retention),
             read_configuration: Notify::new(),
             configuration_read: Notify::new(),
             latest_version: AtomicU64::new(0),
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -65,7 +65,8 @@
 };
 
 use crate::{
-    admission, advisor,
+    admission,
+    advisor,
     delivery::{
         Delivery,
         Ready, //
@@ -80,7 +81,8 @@
         self,
         Update, //
     },
-    journal, load,
+    journal,
+    load,
     node::Node,
     polling,
     profile::Part,
@@ -94,7 +96,13 @@
         SUCCESSION_KEY,
         Succession, //
     },
-    report, roster, sharing, silence, stall, sweep,
+    report,
+    roster,
+    sharing,
+    silence,
+    stall,
+    sweep,
+    tombstone::Tombstone, //
 };
 
 /// The time between two heartbeats of the owner.
@@ -366,6 +374,8 @@
     }
     if let Some(id) = record::cancelled_job(&row.key) {
         engine.cancel(id, now);
+    } else if Tombstone::of(row).is_some() {
+        engine.retire(&row.key.as_str().into(), now);
     } else if let Some(accepted) = record::decode_row::<Accepted>(log, row) {
         engine.accept_new(&row.key.as_str().into(), accepted, row.version, now);
     }
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -154,9 +154,13 @@
 }
 
 /// Replaces an error by an unknown outcome if an earlier attempt of the request may still take
-/// effect.
+/// effect. Only a cancellation fails because there is no such job, and then that is certain.
 fn replace_error_if_unknown(unknown: bool, result: Result<Value>) -> Result<Value> {
-    result.map_err(|error| if unknown { outcome_unknown() } else { error })
+    result.map_err(|error| match error.kind {
+        Kind::Gone => error,
+        _ if unknown => outcome_unknown(),
+        _ => error,
+    })
 }
 
 /// Answers a request that another VM has forwarded, without forwarding it again.
@@ -278,7 +282,7 @@
             Ok(json!({}))
         }
         Method::DELETE => {
-            job_store::cancel(node, &call.id, deadline).await?;
+            job_store::cancel(node, &call.id, call.team.as_ref(), deadline).await?;
             Ok(json!({}))
         }
         _ if call.id.is_empty() => {
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -111,12 +111,19 @@
     NoHistory,
     /// Calls about tables whose name starts with this text fail; all others are answered.
     TableUnavailable(&'static str),
+    /// Writes to tables whose name starts with this text get no answer, and are carried out by
+    /// [`FakePlatform::carry_out_late`].
+    LateWrites(&'static str),
 }
 
 impl StoreMode {
     fn refuses_table(self, table: &Name) -> bool {
         matches!(self, Self::TableUnavailable(refused_table) if table.starts_with(refused_table))
     }
+
+    fn delays_writes_to(self, table: &Name) -> bool {
+        matches!(self, Self::LateWrites(late_table) if table.starts_with(late_table))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -129,6 +136,8 @@
     reads: BTreeMap<(Name, Name), u64>,
     read_delays: BTreeMap<Name, Duration>,
     mode: BTreeMap<Name, StoreMode>,
+    /// Writes that are carried out late, in the order of their arrival.
+    late: Vec<Transaction>,
 }
 
 #[derive(Debug)]
@@ -236,6 +245,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Carries out the writes that got no answer, if their conditions still hold. Returns how many there
+    /// were.
+    pub(crate) fn carry_out_late(&self) -> usize {
+        let late = std::mem::take(&mut self.lock().late);
+        for transaction in &late {
+            self.carry_out(transaction);
+        }
+        late.len()
+    }
+
     /// Delays the answers to complete reads of a table.
     pub(crate) fn delay_reads(&self, table: &str, delay: Duration) {
         self.lock().read_delays.insert(table.into(), delay);
@@ -402,6 +421,27 @@
         if mode == StoreMode::Unavailable || tables.any(|table| mode.refuses_table(table)) {
             return Err(unavailable());
         }
+        if transaction
+            .puts
+            .iter()
+            .any(|put| mode.delays_writes_to(&put.table))
+        {
+            rows.late.push(transaction.clone());
+            return Err(Error::new(Kind::WriteUnknown, "there is no answer"));
+        }
+        drop(rows);
+        let outcome = self.carry_out(transaction);
+        match outcome {
+            Outcome::Committed(_) if mode == StoreMode::DroppedResponses => {
+                Err(Error::new(Kind::WriteUnknown, "the response was lost"))
+            }
+            outcome => Ok(outcome),
+        }
+    }
+
+    /// Applies a transaction if its conditions hold.
+    fn carry_out(&self, transaction: &Transaction) -> Outcome {
+        let mut rows = self.lock();
         let current = |rows: &Rows, table: &Name, key: &str| {
             let entry = rows.rows.get(&(table.clone(), key.to_owned()));
             entry.map_or(0, |(version, _)| *version)
@@ -420,7 +460,7 @@
                     value: entry.map(|(_, value)| value.clone()),
                 }
             });
-            return Ok(Outcome::Conflict(found.collect()));
+            return Outcome::Conflict(found.collect());
         }
         rows.version += 1;
         for put in &transaction.puts {
@@ -429,16 +469,7 @@
         let version = Version(rows.version);
         drop(rows);
         self.changed.notify_waiters();
-        match mode {
-            StoreMode::DroppedResponses => {
-                Err(Error::new(Kind::WriteUnknown, "the response was lost"))
-            }
-            StoreMode::Normal
-            | StoreMode::Unavailable
-            | StoreMode::NoHistory
-            | StoreMode::Busy
-            | StoreMode::TableUnavailable(_) => Ok(Outcome::Committed(version)),
-        }
+        Outcome::Committed(version)
     }
 
     /// Returns how often a table has been read.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod cancellations;
 mod delivery;
 mod elections;
 mod evacuation;
--- a/crates/cell/tests/cell/vm.rs
+++ b/crates/cell/tests/cell/vm.rs
@@ -106,6 +106,22 @@
     method: Method,
     path: &str,
     body: &str,
+) -> (StatusCode, String) {
+    call_path_within(vm, method, path, body, CALLER_WAIT).await
+}
+
+/// Submits a job and waits no longer than `wait` for the answer.
+pub(crate) async fn submit_within(vm: &RunningNode, id: &str, wait: Duration) -> StatusCode {
+    let path = format!("{PREFIX}{id}");
+    call_path_within(vm, Method::POST, &path, "3", wait).await.0
+}
+
+async fn call_path_within(
+    vm: &RunningNode,
+    method: Method,
+    path: &str,
+    body: &str,
+    wait: Duration,
 ) -> (StatusCode, String) {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let request = Request::builder()
@@ -113,7 +129,7 @@
         .uri(format!("http://{}{path}", vm.callers_address()))
         .header("host", HOST)
         .header("authorization", format!("Bearer {KEY}"))
-        .header("deadline-ms", CALLER_WAIT.as_millis().to_string())
+        .header("deadline-ms", wait.as_millis().to_string())
         .body(Full::new(Bytes::from(body.to_owned())))
         .expect("the request is valid");
     let response = client.request(request).await.expect("the VM answers");
--- a/crates/workflow/src/admission/mod.rs
+++ b/crates/workflow/src/admission/mod.rs
@@ -11,4 +11,5 @@
 pub mod outlook;
 pub mod rates;
 pub mod retry;
+pub mod tombstones;
 mod work;
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -541,10 +541,13 @@
         }
     }
 
-    /// Records that the final state of a job is stored.
+    /// Records that the final state of a job is stored, or that there is only its cancellation. The
+    /// retention time begins anew if that was known.
     pub fn retire(&mut self, id: &Name, now: Millis) {
+        if !self.retired_ids.insert(id.clone()) {
+            self.retired.retain(|(_, known)| known != id);
+        }
         self.retired.push_back((now, id.clone()));
-        self.retired_ids.insert(id.clone());
     }
 
     /// Returns at most `max_count` jobs that have been finished for at least `retention`, oldest
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -32,4 +32,5 @@
 mod silence;
 mod simulation;
 mod takeovers;
+mod tombstones;
 mod util;
