Count what unanswered workers may run against the caps of client accounts

Cause: an owner counted the runs that it knows. A new owner holds inherited work back for what an unanswered worker may run, but new jobs of the same account started at once with nothing counted for that worker.

Change: until a worker has answered or its leases are over, what it may run counts against the cap of its account: the tasks in its record, or of unfinished inherited jobs as many as may run at one time and as such workers have room for. Runs that a worker lists count once, ends that the owner before had read do not count. It is made anew in each pass from what is unanswered and so goes with the answer; no row is added.

Of the tests in caps.rs two fail without the count (an account at its cap; one that its cap leaves some room), and others without the bound by room, with steps counted together, and with ended tasks counted.

--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -188,7 +188,7 @@
         pools: &BTreeMap<Name, Pool>,
         now: Millis,
     ) -> Vec<Waiting> {
-        let mut used = self.team_usage.clone();
+        let mut used: HashMap<Name, Resources> = HashMap::new();
         let mut stages = Vec::new();
         for ready in ready {
             let job = &self.jobs[ready.job];
@@ -211,7 +211,9 @@
             let mut count = stage.waiting_count() as u64;
             let team = job.accepted.team.as_ref();
             if let Some(team) = team.and_then(|name| self.policy.teams.get(name)) {
-                let used = used.entry(team.name.clone()).or_default();
+                let used = used
+                    .entry(team.name.clone())
+                    .or_insert_with(|| self.team_use(&team.name));
                 let may_use_reserve = queue.priority == pool.urgent || step.long_running;
                 count = allowed_count(team, used, &step.resources, may_use_reserve, count);
                 *used = used.plus(&step.resources.times(count));
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -136,6 +136,8 @@
     pub(crate) workers: SlotMap<worker::Key, Worker>,
     pub(crate) workers_by_name: HashMap<Name, worker::Key>,
     pub(crate) team_usage: HashMap<Name, Resources>,
+    /// What teams may use beside that, on workers that have not answered, by the last pass.
+    pub(crate) possible_use: HashMap<Name, Resources>,
     /// Usage of the pools by teams.
     pub(crate) sharing: Sharing,
     pub(crate) dirty_jobs: VecDeque<JobKey>,
@@ -261,6 +263,7 @@
             workers: SlotMap::with_key(),
             workers_by_name: HashMap::new(),
             team_usage: HashMap::new(),
+            possible_use: HashMap::new(),
             sharing,
             dirty_jobs: VecDeque::new(),
             orders: Vec::new(),
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -30,6 +30,7 @@
 mod placement;
 pub mod policy;
 mod pool;
+pub mod possible_use;
 mod preemption;
 pub mod progress;
 pub mod quota;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -231,7 +231,7 @@
         let Some(name) = team else {
             return true;
         };
-        let used = self.team_usage.get(name).copied().unwrap_or_default();
+        let used = self.team_use(name);
         self.policy
             .teams
             .get(name)
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -43,6 +43,7 @@
     /// Starts the waiting tasks that can be started, and makes the preemptions and requests for
     /// advice that the others need.
     pub fn schedule(&mut self, now: Millis) {
+        self.update_possible_use(now);
         let mut ready_stages = self.ready_stages(false, now);
         if ready_stages.is_empty() {
             return;
--- a/crates/workflow/src/sharing/order.rs
+++ b/crates/workflow/src/sharing/order.rs
@@ -200,7 +200,7 @@
 
     /// Returns what a team may still use for urgent work and for other work.
     fn rooms(&self, team: &Name) -> [Resources; 2] {
-        let used = self.team_usage.get(team).copied().unwrap_or_default();
+        let used = self.team_use(team);
         let unlimited = Resources {
             cpu_millis: u64::MAX,
             memory_mib: u64::MAX,
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -49,7 +49,7 @@
 }
 
 /// Position of a task in the engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct TaskPosition {
     /// Key of the job.
     pub job: JobKey,
--- a/crates/workflow/tests/engine/main.rs
+++ b/crates/workflow/tests/engine/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod advice_budget;
 mod capacity;
+mod caps;
 mod collapse;
 mod crashes;
 mod departures;
