Start no tasks by capacities that may have shrunk long ago

Cause: nothing tied the use of a capacity to the age of what is known of it. The feed of workers that was asked just before the store's return was given up 2 s later, longer silences had no limit at all, and after a return workers tell a change only with their next heartbeat.

Change: tasks start only while the list of workers was told less than `stableWindowMs` ago; after a silence of the store it counts again once the store has been back for a heartbeat. Pools whose workers guard their capacity are exempt. Feeds that were asked while the store was silent are asked again when another call shows that it is back.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -14,7 +14,10 @@
     },
     id::Name,
 };
-use basilbridge_workflow::budget::Budget;
+use basilbridge_workflow::{
+    budget::Budget,
+    capacity, //
+};
 
 /// The settings of an entry VM, which stay the same while its process runs.
 #[derive(Debug, Clone, PartialEq)]
@@ -36,6 +39,9 @@
     /// The time after the request to evacuate a data centre from which no task may start there;
     /// `None` if none can be requested.
     pub evacuation_limit: Option<Duration>,
+    /// How long the capacity of a worker may be relied on that does not guard it; `None` if capacities
+    /// do not change.
+    pub capacity: Option<capacity::Bounds>,
     /// How long the state of a finished job is kept.
     pub retention: Duration,
     /// How long draining may take before the process ends, at least 1 s.
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -51,7 +51,7 @@
     let begun = owner.now();
     let is_valid = {
         let engine = owner.engine();
-        engine.may_send(key, &task, run) && engine.is_ticket_valid(&order, begun)
+        engine.may_send(key, &task, run, begun) && engine.is_ticket_valid(&order, begun)
     };
     let answer = if !is_valid {
         StartResult::Withheld
--- a/crates/cell/src/feed.rs
+++ b/crates/cell/src/feed.rs
@@ -69,6 +69,8 @@
 /// Rows of a table.
 pub(crate) struct Contents {
     pub(crate) rows: Vec<Row>,
+    /// When the call was sent that told them.
+    pub(crate) asked_at: Millis,
     /// The version up to which all rows and changes of the table have been passed on. Parts are read
     /// at different versions, so rows of later ones may be among the rows, and others missing.
     pub(crate) complete: Version,
@@ -138,7 +140,11 @@
                 Ok((_, version)) if version < known => {}
                 Ok((rows, version)) => {
                     let complete = version;
-                    apply(Update::All(Contents { rows, complete }));
+                    apply(Update::All(Contents {
+                        rows,
+                        asked_at: begun,
+                        complete,
+                    }));
                     node.record_feed_answer(table, begun);
                     version_read = Some(version);
                     let read_at = node.timer.now();
@@ -151,7 +157,12 @@
             node.timer.sleep(RETRY).await;
             continue;
         };
-        match node.watch(table.clone(), after, LONG_POLL_WAIT).await {
+        let answer = tokio::select! {
+            answer = node.watch(table.clone(), after, LONG_POLL_WAIT) => answer,
+            // A poll that was sent while the store was silent may get no answer at all.
+            () = node.store_return() => continue,
+        };
+        match answer {
             Ok(Some(page)) => {
                 if page.version < after {
                     node.timer.sleep(RETRY).await;
@@ -162,6 +173,7 @@
                 // Without rows it still says up to which version there are none.
                 apply(Update::Changed(Contents {
                     rows: page.rows,
+                    asked_at: begun,
                     complete: page.version,
                 }));
                 node.record_feed_answer(table, begun);
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -91,6 +91,7 @@
 pub(crate) async fn load(owner: &Owner) -> FeedStart {
     let node = &owner.node;
     let worker_table = node.clients.store.worker_table.clone();
+    let begun = owner.now();
     let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers), usage, roster, silence) = tokio::join!(
         read_parts(owner, record::job_tables()),
         read_table(owner, PROGRESS_TABLE.into()),
@@ -108,6 +109,7 @@
         Some(roster) => engine.inherit_roster(roster),
         None => engine.expect_unknown_workers(),
     }
+    engine.confirm_list(begun, node.store_returned_at());
     for row in &worker_rows {
         let text = row.value.as_deref();
         if let Some(entry) = text.and_then(|text| decode_worker(node, &row.key, text)) {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -116,6 +116,8 @@
     last: Millis,
     /// When the store answered first after the last failure; `None` if the last call failed.
     answering_since: Option<Millis>,
+    /// When the store answered again after it was silent for [`STORE_TIMEOUT`]; zero if it never was.
+    returned_at: Millis,
     /// The exponential moving average of the time to answer a call.
     mean_latency: Duration,
     /// The parts of the store whose last call failed.
@@ -153,6 +155,8 @@
     read_configuration: Notify,
     /// Signals that the configuration was read.
     configuration_read: Notify,
+    /// Signals that the store answers again after it was silent.
+    store_returned: Notify,
     latest_version: AtomicU64,
 }
 
@@ -190,6 +194,7 @@
             store_health: Mutex::new(StoreHealth {
                 last: now,
                 answering_since: None,
+                returned_at: Millis(0),
                 mean_latency: Duration::ZERO,
                 failed_parts: HashMap::new(),
             }),
@@ -198,6 +203,7 @@
             admission: Admission::new(nonce, config.retention),
             read_configuration: Notify::new(),
             configuration_read: Notify::new(),
+            store_returned: Notify::new(),
             latest_version: AtomicU64::new(0),
             config,
             timer,
@@ -404,14 +410,29 @@
         store_health.last = now;
         if store_health.answering_since.is_none() {
             store_health.answering_since = Some(now);
+            if silent >= STORE_TIMEOUT {
+                store_health.returned_at = now;
+            }
             drop(store_health);
             slog::info!(self.log, "store regained");
             if silent >= STORE_TIMEOUT {
                 self.doubt_configuration();
+                self.store_returned.notify_waiters();
             }
         }
     }
 
+    /// Returns when the store answered again after it was silent for `STORE_TIMEOUT`; zero if it never
+    /// was.
+    pub(crate) fn store_returned_at(&self) -> Millis {
+        self.lock_store_health().returned_at
+    }
+
+    /// Waits until the store answers again after it was silent for `STORE_TIMEOUT`.
+    pub(crate) async fn store_return(&self) {
+        self.store_returned.notified().await;
+    }
+
     /// Records that a peer has judged a request by `version` of the configuration; zero if unknown.
     ///
     /// The configuration is not read again for a known version: with thousands of routes a read
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -277,6 +277,8 @@
     fn apply_workers(&self, update: Update) {
         let now = self.now();
         let mut engine = self.engine();
+        let (Update::All(contents) | Update::Changed(contents)) = &update;
+        engine.confirm_list(contents.asked_at, self.node.store_returned_at());
         let (rows, all) = match update {
             Update::All(contents) => (contents.rows, true),
             Update::Changed(contents) if contents.rows.is_empty() => return,
@@ -391,6 +393,7 @@
         lease: node.config.lease(),
         max_lease: node.config.max_lease,
         evacuation_limit: node.config.evacuation_limit,
+        capacity: node.config.capacity,
         budget: node.config.budget(),
         usage_half_life: node.config.usage_half_life,
     };
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -276,6 +276,34 @@
     assert_eq!(platform.starts("j2"), 3);
 }
 
+/// Issue 56, LIMIT: a feed that was asked while the store was silent was given up seconds after the store was back, and
+/// the owner went on by the capacities of before.
+#[tokio::test]
+async fn an_owner_asks_for_the_list_of_workers_again_once_the_store_is_back() {
+    let platform = FakePlatform::new(&["w1"]);
+    let vm = start(&platform, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    submit(&vm, "j1").await;
+    until("the end of the job", async || {
+        state(&vm, "j1").await.contains("completed")
+    })
+    .await;
+
+    platform.set_store_mode("a", StoreMode::Silent);
+    until("the loss of the store", async || !vm.node.is_ready()).await;
+    platform.add_worker("w2");
+    platform.remove("workers", "w1");
+    platform.set_store_mode("a", StoreMode::Normal);
+    until("the return of the store", async || vm.node.is_ready()).await;
+    submit(&vm, "j2").await;
+    until("the end of the job", async || {
+        state(&vm, "j2").await.contains("completed")
+    })
+    .await;
+
+    assert_eq!(platform.starts_on("w2"), 3);
+}
+
 #[tokio::test]
 async fn rows_of_a_job_are_removed_after_the_retention_time() {
     let platform = FakePlatform::new(&["w1"]);
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -111,6 +111,8 @@
     NoHistory,
     /// Calls about tables whose name starts with this text fail; all others are answered.
     TableUnavailable(&'static str),
+    /// All calls fail without effect, and feeds that are asked meanwhile are never answered.
+    Silent,
     /// Writes to tables whose name starts with this text get no answer, and are carried out by
     /// [`FakePlatform::carry_out_late`].
     LateWrites(&'static str),
@@ -121,6 +123,10 @@
         matches!(self, Self::TableUnavailable(refused_table) if table.starts_with(refused_table))
     }
 
+    fn is_unavailable(self) -> bool {
+        matches!(self, Self::Unavailable | Self::Silent)
+    }
+
     fn delays_writes_to(self, table: &Name) -> bool {
         matches!(self, Self::LateWrites(late_table) if table.starts_with(late_table))
     }
@@ -193,15 +199,18 @@
             begun: Instant::now(),
         };
         for name in workers {
-            platform
-                .lock_workers()
-                .insert((*name).into(), Worker::default());
-            platform.write("workers", name, "ready");
+            platform.add_worker(name);
         }
         platform.write("operator", "configuration", "2");
         platform
     }
 
+    /// Adds a worker, which is listed at once.
+    pub(crate) fn add_worker(&self, name: &str) {
+        self.lock_workers().insert(name.into(), Worker::default());
+        self.write("workers", name, "ready");
+    }
+
     /// Writes a row as operators and workers do.
     pub(crate) fn write(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.lock();
@@ -418,7 +427,7 @@
         let mut rows = self.lock();
         let mode = rows.mode.get(vm).copied().unwrap_or_default();
         let mut tables = transaction.puts.iter().map(|put| &put.table);
-        if mode == StoreMode::Unavailable || tables.any(|table| mode.refuses_table(table)) {
+        if mode.is_unavailable() || tables.any(|table| mode.refuses_table(table)) {
             return Err(unavailable());
         }
         if transaction
@@ -495,7 +504,7 @@
             .entry((vm.clone(), range.table.clone()))
             .or_default() += 1;
         let mode = rows.mode.get(vm).copied().unwrap_or_default();
-        if mode == StoreMode::Unavailable || mode.refuses_table(&range.table) {
+        if mode.is_unavailable() || mode.refuses_table(&range.table) {
             return Err(unavailable());
         }
         let inside = |key: &String| {
@@ -537,6 +546,9 @@
             {
                 let rows = self.lock();
                 let mode = rows.mode.get(vm).copied().unwrap_or_default();
+                if mode == StoreMode::Silent {
+                    break;
+                }
                 if mode == StoreMode::Unavailable || mode.refuses_table(table) {
                     return Err(unavailable());
                 }
@@ -569,6 +581,7 @@
                 () = tokio::time::sleep_until(until) => {}
             }
         }
+        std::future::pending().await
     }
 
     async fn poll(&self, epoch: u64, order: &Poll) -> Polled {
@@ -780,6 +793,7 @@
         policy: Policy {
             queues: [(queue.name.clone(), queue)].into(),
             teams: [(team.name.clone(), team)].into(),
+            ..Policy::default()
         },
     })
 }
--- a/crates/cell/tests/cell/vm.rs
+++ b/crates/cell/tests/cell/vm.rs
@@ -52,6 +52,7 @@
         metrics: Some(any),
         max_lease: Duration::from_secs(6),
         evacuation_limit: Some(Duration::from_secs(5)),
+        capacity: None,
         retention: Duration::from_secs(120),
         drain_limit: Duration::from_secs(6),
         cpu_millis: 0,
--- a/crates/workflow/examples/passes.rs
+++ b/crates/workflow/examples/passes.rs
@@ -94,6 +94,7 @@
             .map(|queue| (queue.name.clone(), queue))
             .collect(),
         teams: teams.map(|team| (team.name.clone(), team)).collect(),
+        ..Policy::default()
     };
     let settings = Settings {
         epoch: 0,
@@ -103,6 +104,7 @@
         lease: Duration::from_millis(5500),
         max_lease: Duration::from_secs(6),
         evacuation_limit: None,
+        capacity: None,
         budget: Budget::default(),
         usage_half_life: Duration::from_secs(4 * 3600),
     };
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -39,7 +39,7 @@
     advice,
     approvals::Approvals,
     budget::Budget,
-    crash,
+    capacity, crash,
     electorate::Electorate,
     evacuation,
     event::{
@@ -118,6 +118,9 @@
     /// Time after a request to evacuate a data centre from which no task may start there; `None` if
     /// none can be evacuated.
     pub evacuation_limit: Option<Duration>,
+    /// How long the capacity of a worker may be relied on that does not guard it; `None` if capacities
+    /// do not change.
+    pub capacity: Option<capacity::Bounds>,
     /// Capacity of the owner's link.
     pub budget: Budget,
     /// Half-life of the past use of teams; zero turns it off.
@@ -151,6 +154,8 @@
     pub(crate) started_at: Millis,
     /// Time of the next check of all runs.
     pub(crate) next_tick: Millis,
+    /// Time when the list of workers was asked for that told their capacities last.
+    capacities_told_at: Millis,
     /// Workers that may still run tasks of an earlier owner and have not answered this one. `None`
     /// once such runs are either known or guaranteed to have ended.
     pub(crate) unconfirmed: Option<HashSet<Name>>,
@@ -273,6 +278,7 @@
             arrivals: Arrivals::default(),
             started_at: now,
             next_tick: now,
+            capacities_told_at: Millis(0),
             unconfirmed: (!first).then(HashSet::new),
             predecessor_ended_at,
             electorate: Electorate::default(),
@@ -638,6 +644,23 @@
         self.remove_if_unused(key);
     }
 
+    /// Records that the list of workers is known as it was at `asked_at` or later. The store answers
+    /// since `store_returned_at`, which is zero if it has not been silent.
+    pub fn confirm_list(&mut self, asked_at: Millis, store_returned_at: Millis) {
+        let bounds = self.settings.capacity;
+        if bounds.is_none_or(|bounds| bounds.is_told(asked_at, store_returned_at)) {
+            self.capacities_told_at = self.capacities_told_at.max(asked_at);
+        }
+    }
+
+    /// Returns whether tasks may be started by what the list says of the capacities in a pool.
+    pub(crate) fn trusts_capacities(&self, pool: &Name, now: Millis) -> bool {
+        self.settings.capacity.is_none_or(|bounds| {
+            self.policy.guarded_pools.contains(pool)
+                || !bounds.is_outdated(self.capacities_told_at, now)
+        })
+    }
+
     /// Returns the next poll of a worker, or `None` if the worker has ended or is not known.
     pub fn poll(&mut self, key: worker::Key, now: Millis) -> Option<Poll> {
         let lease = self.settings.lease;
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod approvals;
 pub mod availability;
 pub mod budget;
+pub mod capacity;
 pub mod crash;
 mod crash_handling;
 pub mod election;
--- a/crates/workflow/src/policy.rs
+++ b/crates/workflow/src/policy.rs
@@ -1,7 +1,10 @@
 //! Configuration of queues and teams by the operators.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -99,6 +102,8 @@
     pub queues: BTreeMap<Name, Queue>,
     /// Teams by name.
     pub teams: BTreeMap<Name, Team>,
+    /// Pools whose workers refuse what exceeds their capacity.
+    pub guarded_pools: BTreeSet<Name>,
 }
 
 impl Policy {
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -131,7 +131,7 @@
                     urgent: self.urgent_priority(name),
                     ..Pool::default()
                 });
-            if !worker.is_usable(now) {
+            if !worker.is_usable(now) || !self.trusts_capacities(&worker.info.pool, now) {
                 continue;
             }
             let summary = self.summary(key);
--- a/crates/workflow/tests/engine/capacity.rs
+++ b/crates/workflow/tests/engine/capacity.rs
@@ -1,7 +1,10 @@
 //! Workers whose capacity shrinks and grows while they run tasks.
 
+use std::time::Duration;
+
 use basilbridge_common::unit::Millis;
 use basilbridge_workflow::{
+    capacity,
     event::{
         Cause,
         Event, //
@@ -22,6 +25,7 @@
     util::{
         CHECKS,
         PLANS,
+        POOL,
         WORKER_CPU,
         accepted,
         cpu,
@@ -171,3 +175,106 @@
     assert!(huge_task.spec.check().is_err());
     assert!(!reserve::admits(&cpu(64_000), &cpu(64_000), &all));
 }
+
+/// Capacities count for 3 s and a heartbeat after they have shrunk.
+const BOUNDS: capacity::Bounds = capacity::Bounds {
+    lifetime: Duration::from_secs(3),
+    heartbeat: Duration::from_millis(1500),
+};
+
+/// Time by which starts are sent earlier.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// Stands for a store that was never silent.
+const NEVER: Millis = Millis(0);
+
+/// Returns a cell whose owner has learned the list of workers at its start and does not learn it again.
+fn cell_with_silent_list() -> Simulation {
+    let mut sim = Simulation::new(&["w1"], heavy);
+    sim.settings.capacity = Some(BOUNDS);
+    sim.take_over_from(true);
+    sim.engine.confirm_list(sim.now, NEVER);
+    sim.run(100);
+    sim
+}
+
+/// Issue 56, LIMIT: a worker had shrunk while the list of workers could not be read, and tasks went on to start by the
+/// capacity of before.
+#[test]
+fn no_task_starts_by_a_capacity_that_may_have_shrunk_long_ago() {
+    let mut sim = cell_with_silent_list();
+    let listed_at = sim.now;
+    sim.submit("early", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run(100);
+
+    sim.run(3000);
+    sim.submit("late", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run(1000);
+    let by_old = sim.starts_of("late");
+    sim.engine.confirm_list(listed_at, NEVER);
+    sim.run(100);
+    let by_older = sim.starts_of("late");
+    sim.engine.confirm_list(sim.now, NEVER);
+    sim.run(100);
+
+    assert_eq!(sim.starts_of("early"), 1);
+    assert_eq!((by_old, by_older), (0, 0));
+    assert_eq!(sim.starts_of("late"), 1);
+}
+
+/// The store was back, and workers had not told yet what had changed while it was silent.
+#[test]
+fn no_task_starts_by_a_list_that_workers_could_not_write_to() {
+    let mut sim = cell_with_silent_list();
+    sim.run(5000);
+    let returned_at = sim.now;
+    sim.submit("late", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+
+    sim.run(1400);
+    sim.engine.confirm_list(sim.now, returned_at);
+    sim.run(90);
+    let early = sim.starts_of("late");
+    sim.run(10);
+    sim.engine.confirm_list(sim.now, returned_at);
+    sim.run(100);
+
+    assert_eq!(early, 0);
+    assert_eq!(sim.starts_of("late"), 1);
+}
+
+/// A start that waited for other orders was sent when its capacity was too old.
+#[test]
+fn a_start_that_waits_is_not_sent_by_a_capacity_that_may_have_shrunk_long_ago() {
+    let mut sim = cell_with_silent_list();
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run_on(20, |_| Link::Queued);
+
+    sim.now = sim.now.after(BOUNDS.lifetime);
+    sim.send_queued();
+
+    assert_eq!(sim.starts_of("j1"), 0);
+}
+
+/// Workers that refuse what exceeds their capacity got no work in an outage of the store.
+#[test]
+fn tasks_start_by_old_capacities_where_workers_guard_them() {
+    let mut sim = cell_with_silent_list();
+    sim.policy.guarded_pools.insert(POOL.into());
+    sim.engine.set_policy(sim.policy.clone());
+
+    sim.run(10_000);
+    sim.submit("late", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
+    sim.run(100);
+
+    assert_eq!(sim.starts_of("late"), 1);
+}
+
+#[test]
+fn a_capacity_is_outdated_before_the_time_for_which_a_larger_one_counts_is_over() {
+    let told_at = Millis(1_000_000);
+    let after = |duration| BOUNDS.is_outdated(told_at, told_at.after(duration));
+
+    let last = BOUNDS.lifetime - MARGIN;
+    assert!(!after(last - Duration::from_millis(1)));
+    assert!(after(last));
+}
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -558,7 +558,7 @@
             Order::Start(start)
                 if !self
                     .engine
-                    .may_send(start.target.key, &start.task, start.run)
+                    .may_send(start.target.key, &start.task, start.run, now)
                     || !self.engine.is_ticket_valid(start, now) =>
             {
                 self.engine.handle_start_result(
--- a/crates/workflow/tests/engine/util.rs
+++ b/crates/workflow/tests/engine/util.rs
@@ -63,6 +63,7 @@
         lease: LEASE,
         max_lease: Duration::from_secs(6),
         evacuation_limit: None,
+        capacity: None,
         budget: Budget::default(),
         usage_half_life: Duration::from_secs(4 * 3600),
     }
@@ -99,6 +100,7 @@
             .map(|queue| (queue.name.clone(), queue))
             .collect(),
         teams: [(team.name.clone(), team)].into(),
+        ..Policy::default()
     }
 }
 
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -77,6 +77,7 @@
         peers: address(7402),
         metrics: None,
         max_lease: Duration::from_secs(6),
+        capacity: None,
         retention: Duration::from_secs(120),
         drain_limit: Duration::from_secs(6),
         cpu_millis: 0,
