Order the speed of best-effort tasks anew after a change of the owner

Cause: workers do not tell the speed of a run. The next owner took it for full speed and orders a speed only if it changes, so a task that had been set to 0 did no more work.

Change: the speed of a run that another owner has started is unknown until it is ordered; so is one whose order was not answered.

Evidence: PROTOCOL, Running tasks: `pace` lets a task work at that share, "100 at the task's start". The test failed before: no order was sent.

--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -77,6 +77,7 @@
         self,
         JobKey,
         Phase,
+        Run,
         TaskPosition,
         Worker, //
     },
@@ -777,9 +778,9 @@
     ) {
         let worker = self.workers.get_mut(key);
         let held = worker.and_then(|worker| worker.runs.get_mut(task));
-        if let Some(held) = held.filter(|held| held.run == run && held.throttle_percent == percent)
-        {
-            held.throttle_percent = percent.saturating_add(1);
+        let is_latest = |held: &&mut Run| held.run == run && held.throttle_percent == Some(percent);
+        if let Some(held) = held.filter(is_latest) {
+            held.throttle_percent = None;
         }
     }
 
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -39,6 +39,7 @@
         self,
         Candidate, //
     },
+    throttle::FULL_SPEED,
     worker::{
         self,
         Phase,
@@ -293,7 +294,7 @@
             percent: 0.0,
             progressed_at: now,
             measurement: 0.0,
-            throttle_percent: 100,
+            throttle_percent: Some(FULL_SPEED),
             stop_sent: None,
         };
         let start = Start {
--- a/crates/workflow/src/slowness.rs
+++ b/crates/workflow/src/slowness.rs
@@ -17,6 +17,7 @@
         Durations,
         Reading, //
     },
+    throttle::FULL_SPEED,
     worker::{
         self,
         Phase,
@@ -33,7 +34,7 @@
         let step = &job.accepted.spec.steps[job.stages[position.stage].step];
         let is_paced = !step.long_running
             && !step.best_effort
-            && run.throttle_percent == 100
+            && run.throttle_percent == Some(FULL_SPEED)
             && matches!(run.phase, Phase::Confirmed(_));
         let durations = self.durations.get(&job.accepted.queue);
         is_paced.then_some((step, durations.copied().unwrap_or_default()))
--- a/crates/workflow/src/throttle.rs
+++ b/crates/workflow/src/throttle.rs
@@ -25,6 +25,9 @@
 /// Fraction of the latency target below which they are sped up.
 const SPEED_UP_BELOW: f64 = 0.6;
 
+/// Speed of a task that is not slowed down, in percent.
+pub const FULL_SPEED: u32 = 100;
+
 /// Speed-up per poll, in percent of the full speed.
 const STEP_UP: u32 = 10;
 
@@ -36,7 +39,7 @@
     } else if tail > SLOW_DOWN_ABOVE {
         percent / 2
     } else if tail < SPEED_UP_BELOW {
-        (percent + STEP_UP).min(100)
+        (percent + STEP_UP).min(FULL_SPEED)
     } else {
         percent
     }
@@ -73,9 +76,10 @@
             let Some(run) = worker.runs.get_mut(&task) else {
                 continue;
             };
-            let percent = worst.map_or(100, |tail| next_percent(run.throttle_percent, tail));
-            if percent != run.throttle_percent {
-                run.throttle_percent = percent;
+            let current = run.throttle_percent.unwrap_or(FULL_SPEED);
+            let percent = worst.map_or(FULL_SPEED, |tail| next_percent(current, tail));
+            if run.throttle_percent != Some(percent) {
+                run.throttle_percent = Some(percent);
                 self.orders.push(Order::Throttle(Throttle {
                     target: target.clone(),
                     task,
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -24,6 +24,7 @@
         StopResult, //
     },
     stage::Stage,
+    throttle::FULL_SPEED,
     worker::{
         self,
         Phase,
@@ -249,6 +250,10 @@
             let task = &job.stages[position.stage].tasks[position.index];
             job.final_state.is_none() && task.is_unplaced() && running.run >= task.run
         });
+        let is_best_effort = position.is_none_or(|position| {
+            let job = &self.jobs[position.job];
+            job.accepted.spec.steps[job.stages[position.stage].step].best_effort
+        });
         let usage = position.map(|position| {
             let job = &self.jobs[position.job];
             let step = &job.accepted.spec.steps[job.stages[position.stage].step];
@@ -275,7 +280,8 @@
             percent: running.percent,
             progressed_at: now,
             measurement: running.measurement,
-            throttle_percent: 100,
+            // An earlier owner may have slowed it down.
+            throttle_percent: (!is_best_effort).then_some(FULL_SPEED),
             stop_sent: None,
         };
         self.add_run(key, running.task.clone(), run, now);
--- a/crates/workflow/tests/engine/evacuation.rs
+++ b/crates/workflow/tests/engine/evacuation.rs
@@ -114,7 +114,7 @@
         percent: 0.0,
         progressed_at: Millis(0),
         measurement: 0.0,
-        throttle_percent: 100,
+        throttle_percent: Some(100),
         stop_sent: None,
     }
 }
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -30,7 +30,8 @@
     lineage::Lineage,
     order::{
         AdviceRequest,
-        Order, //
+        Order,
+        Throttle, //
     },
     policy::Policy,
     progress::Progress,
@@ -105,6 +106,8 @@
     pub(crate) version: u64,
     pub(crate) events: Vec<Event>,
     pub(crate) requests: Vec<AdviceRequest>,
+    /// Orders to throttle runs.
+    pub(crate) throttles: Vec<Throttle>,
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) queued: Vec<Order>,
     pub(crate) store_down: bool,
@@ -157,6 +160,7 @@
             version: 0,
             events: Vec::new(),
             requests: Vec::new(),
+            throttles: Vec::new(),
             delayed: Vec::new(),
             queued: Vec::new(),
             store_down: false,
@@ -610,7 +614,7 @@
                 self.engine
                     .handle_stop_result(stop.target.key, &stop.task, stop.run, answer, now);
             }
-            Order::Throttle(_) => {}
+            Order::Throttle(throttle) => self.throttles.push(throttle.clone()),
             Order::RequestAdvice(request) => self.requests.push(request.clone()),
         }
     }
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -10,7 +10,10 @@
     unit::Millis,
 };
 use basilbridge_workflow::{
-    job::State,
+    job::{
+        State,
+        Step, //
+    },
     report::Outcome,
     store_clock::Reading, //
 };
@@ -191,3 +194,28 @@
     assert!(confirmed > before);
     assert!(answered > confirmed);
 }
+
+/// A best-effort task that an owner had slowed down stayed slow under the next one, which took it for one at full
+/// speed.
+#[test]
+fn a_best_effort_task_that_an_earlier_owner_may_have_slowed_down_is_sped_up_once() {
+    let mut sim = Simulation::new(&["w1"], |_, _| (60_000, Outcome::Done, CORE));
+    let best_effort = Step {
+        best_effort: true,
+        ..step(1, CORE)
+    };
+    let steps = vec![best_effort, step(1, CORE)];
+    sim.submit("j1", accepted(CHECKS, sim.now, steps));
+    sim.run(200);
+    let before = sim.throttles.len();
+
+    sim.take_over_from(true);
+    sim.run(500);
+
+    let after = sim
+        .throttles
+        .iter()
+        .map(|throttle| (throttle.task.step, throttle.percent));
+    assert_eq!(before, 0);
+    assert_eq!(after.collect::<Vec<_>>(), [(0, 100)]);
+}
