Tell the age of capacities in the log; wrap comments

An on-call reader could not see why nothing starts during an outage: the owner's line `load` now has `capacity_age_ms`.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -39,8 +39,8 @@
     /// The time after the request to evacuate a data centre from which no task may start there;
     /// `None` if none can be requested.
     pub evacuation_limit: Option<Duration>,
-    /// How long the capacity of a worker may be relied on that does not guard it; `None` if capacities
-    /// do not change.
+    /// How long the capacity of a worker may be relied on that does not guard it; `None` if
+    /// capacities do not change.
     pub capacity: Option<capacity::Bounds>,
     /// How long the state of a finished job is kept.
     pub retention: Duration,
--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -53,7 +53,8 @@
 /// The delay before a read that returned outdated rows is repeated.
 const RETRY: Duration = Duration::from_millis(80);
 
-/// How often a write is tried whose condition fails because another caller has just changed the row.
+/// How often a write is tried whose condition fails because another caller has just changed the
+/// row.
 const MAX_ATTEMPTS: u32 = 3;
 
 /// The part of a caller's deadline that is reserved for sending the response.
@@ -97,8 +98,8 @@
     }
 }
 
-/// Replaces the row of a job, which has `version`, and returns the row that is there instead if it has
-/// not. Its version is zero if there is none.
+/// Replaces the row of a job, which has `version`, and returns the row that is there instead if it
+/// has not. Its version is zero if there is none.
 async fn replace_job_row(
     node: &Node,
     id: &str,
@@ -239,9 +240,9 @@
 /// Stores the cancellation of a job and notifies the owner. Has no effect if it was cancelled
 /// before.
 ///
-/// Fails with [`Kind::Gone`] if there is no such job, once it is certain that a submission of it which
-/// is stored later does not run, and with [`Kind::Overloaded`] if the client account `team` has
-/// cancelled too many such jobs.
+/// Fails with [`Kind::Gone`] if there is no such job, once it is certain that a submission of it
+/// which is stored later does not run, and with [`Kind::Overloaded`] if the client account `team`
+/// has cancelled too many such jobs.
 pub(crate) async fn cancel(
     node: &Arc<Node>,
     id: &str,
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -109,7 +109,7 @@
         Some(roster) => engine.inherit_roster(roster),
         None => engine.expect_unknown_workers(),
     }
-    engine.confirm_list(begun, node.store_returned_at());
+    engine.confirm_capacities(begun, node.store_returned_at());
     for row in &worker_rows {
         let text = row.value.as_deref();
         if let Some(entry) = text.and_then(|text| decode_worker(node, &row.key, text)) {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -116,7 +116,8 @@
     last: Millis,
     /// When the store answered first after the last failure; `None` if the last call failed.
     answering_since: Option<Millis>,
-    /// When the store answered again after it was silent for [`STORE_TIMEOUT`]; zero if it never was.
+    /// When the store answered again after it was silent for [`STORE_TIMEOUT`]; zero if it never
+    /// was.
     returned_at: Millis,
     /// The exponential moving average of the time to answer a call.
     mean_latency: Duration,
@@ -422,8 +423,8 @@
         }
     }
 
-    /// Returns when the store answered again after it was silent for `STORE_TIMEOUT`; zero if it never
-    /// was.
+    /// Returns when the store answered again after it was silent for `STORE_TIMEOUT`; zero if it
+    /// never was.
     pub(crate) fn store_returned_at(&self) -> Millis {
         self.lock_store_health().returned_at
     }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -278,7 +278,7 @@
         let now = self.now();
         let mut engine = self.engine();
         let (Update::All(contents) | Update::Changed(contents)) = &update;
-        engine.confirm_list(contents.asked_at, self.node.store_returned_at());
+        engine.confirm_capacities(contents.asked_at, self.node.store_returned_at());
         let (rows, all) = match update {
             Update::All(contents) => (contents.rows, true),
             Update::Changed(contents) if contents.rows.is_empty() => return,
--- a/crates/cell/src/report.rs
+++ b/crates/cell/src/report.rs
@@ -61,9 +61,13 @@
         node.timer.sleep(LOAD_INTERVAL).await;
         let now = (node.timer.now(), profile.totals());
         let usage = profile::usage(&before.1, &now.1, now.0.since(before.0));
-        let load = owner.engine().load(now.0);
+        let (load, capacity_age) = {
+            let engine = owner.engine();
+            (engine.load(now.0), engine.capacity_age(now.0))
+        };
         slog::info!(node.log, "load"; "epoch" => owner.epoch(), "busy_percent" => usage.busy_percent,
             "parts" => usage.parts, "late_ms" => profile.take_lateness().as_millis() as u64,
+            "capacity_age_ms" => capacity_age.as_millis() as u64,
             "unanswered" => load.unanswered, "stopping" => load.stopping, "silent" => load.silent,
             "waiting" => waiting(&load));
         before = now;
--- a/crates/cell/src/sweep.rs
+++ b/crates/cell/src/sweep.rs
@@ -74,8 +74,8 @@
     Ok(true)
 }
 
-/// Returns the transactions that remove the jobs and their cancellations. Each is about one part of the
-/// job table.
+/// Returns the transactions that remove the jobs and their cancellations. Each is about one part of
+/// the job table.
 pub fn job_removals(ids: &[Name]) -> Vec<Vec<Put>> {
     let mut parts: BTreeMap<Name, Vec<Put>> = BTreeMap::new();
     for id in ids {
--- a/crates/cell/src/tombstone.rs
+++ b/crates/cell/src/tombstone.rs
@@ -1,8 +1,8 @@
 //! Rows that stand in the place of a job which was cancelled before it was stored.
 //!
 //! A submission is stored on the condition that there is no row of its job, and the store may carry
-//! out a write without an answer much later. So a cancellation that finds no job leaves a row, on which
-//! that write fails. See `docs/design/cancellations.md`.
+//! out a write without an answer much later. So a cancellation that finds no job leaves a row, on
+//! which that write fails. See `docs/design/cancellations.md`.
 
 use basilbridge_platform::table::Row;
 
--- a/crates/cell/tests/cell/cancellations.rs
+++ b/crates/cell/tests/cell/cancellations.rs
@@ -41,8 +41,8 @@
     .await;
 }
 
-/// A job ran after its cancellation was acknowledged (UNASKED): its submission got no answer and was carried out by
-/// the store after that.
+/// A job ran after its cancellation was acknowledged (UNASKED): its submission got no answer and
+/// was carried out by the store after that.
 #[tokio::test]
 async fn a_job_that_is_stored_after_its_cancellation_does_not_run() {
     let platform = FakePlatform::new(&["w1"]);
@@ -66,8 +66,8 @@
     assert_eq!(call(&vm, Method::GET, "j1", "").await.0, StatusCode::GONE);
 }
 
-/// A job ran after its cancellation was acknowledged (UNASKED): a request with its name arrived again later, at another
-/// VM or after a change of the owner.
+/// A job ran after its cancellation was acknowledged (UNASKED): a request with its name arrived
+/// again later, at another VM or after a change of the owner.
 #[tokio::test]
 async fn a_job_that_is_submitted_again_after_its_cancellation_is_shown_as_cancelled() {
     let platform = FakePlatform::new(&["w1"]);
--- a/crates/cell/tests/cell/elections.rs
+++ b/crates/cell/tests/cell/elections.rs
@@ -276,8 +276,8 @@
     assert_eq!(platform.starts("j2"), 3);
 }
 
-/// Issue 56, LIMIT: a feed that was asked while the store was silent was given up seconds after the store was back, and
-/// the owner went on by the capacities of before.
+/// Issue 56, LIMIT: a feed that was asked while the store was silent was given up seconds after the
+/// store was back, and the owner went on by the capacities of before.
 #[tokio::test]
 async fn an_owner_asks_for_the_list_of_workers_again_once_the_store_is_back() {
     let platform = FakePlatform::new(&["w1"]);
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -254,8 +254,8 @@
         self.changed.notify_waiters();
     }
 
-    /// Carries out the writes that got no answer, if their conditions still hold. Returns how many there
-    /// were.
+    /// Carries out the writes that got no answer, if their conditions still hold. Returns how many
+    /// there were.
     pub(crate) fn carry_out_late(&self) -> usize {
         let late = std::mem::take(&mut self.lock().late);
         for transaction in &late {
--- a/crates/cell/tests/cell/sweep.rs
+++ b/crates/cell/tests/cell/sweep.rs
@@ -4,7 +4,8 @@
 use basilbridge_common::id::Name;
 use basilbridge_platform::table::Put;
 
-/// Jobs a second that finish at the size for which the users plan: 1,900 starts a second, of 12 tasks a job.
+/// Jobs a second that finish at the size for which the users plan: 1,900 starts a second, of 12
+/// tasks a job.
 const JOBS_PER_SECOND: u64 = 160;
 
 /// Entries that a transaction of the store holds at most.
--- a/crates/workflow/src/admission/tombstones.rs
+++ b/crates/workflow/src/admission/tombstones.rs
@@ -1,8 +1,9 @@
 //! How many cancellations of unknown jobs are stored.
 //!
-//! Such a cancellation leaves a row in the store, since the submission of the job may still arrive. The load that
-//! this answers: a client account cancels jobs that do not exist, as fast as it can. Its rows must not fill the
-//! store, nor keep other client accounts from cancelling. See `docs/design/cancellations.md`.
+//! Such a cancellation leaves a row in the store, since the submission of the job may still arrive.
+//! The load that this answers: a client account cancels jobs that do not exist, as fast as it can.
+//! Its rows must not fill the store, nor keep other client accounts from cancelling. See
+//! `docs/design/cancellations.md`.
 
 use std::{
     collections::{
--- a/crates/workflow/src/capacity.rs
+++ b/crates/workflow/src/capacity.rs
@@ -1,7 +1,7 @@
 //! How long the capacities in the list of workers may be relied on.
 //!
-//! The load that this answers: workers shrink while the store is silent. They can't tell it, the list can't be
-//! read, and tasks that go on to start find no room. See `docs/design/evidence.md`.
+//! The load that this answers: workers shrink while the store is silent. They can't tell it, the
+//! list can't be read, and tasks that go on to start find no room. See `docs/design/capacities.md`.
 
 use std::time::Duration;
 
@@ -20,14 +20,15 @@
 }
 
 impl Bounds {
-    /// Returns whether the list, asked for at `asked_at`, tells what all workers had a heartbeat before. After a
-    /// silence the store has to be back for a heartbeat, since `store_returned_at`.
+    /// Returns whether the list that was asked for at `asked_at` has all capacities of one
+    /// heartbeat before. The store was silent until `store_returned_at`, and workers could not
+    /// write to it; zero stands for never.
     pub fn is_told(&self, asked_at: Millis, store_returned_at: Millis) -> bool {
         store_returned_at == Millis(0) || asked_at >= store_returned_at.after(self.heartbeat)
     }
 
-    /// Returns whether capacities that were told by a list which was asked for at `told_at` are too old to start
-    /// tasks by.
+    /// Returns whether capacities that were told by a list which was asked for at `told_at` are too
+    /// old to start tasks by.
     pub fn is_outdated(&self, told_at: Millis, now: Millis) -> bool {
         now.since(told_at) >= self.lifetime.saturating_sub(START_MARGIN)
     }
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -119,8 +119,8 @@
     /// Time after a request to evacuate a data centre from which no task may start there; `None` if
     /// none can be evacuated.
     pub evacuation_limit: Option<Duration>,
-    /// How long the capacity of a worker may be relied on that does not guard it; `None` if capacities
-    /// do not change.
+    /// How long the capacity of a worker may be relied on that does not guard it; `None` if
+    /// capacities do not change.
     pub capacity: Option<capacity::Bounds>,
     /// Capacity of the owner's link.
     pub budget: Budget,
@@ -211,8 +211,8 @@
     retired_ids: HashSet<Name>,
     /// Evacuated data centres and what moves away from them.
     pub(crate) evacuation: evacuation::Evacuation,
-    /// Tasks that workers which had stopped to answer the previous owner may run, or whose ends only
-    /// they know, by worker. They wait until the worker answers or its leases are over.
+    /// Tasks that workers which had stopped to answer the previous owner may run, or whose ends
+    /// only they know, by worker. They wait until the worker answers or its leases are over.
     pub(crate) held: BTreeMap<Name, silence::Held>,
     /// Starts of long-running tasks that are sent once they are stored, by task.
     pub(crate) unstored_starts: HashMap<TaskId, Start>,
@@ -646,15 +646,21 @@
         self.remove_if_unused(key);
     }
 
-    /// Records that the list of workers is known as it was at `asked_at` or later. The store answers
-    /// since `store_returned_at`, which is zero if it has not been silent.
-    pub fn confirm_list(&mut self, asked_at: Millis, store_returned_at: Millis) {
+    /// Records that the list of workers, and the capacities in it, are known as they were at
+    /// `asked_at` or later. The store was silent until `store_returned_at`; zero stands for never.
+    pub fn confirm_capacities(&mut self, asked_at: Millis, store_returned_at: Millis) {
         let bounds = self.settings.capacity;
         if bounds.is_none_or(|bounds| bounds.is_told(asked_at, store_returned_at)) {
             self.capacities_told_at = self.capacities_told_at.max(asked_at);
         }
     }
 
+    /// Returns the time since the capacities of the workers were asked for that are known, or since
+    /// this owner began.
+    pub fn capacity_age(&self, now: Millis) -> Duration {
+        now.since(self.capacities_told_at.max(self.started_at))
+    }
+
     /// Returns whether tasks may be started by what the list says of the capacities in a pool.
     pub(crate) fn trusts_capacities(&self, pool: &Name, now: Millis) -> bool {
         self.settings.capacity.is_none_or(|bounds| {
--- a/crates/workflow/src/possible_use.rs
+++ b/crates/workflow/src/possible_use.rs
@@ -1,8 +1,9 @@
 //! What client accounts may have running on workers that have not answered.
 //!
-//! A new owner learns what runs from the workers. Until a worker has answered, or its leases are over, what it may
-//! still run counts against the caps of client accounts like what is known to run. The load that this answers: an account at
-//! its cap submits more work right after a change of the owner, while a worker is silent. See `docs/design/caps.md`.
+//! A new owner learns what runs from the workers. Until a worker has answered, or its leases are
+//! over, what it may still run counts against the caps of client accounts like what is known to
+//! run. The load that this answers: an account at its cap submits more work right after a change of
+//! the owner, while a worker is silent. See `docs/design/caps.md`.
 
 use std::collections::{
     HashMap,
@@ -35,8 +36,8 @@
     pub after: &'a [usize],
 }
 
-/// Returns the most that unseen tasks of these steps may use at one time, or a little more: a step never runs
-/// beside one that has to be done first.
+/// Returns the most that unseen tasks of these steps may use at one time, or a little more: a step
+/// never runs beside one that has to be done first.
 pub fn at_one_time(steps: &[Unseen<'_>]) -> Resources {
     let mut highest: Vec<Resources> = Vec::with_capacity(steps.len());
     let mut is_last = vec![true; steps.len()];
@@ -100,8 +101,8 @@
         self.possible_use = possible;
     }
 
-    /// Returns the tasks that a worker may run by a record of an earlier owner, and that are not known to
-    /// run elsewhere. Those that wait for a stored start count already.
+    /// Returns the tasks that a worker may run by a record of an earlier owner, and that are not
+    /// known to run elsewhere. Those that wait for a stored start count already.
     fn recorded_runs(&self) -> HashSet<TaskPosition> {
         let tasks = self.held.values().flat_map(|held| &held.running);
         let positions = tasks.filter(|task| !self.awaits_start(task));
@@ -111,8 +112,8 @@
         positions.filter(is_unplaced).collect()
     }
 
-    /// Returns what each client account with a cap may have running on workers of which it is not known what
-    /// they run. `recorded` are left out.
+    /// Returns what each client account with a cap may have running on workers of which it is not
+    /// known what they run. `recorded` are left out.
     fn unseen_uses(&self, recorded: &HashSet<TaskPosition>, now: Millis) -> HashMap<Name, Use> {
         let mut uses: HashMap<Name, Use> = HashMap::new();
         if self.is_settled() {
@@ -156,8 +157,9 @@
         uses
     }
 
-    /// Returns the capacity of the workers of which it is not known what they run, or `None` if it is not known
-    /// which these are. Each counts as the largest worker, since some have shrunk and some are not listed.
+    /// Returns the capacity of the workers of which it is not known what they run, or `None` if it
+    /// is not known which these are. Each counts as the largest worker, since some have shrunk and
+    /// some are not listed.
     fn unseen_capacity(&self) -> Option<Resources> {
         let names = self.unconfirmed.as_ref()?;
         if names.contains(UNKNOWN) {
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -94,8 +94,8 @@
     /// Tail latency in milliseconds, or the processor time in use in thousandths of a core,
     /// depending on the task.
     pub measurement: f64,
-    /// Last ordered speed, in percent of the full speed; `None` if it is not known which one took effect
-    /// last.
+    /// Last ordered speed, in percent of the full speed; `None` if it is not known which one took
+    /// effect last.
     pub throttle_percent: Option<u32>,
     /// Time when a stop was last sent.
     pub stop_sent: Option<Millis>,
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -483,8 +483,8 @@
     }
 
     /// Returns whether a start may be sent that has waited for other orders to its worker: the run is
-    /// still wanted, and the worker neither leaves nor is evacuated nor has shrunk, or may have, below
-    /// what it is to run.
+    /// still wanted, and the worker neither leaves nor is evacuated nor has shrunk, or may have,
+    /// below what it is to run.
     pub fn may_send(&self, key: worker::Key, task: &TaskId, run: u32, now: Millis) -> bool {
         let Some(worker) = self.workers.get(key) else {
             return false;
--- a/crates/workflow/tests/engine/capacity.rs
+++ b/crates/workflow/tests/engine/capacity.rs
@@ -188,18 +188,19 @@
 /// Stands for a store that was never silent.
 const NEVER: Millis = Millis(0);
 
-/// Returns a cell whose owner has learned the list of workers at its start and does not learn it again.
+/// Returns a cell whose owner has learned the list of workers at its start and does not learn it
+/// again.
 fn cell_with_silent_list() -> Simulation {
     let mut sim = Simulation::new(&["w1"], heavy);
     sim.settings.capacity = Some(BOUNDS);
     sim.take_over_from(true);
-    sim.engine.confirm_list(sim.now, NEVER);
+    sim.engine.confirm_capacities(sim.now, NEVER);
     sim.run(100);
     sim
 }
 
-/// Issue 56, LIMIT: a worker had shrunk while the list of workers could not be read, and tasks went on to start by the
-/// capacity of before.
+/// Issue 56, LIMIT: a worker had shrunk while the list of workers could not be read, and tasks went
+/// on to start by the capacity of before.
 #[test]
 fn no_task_starts_by_a_capacity_that_may_have_shrunk_long_ago() {
     let mut sim = cell_with_silent_list();
@@ -211,10 +212,10 @@
     sim.submit("late", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
     sim.run(1000);
     let by_old = sim.starts_of("late");
-    sim.engine.confirm_list(listed_at, NEVER);
+    sim.engine.confirm_capacities(listed_at, NEVER);
     sim.run(100);
     let by_older = sim.starts_of("late");
-    sim.engine.confirm_list(sim.now, NEVER);
+    sim.engine.confirm_capacities(sim.now, NEVER);
     sim.run(100);
 
     assert_eq!(sim.starts_of("early"), 1);
@@ -231,11 +232,11 @@
     sim.submit("late", accepted(CHECKS, sim.now, vec![step(1, 20 * CORE)]));
 
     sim.run(1400);
-    sim.engine.confirm_list(sim.now, returned_at);
+    sim.engine.confirm_capacities(sim.now, returned_at);
     sim.run(90);
     let early = sim.starts_of("late");
     sim.run(10);
-    sim.engine.confirm_list(sim.now, returned_at);
+    sim.engine.confirm_capacities(sim.now, returned_at);
     sim.run(100);
 
     assert_eq!(early, 0);
--- a/crates/workflow/tests/engine/caps.rs
+++ b/crates/workflow/tests/engine/caps.rs
@@ -1,4 +1,5 @@
-//! Caps of client accounts after a change of the owner, while a worker does not answer. See `docs/design/caps.md`.
+//! Caps of client accounts after a change of the owner, while a worker does not answer. See
+//! `docs/design/caps.md`.
 
 use basilbridge_common::id::Name;
 use basilbridge_workflow::{
@@ -48,7 +49,8 @@
 
 const LONG: Behaviour = |_, _| (9000, Outcome::Done, TASK_CPU);
 
-/// When the worker falls silent: so long before the change of the owner that it is recorded, or just then.
+/// When the worker falls silent: so long before the change of the owner that it is recorded, or
+/// just then.
 #[derive(Debug, Clone, Copy)]
 enum Silence {
     Recorded,
@@ -68,8 +70,8 @@
     vec![step(count, TASK_CPU)]
 }
 
-/// Creates a cell of six workers, of which one does not answer a new owner. The account has a cap of `cap` tasks,
-/// and a job of `steps` that has begun on that worker.
+/// Creates a cell of six workers, of which one does not answer a new owner. The account has a cap
+/// of `cap` tasks, and a job of `steps` that has begun on that worker.
 fn cell(cap: u64, steps: Vec<Step>, silence: Silence) -> Simulation {
     let mut sim = Simulation::new(&[SILENT], LONG);
     sim.policy = policy(cap * TASK_CPU);
@@ -108,7 +110,8 @@
     workers.map(|worker| worker.running.len()).sum()
 }
 
-/// An account at its cap ran twice as much: what a silent worker ran did not count under a new owner (QUOTA).
+/// An account at its cap ran twice as much: what a silent worker ran did not count under a new
+/// owner (QUOTA).
 #[test]
 fn an_account_at_its_cap_starts_nothing_until_a_silent_worker_answers_or_has_no_lease() {
     for silence in SILENCES {
@@ -132,7 +135,8 @@
     }
 }
 
-/// A cap that counts what may run held back an account below it, or counted a run twice once it was known.
+/// A cap that counts what may run held back an account below it, or counted a run twice once it was
+/// known.
 #[test]
 fn an_account_below_its_cap_starts_as_much_as_its_cap_leaves_at_once() {
     for silence in SILENCES {
--- a/crates/workflow/tests/engine/silence.rs
+++ b/crates/workflow/tests/engine/silence.rs
@@ -221,8 +221,8 @@
     assert!(sim.silence.workers.is_empty());
 }
 
-/// Creates a cell whose owner has read the ends of two tasks of the dark worker and could not store them. Then the
-/// worker goes dark, or is about to leave.
+/// Creates a cell whose owner has read the ends of two tasks of the dark worker and could not store
+/// them. Then the worker goes dark, or is about to leave.
 fn cell_with_unstored_ends(behaviour: Behaviour, is_leaving: bool) -> Simulation {
     let mut sim = Simulation::new(&[DARK], behaviour);
     sim.submit("pair", accepted(CHECKS, sim.now, vec![step(2, 20 * CORE)]));
@@ -239,8 +239,9 @@
     sim
 }
 
-/// An owner had read ends and not stored them when their worker fell silent, or while it was about to leave. It
-/// recorded that the worker ran nothing, and its successor started the tasks again (TWICE, BUDGET).
+/// An owner had read ends and not stored them when their worker fell silent, or while it was about
+/// to leave. It recorded that the worker ran nothing, and its successor started the tasks again
+/// (TWICE, BUDGET).
 #[test]
 fn tasks_whose_ends_are_read_and_not_stored_are_not_started_again_by_the_next_owner() {
     const DONE: Behaviour = |_, _| (1000, Outcome::Done, 20 * CORE);
--- a/crates/workflow/tests/engine/simulation.rs
+++ b/crates/workflow/tests/engine/simulation.rs
@@ -111,7 +111,8 @@
     pub(crate) delayed: Vec<DelayedOrder>,
     pub(crate) queued: Vec<Order>,
     pub(crate) store_down: bool,
-    /// Whether answers to writes of progress are lost, which are not carried out. All else is stored.
+    /// Whether answers to writes of progress are lost, which are not carried out. All else is
+    /// stored.
     pub(crate) progress_is_lost: bool,
     /// The stored names of workers that may run something.
     pub(crate) roster: Roster,
--- a/crates/workflow/tests/engine/takeovers.rs
+++ b/crates/workflow/tests/engine/takeovers.rs
@@ -195,8 +195,8 @@
     assert!(answered > confirmed);
 }
 
-/// A best-effort task that an owner had slowed down stayed slow under the next one, which took it for one at full
-/// speed.
+/// A best-effort task that an owner had slowed down stayed slow under the next one, which took it
+/// for one at full speed.
 #[test]
 fn a_best_effort_task_that_an_earlier_owner_may_have_slowed_down_is_sped_up_once() {
     let mut sim = Simulation::new(&["w1"], |_, _| (60_000, Outcome::Done, CORE));
