--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod proxy;
 mod run;
 mod vm;
+mod withdrawal;
 
 use std::{
     env,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -346,6 +346,13 @@
         let crowd = crowd.clone();
         tokio::spawn(async move { crowd.press(random, length).await })
     };
+    let withdrawing = {
+        let (crowd, random) = (
+            crowd.clone(),
+            SmallRng::seed_from_u64(!seed.rotate_left(48)),
+        );
+        tokio::spawn(async move { crowd.press_withdrawn(random, length).await })
+    };
     let mut noted = 0;
     let begun = Instant::now();
     let mut steps: Vec<(Duration, bool, usize)> = Vec::new();
@@ -371,6 +378,7 @@
     }
     callers.await.expect("the callers do not panic");
     let lasting = lasting.await.expect("the callers do not panic");
+    let withdrawn = withdrawing.await.expect("the callers do not panic");
     cell.heal().expect("a process starts");
     cell.fleet.begin_calm();
     let mut others: Vec<String> = crowd.book().fates.keys().cloned().collect();
@@ -388,10 +396,10 @@
             }
         }
     }
-    report(&crowd, &cell, faults.len())
+    report(&crowd, &cell, &withdrawn, faults.len())
 }
 
-fn report(crowd: &Crowd, cell: &Cell, faults: usize) -> Report {
+fn report(crowd: &Crowd, cell: &Cell, withdrawn: &[String], faults: usize) -> Report {
     let book = crowd.book();
     let count = |wanted: Fate| book.fates.values().filter(|fate| **fate == wanted).count();
     let mut broken = cell.fleet.violations();
@@ -403,6 +411,9 @@
     for (id, _) in refused.filter(|(id, _)| cell.fleet.has_started(id)) {
         broken.push(format!("REFUSED: {id} has run"));
     }
+    for id in withdrawn.iter().filter(|id| cell.fleet.has_started(id)) {
+        broken.push(format!("UNASKED: {id} has run and was cancelled before"));
+    }
     Report {
         accepted: count(Fate::Accepted),
         refused: count(Fate::Refused),
