--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -78,7 +78,7 @@
     }
 }
 
-/// What came of a conditional write.
+/// The outcome of a conditional write.
 enum Written {
     Committed(Version),
     /// A check failed; these are the rows that the checks name, as far as there are any.
@@ -98,8 +98,8 @@
     }
 }
 
-/// Replaces the row of a job, which has `version`, and returns the row that is there instead if it
-/// has not. Its version is zero if there is none.
+/// Replaces the row of a job if it has `version`. Returns its new version, or else the row that was
+/// found, without a value if there is none.
 async fn replace_job_row(
     node: &Node,
     id: &str,
--- a/crates/workflow/src/possible_use.rs
+++ b/crates/workflow/src/possible_use.rs
@@ -5,9 +5,12 @@
 //! run. The load that this answers: an account at its cap submits more work right after a change of
 //! the owner, while a worker is silent. See `docs/design/caps.md`.
 
-use std::collections::{
-    HashMap,
-    HashSet, //
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    ops::Range, //
 };
 
 use basilbridge_common::{
@@ -24,7 +27,10 @@
     job::Step,
     stage::Task,
     takeover::UNKNOWN,
-    worker::TaskPosition, //
+    worker::{
+        JobKey,
+        TaskPosition, //
+    },
 };
 
 /// A step, and what its tasks may use that may be running unseen.
@@ -128,30 +134,23 @@
                 continue;
             }
             let used = uses.entry(team.name.clone()).or_default();
-            let steps = job.accepted.spec.steps.len();
-            for first in (0..job.stages.len()).step_by(steps.max(1)) {
-                let unseen_tasks = |stage: usize| {
-                    let tasks = job.stages[stage].tasks.iter().enumerate();
-                    let unseen = tasks.filter(|(index, task)| {
-                        let position = TaskPosition {
-                            job: key,
-                            stage,
-                            index: *index,
+            for stages in job.occurrences() {
+                let at_one_time = |is_best_effort: bool| {
+                    let unseen = stages.clone().map(|stage| {
+                        let step = job.step_of(stage);
+                        let tasks = match step.best_effort == is_best_effort {
+                            true => job.unseen_tasks(key, stage, recorded, now),
+                            false => 0,
                         };
-                        task.is_unplaced() && !recorded.contains(&position)
+                        Unseen {
+                            resources: step.resources.times(tasks),
+                            after: &step.after,
+                        }
                     });
-                    unseen.count() as u64
-                };
-                let stages = first..first + steps;
-                let of_kind = |is_best_effort: bool| {
-                    let unseen: Vec<Unseen<'_>> = stages
-                        .clone()
-                        .map(|stage| job.unseen(stage, is_best_effort, unseen_tasks, now))
-                        .collect();
-                    at_one_time(&unseen)
+                    at_one_time(&unseen.collect::<Vec<_>>())
                 };
-                used.reserved = used.reserved.plus(&of_kind(false));
-                used.best_effort = used.best_effort.plus(&of_kind(true));
+                used.reserved = used.reserved.plus(&at_one_time(false));
+                used.best_effort = used.best_effort.plus(&at_one_time(true));
             }
         }
         uses
@@ -176,14 +175,21 @@
         &self.accepted.spec.steps[self.stages[stage].step]
     }
 
-    /// Returns what tasks of a stage may use that run unseen, of which there are `unseen_tasks`.
-    fn unseen(
+    /// Returns the stages of each occurrence.
+    fn occurrences(&self) -> impl Iterator<Item = Range<usize>> {
+        let steps = self.accepted.spec.steps.len().max(1);
+        let firsts = (0..self.stages.len()).step_by(steps);
+        firsts.map(move |first| first..first + steps)
+    }
+
+    /// Returns how many tasks of a stage may run unseen. `recorded` are left out.
+    fn unseen_tasks(
         &self,
+        job: JobKey,
         stage: usize,
-        is_best_effort: bool,
-        unseen_tasks: impl Fn(usize) -> u64,
+        recorded: &HashSet<TaskPosition>,
         now: Millis,
-    ) -> Unseen<'_> {
+    ) -> u64 {
         let step = self.step_of(stage);
         let first = stage - self.stages[stage].step;
         // What an earlier step is known to run shows that this one has not begun.
@@ -191,14 +197,20 @@
             let mut tasks = self.stages[first + index].tasks.iter();
             tasks.any(|task| !task.done && task.worker.is_some())
         };
-        let may_have_begun = self.stages[stage].due <= now && !step.after.iter().any(is_running);
         // Stored starts tell where those run.
         let is_stored = step.long_running && self.starts_are_stored;
-        let counts = may_have_begun && !is_stored && step.best_effort == is_best_effort;
-        let tasks = if counts { unseen_tasks(stage) } else { 0 };
-        Unseen {
-            resources: step.resources.times(tasks),
-            after: &step.after,
+        if self.stages[stage].due > now || is_stored || step.after.iter().any(is_running) {
+            return 0;
         }
+        let tasks = self.stages[stage].tasks.iter().enumerate();
+        let unseen = tasks.filter(|(index, task)| {
+            let position = TaskPosition {
+                job,
+                stage,
+                index: *index,
+            };
+            task.is_unplaced() && !recorded.contains(&position)
+        });
+        unseen.count() as u64
     }
 }
