Compute the times of a job once for all its stages

Cause: the scheduling pass, the outlook and the order by share each computed the critical path of the job, which visits all its steps, for each of its stages.

Change: the times are computed once a job. They depend on the job only, so the order of work is the same.

--- a/crates/workflow/src/admission/backlog.rs
+++ b/crates/workflow/src/admission/backlog.rs
@@ -60,6 +60,7 @@
         Stage,
         Verdict, //
     },
+    worker::JobKey,
 };
 
 /// Part of a job's slack that waiting for one resource may use up. The rest is left for errors of
@@ -110,6 +111,8 @@
         let mut short: BTreeSet<Resource> = BTreeSet::new();
         let mut counts: HashMap<Name, u32> = HashMap::new();
         let (mut last_job, mut last_place) = (None, None);
+        // Stages of one job have the same slack, which takes a visit of all its steps.
+        let mut slacks: HashMap<JobKey, Duration> = HashMap::new();
         for stage in &waiting {
             let Some(queue) = self.policy.queues.get(&stage.queue) else {
                 continue;
@@ -125,7 +128,9 @@
             }
             let is_within_rate = place.0 <= Band::Late && !stage.long_running;
             if is_within_rate {
-                let limit = self.slack(stage).as_secs_f64() * SLACK_FRACTION;
+                let slack = slacks.entry(stage.ready.job);
+                let slack = *slack.or_insert_with(|| self.slack(stage));
+                let limit = slack.as_secs_f64() * SLACK_FRACTION;
                 if stage.waited.as_secs_f64() > limit {
                     short.extend(self.awaited(stage, queue, &pools[&queue.pool]));
                 }
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -1,6 +1,9 @@
 //! The scheduling pass: starts, preemptions and requests for advice for waiting stages.
 
-use std::time::Duration;
+use std::{
+    cell::LazyCell,
+    time::Duration, //
+};
 
 use basilbridge_common::{
     id::Name,
@@ -99,6 +102,11 @@
             let Some(queue) = self.queue(job) else {
                 continue;
             };
+            // Both are the same for all stages, and take a visit of all steps.
+            let times = LazyCell::new(|| {
+                let objective = objective(queue, &job.accepted);
+                (objective, job.remaining_critical_path())
+            });
             for (stage_index, stage) in job.stages.iter().enumerate() {
                 if stage.is_complete() || !job.is_stage_ready(stage_index, now) {
                     continue;
@@ -113,16 +121,17 @@
                     continue;
                 }
                 let waiting_tasks = stage.tasks.iter().filter(|task| task.is_waiting());
+                let (objective, remaining) = *times;
                 let input = RankInput {
                     priority: queue.priority,
                     start: job.accepted.accepted_at.max(stage.due),
-                    objective: objective(queue, &job.accepted),
+                    objective,
                     long_running: step.long_running,
                     waiting_since: waiting_tasks
                         .map(|task| task.waiting_since)
                         .min()
                         .unwrap_or(now),
-                    remaining: job.remaining_critical_path(),
+                    remaining,
                     over_quota: job.over_quota,
                 };
                 ready.push(Ready {
--- a/crates/workflow/src/sharing/order.rs
+++ b/crates/workflow/src/sharing/order.rs
@@ -41,6 +41,7 @@
         },
         past, //
     },
+    worker::JobKey,
 };
 
 /// Stages of one pool that are all in its most urgent queues, or all not.
@@ -82,8 +83,11 @@
             return;
         }
         self.update_ratios(now);
+        // Stages of one job move by the same time, which takes a visit of all its steps.
+        let mut shifts: HashMap<JobKey, Duration> = HashMap::new();
         for Change { index, excess } in changes {
-            let shift = self.deadline_shift(&ready[index]);
+            let shift = shifts.entry(ready[index].job);
+            let shift = *shift.or_insert_with(|| self.deadline_shift(&ready[index]));
             let rank = &mut ready[index].rank;
             rank.deadline = rank.deadline.after(shift);
             rank.over_share = excess.is_some();
