Limit unanswered starts by the owner's processor as by its link

Cause: starts wait in the owner only for its link. At 1,000 Mbit/s 40,000 may be unanswered, each a task with a call of its own.

Change: the window is what the processor sends in 150 ms, at 100 microseconds a start, if that is less: 375 starts at a quarter of a core.

--- a/crates/workflow/src/budget.rs
+++ b/crates/workflow/src/budget.rs
@@ -32,10 +32,13 @@
 /// Size of a start without its payload, with headers and acknowledgements.
 const START_BYTES: usize = 450;
 
-/// Time in which the link has to be able to carry all starts that are not answered. Everything else
-/// that is sent waits behind them for as long.
+/// Time in which the link has to be able to carry all starts that are not answered, and the processor
+/// to send them. Everything else waits behind them for as long.
 const START_WINDOW: Duration = Duration::from_millis(150);
 
+/// Processor time of a start and its answer; see `docs/CAPACITY.md`.
+const START_CPU: Duration = Duration::from_micros(100);
+
 /// Least number of bytes of unanswered starts, so that a gang is never split by the window alone.
 const MIN_START_WINDOW: usize = 16 * 1024;
 
@@ -93,12 +96,23 @@
     }
 
     /// Returns how many bytes of starts may be unanswered at once.
+    ///
+    /// Answers the load of a job of thousands of tasks that all fit: each unanswered start takes memory
+    /// for its call, and the owner did nothing else until all were sent.
     pub fn start_window(&self) -> usize {
-        if self.link_bytes_per_second == 0 {
-            return usize::MAX;
-        }
-        let bytes = self.link_bytes_per_second as f64 * START_WINDOW.as_secs_f64();
-        (bytes as usize).max(MIN_START_WINDOW)
+        let window = START_WINDOW.as_secs_f64();
+        let link = match self.link_bytes_per_second {
+            0 => usize::MAX,
+            per_second => (per_second as f64 * window) as usize,
+        };
+        let processor = match self.cpu_millis {
+            0 => usize::MAX,
+            millis => {
+                let starts = f64::from(millis) / 1000.0 * window / START_CPU.as_secs_f64();
+                starts as usize * START_BYTES
+            }
+        };
+        link.min(processor).max(MIN_START_WINDOW)
     }
 }
 
