Store jobs and progress that are larger than a row in a compressed form

Cause: such a job took 3.9 MB in its row, the store takes 64 KiB (rowBytes) in base64, and answers over 4 MB are not read. Progress had a number for each task that is done and 23 bytes for each stage.

Change: a step leaves out what is empty. A value that does not fit into a row is compressed; progress is packed before that (numbers of tasks and stages as gaps and runs).

--- a/crates/cell/src/announce.rs
+++ b/crates/cell/src/announce.rs
@@ -37,7 +37,10 @@
     let Some(address) = node.view().owner_address() else {
         return;
     };
-    let accepted = match accepted.map(record::encode).transpose() {
+    let accepted = match accepted
+        .map(|accepted| record::encode_job(accepted, node.config.max_row_bytes()))
+        .transpose()
+    {
         Ok(accepted) => accepted,
         Err(error) => {
             slog::error!(node.log, "job can't be encoded"; "job" => %id, "error" => %error);
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -50,11 +50,16 @@
     pub cpu_millis: u32,
     /// The bandwidth of the VM's link in bytes per second, in each direction; zero if unknown.
     pub link_bytes_per_second: u64,
+    /// The size of a row of the store in base64, in bytes.
+    pub row_bytes: usize,
     /// The half-life of the past use of teams; zero turns it off.
     pub usage_half_life: Duration,
 }
 
 impl NodeConfig {
+    /// The size of a row of a store whose settings don't name it, in bytes.
+    pub const DEFAULT_ROW_BYTES: usize = 64 * 1024;
+
     /// The shortest lease with which a takeover loses no task: detecting a failed owner, claiming
     /// ownership and polling each worker take about 2.5 s together.
     pub const MIN_LEASE: Duration = Duration::from_secs(3);
@@ -105,6 +110,11 @@
         Ok(())
     }
 
+    /// Returns how many bytes of text a row of the store takes.
+    pub fn max_row_bytes(&self) -> usize {
+        self.row_bytes / 4 * 3
+    }
+
     /// Returns the budget of the VM's link and processor.
     pub fn budget(&self) -> Budget {
         Budget {
--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -29,12 +29,9 @@
     Put,
     Row, //
 };
-use basilbridge_workflow::{
-    job::{
-        Accepted,
-        State, //
-    },
-    progress::Progress,
+use basilbridge_workflow::job::{
+    Accepted,
+    State, //
 };
 
 use crate::{
@@ -150,7 +147,10 @@
     for _ in 0..MAX_ATTEMPTS {
         let (version, value) = match &tombstone {
             Some(row) => (row.version, Tombstone::Cancelled.value().to_owned()),
-            None => (Version(0), record::encode(accepted)?),
+            None => {
+                let max_bytes = node.config.max_row_bytes();
+                (Version(0), record::encode_job(accepted, max_bytes)?)
+            }
         };
         let found = match replace_job_row(node, id, version, value).await? {
             Ok(version) => {
@@ -217,7 +217,8 @@
 async fn stored_state(node: &Node, id: &str, deadline: Millis) -> Result<Option<State>> {
     let row = read_row(node, PROGRESS_TABLE, id, deadline).await?;
     let progress = row.and_then(|row| row.value);
-    let progress: Option<Progress> = progress.map(|text| record::decode(&text)).transpose()?;
+    let progress = progress.map(|text| record::decode_progress(&text));
+    let progress = progress.transpose()?;
     Ok(progress.map(|progress| progress.state))
 }
 
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -78,13 +78,14 @@
 async fn store(owner: &Owner, batch: &Batch) -> bool {
     let mut checks = vec![owner.ownership.check()];
     let mut puts = Vec::with_capacity(batch.records.len());
+    let max_bytes = owner.node.config.max_row_bytes();
     for entry in &batch.records {
         checks.push(Precondition {
             table: PROGRESS_TABLE.into(),
             key: entry.job.to_string(),
             version: entry.replaces,
         });
-        match record::encode(&entry.progress) {
+        match record::encode_progress(&entry.progress, max_bytes) {
             Ok(value) => puts.push(Put {
                 table: PROGRESS_TABLE.into(),
                 key: entry.job.to_string(),
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod owned_row;
 mod owner;
 mod peer;
+pub mod packing;
 mod polling;
 pub mod profile;
 mod record;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -121,7 +121,7 @@
     // A job whose progress can't be decoded may have run, so it is not started again.
     let mut undecodable: HashSet<&str> = HashSet::new();
     for row in &progress_rows {
-        match record::decode_row(&node.log, row) {
+        match record::decode_row_with(&node.log, row, record::decode_progress) {
             Some(progress) => {
                 stored.insert(&row.key, (progress, row.version));
             }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -18,13 +18,20 @@
 };
 use basilbridge_derives::data;
 use basilbridge_platform::table::Row;
-use basilbridge_workflow::admission::outlook::Outlook;
+use basilbridge_workflow::{
+    admission::outlook::Outlook,
+    job::Accepted,
+    packed::Packed,
+    progress::Progress, //
+};
 use serde::{
     Serialize,
     de::DeserializeOwned, //
 };
 use slog::Logger;
 
+use crate::packing;
+
 /// The table with the ownership claim, the owner's heartbeat, its list of workers and the entries
 /// of the VMs. It has a single part, since a transaction of the store covers one part only.
 pub(crate) const OWNERSHIP_TABLE: &str = "title/0";
@@ -175,6 +182,15 @@
 ///
 /// Returns `None` for a row without a value, and logs an error for one that can't be decoded.
 pub(crate) fn decode_row<T: DeserializeOwned>(log: &Logger, row: &Row) -> Option<T> {
+    decode_row_with(log, row, decode)
+}
+
+/// Decodes the value of a row with `decode`; see [`decode_row`].
+pub(crate) fn decode_row_with<T>(
+    log: &Logger,
+    row: &Row,
+    decode: impl FnOnce(&str) -> Result<T>,
+) -> Option<T> {
     match decode(row.value.as_deref()?) {
         Ok(value) => Some(value),
         Err(error) => {
@@ -190,7 +206,30 @@
     serde_json::to_string(value).map_err(|error| Error::new(Kind::Internal, error.to_string()))
 }
 
-/// Decodes the value of a row from JSON.
+/// Encodes a job for a row that takes at most `max_bytes`.
+pub(crate) fn encode_job(accepted: &Accepted, max_bytes: usize) -> Result<String> {
+    packing::pack(encode(accepted)?, max_bytes)
+}
+
+/// Encodes the progress of a job for a row that takes at most `max_bytes`.
+pub(crate) fn encode_progress(progress: &Progress, max_bytes: usize) -> Result<String> {
+    let text = encode(progress)?;
+    match text.len() <= max_bytes {
+        true => Ok(text),
+        false => packing::compress(&encode(&Packed::from(progress))?, max_bytes),
+    }
+}
+
+/// Decodes the value of a row with the progress of a job.
+pub(crate) fn decode_progress(text: &str) -> Result<Progress> {
+    match packing::is_packed(text) {
+        true => decode::<Packed>(text).map(Progress::from),
+        false => decode(text),
+    }
+}
+
+/// Decodes the value of a row from JSON, which may be compressed.
 pub(crate) fn decode<T: DeserializeOwned>(text: &str) -> Result<T> {
-    serde_json::from_str(text).map_err(|error| Error::new(Kind::Internal, error.to_string()))
+    serde_json::from_str(&packing::unpack(text)?)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))
 }
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -66,6 +66,11 @@
     pub interval: Duration,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// A group of identical tasks.
 #[data]
 pub struct Step {
@@ -78,42 +83,42 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub estimate: Duration,
     /// Indexes of the earlier steps whose tasks must all be done first.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub after: Vec<usize>,
     /// Whether the tasks write checkpoints.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     pub checkpoints: bool,
     /// Whether the tasks work only if all of them run at the same time.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     pub gang: bool,
     /// Whether the tasks are much slower if they are spread over several racks.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     pub same_rack: bool,
     /// Whether the tasks run until the job is cancelled.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     #[serde(rename = "lasting")]
     pub long_running: bool,
     /// Whether the tasks run on the processor time that other tasks on the worker leave unused.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     #[serde(rename = "fills")]
     pub best_effort: bool,
     /// Label that the worker must have.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub label: Option<Name>,
     /// Rack that holds the data of the step.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub data_rack: Option<Name>,
     /// Maximum number of tasks of the step on one worker.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "most_per_worker")]
     pub max_per_worker: Option<u32>,
     /// Upper limit for the tail latency of the tasks.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "target")]
     pub latency_target: Option<Duration>,
     /// Maximum number of tasks that the scheduler may keep from running at the same time.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "may_miss")]
     pub max_unavailable: Option<u32>,
 }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod load;
 pub mod order;
 pub mod pace;
+pub mod packed;
 mod placement;
 pub mod policy;
 mod pool;
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -83,6 +83,7 @@
         cpu_millis: 0,
         link_bytes_per_second: 0,
         evacuation_limit: None,
+        row_bytes: CellConfig::DEFAULT_ROW_BYTES,
         usage_half_life,
     }
 }
--- a/tests/soak/lasting.rs
+++ b/tests/soak/lasting.rs
@@ -39,6 +39,7 @@
             let asked = SubmittedJob {
                 payload: random.random_range(400..4000).to_string(),
                 tasks_per_step: vec![random.random_range(2..5)],
+                is_chained: true,
                 cpu_millis: random.random_range(200..900),
                 is_deadly: false,
                 is_lasting: true,
@@ -56,6 +57,7 @@
             let asked = SubmittedJob {
                 payload: random.random_range(8000..20_000).to_string(),
                 tasks_per_step: vec![random.random_range(2..6)],
+                is_chained: true,
                 cpu_millis: random.random_range(200..900),
                 is_deadly: false,
                 is_lasting: false,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -220,6 +220,7 @@
             let asked = SubmittedJob {
                 payload: (duration * if is_long { LONG_FACTOR } else { 1 }).to_string(),
                 tasks_per_step: steps,
+                is_chained: true,
                 cpu_millis: random.random_range(500..2000),
                 is_deadly: random.random_range(0..DEADLY_ONE_IN) == 0,
                 is_lasting: false,
--- a/tests/soak/withdrawal.rs
+++ b/tests/soak/withdrawal.rs
@@ -69,6 +69,7 @@
         let asked = SubmittedJob {
             payload: "100".to_owned(),
             tasks_per_step: vec![1],
+            is_chained: true,
             cpu_millis: 500,
             is_deadly: false,
             is_lasting: false,
