Limit the memory that the requests of all clients hold together

Cause: each request had a limit and their sum had none. Bodies were kept as frames, a multiple of what was sent where chunks are of one byte; heads of up to 80 KiB were kept until their end; the kernel held up to megabytes of each connection that was not read yet; HTTP/2, which nobody asked for, put a hundred bodies into one connection. memoryMb and maxFds were not read.

Memory is reserved before it is taken and released on drop. When it is used up, the request gives way that has been without progress for the longest time among those that hold at least half of the mean, so a small newcomer does not.

A test of the choice found that one large request that arrives was evicted beside many equal ones while the bound was the mean itself.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -275,8 +275,7 @@
     let Err(refusal) = judge(node, accepted, now) else {
         return Ok(());
     };
-    let may_be_written = node.admission.has_unknown_outcome(id, now);
-    if may_be_written || job_store::may_be_stored(node, id, now.after(LOOKUP_LIMIT)).await {
+    if may_be_stored(node, id).await {
         return Ok(());
     }
     let counter = match refusal.rule {
@@ -294,6 +293,14 @@
     Err(Error::new(Kind::Overloaded, message).with_retry_after(refusal.retry_after))
 }
 
+/// Returns whether a job is stored or may be, by an earlier attempt of its caller. A refusal would be
+/// untrue then.
+pub(crate) async fn may_be_stored(node: &Node, id: &str) -> bool {
+    let now = node.timer.now();
+    node.admission.has_unknown_outcome(id, now)
+        || job_store::may_be_stored(node, id, now.after(LOOKUP_LIMIT)).await
+}
+
 fn judge(node: &Node, accepted: &Accepted, now: Millis) -> std::result::Result<(), Refusal> {
     let configuration = node.configuration();
     let Some(queue) = configuration.policy.queues.get(&accepted.queue) else {
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -14,6 +14,7 @@
     },
     id::Name,
 };
+use basilbridge_server::share::Share;
 use basilbridge_workflow::{
     budget::Budget,
     capacity, //
@@ -50,6 +51,10 @@
     pub cpu_millis: u32,
     /// The bandwidth of the VM's link in bytes per second, in each direction; zero if unknown.
     pub link_bytes_per_second: u64,
+    /// The memory that the process may use, in bytes; zero if unknown.
+    pub memory_bytes: u64,
+    /// The descriptors that the process may open; zero if unknown.
+    pub max_descriptors: usize,
     /// The size of a row of the store in base64, in bytes.
     pub row_bytes: usize,
     /// The half-life of the past use of teams; zero turns it off.
@@ -60,6 +65,12 @@
     /// The size of a row of a store whose settings don't name it, in bytes.
     pub const DEFAULT_ROW_BYTES: usize = 64 * 1024;
 
+    /// The memory of a VM whose settings don't name it, in bytes.
+    const DEFAULT_MEMORY_BYTES: u64 = 256_000_000;
+
+    /// The descriptors of a VM whose settings don't name them.
+    const DEFAULT_DESCRIPTORS: usize = 4096;
+
     /// The shortest lease with which a takeover loses no task: detecting a failed owner, claiming
     /// ownership and polling each worker take about 2.5 s together.
     pub const MIN_LEASE: Duration = Duration::from_secs(3);
@@ -110,6 +121,23 @@
         Ok(())
     }
 
+    /// Returns the memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        match self.memory_bytes {
+            0 => Self::DEFAULT_MEMORY_BYTES,
+            bytes => bytes,
+        }
+    }
+
+    /// Returns what the callers of the VM may take of its memory and its descriptors together.
+    pub fn client_share(&self) -> Share {
+        let descriptors = match self.max_descriptors {
+            0 => Self::DEFAULT_DESCRIPTORS,
+            descriptors => descriptors,
+        };
+        Share::of(self.memory_bytes(), descriptors)
+    }
+
     /// Returns how many bytes of text a row of the store takes.
     pub fn max_row_bytes(&self) -> usize {
         self.row_bytes / 4 * 3
--- a/crates/cell/src/ingress.rs
+++ b/crates/cell/src/ingress.rs
@@ -108,6 +108,8 @@
             log_call(&node, &request, node.timer.now().since(begun), &result);
             result
         }
+        // Its body was not read to the end, so an earlier attempt was not looked up.
+        Err(error) if error.kind == Kind::Overloaded => Err(request::without_promise(error)),
         Err(error) => Err(error),
     };
     body::respond(state, StatusCode::OK, result)
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -43,6 +43,7 @@
         Server,
         Settings, //
     },
+    memory::Budget,
 };
 use slog::Logger;
 use tokio::{
@@ -142,6 +143,8 @@
     /// The count of calls in flight and the phase of the drain.
     pub drain_state: DrainState,
     pub(crate) pool: Pool,
+    /// The memory that requests of callers hold, also of those that another VM has forwarded.
+    pub(crate) request_memory: Budget,
     /// A random number that identifies this process.
     pub(crate) nonce: u64,
     pub(crate) shared_view: election::SharedView,
@@ -187,6 +190,7 @@
             metrics: Metrics::default(),
             drain_state: DrainState::default(),
             pool: Pool::new(timer.clone()),
+            request_memory: config.client_share().budget(),
             nonce,
             shared_view: election::SharedView::default(),
             owner: Mutex::default(),
@@ -232,6 +236,8 @@
             None => None,
         };
         let callers = ingress::router(app);
+        let share = self.config.client_share();
+        let settings = settings.with_share(&share, &self.request_memory);
         let callers = Server::start(self.config.callers, callers, settings).await?;
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(self).follow_configuration());
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -19,7 +19,10 @@
     ClientRequest,
     cell::Forwarded, //
 };
-use basilbridge_workflow::job::Accepted;
+use basilbridge_workflow::job::{
+    Accepted,
+    Spec, //
+};
 use bytes::Bytes;
 use http::Method;
 use rand::seq::{
@@ -121,7 +124,11 @@
     let store_part = request.store_part();
     loop {
         let failure = if !node.is_part_unreachable(&store_part) {
-            match answer_here(node, request, is_judged, deadline).await {
+            let origin = match is_judged {
+                false => Origin::Caller,
+                true => Origin::Repeated,
+            };
+            match answer_here(node, request, origin, deadline).await {
                 Err(error) if is_store_failure(error.kind) => error,
                 result => return replace_error_if_unknown(unknown, result),
             }
@@ -174,6 +181,7 @@
 }
 
 async fn answer_wire(node: &Arc<Node>, wire: ClientRequest) -> Result<Value> {
+    let _memory = node.request_memory.hold(wire.body.len())?;
     let request = Request::from_wire(wire)?;
     if node.is_part_unreachable(&request.store_part()) {
         let message = "this VM does not reach the store either";
@@ -181,7 +189,7 @@
     }
     node.metrics.count("forwarded_requests");
     let deadline = node.timer.now().after(request.wait);
-    answer_here(node, &request, false, deadline).await
+    answer_here(node, &request, Origin::Peer, deadline).await
 }
 
 fn is_store_failure(kind: Kind) -> bool {
@@ -237,6 +245,17 @@
     forwarded.result
 }
 
+/// How a request has come to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// From its caller.
+    Caller,
+    /// From its caller, and an earlier attempt of this VM may still take effect.
+    Repeated,
+    /// From another VM, so that it is not forwarded again.
+    Peer,
+}
+
 /// The queue, the team and the job name of a request.
 struct ResolvedCall {
     queue: Name,
@@ -247,7 +266,7 @@
 async fn answer_here(
     node: &Arc<Node>,
     request: &Request,
-    is_judged: bool,
+    origin: Origin,
     deadline: Millis,
 ) -> Result<Value> {
     if !node
@@ -269,13 +288,18 @@
             }
             spec.check()
                 .map_err(|excess| Error::new(Kind::Malformed, excess))?;
+            let memory = node.request_memory.hold(footprint(&spec));
+            let _memory = match memory {
+                Ok(memory) => memory,
+                Err(error) => return Err(reject(node, &call.id, error).await),
+            };
             let accepted = Accepted {
                 queue: call.queue,
                 team: call.team,
                 accepted_at: node.timer.now(),
                 spec,
             };
-            if !is_judged {
+            if origin != Origin::Repeated {
                 admission::check(node, &call.id, &accepted).await?;
             }
             job_store::accept(node, &call.id, &accepted).await?;
@@ -296,6 +320,35 @@
     }
 }
 
+/// Returns the error of a submission that was not stored for want of memory: a refusal, unless an
+/// earlier attempt may be stored.
+async fn reject(node: &Node, id: &str, error: Error) -> Error {
+    match error.kind == Kind::Overloaded && admission::may_be_stored(node, id).await {
+        true => without_promise(error),
+        false => error,
+    }
+}
+
+/// Returns the error of a request of which an earlier attempt may take effect.
+pub(crate) fn without_promise(error: Error) -> Error {
+    Error {
+        kind: Kind::OutcomeUnknown,
+        ..error
+    }
+}
+
+/// Returns about how much memory a job holds from its decoding until it is stored, in bytes: its
+/// steps, their stored form and the call to the store.
+fn footprint(spec: &Spec) -> usize {
+    const PER_STEP: usize = 512;
+    const PER_DEPENDENCY: usize = 32;
+    const PER_PAYLOAD_BYTE: usize = 5;
+    let dependencies: usize = spec.steps.iter().map(|step| step.after.len()).sum();
+    PER_STEP * spec.steps.len()
+        + PER_DEPENDENCY * dependencies
+        + PER_PAYLOAD_BYTE * spec.payload.len()
+}
+
 fn resolve(request: &Request, configuration: &Configuration) -> Result<ResolvedCall> {
     if configuration.version == 0 {
         let error = Error::new(Kind::StaleConfiguration, "there is no configuration yet");
--- a/crates/cell/tests/cell/vm.rs
+++ b/crates/cell/tests/cell/vm.rs
@@ -57,6 +57,8 @@
         drain_limit: Duration::from_secs(6),
         cpu_millis: 0,
         link_bytes_per_second: 0,
+        memory_bytes: 0,
+        max_descriptors: 0,
         row_bytes: NodeConfig::DEFAULT_ROW_BYTES,
         usage_half_life: NodeConfig::DEFAULT_USAGE_HALF_LIFE,
     }
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -22,6 +22,10 @@
 
 use crate::drain::RequestGuard;
 
+/// What a client sends first to speak HTTP/2, which the interfaces don't offer: one connection would
+/// carry any number of requests.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
+
 /// The activity of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Activity {
@@ -39,8 +43,12 @@
     since: Millis,
     /// Requests whose responses are written, but not flushed.
     unflushed: Vec<RequestGuard>,
+    /// Requests of which the body is being received.
+    uploads: usize,
+    /// How much of what the client sent first equals [`HTTP2_PREFACE`]; `None` if it differs.
+    preface_bytes: Option<usize>,
     closing: bool,
-    timed_out: bool,
+    aborted: bool,
 }
 
 /// One open connection.
@@ -69,8 +77,10 @@
                 activity: Activity::Idle,
                 since: now,
                 unflushed: Vec::new(),
+                uploads: 0,
+                preface_bytes: Some(0),
                 closing: false,
-                timed_out: false,
+                aborted: false,
             }),
             reader: AtomicWaker::new(),
         }
@@ -80,26 +90,56 @@
     pub(crate) fn permission(&self, max_head_bytes: usize) -> Permission {
         let state = self.lock();
         match state.activity {
-            _ if state.timed_out => Permission::Abort,
+            _ if state.aborted => Permission::Abort,
             Activity::Receiving(bytes) if bytes >= max_head_bytes => Permission::Abort,
             Activity::Idle if state.closing => Permission::Close,
             _ => Permission::Read,
         }
     }
 
-    /// Records the number of bytes received.
-    pub(crate) fn received(&self, now: Millis, bytes: usize) {
+    /// Records the bytes received.
+    pub(crate) fn received(&self, now: Millis, bytes: &[u8]) {
         let mut state = self.lock();
-        match &mut state.activity {
-            Activity::Receiving(total) => *total += bytes,
+        state.check_preface(bytes);
+        match state.activity {
+            Activity::Receiving(total) => {
+                state.activity = Activity::Receiving(total + bytes.len());
+            }
             Activity::Idle => {
-                state.activity = Activity::Receiving(bytes);
+                state.activity = Activity::Receiving(bytes.len());
                 state.since = now;
             }
+            Activity::Handling(_) if state.uploads > 0 => state.since = now,
             Activity::Handling(_) => {}
         }
     }
 
+    /// Returns the number of bytes of a head that is being received.
+    pub(crate) fn head_bytes(&self) -> usize {
+        match self.lock().activity {
+            Activity::Receiving(bytes) => bytes,
+            Activity::Idle | Activity::Handling(_) => 0,
+        }
+    }
+
+    /// Records that the body of a request is being received.
+    pub(crate) fn begin_upload(&self, now: Millis) {
+        let mut state = self.lock();
+        state.uploads += 1;
+        state.since = now;
+    }
+
+    /// Records that the body of a request is complete, or given up.
+    pub(crate) fn end_upload(&self) {
+        let mut state = self.lock();
+        state.uploads = state.uploads.saturating_sub(1);
+    }
+
+    /// Returns whether the connection has to end without another byte.
+    pub(crate) fn is_aborted(&self) -> bool {
+        self.lock().aborted
+    }
+
     /// Records that the head of a request is complete.
     pub(crate) fn begin_request(&self) {
         let mut state = self.lock();
@@ -141,27 +181,48 @@
         self.reader.wake();
     }
 
-    /// Marks the connection as timed out if its sender has been too slow.
+    /// Aborts the connection if its client has been too slow.
     fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
-        let mut state = self.lock();
-        let timeout = match state.activity {
-            Activity::Idle => timeouts.idle,
-            Activity::Receiving(_) => timeouts.head,
+        let state = self.lock();
+        let (since, timeout) = match state.activity {
+            Activity::Idle => (state.since, timeouts.idle),
+            Activity::Receiving(_) => (state.since, timeouts.head),
             Activity::Handling(_) => return,
         };
-        if now.since(state.since) >= timeout {
-            state.timed_out = true;
-            drop(state);
-            self.reader.wake();
+        let is_late = now.since(since) >= timeout;
+        drop(state);
+        if is_late {
+            self.abort();
         }
     }
 
+    fn abort(&self) {
+        self.lock().aborted = true;
+        self.reader.wake();
+    }
+
     fn lock(&self) -> MutexGuard<'_, ConnectionState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl ConnectionState {
+    /// Aborts the connection if its client speaks HTTP/2.
+    fn check_preface(&mut self, bytes: &[u8]) {
+        let Some(seen) = self.preface_bytes else {
+            return;
+        };
+        let expected = &HTTP2_PREFACE[seen..];
+        let compared = expected.len().min(bytes.len());
+        if expected[..compared] != bytes[..compared] {
+            self.preface_bytes = None;
+        } else if compared == expected.len() {
+            self.aborted = true;
+        } else {
+            self.preface_bytes = Some(seen + compared);
+        }
+    }
+
     fn end_requests(&mut self, requests: usize, now: Millis) {
         if let Activity::Handling(count) = &mut self.activity {
             *count = count.saturating_sub(requests);
@@ -196,7 +257,7 @@
 }
 
 impl ConnectionTable {
-    /// Adds a connection; returns `None` if the table is closed or `max_connections` are state.
+    /// Adds a connection; returns `None` if the table is closed or `max_connections` are open.
     pub(crate) fn insert(
         &self,
         address: SocketAddr,
@@ -204,7 +265,10 @@
         max_connections: usize,
     ) -> Option<Arc<Connection>> {
         let mut state = self.lock();
-        if state.closed || state.connections.len() >= max_connections {
+        if state.closed {
+            return None;
+        }
+        if state.connections.len() >= max_connections {
             return None;
         }
         let connection = Arc::new(Connection::new(now));
@@ -237,7 +301,7 @@
         }
     }
 
-    /// Waits until no connection is state.
+    /// Waits until no connection is open.
     pub(crate) async fn wait_empty(&self) {
         loop {
             let notified = self.emptied.notified();
@@ -248,7 +312,7 @@
         }
     }
 
-    /// Marks the connections as timed out whose senders have been too slow.
+    /// Aborts the connections whose clients have been too slow.
     pub(crate) fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
         for connection in self.lock().connections.values() {
             connection.check_timeouts(now, timeouts);
--- /dev/null
+++ b/crates/server/src/eviction.rs
@@ -0,0 +1,32 @@
+//! Chooses which client gives way when clients hold all memory that they may.
+//!
+//! Answers the load of clients that stop short of the end of what they send and stay connected: a
+//! newcomer must not be refused because they were there first. See `docs/design/client-memory.md`.
+
+use std::cmp::Reverse;
+
+use basilbridge_common::unit::Millis;
+
+/// A request of which a part has been received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Upload {
+    /// The memory that it holds.
+    pub bytes: usize,
+    /// When bytes of it last arrived.
+    pub progressed_at: Millis,
+}
+
+/// Chooses the request to evict so that others get its memory, or `None` if none holds any.
+///
+/// Of those that hold at least half of the mean, it is the one that has been without progress for the
+/// longest time. A small request that has just begun is never chosen beside larger ones.
+pub fn choose_upload<K>(uploads: impl Iterator<Item = (K, Upload)> + Clone) -> Option<K> {
+    let (count, sum) = uploads.clone().fold((0, 0), |(count, sum), (_, upload)| {
+        (count + 1, sum + upload.bytes)
+    });
+    let least = (sum.checked_div(count)? / 2).max(1);
+    uploads
+        .filter(|(_, upload)| upload.bytes >= least)
+        .min_by_key(|(_, upload)| (upload.progressed_at, Reverse(upload.bytes)))
+        .map(|(key, _)| key)
+}
--- a/crates/server/src/handler.rs
+++ b/crates/server/src/handler.rs
@@ -11,7 +11,6 @@
         Context,
         Poll, //
     },
-    time::Duration,
 };
 
 use basilbridge_common::{
@@ -39,7 +38,6 @@
     state::{
         FromState,
         State,
-        StateData,
         client_addr,
         request_id, //
     },
@@ -56,7 +54,10 @@
 use http_body_util::BodyExt;
 
 use crate::{
-    body,
+    body::{
+        self,
+        Upload, //
+    },
     connection::{
         Connection,
         ConnectionTable, //
@@ -68,15 +69,6 @@
 /// The header with the id of a request, which all VMs and workers that handle it log.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
-/// The time limit for receiving the body of a request.
-#[derive(Clone, StateData)]
-pub(crate) struct BodyTimeout {
-    pub(crate) timer: timer::Service,
-    pub(crate) limit: Duration,
-}
-
-impl RefUnwindSafe for BodyTimeout {}
-
 /// Checks each request of a listener and passes it to the router.
 #[derive(Clone)]
 pub(crate) struct RequestHandler {
@@ -112,10 +104,7 @@
         let version = Version::try_borrow_from(&state)
             .copied()
             .unwrap_or(Version::HTTP_11);
-        state.put(BodyTimeout {
-            timer: self.settings.timer.clone(),
-            limit: self.settings.body_timeout,
-        });
+        state.put(Upload::new(&self.settings, request.connection()));
         let (state, response) = match self.check_head(&state) {
             Ok(()) => self.router.handle(state).await?,
             Err(error) => body::respond::<()>(state, StatusCode::OK, Err(error))?,
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -10,13 +10,7 @@
 use basilbridge_common::timer;
 use futures_util::future;
 use gotham::router::Router;
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    task::JoinHandle,
-};
+use tokio::{net::TcpStream, task::JoinHandle};
 
 use crate::{
     connection::{
@@ -25,9 +19,15 @@
     },
     drain::DrainState,
     handler::RequestHandler,
+    memory::Budget,
+    share::Share,
+    socket,
     stream::Stream,
 };
 
+/// The memory for requests without a setting, in bytes.
+const DEFAULT_BUDGET_BYTES: usize = 512 * 1024 * 1024;
+
 /// The limits and timeouts of a server's connections.
 #[derive(Clone)]
 pub struct Settings {
@@ -37,6 +37,11 @@
     pub timer: timer::Service,
     /// The maximum number of open connections; further ones are closed without being read.
     pub max_connections: usize,
+    /// The size of the socket buffers of each connection, in bytes and in each direction; `None` for
+    /// what the system chooses.
+    pub socket_buffer_bytes: Option<u32>,
+    /// The memory that requests may hold.
+    pub budget: Budget,
     /// The maximum time from the first byte of a request to the end of its head.
     pub head_timeout: Duration,
     /// The maximum time to receive the body of a request.
@@ -56,6 +61,8 @@
             drain_state,
             timer,
             max_connections: 4096,
+            socket_buffer_bytes: None,
+            budget: Budget::new(DEFAULT_BUDGET_BYTES),
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(120),
@@ -64,6 +71,16 @@
         }
     }
 
+    /// Returns the settings of a listener whose clients take no more than `share` and the memory of
+    /// `budget`, which several listeners may have in common.
+    #[must_use]
+    pub fn with_share(mut self, share: &Share, budget: &Budget) -> Self {
+        self.max_connections = self.max_connections.min(share.connections);
+        self.socket_buffer_bytes = Some(share.socket_buffer_bytes());
+        self.budget = budget.clone();
+        self
+    }
+
     fn timeouts(&self) -> Timeouts {
         Timeouts {
             head: self.head_timeout,
@@ -97,7 +114,7 @@
         router: Router,
         settings: Settings,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = socket::bind(address, settings.socket_buffer_bytes)?;
         let address = listener.local_addr()?;
         let table = Arc::new(ConnectionTable::default());
         let handler = RequestHandler {
@@ -157,6 +174,8 @@
         table: Arc::clone(table),
         timer: settings.timer.clone(),
         max_head_bytes: settings.max_head_bytes(),
+        budget: settings.budget.clone(),
+        head_memory: None,
     })
 }
 
--- a/crates/server/src/stream.rs
+++ b/crates/server/src/stream.rs
@@ -22,12 +22,31 @@
     net::TcpStream,
 };
 
-use crate::connection::{
-    Connection,
-    ConnectionTable, //
-    Permission,
+use crate::{
+    connection::{
+        Connection,
+        ConnectionTable, //
+        Permission,
+    },
+    memory::{
+        Budget,
+        Reservation, //
+    },
 };
 
+/// The most bytes per read. The buffer of `hyper`, which begins with one more byte, grows only if a
+/// read fills it.
+const READ_BYTES: usize = 8191;
+
+/// The memory that a byte of an incomplete head takes in the buffer of `hyper`, which doubles.
+const MEMORY_PER_HEAD_BYTE: usize = 2;
+
+/// The memory that an incomplete head holds, beyond what each connection may.
+pub(crate) struct HeadMemory {
+    reservation: Reservation,
+    bytes: usize,
+}
+
 /// A TCP stream that updates the state of its connection and ends when the state requires it.
 pub(crate) struct Stream {
     pub(crate) tcp: TcpStream,
@@ -36,6 +55,43 @@
     pub(crate) table: Arc<ConnectionTable>,
     pub(crate) timer: timer::Service,
     pub(crate) max_head_bytes: usize,
+    pub(crate) budget: Budget,
+    pub(crate) head_memory: Option<HeadMemory>,
+}
+
+impl Stream {
+    /// Reserves memory for the next read, if a head is being received that is longer than one read.
+    /// It is released once the head is complete.
+    fn poll_head_memory(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let head_bytes = self.connection.head_bytes();
+        if head_bytes < READ_BYTES {
+            self.head_memory = None;
+            return Poll::Ready(Ok(()));
+        }
+        let now = self.timer.now();
+        let budget = &self.budget;
+        let head = self.head_memory.get_or_insert_with(|| HeadMemory {
+            reservation: budget.receive(now),
+            bytes: 0,
+        });
+        let needed = MEMORY_PER_HEAD_BYTE * (head_bytes + READ_BYTES);
+        if needed > head.bytes {
+            let grown = head.reservation.poll_grow(cx, needed - head.bytes, now);
+            ready!(grown).map_err(|_| io::ErrorKind::OutOfMemory)?;
+            head.bytes = needed;
+        }
+        match head.reservation.poll_evicted(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::OutOfMemory.into())),
+            Poll::Pending => Poll::Ready(Ok(())),
+        }
+    }
+
+    fn check_aborted(&self) -> io::Result<()> {
+        match self.connection.is_aborted() {
+            true => Err(io::ErrorKind::TimedOut.into()),
+            false => Ok(()),
+        }
+    }
 }
 
 impl AsyncRead for Stream {
@@ -49,17 +105,21 @@
         if permission == Permission::Abort {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.tcp).poll_read(cx, buffer);
+        ready!(self.poll_head_memory(cx))?;
+        let length = buffer.remaining().min(READ_BYTES);
+        let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let polled = Pin::new(&mut self.tcp).poll_read(cx, &mut limited);
         if polled.is_pending() && permission == Permission::Close {
             // The server takes this for the end of the input and closes the connection.
             return Poll::Ready(Ok(()));
         }
         ready!(polled)?;
-        let bytes = buffer.filled().len() - before;
+        let received = limited.filled();
+        let bytes = received.len();
         if bytes > 0 {
-            self.connection.received(self.timer.now(), bytes);
+            self.connection.received(self.timer.now(), received);
         }
+        buffer.advance(bytes);
         Poll::Ready(Ok(()))
     }
 }
@@ -70,6 +130,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_aborted()?;
         Pin::new(&mut self.tcp).poll_write(cx, bytes)
     }
 
@@ -88,6 +149,7 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_aborted()?;
         Pin::new(&mut self.tcp).poll_write_vectored(cx, parts)
     }
 
--- /dev/null
+++ b/crates/server/tests/eviction.rs
@@ -0,0 +1,53 @@
+//! Which client gives way, under the load of clients that stop short of the end of what they send.
+
+use basilbridge_common::unit::Millis;
+use basilbridge_server::{
+    eviction::{
+        Upload,
+        choose_upload, //
+    },
+    share::Share,
+};
+
+fn upload(bytes: usize, progressed_at: u64) -> Upload {
+    Upload {
+        bytes,
+        progressed_at: Millis(progressed_at),
+    }
+}
+
+#[test]
+fn a_small_request_outlives_large_ones_that_have_stopped() {
+    let crowd = (0..1000).map(|number| (number, upload(65_536, 100 + number)));
+    let newcomer = (2000, upload(512, 0));
+
+    let chosen = choose_upload(crowd.chain([newcomer]));
+
+    assert_eq!(chosen, Some(0), "the one that has stopped first");
+}
+
+#[test]
+fn a_large_request_that_arrives_outlives_those_that_have_stopped() {
+    let crowd = (0..1000).map(|number| (number, upload(65_536, 100)));
+    let arriving = (2000, upload(200_000, 5000));
+
+    let chosen = choose_upload([arriving].into_iter().chain(crowd));
+
+    assert_ne!(chosen, Some(2000));
+}
+
+#[test]
+fn no_request_is_evicted_that_holds_nothing() {
+    let crowd = (0..1000).map(|number| (number, upload(0, number)));
+
+    assert_eq!(choose_upload(crowd), None);
+}
+
+#[test]
+fn the_smallest_vm_takes_the_largest_legal_request_and_keeps_descriptors() {
+    let share = Share::of(160_000_000, 4100);
+
+    assert!(share.request_bytes / 2 > 16 * 1024 * 1024);
+    assert!(share.connections >= 600);
+    assert!(share.connections <= (4100 - 200) / 2);
+}
--- a/src/bin/basilbridged/app.rs
+++ b/src/bin/basilbridged/app.rs
@@ -9,6 +9,7 @@
 use basilbridge::{
     config::{
         InvalidSettings,
+        MAX_DESCRIPTORS,
         NodeConfig, //
     },
     embedded, log,
@@ -28,6 +29,10 @@
     WrapErr,
     miette, //
 };
+use rustix::process::{
+    Resource,
+    getrlimit, //
+};
 use slog::Logger;
 use tokio::signal::unix::{
     SignalKind,
@@ -62,6 +67,8 @@
             drain_grace: arguments.drain_grace,
             drain_limit: arguments.drain_limit,
             max_requests: arguments.max_requests,
+            memory_limit: arguments.memory_limit,
+            max_descriptors: arguments.max_descriptors.unwrap_or_else(descriptor_limit),
             usage_half_life: arguments.usage_half_life,
             bootstrap_key: arguments.bootstrap_key.as_deref().map(Hash::of),
         };
@@ -115,6 +122,15 @@
     }
 }
 
+/// Returns how many descriptors the system lets this process open.
+fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    let limit = limit.map_or(usize::MAX, |limit| {
+        usize::try_from(limit).unwrap_or(usize::MAX)
+    });
+    limit.clamp(*MAX_DESCRIPTORS.start(), *MAX_DESCRIPTORS.end())
+}
+
 /// Prints the addresses and a few commands to try on an embedded VM.
 fn print_instructions(running: &RunningNode) {
     const CLIENT: &str = "cargo run --release --bin basilbridge --";
--- a/src/bin/basilbridged/clap_app.rs
+++ b/src/bin/basilbridged/clap_app.rs
@@ -11,6 +11,7 @@
     Level, //
 };
 use basilbridge_adapter::SETTINGS_VARIABLE;
+use bytesize::ByteSize;
 use clap::Parser;
 
 /// Schedules services, batch jobs and gang jobs in one cell.
@@ -107,6 +108,16 @@
     #[arg(long, env = "BASILBRIDGE_MAX_REQUESTS", default_value_t = 2048)]
     pub(crate) max_requests: usize,
 
+    /// The memory that this process may use, from 64MiB; requests of callers and operators may take a
+    /// quarter of it, and their connections another.
+    #[arg(long, env = "BASILBRIDGE_MEMORY_LIMIT", default_value = "2GiB")]
+    pub(crate) memory_limit: ByteSize,
+
+    /// The number of files and sockets that this process may open, from 256; connections of callers
+    /// and operators may take half of what 200 files leave; without it the limit of the system.
+    #[arg(long, env = "BASILBRIDGE_MAX_DESCRIPTORS")]
+    pub(crate) max_descriptors: Option<usize>,
+
     /// The half-life of the past use of teams, which orders waiting work with `--cell`: from 1m to
     /// 30days, or 0s to ignore past use.
     #[arg(long, env = "BASILBRIDGE_USAGE_HALF_LIFE", value_parser = humantime::parse_duration, default_value = "4h")]
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,8 @@
 use basilbridge_cell::config::NodeConfig as CellConfig;
 use basilbridge_common::id::Name;
 use basilbridge_operators::key::Hash;
+use basilbridge_server::share::Share;
+use bytesize::ByteSize;
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -43,6 +45,10 @@
     pub drain_limit: Duration,
     /// The maximum number of submissions in progress, and of callers that wait for jobs.
     pub max_requests: usize,
+    /// The memory that the process may use, of which callers and operators may take a part.
+    pub memory_limit: ByteSize,
+    /// The descriptors that the process may open, of which callers and operators may take a part.
+    pub max_descriptors: usize,
     /// The half-life of the past use of teams; zero turns it off. Only cells use it; it is checked
     /// here like all settings.
     pub usage_half_life: Duration,
@@ -98,6 +104,18 @@
 /// The range of [`NodeConfig::max_requests`].
 pub const MAX_REQUESTS: RangeInclusive<usize> = 2..=100_000;
 
+/// The range of [`NodeConfig::memory_limit`].
+pub const MEMORY_LIMIT: RangeInclusive<ByteSize> = ByteSize::mib(64)..=ByteSize::tib(16);
+
+/// The default of [`NodeConfig::memory_limit`].
+pub const DEFAULT_MEMORY_LIMIT: ByteSize = ByteSize::gib(2);
+
+/// The range of [`NodeConfig::max_descriptors`].
+pub const MAX_DESCRIPTORS: RangeInclusive<usize> = 256..=1_000_000;
+
+/// The value of [`NodeConfig::max_descriptors`] where the limit of the system is not asked for.
+pub const DEFAULT_MAX_DESCRIPTORS: usize = 16_384;
+
 /// The range of [`NodeConfig::racks_per_shard`].
 pub const RACKS_PER_SHARD: RangeInclusive<u32> = 1..=1000;
 
@@ -124,11 +142,18 @@
             drain_grace: Duration::from_secs(2),
             drain_limit: Duration::from_secs(30),
             max_requests: 2048,
+            memory_limit: DEFAULT_MEMORY_LIMIT,
+            max_descriptors: DEFAULT_MAX_DESCRIPTORS,
             usage_half_life: CellConfig::DEFAULT_USAGE_HALF_LIFE,
             bootstrap_key: None,
         }
     }
 
+    /// Returns what callers and operators may take of the memory and the descriptors together.
+    pub fn client_share(&self) -> Share {
+        Share::of(self.memory_limit.as_u64(), self.max_descriptors)
+    }
+
     /// Checks that the settings are valid and consistent; the error lists all that are not.
     pub fn check(&self) -> Result<(), InvalidSettings> {
         let mut invalid = Vec::new();
@@ -173,6 +198,16 @@
             self.max_requests,
             &MAX_REQUESTS,
         ));
+        invalid.extend(check_range(
+            "--memory-limit",
+            self.memory_limit,
+            &MEMORY_LIMIT,
+        ));
+        invalid.extend(check_range(
+            "--max-descriptors",
+            self.max_descriptors,
+            &MAX_DESCRIPTORS,
+        ));
         if !self.usage_half_life.is_zero() {
             invalid.extend(check_duration(
                 "--usage-half-life",
--- a/src/node.rs
+++ b/src/node.rs
@@ -74,6 +74,9 @@
     router,
 };
 
+/// Operators get one in so many of the connections, and callers the others.
+const OPERATOR_DIVISOR: usize = 8;
+
 /// An entry VM.
 pub struct Node {
     /// The process settings of the VM.
@@ -200,9 +203,18 @@
     pub async fn start(self: &Arc<Self>) -> io::Result<RunningNode> {
         let peers = server::Server::start(self.config.peers, self.peer_app()).await?;
         let caller_router = callers::route::router(self.caller_app());
+        let share = self.config.client_share();
+        let (caller_share, operator_share) = share.split(OPERATOR_DIVISOR);
+        let budget = share.budget();
         let settings = listener::Settings::new(self.timer.clone(), self.drain_state.clone());
-        let callers = Server::start(self.config.callers, caller_router, settings.clone()).await?;
+        let callers = Server::start(
+            self.config.callers,
+            caller_router,
+            settings.clone().with_share(&caller_share, &budget),
+        )
+        .await?;
         let operator_router = operators::route::router(operator::app(self));
+        let settings = settings.with_share(&operator_share, &budget);
         let operators = Server::start(self.config.operators, operator_router, settings).await?;
         let mut tasks = JoinSet::new();
         self.committer.start(&mut tasks);
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -83,6 +83,8 @@
         cpu_millis: 0,
         link_bytes_per_second: 0,
         evacuation_limit: None,
+        memory_bytes: 0,
+        max_descriptors: 0,
         row_bytes: CellConfig::DEFAULT_ROW_BYTES,
         usage_half_life,
     }
