Close connections that wait for their client when a newcomer needs one

Clients that read no answers held theirs until the VM ended.

Cause: each listener allowed 4,096 connections, more than there are sockets, and beyond a limit it is the newcomer that is refused.

For a newcomer a connection is closed that waits for its client: one without a request first, then one in the middle of a request or with an answer that it does not read, then one that was served more than a second ago; never one that waits for an answer of this VM. A client that reads nothing for 30 s is disconnected.

--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -20,7 +20,17 @@
 use futures_util::task::AtomicWaker;
 use tokio::sync::Notify;
 
-use crate::drain::RequestGuard;
+use crate::{
+    drain::RequestGuard,
+    eviction::{
+        self,
+        Wait, //
+    },
+};
+
+/// How many connections may be evicted and still be open, since a newcomer is accepted before they
+/// have ended.
+const MAX_EVICTED: usize = 32;
 
 /// What a client sends first to speak HTTP/2, which the interfaces don't offer: one connection would
 /// carry any number of requests.
@@ -45,10 +55,15 @@
     unflushed: Vec<RequestGuard>,
     /// Requests of which the body is being received.
     uploads: usize,
+    /// Since when the client has not read what was written.
+    blocked_since: Option<Millis>,
     /// How much of what the client sent first equals [`HTTP2_PREFACE`]; `None` if it differs.
     preface_bytes: Option<usize>,
+    /// Whether a request of the client was answered.
+    has_served: bool,
     closing: bool,
     aborted: bool,
+    evicted: bool,
 }
 
 /// One open connection.
@@ -78,9 +93,12 @@
                 since: now,
                 unflushed: Vec::new(),
                 uploads: 0,
+                blocked_since: None,
                 preface_bytes: Some(0),
+                has_served: false,
                 closing: false,
                 aborted: false,
+                evicted: false,
             }),
             reader: AtomicWaker::new(),
         }
@@ -135,6 +153,12 @@
         state.uploads = state.uploads.saturating_sub(1);
     }
 
+    /// Records whether the client reads what is written.
+    pub(crate) fn set_blocked(&self, now: Millis, is_blocked: bool) {
+        let mut state = self.lock();
+        state.blocked_since = is_blocked.then(|| state.blocked_since.unwrap_or(now));
+    }
+
     /// Returns whether the connection has to end without another byte.
     pub(crate) fn is_aborted(&self) -> bool {
         self.lock().aborted
@@ -162,6 +186,7 @@
                 return;
             }
             let guards = std::mem::take(&mut state.unflushed);
+            state.has_served = true;
             state.end_requests(guards.len(), now);
             guards
         };
@@ -184,10 +209,11 @@
     /// Aborts the connection if its client has been too slow.
     fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
         let state = self.lock();
-        let (since, timeout) = match state.activity {
-            Activity::Idle => (state.since, timeouts.idle),
-            Activity::Receiving(_) => (state.since, timeouts.head),
-            Activity::Handling(_) => return,
+        let (since, timeout) = match (state.activity, state.blocked_since) {
+            (_, Some(since)) => (since, timeouts.send),
+            (Activity::Idle, None) => (state.since, timeouts.idle),
+            (Activity::Receiving(_), None) => (state.since, timeouts.head),
+            (Activity::Handling(_), None) => return,
         };
         let is_late = now.since(since) >= timeout;
         drop(state);
@@ -196,11 +222,39 @@
         }
     }
 
+    /// Returns what the client is waited for and since when, unless it waits for an answer.
+    fn waiting(&self) -> Option<(Wait, Millis)> {
+        let state = self.lock();
+        if state.aborted {
+            return None;
+        }
+        if let Some(since) = state.blocked_since {
+            return Some((Wait::Progress, since));
+        }
+        let wait = match state.activity {
+            Activity::Handling(count) if state.uploads == count => Wait::Progress,
+            Activity::Handling(_) => return None,
+            Activity::Receiving(_) if state.has_served => Wait::Progress,
+            Activity::Idle if state.has_served => Wait::NextRequest,
+            Activity::Receiving(_) | Activity::Idle => Wait::FirstRequest,
+        };
+        Some((wait, state.since))
+    }
+
     fn abort(&self) {
         self.lock().aborted = true;
         self.reader.wake();
     }
 
+    fn evict(&self) {
+        self.lock().evicted = true;
+        self.abort();
+    }
+
+    fn is_evicted(&self) -> bool {
+        self.lock().evicted
+    }
+
     fn lock(&self) -> MutexGuard<'_, ConnectionState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -241,11 +295,31 @@
     pub(crate) head: Duration,
     /// Between two requests.
     pub(crate) idle: Duration,
+    /// Between two reads of a client that is sent an answer.
+    pub(crate) send: Duration,
+}
+
+impl TableState {
+    /// Evicts the connection that is worth the least. Returns `None` if there is none.
+    fn evict(&mut self, now: Millis) -> Option<()> {
+        if self.evicted >= MAX_EVICTED {
+            return None;
+        }
+        let waiting = self.connections.values().filter_map(|connection| {
+            let (wait, since) = connection.waiting()?;
+            Some((connection, wait, since))
+        });
+        eviction::choose_connection(waiting, now)?.evict();
+        self.evicted += 1;
+        Some(())
+    }
 }
 
 #[derive(Debug, Default)]
 struct TableState {
     connections: HashMap<SocketAddr, Arc<Connection>>,
+    /// How many of them are evicted.
+    evicted: usize,
     closed: bool,
 }
 
@@ -257,7 +331,8 @@
 }
 
 impl ConnectionTable {
-    /// Adds a connection; returns `None` if the table is closed or `max_connections` are open.
+    /// Adds a connection, for which another is evicted if `max_connections` are open. Returns `None`
+    /// if the table is closed, or no open connection waits for its client.
     pub(crate) fn insert(
         &self,
         address: SocketAddr,
@@ -268,8 +343,8 @@
         if state.closed {
             return None;
         }
-        if state.connections.len() >= max_connections {
-            return None;
+        if state.connections.len() - state.evicted >= max_connections {
+            state.evict(now)?;
         }
         let connection = Arc::new(Connection::new(now));
         state.connections.insert(address, Arc::clone(&connection));
@@ -282,7 +357,10 @@
 
     pub(crate) fn remove(&self, address: SocketAddr) {
         let mut state = self.lock();
-        state.connections.remove(&address);
+        let removed = state.connections.remove(&address);
+        if removed.is_some_and(|connection| connection.is_evicted()) {
+            state.evicted -= 1;
+        }
         if state.connections.is_empty() {
             self.emptied.notify_waiters();
         }
--- a/crates/server/src/eviction.rs
+++ b/crates/server/src/eviction.rs
@@ -1,9 +1,12 @@
-//! Chooses which client gives way when clients hold all memory that they may.
+//! Chooses which client gives way when clients hold all memory or all connections that they may.
 //!
 //! Answers the load of clients that stop short of the end of what they send and stay connected: a
 //! newcomer must not be refused because they were there first. See `docs/design/client-memory.md`.
 
-use std::cmp::Reverse;
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
 
 use basilbridge_common::unit::Millis;
 
@@ -30,3 +33,30 @@
         .min_by_key(|(_, upload)| (upload.progressed_at, Reverse(upload.bytes)))
         .map(|(key, _)| key)
 }
+
+/// What the client of a connection is waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wait {
+    /// The first request, of a client that has not sent a complete one yet.
+    FirstRequest,
+    /// The rest of a request, or that it reads its answer.
+    Progress,
+    /// The next request, of a client that has been served.
+    NextRequest,
+}
+
+/// How long a connection is kept after an answer, for a client that is about to send its next request.
+const KEEP: Duration = Duration::from_secs(1);
+
+/// Chooses the connection to close so that a newcomer gets its descriptor, by what it waits for and
+/// since when. Connections that wait for an answer of this VM are not among them. Returns `None` if
+/// there are none, or all were served within the last second.
+pub fn choose_connection<K>(
+    waiting: impl Iterator<Item = (K, Wait, Millis)>,
+    now: Millis,
+) -> Option<K> {
+    waiting
+        .filter(|(_, wait, since)| *wait < Wait::NextRequest || now.since(*since) >= KEEP)
+        .min_by_key(|(_, wait, since)| (*wait, *since))
+        .map(|(key, ..)| key)
+}
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -35,7 +35,8 @@
     pub drain_state: DrainState,
     /// The timer service.
     pub timer: timer::Service,
-    /// The maximum number of open connections; further ones are closed without being read.
+    /// The maximum number of open connections. For a further one, a connection is closed that waits
+    /// for its client.
     pub max_connections: usize,
     /// The size of the socket buffers of each connection, in bytes and in each direction; `None` for
     /// what the system chooses.
@@ -48,6 +49,8 @@
     pub body_timeout: Duration,
     /// The maximum time that a connection stays open without a request.
     pub idle_timeout: Duration,
+    /// The maximum time that a client does not read what it is sent.
+    pub send_timeout: Duration,
     /// The maximum length of the path including the query, in bytes.
     pub max_uri_bytes: usize,
     /// The maximum length of all headers of a request together, in bytes.
@@ -66,6 +69,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(120),
+            send_timeout: Duration::from_secs(30),
             max_uri_bytes: 4 * 1024,
             max_header_bytes: 16 * 1024,
         }
@@ -85,6 +89,7 @@
         Timeouts {
             head: self.head_timeout,
             idle: self.idle_timeout,
+            send: self.send_timeout,
         }
     }
 
@@ -182,7 +187,8 @@
 async fn check_timeouts(table: Arc<ConnectionTable>, settings: Settings) {
     const CHECKS_PER_TIMEOUT: u32 = 4;
     let timeouts = settings.timeouts();
-    let interval = timeouts.head.min(timeouts.idle) / CHECKS_PER_TIMEOUT;
+    let shortest = timeouts.head.min(timeouts.idle).min(timeouts.send);
+    let interval = shortest / CHECKS_PER_TIMEOUT;
     loop {
         settings.timer.sleep(interval).await;
         table.check_timeouts(settings.timer.now(), timeouts);
--- a/crates/server/src/stream.rs
+++ b/crates/server/src/stream.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Records whether the client takes what is written.
+    fn record_write<T>(&self, polled: &Poll<io::Result<T>>) {
+        self.connection
+            .set_blocked(self.timer.now(), polled.is_pending());
+    }
+
     fn check_aborted(&self) -> io::Result<()> {
         match self.connection.is_aborted() {
             true => Err(io::ErrorKind::TimedOut.into()),
@@ -131,7 +137,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_aborted()?;
-        Pin::new(&mut self.tcp).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.tcp).poll_write(cx, bytes);
+        self.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -150,7 +158,9 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_aborted()?;
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, parts)
+        let polled = Pin::new(&mut self.tcp).poll_write_vectored(cx, parts);
+        self.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/server/tests/eviction.rs
+++ b/crates/server/tests/eviction.rs
@@ -4,6 +4,8 @@
 use basilbridge_server::{
     eviction::{
         Upload,
+        Wait,
+        choose_connection,
         choose_upload, //
     },
     share::Share,
@@ -43,6 +45,27 @@
     assert_eq!(choose_upload(crowd), None);
 }
 
+#[test]
+fn connections_without_a_request_go_before_those_of_served_clients() {
+    let served = (0, Wait::NextRequest, Millis(0));
+    let slow = (1, Wait::Progress, Millis(10));
+    let silent = [2, 3].map(|key| (key, Wait::FirstRequest, Millis(18 + key)));
+
+    let chosen = choose_connection([served, slow].into_iter().chain(silent), Millis(5000));
+
+    assert_eq!(chosen, Some(2), "the silent one that came first");
+}
+
+#[test]
+fn a_client_that_was_just_served_keeps_its_connection() {
+    let served = [(0, 4500), (1, 3900)].map(|(key, at)| (key, Wait::NextRequest, Millis(at)));
+
+    let chosen = choose_connection(served.into_iter(), Millis(5000));
+    let among_fresh = choose_connection(served.into_iter().take(1), Millis(5000));
+
+    assert_eq!((chosen, among_fresh), (Some(1), None));
+}
+
 #[test]
 fn the_smallest_vm_takes_the_largest_legal_request_and_keeps_descriptors() {
     let share = Share::of(160_000_000, 4100);
