Accept large jobs on the owner only, as far as its memory goes

Cause: an owner keeps every open job in memory, and each VM accepted jobs without knowing what the owner holds. What is stored can't be refused, so the next owner would meet the same jobs.

Change: a job that needs 256 KiB or more in the owner's memory is accepted by the owner only; other VMs forward it. Large jobs together take at most an eighth of the owner's memory, one that is alone always fits, and the others are refused with 429 before anything is stored, or 502 if an earlier attempt may be stored.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ingress;
 mod job_store;
 mod journal;
+mod large_job;
 mod load;
 pub mod log;
 pub mod metrics;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -75,6 +75,7 @@
     freshness::Freshness,
     ingress,
     job_store::CountCache,
+    large_job,
     log::DecisionLog,
     metrics::{
         self,
@@ -155,6 +156,7 @@
     freshness: Mutex<Freshness>,
     pub(crate) count_cache: CountCache,
     pub(crate) admission: Admission,
+    pub(crate) large_jobs: large_job::Pending,
     /// Triggers a read of the configuration.
     read_configuration: Notify,
     /// Signals that the configuration was read.
@@ -206,6 +208,7 @@
             freshness: Mutex::default(),
             count_cache: CountCache::default(),
             admission: Admission::new(nonce, config.retention),
+            large_jobs: large_job::Pending::default(),
             read_configuration: Notify::new(),
             configuration_read: Notify::new(),
             store_returned: Notify::new(),
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -217,6 +217,12 @@
         self.is_loaded().then(|| self.engine().queued_counts())
     }
 
+    /// Returns the memory that large jobs need, in bytes, or `None` before the jobs have been read or
+    /// after the ownership has ended.
+    pub(crate) fn large_jobs(&self) -> Option<u64> {
+        self.is_loaded().then(|| self.engine().large_jobs())
+    }
+
     /// Returns whether all jobs have been read and the ownership goes on.
     pub(crate) fn is_loaded(&self) -> bool {
         self.loaded.load(Ordering::Acquire) && !self.has_ended()
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -38,6 +38,10 @@
     admission,
     configuration::Configuration,
     job_store,
+    large_job::{
+        self,
+        Place, //
+    },
     node::Node,
     record, //
 };
@@ -293,6 +297,12 @@
                 Ok(memory) => memory,
                 Err(error) => return Err(reject(node, &call.id, error).await),
             };
+            let _ticket = match large_job::place(node, &spec) {
+                Ok(Place::Here(ticket)) => ticket,
+                Ok(Place::Owner(_)) if origin == Origin::Peer => return Err(large_job::no_owner()),
+                Ok(Place::Owner(owner)) => return forward(node, request, owner, deadline).await,
+                Err(error) => return Err(reject(node, &call.id, error).await),
+            };
             let accepted = Accepted {
                 queue: call.queue,
                 team: call.team,
--- a/crates/workflow/src/admission/mod.rs
+++ b/crates/workflow/src/admission/mod.rs
@@ -8,6 +8,7 @@
 pub mod backlog;
 pub mod bucket;
 pub mod judge;
+pub mod large;
 pub mod outlook;
 pub mod rates;
 pub mod retry;
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -34,6 +34,7 @@
     },
     admission::{
         arrivals::Arrivals,
+        large,
         rates::TeamRates, //
     },
     advice,
@@ -412,6 +413,13 @@
         names
     }
 
+    /// Returns the memory that large jobs need, in bytes.
+    pub fn large_jobs(&self) -> u64 {
+        let jobs = self.jobs.values();
+        let footprints = jobs.map(|job| large::footprint(&job.accepted.spec));
+        footprints.filter(|bytes| large::is_large(*bytes)).sum()
+    }
+
     /// Accepts a job from the jobs feed, whose row has `version`.
     ///
     /// A feed that was reset delivers all rows again, including those of jobs that were finished
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -58,7 +58,7 @@
 async fn check_crowd(
     number: u8,
     clients: usize,
-    steps: usize,
+    tasks_per_step: &[u32],
     behaviour: impl Fn(&str) -> Behaviour,
 ) {
     let _alone = crowd::lock().await;
@@ -67,7 +67,8 @@
 
     for round in 1..=ROUNDS {
         let ids: Vec<String> = (0..clients).map(|client| id(round, client)).collect();
-        ids.iter().for_each(|id| cell.expect_job(id, steps));
+        ids.iter()
+            .for_each(|id| cell.expect_job(id, tasks_per_step));
         let behaviours = ids.iter().map(|id| behaviour(id)).collect();
         let crowd = Crowd::gather(cell.callers, behaviours).await;
         cell.run_ordinary_job(&id(round, 0xaaaa)).await;
@@ -83,7 +84,7 @@
     let body = padded_job(1).slice(..LIMITS.body_bytes - 1);
     let length = format!("content-length: {}", LIMITS.body_bytes);
 
-    check_crowd(1, 400, 1, |id| {
+    check_crowd(1, 400, &[1], |id| {
         sender(id, &length, std::slice::from_ref(&body))
     })
     .await;
@@ -98,14 +99,14 @@
         .collect();
     let length = format!("content-length: {}", LIMITS.body_bytes);
 
-    check_crowd(2, 400, 1, |id| sender(id, &length, &pieces)).await;
+    check_crowd(2, 400, &[1], |id| sender(id, &length, &pieces)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_large_chunks_use_bounded_memory() {
     let body = chunked(&padded_job(1)[..LIMITS.body_bytes - 1], 64 * 1024);
 
-    check_crowd(3, 400, 1, |id| {
+    check_crowd(3, 400, &[1], |id| {
         sender(
             id,
             "transfer-encoding: chunked",
@@ -119,7 +120,7 @@
 async fn bodies_in_chunks_of_one_byte_use_bounded_memory() {
     let body = chunked(&padded_job(1)[..LIMITS.body_bytes - 1], 1);
 
-    check_crowd(4, 120, 1, |id| {
+    check_crowd(4, 120, &[1], |id| {
         sender(
             id,
             "transfer-encoding: chunked",
@@ -134,7 +135,7 @@
     let body = padded_job(1);
     let length = format!("content-length: {}", LIMITS.body_bytes);
 
-    check_crowd(5, 400, 1, |id| {
+    check_crowd(5, 400, &[1], |id| {
         sender(id, &length, std::slice::from_ref(&body))
     })
     .await;
@@ -146,7 +147,20 @@
     let body = padded_job(STEPS);
     let length = format!("content-length: {}", LIMITS.body_bytes);
 
-    check_crowd(6, 40, STEPS, |id| {
+    check_crowd(6, 40, &[1; STEPS], |id| {
+        sender(id, &length, std::slice::from_ref(&body))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn short_bodies_with_thousands_of_tasks_use_bounded_memory() {
+    const TASKS: u32 = 20_000;
+    let body = cell::job(1).replace(r#""count":1"#, &format!(r#""count":{TASKS}"#));
+    let length = format!("content-length: {}", body.len());
+    let body = Bytes::from(body);
+
+    check_crowd(9, 60, &[TASKS], |id| {
         sender(id, &length, std::slice::from_ref(&body))
     })
     .await;
@@ -177,7 +191,7 @@
 
     for (number, (length, body)) in requests.iter().enumerate() {
         let id = id(0, number);
-        cell.expect_job(&id, 1);
+        cell.expect_job(&id, &[1]);
         let sent = sender(&id, length, body);
         assert_eq!(
             cell.send(&sent.parts).await,
@@ -201,7 +215,7 @@
     };
     let mut cell = Cell::start(8, limits).await;
     let meter = cell.measure();
-    cell.expect_job("0000000000000001", STEPS);
+    cell.expect_job("0000000000000001", &[1; STEPS]);
 
     cell.run_job("0000000000000001", &cell::job(STEPS)).await;
     cell.run_ordinary_job("0000000000000002").await;
--- a/tests/clients/cell.rs
+++ b/tests/clients/cell.rs
@@ -163,11 +163,11 @@
         );
     }
 
-    /// Tells the workers of a job that a crowd submits. Each of its steps has one task.
-    pub(crate) fn expect_job(&self, id: &str, steps: usize) {
+    /// Tells the workers of a job that a crowd submits.
+    pub(crate) fn expect_job(&self, id: &str, tasks_per_step: &[u32]) {
         let job = SubmittedJob {
             payload: "10".to_owned(),
-            tasks_per_step: vec![1; steps],
+            tasks_per_step: tasks_per_step.to_vec(),
             is_chained: false,
             cpu_millis: 1,
             is_deadly: false,
@@ -179,7 +179,7 @@
 
     /// Submits a small job as an ordinary caller and waits until it is completed.
     pub(crate) async fn run_ordinary_job(&self, id: &str) {
-        self.expect_job(id, 1);
+        self.expect_job(id, &[1]);
         self.run_job(id, &job(1)).await;
     }
 
