Count what is refused for want of memory; few connections for checks

An on-call reader could not see that clients were refused for memory: the counters requests_evicted and jobs_refused_memory tell. The listeners for readiness and metrics, which clients can't reach, had room for 4,096 connections each; 64 are enough. A test submits large jobs through an owner and another VM: three are accepted as far as the owner's memory goes, the next two refused with 429, and an ordinary one is accepted.

--- a/crates/cell/src/ingress.rs
+++ b/crates/cell/src/ingress.rs
@@ -109,7 +109,10 @@
             result
         }
         // Its body was not read to the end, so an earlier attempt was not looked up.
-        Err(error) if error.kind == Kind::Overloaded => Err(request::without_promise(error)),
+        Err(error) if error.kind == Kind::Overloaded => {
+            node.metrics.count("requests_evicted");
+            Err(request::without_promise(error))
+        }
         Err(error) => Err(error),
     };
     body::respond(state, StatusCode::OK, result)
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -101,6 +101,9 @@
 /// checks, a second apart, to notice.
 const READINESS_DELAY: Duration = Duration::from_millis(2500);
 
+/// The number of connections for checks of readiness, and as many for metrics.
+const INTERNAL_CONNECTIONS: usize = 64;
+
 /// The part of the drain limit that is reserved for sending the last answers.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -222,7 +225,8 @@
 
     /// Starts the servers and the background tasks. Fails if an address can't be bound.
     pub async fn start(self: &Arc<Self>) -> io::Result<RunningNode> {
-        let settings = Settings::new(self.timer.clone(), self.drain_state.clone());
+        let mut settings = Settings::new(self.timer.clone(), self.drain_state.clone());
+        settings.max_connections = INTERNAL_CONNECTIONS;
         let app = ingress::App::new(self);
         let peers = peer::serve(self).await?;
         let ready = ingress::ready_router(app.clone());
@@ -240,6 +244,7 @@
         };
         let callers = ingress::router(app);
         let share = self.config.client_share();
+        settings.max_connections = usize::MAX;
         let settings = settings.with_share(&share, &self.request_memory);
         let callers = Server::start(self.config.callers, callers, settings).await?;
         let mut tasks = JoinSet::new();
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -333,6 +333,7 @@
 /// Returns the error of a submission that was not stored for want of memory: a refusal, unless an
 /// earlier attempt may be stored.
 async fn reject(node: &Node, id: &str, error: Error) -> Error {
+    node.metrics.count("jobs_refused_memory");
     match error.kind == Kind::Overloaded && admission::may_be_stored(node, id).await {
         true => without_promise(error),
         false => error,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod fake_platform;
 mod freshness;
+mod large_jobs;
 mod logs;
 mod profile;
 mod requests;
