Keep memory for small requests apart from that of large ones

Found by reading: while one large request was alone and held more than the limit, small ones were refused, since both counted against one sum; and a request whose body was counted already did not count as alone. A full VM that another one forwards to refused in its name; it now says that it could not take the call, so that the next VM is tried. The buffer of received bodies is body::Receiver, which was named like eviction::Upload.

Tests: large requests leave memory for small ones, and one that is alone is not refused whatever its size.

--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -185,7 +185,12 @@
 }
 
 async fn answer_wire(node: &Arc<Node>, wire: ClientRequest) -> Result<Value> {
-    let _memory = node.request_memory.hold(wire.body.len())?;
+    // Another VM may have room, so this is no refusal.
+    let memory = node.request_memory.hold(wire.body.len(), 0);
+    let _memory = memory.map_err(|error| Error {
+        kind: Kind::Unreachable,
+        ..error
+    })?;
     let request = Request::from_wire(wire)?;
     if node.is_part_unreachable(&request.store_part()) {
         let message = "this VM does not reach the store either";
@@ -292,7 +297,9 @@
             }
             spec.check()
                 .map_err(|excess| Error::new(Kind::Malformed, excess))?;
-            let memory = node.request_memory.hold(footprint(&spec));
+            // The buffer of a body may be twice as long as the body.
+            let own = 2 * request.body.len();
+            let memory = node.request_memory.hold(footprint(&spec), own);
             let _memory = match memory {
                 Ok(memory) => memory,
                 Err(error) => return Err(reject(node, &call.id, error).await),
--- a/crates/server/src/body.rs
+++ b/crates/server/src/body.rs
@@ -70,7 +70,7 @@
 
 /// The body of a request that is being received, or that is handled after that.
 #[derive(StateData)]
-pub(crate) struct Upload {
+pub(crate) struct Receiver {
     timer: timer::Service,
     timeout: Duration,
     memory: Reservation,
@@ -78,9 +78,9 @@
     connection: Option<Arc<Connection>>,
 }
 
-impl RefUnwindSafe for Upload {}
+impl RefUnwindSafe for Receiver {}
 
-impl Upload {
+impl Receiver {
     pub(crate) fn new(settings: &Settings, connection: Option<Arc<Connection>>) -> Self {
         Self {
             memory: settings.budget.receive(settings.timer.now()),
@@ -180,9 +180,9 @@
 /// memory that they may and this one gives way.
 pub async fn read(state: &mut State, limit: usize) -> Result<Bytes> {
     let body = Body::take_from(state);
-    let mut upload = Upload::take_from(state);
-    let received = upload.receive(body, limit).await;
-    state.put(upload);
+    let mut receiver = Receiver::take_from(state);
+    let received = receiver.receive(body, limit).await;
+    state.put(receiver);
     received
 }
 
--- a/crates/server/src/handler.rs
+++ b/crates/server/src/handler.rs
@@ -56,7 +56,7 @@
 use crate::{
     body::{
         self,
-        Upload, //
+        Receiver, //
     },
     connection::{
         Connection,
@@ -104,7 +104,7 @@
         let version = Version::try_borrow_from(&state)
             .copied()
             .unwrap_or(Version::HTTP_11);
-        state.put(Upload::new(&self.settings, request.connection()));
+        state.put(Receiver::new(&self.settings, request.connection()));
         let (state, response) = match self.check_head(&state) {
             Ok(()) => self.router.handle(state).await?,
             Err(error) => body::respond::<()>(state, StatusCode::OK, Err(error))?,
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -10,7 +10,10 @@
 use basilbridge_common::timer;
 use futures_util::future;
 use gotham::router::Router;
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle, //
+};
 
 use crate::{
     connection::{
--- a/crates/server/src/memory.rs
+++ b/crates/server/src/memory.rs
@@ -39,10 +39,12 @@
 /// When a caller may return whose request was rejected for want of memory.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The length up to which a request counts as small, in bytes. Small requests may use all memory
-/// for requests that are handled, and larger ones three quarters of it.
+/// The length up to which a request counts as small, in bytes.
 const SMALL: usize = 16 * 1024;
 
+/// The part of the memory for requests that are handled which only small ones may use.
+const SMALL_DIVISOR: usize = 4;
+
 new_key_type! {
     struct Key;
 }
@@ -79,7 +81,8 @@
     /// The limit for the requests that are being received, and as much for those that are handled.
     limit: usize,
     received: usize,
-    handled: usize,
+    handled_small: usize,
+    handled_large: usize,
 }
 
 /// The memory for the requests of all listeners of a process. Clones share it.
@@ -104,18 +107,13 @@
                 requests: SlotMap::with_key(),
                 limit: bytes / 2,
                 received: 0,
-                handled: 0,
+                handled_small: 0,
+                handled_large: 0,
             })),
             turnstile: Turnstile::default(),
         }
     }
 
-    /// Returns the bytes that are reserved.
-    pub fn used(&self) -> usize {
-        let state = self.lock();
-        state.received + state.handled
-    }
-
     /// Returns what lets requests through that take much processor time.
     pub(crate) fn turnstile(&self) -> &Turnstile {
         &self.turnstile
@@ -126,14 +124,14 @@
         self.insert(Stage::Receiving, 0, now)
     }
 
-    /// Reserves memory for a request that is handled.
+    /// Reserves memory for a request that is handled, and of which `own` bytes are counted already.
     ///
     /// # Errors
     ///
     /// Returns [`Kind::Overloaded`] if there is not enough left. A request that is alone is never
     /// refused, whatever its size.
-    pub fn hold(&self, bytes: usize) -> Result<Reservation> {
-        self.lock().admit(bytes)?;
+    pub fn hold(&self, bytes: usize, own: usize) -> Result<Reservation> {
+        self.lock().admit(bytes, own)?;
         Ok(self.insert(Stage::Handling, bytes, Millis(0)))
     }
 
@@ -156,19 +154,30 @@
 }
 
 impl State {
-    /// Counts `bytes` as handled, if there is enough left.
-    fn admit(&mut self, bytes: usize) -> Result<()> {
+    /// Counts `bytes` as handled, if there is enough left beside others than the request itself.
+    fn admit(&mut self, bytes: usize, own: usize) -> Result<()> {
+        let for_small = self.limit / SMALL_DIVISOR;
         let limit = match bytes {
-            ..=SMALL => self.limit,
-            _ => self.limit / 4 * 3,
+            ..=SMALL => for_small,
+            _ => self.limit - for_small,
         };
-        if self.handled > 0 && self.handled.saturating_add(bytes) > limit {
+        let handled = self.handled_mut(bytes);
+        let sum = handled.saturating_add(bytes);
+        if *handled > own && sum > limit {
             return Err(exhausted());
         }
-        self.handled = self.handled.saturating_add(bytes);
+        *handled = sum;
         Ok(())
     }
 
+    /// Returns the sum of the requests that are handled and as small, or as large, as one of `bytes`.
+    fn handled_mut(&mut self, bytes: usize) -> &mut usize {
+        match bytes {
+            ..=SMALL => &mut self.handled_small,
+            _ => &mut self.handled_large,
+        }
+    }
+
     /// Evicts requests until `bytes` more fit once they have ended. Returns whether they will.
     fn evict(&mut self, bytes: usize) -> bool {
         loop {
@@ -279,7 +288,7 @@
         if request.stage == Stage::Evicted {
             return Err(exhausted());
         }
-        state.admit(bytes)?;
+        state.admit(bytes, 0)?;
         state.received -= bytes;
         if let Some(request) = state.requests.get_mut(self.key) {
             request.stage = Stage::Handling;
@@ -296,7 +305,7 @@
             return;
         };
         match request.stage {
-            Stage::Handling => state.handled -= request.bytes,
+            Stage::Handling => *state.handled_mut(request.bytes) -= request.bytes,
             _ => state.received -= request.bytes,
         }
         state.wake_waiting();
--- a/crates/server/tests/eviction.rs
+++ b/crates/server/tests/client_memory.rs
@@ -1,4 +1,4 @@
-//! Which client gives way, under the load of clients that stop short of the end of what they send.
+//! Who gives way, under the load of clients that stop short of the end of what they send.
 
 use basilbridge_common::unit::Millis;
 use basilbridge_server::{
@@ -8,6 +8,7 @@
         choose_connection,
         choose_upload, //
     },
+    memory::Budget,
     share::Share,
 };
 
@@ -66,6 +67,34 @@
     assert_eq!((chosen, among_fresh), (Some(1), None));
 }
 
+#[test]
+fn large_requests_leave_memory_for_small_ones() {
+    let budget = Budget::new(2_000_000);
+    let held: Vec<_> = (0..100)
+        .filter_map(|_| budget.hold(100_000, 0).ok())
+        .collect();
+
+    let large = budget.hold(100_000, 0);
+    let small = budget.hold(1000, 0);
+    drop(held);
+    let after = budget.hold(100_000, 0);
+
+    assert!(large.is_err());
+    assert!(small.is_ok());
+    assert!(after.is_ok(), "what was held is free again");
+}
+
+#[test]
+fn a_request_that_is_alone_is_not_refused_whatever_its_size() {
+    let budget = Budget::new(2_000_000);
+    let body = budget.hold(200_000, 0).unwrap();
+
+    let decoded = budget.hold(10_000_000, 200_000);
+
+    assert!(decoded.is_ok());
+    drop(body);
+}
+
 #[test]
 fn the_smallest_vm_takes_the_largest_legal_request_and_keeps_descriptors() {
     let share = Share::of(160_000_000, 4100);
