Check the route and the key of a submission before its body is read

Cause: the key was checked after the whole body had come.

Change: a submission is resolved by its head first, and answered 401 or 404 at once. Only by a configuration that is known to be current: one that may be out of date may lack a key that another VM knows, and the check after the body stays as it was.

Measured: the new test sends a head with an unknown key and no body. Red with the check taken out (no 401), green with it.

--- a/crates/cell/src/ingress.rs
+++ b/crates/cell/src/ingress.rs
@@ -12,6 +12,7 @@
     Result, //
 };
 use basilbridge_server::body;
+use bytes::Bytes;
 use gotham::{
     handler::HandlerResult,
     middleware::state::StateMiddleware,
@@ -101,8 +102,7 @@
 async fn handle(mut state: State) -> HandlerResult {
     let node = Arc::clone(&App::borrow_from(&state).node);
     let begun = node.timer.now();
-    let limits = node.configuration().limits;
-    let result = match read_request(&mut state, limits.body_bytes).await {
+    let result = match read_request(&node, &mut state).await {
         Ok(request) => {
             let result = request::answer(&node, &request).await;
             log_call(&node, &request, node.timer.now().since(begun), &result);
@@ -118,22 +118,31 @@
     body::respond(state, StatusCode::OK, result)
 }
 
-async fn read_request(state: &mut State, body_limit: usize) -> Result<Request> {
-    let body = body::read(state, body_limit).await?;
+/// Reads a request. Its body is not read, and takes no memory, if its head alone is rejected.
+async fn read_request(node: &Node, state: &mut State) -> Result<Request> {
+    let head = read_head(state);
+    request::check_head(node, &head)?;
+    let limit = node.configuration().limits.body_bytes;
+    let body = body::read(state, limit).await?;
+    Ok(Request { body, ..head })
+}
+
+/// Reads the head of a request, whose body stays empty.
+fn read_head(state: &State) -> Request {
     let headers = HeaderMap::borrow_from(state);
     let header_text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let host = header_text(header::HOST.as_str()).unwrap_or_default();
     let wait = header_text(DEADLINE_HEADER)
         .and_then(|millis| millis.parse().ok())
         .map_or(DEFAULT_WAIT, Duration::from_millis);
-    Ok(Request {
+    Request {
         method: Method::borrow_from(state).clone(),
         host: host.split(':').next().unwrap_or_default().to_owned(),
         path: Uri::borrow_from(state).path().to_owned(),
         key: body::bearer_token(state),
         wait: wait.min(MAX_WAIT),
-        body,
-    })
+        body: Bytes::new(),
+    }
 }
 
 fn log_call(node: &Node, request: &Request, took: Duration, result: &Result<Value>) {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -485,10 +485,7 @@
         let read = async {
             loop {
                 let read = self.configuration_read.notified();
-                if self
-                    .lock_freshness()
-                    .is_current(self.configuration().version)
-                {
+                if self.is_configuration_current() {
                     return;
                 }
                 read.await;
@@ -497,6 +494,12 @@
         self.timer.timeout(limit, read).await.is_some()
     }
 
+    /// Returns whether the configuration is known to be current.
+    pub(crate) fn is_configuration_current(&self) -> bool {
+        let version = self.configuration().version;
+        self.lock_freshness().is_current(version)
+    }
+
     fn lock_freshness(&self) -> MutexGuard<'_, Freshness> {
         self.freshness
             .lock()
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -115,6 +115,21 @@
     }
 }
 
+/// Checks the route and the key of a submission, before its body is read.
+///
+/// Answers the load of large bodies behind keys that no configuration holds. Nothing is rejected by a
+/// configuration that may be out of date, as another VM may know a newer one.
+///
+/// # Errors
+///
+/// Returns what [`answer`] would return for any body.
+pub(crate) fn check_head(node: &Node, head: &Request) -> Result<()> {
+    match head.method == Method::POST && node.is_configuration_current() {
+        true => resolve(head, &node.configuration()).map(|_| ()),
+        false => Ok(()),
+    }
+}
+
 /// Answers a request from the store, or forwards it to other VMs if this one does not reach the
 /// store.
 ///
--- a/crates/cell/tests/cell/requests.rs
+++ b/crates/cell/tests/cell/requests.rs
@@ -6,10 +6,19 @@
     Method,
     StatusCode, //
 };
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
 
 use crate::{
     fake_platform::{
         FakePlatform,
+        HOST,
+        PREFIX,
         StoreMode, //
     },
     vm::{
@@ -231,3 +240,21 @@
     assert_eq!(refused, StatusCode::BAD_REQUEST);
     assert_eq!(platform.rows_about("j1"), 0);
 }
+
+#[tokio::test]
+async fn the_body_of_a_request_with_an_unknown_key_is_not_waited_for() {
+    let platform = FakePlatform::new(&["w1"]);
+    let vm = start(&platform, "a").await;
+    until("readiness", async || vm.node.is_ready()).await;
+    let mut stream = TcpStream::connect(vm.callers_address()).await.unwrap();
+    let head = format!(
+        "POST {PREFIX}j1 HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer unknown\r\n\
+         content-length: 200000\r\n\r\n"
+    );
+
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+}
