Disconnect clients that stop in the middle of a request while a listener closes

What callers saw: nothing yet; found while stalled clients were added to the soak. One client that stops short of the end of its body kept a VM from ending its drain: the body time-out is 10 s and graceS 6 s, so the process ended at the limit, with an error.

Change: while a listener closes, connections whose client has not gone on for 1 s, in a request or in reading an answer, are disconnected. A request that has come whole is never among them.

Measured: the new test was red before (10 s until the listener was closed) and is green with it (at most 3 s, on a manual clock).

--- a/crates/common/src/timer.rs
+++ b/crates/common/src/timer.rs
@@ -6,6 +6,7 @@
 use std::{
     cmp::Reverse,
     collections::BinaryHeap,
+    fmt,
     sync::{
         Arc,
         Mutex,
@@ -84,6 +85,12 @@
     shared: Arc<Shared>,
 }
 
+impl fmt::Debug for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Service").finish_non_exhaustive()
+    }
+}
+
 impl Service {
     /// Starts a service on the monotonic clock.
     ///
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -32,6 +32,10 @@
 /// have ended.
 const MAX_EVICTED: usize = 32;
 
+/// How long a closing listener waits for a client that has stopped in the middle of a request or of an
+/// answer.
+const STALL_AT_CLOSE: Duration = Duration::from_secs(1);
+
 /// What a client sends first to speak HTTP/2, which the interfaces don't offer: one connection would
 /// carry any number of requests.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
@@ -222,6 +226,16 @@
         }
     }
 
+    /// Aborts the connection if all its requests are being received and have stopped.
+    fn abort_stalled(&self, now: Millis) {
+        let is_stalled = self.waiting().is_some_and(|(wait, since)| {
+            wait == Wait::Progress && now.since(since) >= STALL_AT_CLOSE
+        });
+        if is_stalled {
+            self.abort();
+        }
+    }
+
     /// Returns what the client is waited for and since when, unless it waits for an answer.
     fn waiting(&self) -> Option<(Wait, Millis)> {
         let state = self.lock();
@@ -397,6 +411,13 @@
         }
     }
 
+    /// Aborts the connections whose clients have stopped in the middle of a request or of an answer.
+    pub(crate) fn abort_stalled(&self, now: Millis) {
+        for connection in self.lock().connections.values() {
+            connection.abort_stalled(now);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, TableState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -111,6 +111,7 @@
     /// The address on which the server listens.
     pub address: SocketAddr,
     table: Arc<ConnectionTable>,
+    timer: timer::Service,
     accept_task: JoinHandle<()>,
     timeout_task: JoinHandle<()>,
 }
@@ -132,6 +133,7 @@
         };
         let timeout_task = tokio::spawn(check_timeouts(Arc::clone(&table), settings.clone()));
         let connection_table = Arc::clone(&table);
+        let timer = settings.timer.clone();
         let accept_task = tokio::spawn(async move {
             gotham::bind_server(listener, handler, move |tcp| {
                 future::ready(accept(tcp, &connection_table, &settings).ok_or(()))
@@ -141,6 +143,7 @@
         Ok(Self {
             address,
             table,
+            timer,
             accept_task,
             timeout_task,
         })
@@ -151,10 +154,13 @@
         self.table.len()
     }
 
-    /// Stops accepting connections, and closes each open one as soon as it has no request.
+    /// Stops accepting connections, and closes each open one as soon as it has no request, or its client
+    /// has stopped in the middle of one.
     pub fn close(&self) {
         self.accept_task.abort();
         self.table.close();
+        let closing = abort_stalled(Arc::clone(&self.table), self.timer.clone());
+        tokio::spawn(closing);
     }
 
     /// Waits until no connection is open.
@@ -187,6 +193,15 @@
     })
 }
 
+/// Aborts connections whose clients have stopped, until all have ended.
+async fn abort_stalled(table: Arc<ConnectionTable>, timer: timer::Service) {
+    const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+    while table.len() > 0 {
+        timer.sleep(CHECK_INTERVAL).await;
+        table.abort_stalled(timer.now());
+    }
+}
+
 async fn check_timeouts(table: Arc<ConnectionTable>, settings: Settings) {
     const CHECKS_PER_TIMEOUT: u32 = 4;
     let timeouts = settings.timeouts();
--- a/crates/server/tests/connections.rs
+++ b/crates/server/tests/connections.rs
@@ -361,3 +361,24 @@
     assert_eq!(in_flight, 1);
     assert!(rest.len() + first.len() > LARGE_BYTES);
 }
+
+#[tokio::test]
+async fn a_body_that_stops_short_of_its_end_does_not_hold_up_a_drain() {
+    let fixture = start(|_| {}).await;
+    let mut stream = fixture.connect().await;
+    stream
+        .write_all(b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n\"a")
+        .await
+        .unwrap();
+    let in_flight = async {
+        while fixture.drain_state.in_flight() == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    with_timeout(in_flight).await;
+
+    fixture.server.close();
+    let ((), elapsed) = fixture.advance_until(fixture.server.wait_closed()).await;
+
+    assert!(elapsed <= Duration::from_secs(3), "{elapsed:?}");
+}
