--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod partition;
 mod proxy;
 mod run;
+mod stalled;
 mod vm;
 mod withdrawal;
 
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -354,6 +354,10 @@
         );
         tokio::spawn(async move { crowd.press_withdrawn(random, length).await })
     };
+    let stalled = {
+        let crowd = crowd.clone();
+        tokio::spawn(async move { crowd.press_stalled(length).await })
+    };
     let mut noted = 0;
     let begun = Instant::now();
     let mut steps: Vec<(Duration, bool, usize)> = Vec::new();
@@ -380,6 +384,7 @@
     callers.await.expect("the callers do not panic");
     let lasting = lasting.await.expect("the callers do not panic");
     let withdrawn = withdrawing.await.expect("the callers do not panic");
+    stalled.await.expect("the clients do not panic");
     cell.heal().expect("a process starts");
     cell.fleet.begin_calm();
     let mut others: Vec<String> = crowd.book().fates.keys().cloned().collect();
