--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -68,6 +68,9 @@
 /// The maximum time for a peer to answer a forwarded request.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// How many times the length of a body its buffer may hold.
+const OWN_COPIES: usize = 2;
+
 /// A request of a caller.
 #[derive(Debug, Clone)]
 pub(crate) struct Request {
@@ -202,10 +205,7 @@
 async fn answer_wire(node: &Arc<Node>, wire: ClientRequest) -> Result<Value> {
     // Another VM may have room, so this is no refusal.
     let memory = node.request_memory.hold(wire.body.len(), 0);
-    let _memory = memory.map_err(|error| Error {
-        kind: Kind::Unreachable,
-        ..error
-    })?;
+    let _memory = memory.map_err(without_room)?;
     let request = Request::from_wire(wire)?;
     if node.is_part_unreachable(&request.store_part()) {
         let message = "this VM does not reach the store either";
@@ -256,6 +256,12 @@
     if wait.is_zero() {
         return Err(Error::new(Kind::Unreachable, "there is no time left"));
     }
+    // The message, its encoded form and what waits to be sent.
+    let copies = 3 * request.body.len();
+    let memory = node
+        .request_memory
+        .hold(copies, OWN_COPIES * request.body.len());
+    let _memory = memory.map_err(without_room)?;
     let forwarded = node
         .pool
         .forward_request(address, request.to_wire(wait), wait)
@@ -312,8 +318,7 @@
             }
             spec.check()
                 .map_err(|excess| Error::new(Kind::Malformed, excess))?;
-            // The buffer of a body may be twice as long as the body.
-            let own = 2 * request.body.len();
+            let own = OWN_COPIES * request.body.len();
             let memory = node.request_memory.hold(footprint(&spec), own);
             let _memory = match memory {
                 Ok(memory) => memory,
@@ -370,6 +375,14 @@
     }
 }
 
+/// Returns the error of a call that was not passed on, for which another VM may have room.
+fn without_room(error: Error) -> Error {
+    Error {
+        kind: Kind::Unreachable,
+        ..error
+    }
+}
+
 /// Returns about how much memory a job holds from its decoding until it is stored, in bytes: its
 /// steps, their stored form and the call to the store.
 fn footprint(spec: &Spec) -> usize {
