--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -36,8 +36,7 @@
 /// answer.
 const STALL_AT_CLOSE: Duration = Duration::from_secs(1);
 
-/// What a client sends first to speak HTTP/2, which the interfaces don't offer: one connection would
-/// carry any number of requests.
+/// What a client sends first to speak HTTP/2.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
 
 /// The activity of a connection.
@@ -61,7 +60,7 @@
     uploads: usize,
     /// Since when the client has not read what was written.
     blocked_since: Option<Millis>,
-    /// How much of what the client sent first equals [`HTTP2_PREFACE`]; `None` if it differs.
+    /// How much of what the client sent first equals [`HTTP2_PREFACE`]; `None` if it differs, or need not.
     preface_bytes: Option<usize>,
     /// Whether a request of the client was answered.
     has_served: bool,
@@ -90,7 +89,7 @@
 }
 
 impl Connection {
-    fn new(now: Millis) -> Self {
+    fn new(now: Millis, http1_only: bool) -> Self {
         Self {
             state: Mutex::new(ConnectionState {
                 activity: Activity::Idle,
@@ -98,7 +97,7 @@
                 unflushed: Vec::new(),
                 uploads: 0,
                 blocked_since: None,
-                preface_bytes: Some(0),
+                preface_bytes: http1_only.then_some(0),
                 has_served: false,
                 closing: false,
                 aborted: false,
@@ -352,6 +351,7 @@
         address: SocketAddr,
         now: Millis,
         max_connections: usize,
+        http1_only: bool,
     ) -> Option<Arc<Connection>> {
         let mut state = self.lock();
         if state.closed {
@@ -360,7 +360,7 @@
         if state.connections.len() - state.evicted >= max_connections {
             state.evict(now)?;
         }
-        let connection = Arc::new(Connection::new(now));
+        let connection = Arc::new(Connection::new(now, http1_only));
         state.connections.insert(address, Arc::clone(&connection));
         Some(connection)
     }
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -44,6 +44,9 @@
     /// The size of the socket buffers of each connection, in bytes and in each direction; `None` for
     /// what the system chooses.
     pub socket_buffer_bytes: Option<u32>,
+    /// Whether clients that speak HTTP/2 are disconnected: one connection of theirs carries any number of
+    /// requests, whose unread bodies can't be counted.
+    pub http1_only: bool,
     /// The memory that requests may hold.
     pub budget: Budget,
     /// The maximum time from the first byte of a request to the end of its head.
@@ -68,6 +71,7 @@
             timer,
             max_connections: 4096,
             socket_buffer_bytes: None,
+            http1_only: false,
             budget: Budget::new(DEFAULT_BUDGET_BYTES),
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
@@ -78,12 +82,13 @@
         }
     }
 
-    /// Returns the settings of a listener whose clients take no more than `share` and the memory of
-    /// `budget`, which several listeners may have in common.
+    /// Returns the settings of a listener for clients that nobody controls. They take no more than `share`
+    /// and the memory of `budget`, which several listeners may have in common, and speak HTTP/1.1.
     #[must_use]
     pub fn with_share(mut self, share: &Share, budget: &Budget) -> Self {
         self.max_connections = self.max_connections.min(share.connections);
         self.socket_buffer_bytes = Some(share.socket_buffer_bytes());
+        self.http1_only = true;
         self.budget = budget.clone();
         self
     }
@@ -180,7 +185,8 @@
     // A connection without this option works too, but with delays.
     let _ = tcp.set_nodelay(true);
     let now = settings.timer.now();
-    let connection = table.insert(address, now, settings.max_connections)?;
+    let (max_connections, http1_only) = (settings.max_connections, settings.http1_only);
+    let connection = table.insert(address, now, max_connections, http1_only)?;
     Some(Stream {
         tcp,
         address,
