--- a/crates/cell/src/ingress.rs
+++ b/crates/cell/src/ingress.rs
@@ -42,6 +42,7 @@
         self,
         Request, //
     },
+    request_memory,
 };
 
 /// The header with the time that the caller waits, in milliseconds.
@@ -111,7 +112,7 @@
         // Its body was not read to the end, so an earlier attempt was not looked up.
         Err(error) if error.kind == Kind::Overloaded => {
             node.metrics.count("requests_evicted");
-            Err(request::without_promise(error))
+            Err(request_memory::without_promise(error))
         }
         Err(error) => Err(error),
     };
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -33,6 +33,7 @@
 mod record;
 pub mod report;
 mod request;
+mod request_memory;
 mod roster;
 pub mod rtt;
 pub mod sharing;
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -19,10 +19,7 @@
     ClientRequest,
     cell::Forwarded, //
 };
-use basilbridge_workflow::job::{
-    Accepted,
-    Spec, //
-};
+use basilbridge_workflow::job::Accepted;
 use bytes::Bytes;
 use http::Method;
 use rand::seq::{
@@ -43,7 +40,7 @@
         Place, //
     },
     node::Node,
-    record, //
+    record, request_memory,
 };
 
 /// The maximum length of a job name.
@@ -205,7 +202,7 @@
 async fn answer_wire(node: &Arc<Node>, wire: ClientRequest) -> Result<Value> {
     // Another VM may have room, so this is no refusal.
     let memory = node.request_memory.hold(wire.body.len(), 0);
-    let _memory = memory.map_err(without_room)?;
+    let _memory = memory.map_err(request_memory::without_room)?;
     let request = Request::from_wire(wire)?;
     if node.is_part_unreachable(&request.store_part()) {
         let message = "this VM does not reach the store either";
@@ -261,7 +258,7 @@
     let memory = node
         .request_memory
         .hold(copies, OWN_COPIES * request.body.len());
-    let _memory = memory.map_err(without_room)?;
+    let _memory = memory.map_err(request_memory::without_room)?;
     let forwarded = node
         .pool
         .forward_request(address, request.to_wire(wait), wait)
@@ -319,16 +316,18 @@
             spec.check()
                 .map_err(|excess| Error::new(Kind::Malformed, excess))?;
             let own = OWN_COPIES * request.body.len();
-            let memory = node.request_memory.hold(footprint(&spec), own);
+            let memory = node
+                .request_memory
+                .hold(request_memory::footprint(&spec), own);
             let _memory = match memory {
                 Ok(memory) => memory,
-                Err(error) => return Err(reject(node, &call.id, error).await),
+                Err(error) => return Err(request_memory::reject(node, &call.id, error).await),
             };
             let _ticket = match large_job::place(node, &spec) {
                 Ok(Place::Here(ticket)) => ticket,
                 Ok(Place::Owner(_)) if origin == Origin::Peer => return Err(large_job::no_owner()),
                 Ok(Place::Owner(owner)) => return forward(node, request, owner, deadline).await,
-                Err(error) => return Err(reject(node, &call.id, error).await),
+                Err(error) => return Err(request_memory::reject(node, &call.id, error).await),
             };
             let accepted = Accepted {
                 queue: call.queue,
@@ -357,44 +356,6 @@
     }
 }
 
-/// Returns the error of a submission that was not stored for want of memory: a refusal, unless an
-/// earlier attempt may be stored.
-async fn reject(node: &Node, id: &str, error: Error) -> Error {
-    node.metrics.count("jobs_refused_memory");
-    match error.kind == Kind::Overloaded && admission::may_be_stored(node, id).await {
-        true => without_promise(error),
-        false => error,
-    }
-}
-
-/// Returns the error of a request of which an earlier attempt may take effect.
-pub(crate) fn without_promise(error: Error) -> Error {
-    Error {
-        kind: Kind::OutcomeUnknown,
-        ..error
-    }
-}
-
-/// Returns the error of a call that was not passed on, for which another VM may have room.
-fn without_room(error: Error) -> Error {
-    Error {
-        kind: Kind::Unreachable,
-        ..error
-    }
-}
-
-/// Returns about how much memory a job holds from its decoding until it is stored, in bytes: its
-/// steps, their stored form and the call to the store.
-fn footprint(spec: &Spec) -> usize {
-    const PER_STEP: usize = 512;
-    const PER_DEPENDENCY: usize = 32;
-    const PER_PAYLOAD_BYTE: usize = 5;
-    let dependencies: usize = spec.steps.iter().map(|step| step.after.len()).sum();
-    PER_STEP * spec.steps.len()
-        + PER_DEPENDENCY * dependencies
-        + PER_PAYLOAD_BYTE * spec.payload.len()
-}
-
 fn resolve(request: &Request, configuration: &Configuration) -> Result<ResolvedCall> {
     if configuration.version == 0 {
         let error = Error::new(Kind::StaleConfiguration, "there is no configuration yet");
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -5,10 +5,7 @@
 //! `docs/design/connections.md`.
 
 use std::{
-    collections::HashMap,
-    net::SocketAddr,
     sync::{
-        Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
@@ -18,20 +15,12 @@
 
 use basilbridge_common::unit::Millis;
 use futures_util::task::AtomicWaker;
-use tokio::sync::Notify;
 
 use crate::{
     drain::RequestGuard,
-    eviction::{
-        self,
-        Wait, //
-    },
+    eviction::Wait, //
 };
 
-/// How many connections may be evicted and still be open, since a newcomer is accepted before they
-/// have ended.
-const MAX_EVICTED: usize = 32;
-
 /// How long a closing listener waits for a client that has stopped in the middle of a request or of an
 /// answer.
 const STALL_AT_CLOSE: Duration = Duration::from_secs(1);
@@ -89,7 +78,7 @@
 }
 
 impl Connection {
-    fn new(now: Millis, http1_only: bool) -> Self {
+    pub(crate) fn new(now: Millis, http1_only: bool) -> Self {
         Self {
             state: Mutex::new(ConnectionState {
                 activity: Activity::Idle,
@@ -204,13 +193,13 @@
         self.lock().end_requests(1, now);
     }
 
-    fn close(&self) {
+    pub(crate) fn close(&self) {
         self.lock().closing = true;
         self.reader.wake();
     }
 
     /// Aborts the connection if its client has been too slow.
-    fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
+    pub(crate) fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
         let state = self.lock();
         let (since, timeout) = match (state.activity, state.blocked_since) {
             (_, Some(since)) => (since, timeouts.send),
@@ -226,7 +215,7 @@
     }
 
     /// Aborts the connection if all its requests are being received and have stopped.
-    fn abort_stalled(&self, now: Millis) {
+    pub(crate) fn abort_stalled(&self, now: Millis) {
         let is_stalled = self.waiting().is_some_and(|(wait, since)| {
             wait == Wait::Progress && now.since(since) >= STALL_AT_CLOSE
         });
@@ -236,7 +225,7 @@
     }
 
     /// Returns what the client is waited for and since when, unless it waits for an answer.
-    fn waiting(&self) -> Option<(Wait, Millis)> {
+    pub(crate) fn waiting(&self) -> Option<(Wait, Millis)> {
         let state = self.lock();
         if state.aborted {
             return None;
@@ -259,12 +248,12 @@
         self.reader.wake();
     }
 
-    fn evict(&self) {
+    pub(crate) fn evict(&self) {
         self.lock().evicted = true;
         self.abort();
     }
 
-    fn is_evicted(&self) -> bool {
+    pub(crate) fn is_evicted(&self) -> bool {
         self.lock().evicted
     }
 
@@ -311,114 +300,3 @@
     /// Between two reads of a client that is sent an answer.
     pub(crate) send: Duration,
 }
-
-impl TableState {
-    /// Evicts the connection that is worth the least. Returns `None` if there is none.
-    fn evict(&mut self, now: Millis) -> Option<()> {
-        if self.evicted >= MAX_EVICTED {
-            return None;
-        }
-        let waiting = self.connections.values().filter_map(|connection| {
-            let (wait, since) = connection.waiting()?;
-            Some((connection, wait, since))
-        });
-        eviction::choose_connection(waiting, now)?.evict();
-        self.evicted += 1;
-        Some(())
-    }
-}
-
-#[derive(Debug, Default)]
-struct TableState {
-    connections: HashMap<SocketAddr, Arc<Connection>>,
-    /// How many of them are evicted.
-    evicted: usize,
-    closed: bool,
-}
-
-/// The open connections of one listener.
-#[derive(Debug, Default)]
-pub(crate) struct ConnectionTable {
-    state: Mutex<TableState>,
-    emptied: Notify,
-}
-
-impl ConnectionTable {
-    /// Adds a connection, for which another is evicted if `max_connections` are open. Returns `None`
-    /// if the table is closed, or no open connection waits for its client.
-    pub(crate) fn insert(
-        &self,
-        address: SocketAddr,
-        now: Millis,
-        max_connections: usize,
-        http1_only: bool,
-    ) -> Option<Arc<Connection>> {
-        let mut state = self.lock();
-        if state.closed {
-            return None;
-        }
-        if state.connections.len() - state.evicted >= max_connections {
-            state.evict(now)?;
-        }
-        let connection = Arc::new(Connection::new(now, http1_only));
-        state.connections.insert(address, Arc::clone(&connection));
-        Some(connection)
-    }
-
-    pub(crate) fn get(&self, address: SocketAddr) -> Option<Arc<Connection>> {
-        self.lock().connections.get(&address).cloned()
-    }
-
-    pub(crate) fn remove(&self, address: SocketAddr) {
-        let mut state = self.lock();
-        let removed = state.connections.remove(&address);
-        if removed.is_some_and(|connection| connection.is_evicted()) {
-            state.evicted -= 1;
-        }
-        if state.connections.is_empty() {
-            self.emptied.notify_waiters();
-        }
-    }
-
-    pub(crate) fn len(&self) -> usize {
-        self.lock().connections.len()
-    }
-
-    /// Closes each connection as soon as it has no request.
-    pub(crate) fn close(&self) {
-        let mut state = self.lock();
-        state.closed = true;
-        for connection in state.connections.values() {
-            connection.close();
-        }
-    }
-
-    /// Waits until no connection is open.
-    pub(crate) async fn wait_empty(&self) {
-        loop {
-            let notified = self.emptied.notified();
-            if self.len() == 0 {
-                return;
-            }
-            notified.await;
-        }
-    }
-
-    /// Aborts the connections whose clients have been too slow.
-    pub(crate) fn check_timeouts(&self, now: Millis, timeouts: Timeouts) {
-        for connection in self.lock().connections.values() {
-            connection.check_timeouts(now, timeouts);
-        }
-    }
-
-    /// Aborts the connections whose clients have stopped in the middle of a request or of an answer.
-    pub(crate) fn abort_stalled(&self, now: Millis) {
-        for connection in self.lock().connections.values() {
-            connection.abort_stalled(now);
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, TableState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
--- a/crates/server/src/handler.rs
+++ b/crates/server/src/handler.rs
@@ -58,12 +58,10 @@
         self,
         Receiver, //
     },
-    connection::{
-        Connection,
-        ConnectionTable, //
-    },
+    connection::Connection,
     drain::RequestGuard,
     listener::Settings,
+    table::ConnectionTable,
 };
 
 /// The header with the id of a request, which all VMs and workers that handle it log.
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod share;
 mod socket;
 mod stream;
+mod table;
 mod turn;
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -16,16 +16,8 @@
 };
 
 use crate::{
-    connection::{
-        ConnectionTable, //
-        Timeouts,
-    },
-    drain::DrainState,
-    handler::RequestHandler,
-    memory::Budget,
-    share::Share,
-    socket,
-    stream::Stream,
+    connection::Timeouts, drain::DrainState, handler::RequestHandler, memory::Budget, share::Share,
+    socket, stream::Stream, table::ConnectionTable,
 };
 
 /// The memory for requests without a setting, in bytes.
--- a/crates/server/src/stream.rs
+++ b/crates/server/src/stream.rs
@@ -25,13 +25,13 @@
 use crate::{
     connection::{
         Connection,
-        ConnectionTable, //
-        Permission,
+        Permission, //
     },
     memory::{
         Budget,
         Reservation, //
     },
+    table::ConnectionTable,
 };
 
 /// The most bytes per read. The buffer of `hyper`, which begins with one more byte, grows only if a
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -11,7 +11,7 @@
     crowd::{
         self,
         Behaviour,
-        Crowd, //
+        id, //
     },
 };
 
@@ -21,13 +21,6 @@
     body_bytes: 128 * 1024,
 };
 
-/// How often the crowd comes: what it leaves behind must not add up.
-const ROUNDS: usize = 3;
-
-fn id(round: usize, client: usize) -> String {
-    format!("{round:08x}{client:08x}")
-}
-
 /// Returns a client that sends the head with `length`, and then the parts of its body.
 fn sender(id: &str, length: &str, body: &[Bytes]) -> Behaviour {
     let head = cell::head("POST", id, length);
@@ -54,29 +47,22 @@
     job.into()
 }
 
-/// Lets the crowd come, several times, and checks the daemon during it and afterwards.
+/// Checks a crowd of so many clients, each of which submits a job with these tasks.
 async fn check_crowd(
     number: u8,
     clients: usize,
     tasks_per_step: &[u32],
     behaviour: impl Fn(&str) -> Behaviour,
 ) {
-    let _alone = crowd::lock().await;
-    let mut cell = Cell::start(number, LIMITS).await;
-    let meter = cell.measure();
-
-    for round in 1..=ROUNDS {
-        let ids: Vec<String> = (0..clients).map(|client| id(round, client)).collect();
-        ids.iter()
-            .for_each(|id| cell.expect_job(id, tasks_per_step));
-        let behaviours = ids.iter().map(|id| behaviour(id)).collect();
-        let crowd = Crowd::gather(cell.callers, behaviours).await;
-        cell.run_ordinary_job(&id(round, 0xaaaa)).await;
-        drop(crowd);
-        cell.run_ordinary_job(&id(round, 0xbbbb)).await;
-    }
-
-    cell.check(meter.stop());
+    let submit = |cell: &Cell, round: usize| {
+        let ids = (0..clients).map(|client| id(round, client));
+        let submitted = ids.map(|id| {
+            cell.expect_job(&id, tasks_per_step);
+            behaviour(&id)
+        });
+        submitted.collect()
+    };
+    crowd::check(number, LIMITS, submit).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -7,13 +7,11 @@
 use crate::{
     cell::{
         self,
-        Cell,
         Limits, //
     },
     crowd::{
         self,
-        Behaviour,
-        Crowd, //
+        Behaviour, //
     },
 };
 
@@ -23,26 +21,9 @@
     body_bytes: 128 * 1024,
 };
 
-/// How often the crowd comes: what it leaves behind must not add up.
-const ROUNDS: usize = 3;
-
-/// Lets the crowd come, several times, and checks the daemon during it and afterwards.
+/// Checks a crowd of so many clients that all do the same.
 async fn check_crowd(number: u8, limits: Limits, clients: usize, behaviour: &Behaviour) {
-    let _alone = crowd::lock().await;
-    let mut cell = Cell::start(number, limits).await;
-    let meter = cell.measure();
-
-    for round in 1..=ROUNDS {
-        let behaviours = vec![behaviour.clone(); clients];
-        let crowd = Crowd::gather(cell.callers, behaviours).await;
-        cell.run_ordinary_job(&format!("{round:08x}{:08x}", 0xaaaa))
-            .await;
-        drop(crowd);
-        cell.run_ordinary_job(&format!("{round:08x}{:08x}", 0xbbbb))
-            .await;
-    }
-
-    cell.check(meter.stop());
+    crowd::check(number, limits, |_, _| vec![behaviour.clone(); clients]).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -33,6 +33,11 @@
     },
 };
 
+use crate::cell::{
+    Cell,
+    Limits, //
+};
+
 /// How long a test waits for clients whose bytes are not read.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
@@ -53,6 +58,35 @@
     pub(crate) reads: bool,
 }
 
+/// How often a crowd comes: what it leaves behind must not add up.
+const ROUNDS: usize = 3;
+
+/// Lets a crowd come several times, runs ordinary jobs beside it and after it, and checks the daemon.
+/// `behaviours` returns the clients of a round.
+pub(crate) async fn check(
+    number: u8,
+    limits: Limits,
+    behaviours: impl Fn(&Cell, usize) -> Vec<Behaviour>,
+) {
+    let _alone = lock().await;
+    let mut cell = Cell::start(number, limits).await;
+    let meter = cell.measure();
+
+    for round in 1..=ROUNDS {
+        let crowd = Crowd::gather(cell.callers, behaviours(&cell, round)).await;
+        cell.run_ordinary_job(&id(round, 0xaaaa)).await;
+        drop(crowd);
+        cell.run_ordinary_job(&id(round, 0xbbbb)).await;
+    }
+
+    cell.check(meter.stop());
+}
+
+/// Returns the id of a job of a client.
+pub(crate) fn id(round: usize, client: usize) -> String {
+    format!("{round:08x}{client:08x}")
+}
+
 /// Clients that stay connected until they are dropped.
 pub(crate) struct Crowd {
     clients: JoinSet<()>,
