--- a/crates/workflow/src/budget.rs
+++ b/crates/workflow/src/budget.rs
@@ -36,7 +36,7 @@
 /// to send them. Everything else waits behind them for as long.
 const START_WINDOW: Duration = Duration::from_millis(150);
 
-/// Processor time of a start and its answer; see `docs/CAPACITY.md`.
+/// Processor time that is reserved for a start and its answer.
 const START_CPU: Duration = Duration::from_micros(100);
 
 /// Least number of bytes of unanswered starts, so that a gang is never split by the window alone.
