Add a case of an independent review: all processes run out of memory

Jobs that last or have `times` are accepted without a rate, and jobs below 64 KiB don't count towards the owner's memory, so each owner in turn reads more jobs than its memory holds.

Adds: the case review/13 (rule LOST, clients that nobody controls), and in review/standins-3 what it and the case 14 need; what only the dropped cases needed is removed there.

--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -2,10 +2,21 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::Path,
+    sync::atomic::{
+        AtomicUsize,
+        Ordering, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
     time::{
         Duration,
-        Instant, //
+        Instant,
+        SystemTime, //
     },
 };
 
@@ -17,6 +28,7 @@
 
 use crate::{
     cell::{
+        self,
         Cell,
         configuration,
         queue, //
@@ -85,66 +97,6 @@
     Ok(cell.fleet.violations())
 }
 
-/// A task whose workers crash, one after the other, after it has run for seconds on each.
-pub(crate) async fn crashes(path: &Path, trouble: bool) -> io::Result<Vec<String>> {
-    const CRASHES: usize = 4;
-    let config = configuration(3, &[queue("plans", 2, 3)]);
-    let cell = Cell::start(path, &config, (8, 16_000, 32_768)).await?;
-    let id = "5c0e7a21d94b36f8";
-    let behaviour = Behaviour {
-        spec: "plan the rebinding".to_owned(),
-        work: |_| Some(seconds(50)),
-        fails: false,
-        saves: Some(seconds(2)),
-        cpu: 8000,
-        mem_mb: 8192,
-        attempts: 3,
-    };
-    let job = json!({"spec": behaviour.spec, "steps": [{"count": 1, "cpu": behaviour.cpu,
-        "memMb": behaviour.mem_mb, "estMs": 50_000, "checkpointable": true}]});
-    cell.fleet.register(id, behaviour);
-    let job_path = format!("/plans/{id}");
-    cell.submit(&job_path, &job).await?;
-    let task = format!("{id}.0.0.0");
-    let most = if trouble { CRASHES } else { 0 };
-    for _ in 0..most {
-        let begun = Instant::now();
-        let worker = loop {
-            match cell.fleet.runs_on(&task) {
-                Some((worker, time)) if time >= seconds(5) => break Some(worker),
-                // The job is over, if its task has not started for so long.
-                None if begun.elapsed() >= seconds(10) => break None,
-                _ => sleep(STEP).await,
-            }
-        };
-        let Some(worker) = worker else {
-            break;
-        };
-        cell.record
-            .say("the worker of the task, one of 8, crashes after 5 s of work");
-        cell.fleet.crash(worker);
-        sleep(seconds(4)).await;
-        cell.fleet.boot(worker)?;
-    }
-    let mut violations = Vec::new();
-    for _ in 0..55 {
-        let state = cell.state(&job_path).await;
-        if state == "failed" {
-            violations.push(format!(
-                "LOST: {job_path} is shown as failed, {} runs of it have ended failed",
-                cell.fleet.failures(id)
-            ));
-        }
-        if state == "failed" || state == "completed" {
-            cell.record.say(&format!("the job is {state}"));
-            violations.extend(cell.fleet.violations());
-            return Ok(violations);
-        }
-        sleep(seconds(1)).await;
-    }
-    Err(io::Error::other("the job is not over"))
-}
-
 /// A number of jobs with 200 tasks each that last.
 struct LastingJobs {
     count: usize,
@@ -241,31 +193,6 @@
     Ok(report_missing(&cell, missing, jobs.tasks()))
 }
 
-/// Large jobs that last, and the crash of one worker that runs many of their tasks.
-pub(crate) async fn slow_return(path: &Path, trouble: bool) -> io::Result<Vec<String>> {
-    let config = configuration(3, &[queue("runs", 1, 3)]);
-    let cell = Cell::start(path, &config, (12, 64_000, 131_072)).await?;
-    let jobs = LastingJobs {
-        count: 12,
-        cpu: 150,
-        checkpoints: false,
-        max_per_worker: 0,
-    };
-    jobs.start(&cell).await?;
-    if trouble {
-        let busiest = cell.fleet.busiest();
-        cell.record
-            .say("the worker with the most tasks, one of 12, crashes");
-        cell.fleet.crash(busiest);
-        sleep(seconds(4)).await;
-        cell.fleet.boot(busiest)?;
-        cell.record.say("it is back");
-    }
-    // stableWindowMs, the 4 s before and the 3 s of the rule, and one second more.
-    let missing = jobs.watch(&cell, seconds(11)).await;
-    Ok(report_missing(&cell, missing, jobs.tasks()))
-}
-
 fn report_missing(cell: &Cell, missing: usize, all: usize) -> Vec<String> {
     cell.record
         .say(&format!("{missing} of {all} tasks that last have not run"));
@@ -278,6 +205,77 @@
     violations
 }
 
+/// A rack with most workers and the VM that owns them, lost for good.
+pub(crate) async fn lost_rack(path: &Path, trouble: bool) -> io::Result<Vec<String>> {
+    const JOBS: usize = 4;
+    const RACK: usize = 8;
+    const TASKS: usize = 12;
+    let config = configuration(3, &[queue("plans", 2, 3)]);
+    let in_rack = |index| index / RACK;
+    let mut cell = Cell::start_in(path, &config, (12, 16_000, 32_768), in_rack).await?;
+    let ids: Vec<String> = (0..JOBS)
+        .map(|number| format!("5c0e7a21d94b{number:04x}"))
+        .collect();
+    for id in &ids {
+        let behaviour = Behaviour {
+            spec: "plan the rebinding".to_owned(),
+            work: |_| Some(seconds(10)),
+            fails: false,
+            saves: None,
+            cpu: 500,
+            mem_mb: 512,
+            attempts: 3,
+        };
+        let job = json!({"spec": behaviour.spec, "steps": [{"count": TASKS, "cpu": behaviour.cpu,
+            "memMb": behaviour.mem_mb, "estMs": 10_000}]});
+        cell.fleet.register(id, behaviour);
+        cell.submit(&format!("/plans/{id}"), &job).await?;
+    }
+    wait("all tasks run", &cell, seconds(10), |cell| {
+        cell.fleet.running() == JOBS * TASKS
+    })
+    .await?;
+    sleep(seconds(3)).await;
+    if trouble {
+        cell.record
+            .say("the rack of 8 workers and a VM lose power for good");
+        cell.kill_leader_for_good()?;
+        for index in 0..RACK {
+            cell.fleet.crash(index);
+        }
+        sleep(seconds(1)).await;
+        cell.replace_vm()?;
+        // Three heartbeats after the last.
+        sleep(Duration::from_millis(3500)).await;
+        cell.remove_entries();
+    }
+    let mut idle = vec![0; JOBS];
+    let mut states = vec![String::new(); JOBS];
+    for _ in 0..60 {
+        sleep(seconds(1)).await;
+        for (number, id) in ids.iter().enumerate() {
+            states[number] = cell.state(&format!("/plans/{id}")).await;
+            let waits = states[number] != "completed" && cell.fleet.running_of(id) == 0;
+            idle[number] = if waits { idle[number] + 1 } else { 0 };
+        }
+        cell.record.line(&format!(
+            "{states:?}; seconds with nothing running: {idle:?}; free on workers that are up: {} \
+             thousandths of a core",
+            cell.fleet.free_cpu()
+        ));
+    }
+    cell.record.say(&format!(
+        "{states:?}; seconds with nothing running: {idle:?}"
+    ));
+    let mut violations = cell.fleet.violations();
+    for (id, idle) in ids.iter().zip(idle).filter(|(_, idle)| *idle > 3) {
+        violations.push(format!(
+            "LOST: {id} has had nothing running for {idle} s, with room for it"
+        ));
+    }
+    Ok(violations)
+}
+
 /// A queue that is removed and added again while a task has its last attempt.
 pub(crate) async fn queue_back(path: &Path, trouble: bool) -> io::Result<Vec<String>> {
     let plans = queue("plans", 2, 1);
@@ -328,3 +326,219 @@
     }
     Ok(cell.fleet.violations())
 }
+
+/// Clients that nobody controls, each of which hands in one job after the other.
+#[derive(Debug, Default)]
+struct Crowd {
+    sent: AtomicUsize,
+    accepted: AtomicUsize,
+    gone: AtomicUsize,
+}
+
+impl Crowd {
+    const CLIENTS: usize = 32;
+    const JOBS: usize = 5000;
+
+    /// Returns a job of 90 steps that is due in an hour.
+    fn job() -> io::Result<Value> {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let due = now.map_err(io::Error::other)? + seconds(3600);
+        let step = json!({"count": 1, "cpu": 1000, "memMb": 1024, "estMs": 6000});
+        Ok(
+            json!({"spec": "restore the collection", "steps": vec![step; 90], "times": 1,
+            "firstMs": due.as_millis() as u64, "intervalMs": 60_000}),
+        )
+    }
+
+    /// Sends jobs to one VM until all have been sent, each once.
+    async fn send(&self, front: SocketAddr, job: &Value) {
+        loop {
+            let number = self.sent.fetch_add(1, Ordering::Relaxed);
+            if number >= Self::JOBS {
+                self.gone.fetch_add(1, Ordering::Relaxed);
+                return;
+            }
+            let path = format!("/runs/5c0e7a22{number:08x}");
+            let answer = cell::send(front, "POST", &path, job).await;
+            if matches!(answer, Some((200..=299, _))) {
+                self.accepted.fetch_add(1, Ordering::Relaxed);
+            }
+            // All together stay below the calls that the store serves.
+            sleep(Duration::from_millis(150)).await;
+        }
+    }
+
+    fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::Relaxed) == Self::CLIENTS
+    }
+}
+
+/// Clients that nobody controls hand in many jobs that are due later, beside ordinary ones.
+pub(crate) async fn crowd(path: &Path, trouble: bool) -> io::Result<Vec<String>> {
+    let config = configuration(3, &[queue("runs", 1, 3)]);
+    let mut cell = Cell::start(path, &config, (8, 16_000, 32_768)).await?;
+    let crowd = Arc::new(Crowd::default());
+    let job = Crowd::job()?;
+    cell.record.line(&format!("the job of the crowd: {job}"));
+    let lasting = submit_lasting(&cell).await?;
+    if trouble {
+        for client in 0..Crowd::CLIENTS {
+            let fronts = cell.fronts();
+            let (crowd, job) = (Arc::clone(&crowd), job.clone());
+            tokio::spawn(async move { crowd.send(fronts[client % fronts.len()], &job).await });
+        }
+    }
+    let ordinary = Arc::new(Mutex::new(Vec::new()));
+    let begun = Instant::now();
+    let (mut left, mut ended): (Option<Instant>, Option<Instant>) = (None, None);
+    let mut memory = Vec::new();
+    // How often the job that lasts was found not to run, without a break.
+    let mut not_running = 0;
+    for tick in 0_usize.. {
+        not_running = match cell.fleet.runs_on(&format!("{LASTING}.0.0.0")) {
+            Some(_) => 0,
+            None => not_running + 1,
+        };
+        memory = cell.enforce_memory(seconds(1))?;
+        if tick % 10 == 0 {
+            cell.record.line(&format!(
+                "the crowd: {} jobs accepted; MB and kills of each process: {memory:?}",
+                crowd.accepted.load(Ordering::Relaxed)
+            ));
+        }
+        let has_left = if trouble {
+            crowd.is_gone()
+        } else {
+            begun.elapsed() >= seconds(25)
+        };
+        if has_left && left.is_none() {
+            cell.record.say("the crowd has left");
+            left = Some(Instant::now());
+        }
+        // The ordinary clients stay for longer.
+        if left.is_some_and(|at| at.elapsed() >= seconds(12)) && ended.is_none() {
+            cell.record.say("the traffic ends");
+            ended = Some(Instant::now());
+        }
+        match ended {
+            // finishS, the 3 s of the rule and 1 s more.
+            Some(at) if at.elapsed() >= seconds(18) => break,
+            None if tick % 20 == 0 => hand_in(&cell, tick, &ordinary),
+            _ => {}
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let accepted: Vec<String> = {
+        let accepted = ordinary.lock().unwrap_or_else(PoisonError::into_inner);
+        accepted.clone()
+    };
+    let mut violations = cell.fleet.violations();
+    let is_lost = |id: &&String| cell.fleet.progress(id).0 == 0;
+    let lost = accepted.iter().filter(is_lost).count();
+    cell.record.say(&format!(
+        "the crowd: {} jobs accepted; ordinary: {} accepted, {lost} not started; MB and kills of \
+         each process: {memory:?}",
+        crowd.accepted.load(Ordering::Relaxed),
+        accepted.len()
+    ));
+    if lost > 0 {
+        violations.push(format!(
+            "LOST: {lost} ordinary jobs have not been started, with all workers idle"
+        ));
+    }
+    let state = ask(&cell, &lasting).await;
+    cell.record.say(&format!("{lasting} is shown as: {state}"));
+    if state != "running" {
+        violations.push(format!(
+            "LOST: an ordinary job that lasts is shown as: {state}"
+        ));
+    }
+    if not_running >= 30 {
+        violations.push(format!(
+            "LOST: an ordinary job that lasts has not run for {} s",
+            not_running / 10
+        ));
+    }
+    let often = memory.iter().filter(|(_, kills)| *kills >= 3).count();
+    if often >= 2 {
+        violations.push(format!(
+            "Fault: {often} of {} machines exceed memoryMb three times or more",
+            memory.len()
+        ));
+    }
+    Ok(violations)
+}
+
+/// Asks for the state of a job at all VMs, again and again until the deadline.
+async fn ask(cell: &Cell, path: &str) -> String {
+    let begun = Instant::now();
+    loop {
+        let state = cell.state(path).await;
+        if state == "running" || begun.elapsed() >= cell::DEADLINE {
+            return state;
+        }
+        sleep(STEP).await;
+    }
+}
+
+/// The ordinary job that lasts.
+const LASTING: &str = "5c0e7a20d94b36f8";
+
+/// Hands in an ordinary job of one task that lasts, and waits until it runs. Returns its path.
+async fn submit_lasting(cell: &Cell) -> io::Result<String> {
+    let behaviour = Behaviour {
+        spec: "follow the ledger".to_owned(),
+        work: |_| None,
+        fails: false,
+        saves: None,
+        cpu: 1000,
+        mem_mb: 1024,
+        attempts: usize::MAX,
+    };
+    let job = json!({"spec": behaviour.spec, "steps": [{"count": 1, "cpu": behaviour.cpu,
+        "memMb": behaviour.mem_mb, "estMs": 400, "longRunning": true}]});
+    cell.fleet.register(LASTING, behaviour);
+    let path = format!("/runs/{LASTING}");
+    cell.submit(&path, &job).await?;
+    wait(
+        "an ordinary job that lasts runs",
+        cell,
+        seconds(10),
+        |cell| cell.fleet.running() == 1,
+    )
+    .await?;
+    Ok(path)
+}
+
+/// Hands in an ordinary job of one task, at one VM after the other until it is accepted.
+fn hand_in(cell: &Cell, number: usize, accepted: &Arc<Mutex<Vec<String>>>) {
+    let id = format!("5c0e7a21{number:08x}");
+    let behaviour = Behaviour {
+        spec: "check the page".to_owned(),
+        work: |_| Some(seconds(1)),
+        fails: false,
+        saves: None,
+        cpu: 1000,
+        mem_mb: 1024,
+        attempts: 3,
+    };
+    let job = json!({"spec": behaviour.spec, "steps": [{"count": 1, "cpu": behaviour.cpu,
+        "memMb": behaviour.mem_mb, "estMs": 1000}]});
+    cell.fleet.register(&id, behaviour);
+    let (fronts, record) = (cell.fronts(), Arc::clone(&cell.record));
+    let accepted = Arc::clone(accepted);
+    tokio::spawn(async move {
+        for attempt in number / 20..number / 20 + 20 {
+            let path = format!("/runs/{id}");
+            let front = fronts[attempt % fronts.len()];
+            let answer = cell::send(front, "POST", &path, &job).await;
+            record.line(&format!("ordinary client: POST {path}: {answer:?}"));
+            if matches!(answer, Some((200..=299, _))) {
+                let mut accepted = accepted.lock().unwrap_or_else(PoisonError::into_inner);
+                accepted.push(id);
+                return;
+            }
+            sleep(STEP).await;
+        }
+    });
+}
--- a/review/standins-3/src/cell.rs
+++ b/review/standins-3/src/cell.rs
@@ -22,7 +22,10 @@
         Stdio, //
     },
     sync::Arc,
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use serde_json::{
@@ -56,6 +59,9 @@
 /// `heartbeatMs`.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 
+/// `memoryMb`.
+const MEMORY_MB: u64 = 260;
+
 const FRONT_PORT: u16 = 8001;
 const READY_PORT: u16 = 8002;
 
@@ -70,6 +76,8 @@
     settings: PathBuf,
     log: File,
     child: Option<Child>,
+    /// When it was killed for its memory.
+    kills: Vec<Instant>,
 }
 
 /// All that runs.
@@ -79,6 +87,8 @@
     pub(crate) fleet: Arc<Fleet>,
     vms: Vec<Vm>,
     _stores: Vec<Server>,
+    /// The first three numbers of all addresses.
+    net: String,
     /// The addresses of the workers.
     worker_ip: String,
     folder: PathBuf,
@@ -128,7 +138,7 @@
 [limits]
 cpuShare = 0.25
 cores = 1
-memoryMb = 260
+memoryMb = {MEMORY_MB}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -220,6 +230,15 @@
         Ok(())
     }
 
+    /// Returns how much memory the process holds that is in no file, in KB.
+    fn memory(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // It may have ended by itself.
@@ -242,13 +261,39 @@
     }
 }
 
+/// Sends one call of a client.
+pub(crate) async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+) -> Option<Response> {
+    let (authorization, deadline) = (format!("Bearer {KEY}"), DEADLINE.as_millis().to_string());
+    let headers = [
+        ("host", HOST),
+        ("authorization", authorization.as_str()),
+        ("deadline-ms", deadline.as_str()),
+    ];
+    http::call(address, method, path, &headers, body, DEADLINE).await
+}
+
 impl Cell {
     /// Starts the store, `workers` workers of this size and the VMs, and waits until the VMs are
     /// ready.
     pub(crate) async fn start(
+        record_path: &Path,
+        configuration: &Value,
+        workers: (usize, u64, u64),
+    ) -> io::Result<Self> {
+        Self::start_in(record_path, configuration, workers, |index| index % 3).await
+    }
+
+    /// As [`Cell::start`], with workers in the places that `place_of` tells by their index.
+    pub(crate) async fn start_in(
         record_path: &Path,
         configuration: &Value,
         (workers, cpu, mem_mb): (usize, u64, u64),
+        place_of: fn(usize) -> usize,
     ) -> io::Result<Self> {
         let record = Arc::new(Record::create(record_path)?);
         let folder = env::temp_dir().join(format!("review-3-{}", process::id()));
@@ -256,11 +301,12 @@
         let net = free_net()?;
         let mut cell = Self {
             store: Store::new(),
-            fleet: Fleet::new(&record),
+            fleet: Fleet::new(&record, place_of),
             record,
             vms: Vec::new(),
             _stores: Vec::new(),
             worker_ip: format!("{net}.3"),
+            net,
             folder,
         };
         cell.store.write("op", "config", Some(configuration));
@@ -269,27 +315,35 @@
         }
         cell.beat(0);
         for index in 0..VMS {
-            let name = format!("front-{index}");
-            let ip = format!("{net}.{}", 10 + index);
-            let address = format!("{net}.2:0").parse().map_err(io::Error::other)?;
-            let server = cell.store.serve(index, address)?;
-            let path = cell.folder.join(format!("{name}.toml"));
-            fs::write(&path, settings(&name, index, &ip, server.address))?;
-            let mut vm = Vm {
-                ip,
-                settings: path,
-                log: File::create(cell.folder.join(format!("{name}.log")))?,
-                child: None,
-            };
-            vm.boot()?;
-            cell.vms.push(vm);
-            cell._stores.push(server);
+            cell.add_vm(index)?;
         }
         cell.spawn_heartbeats();
         cell.wait_ready().await?;
         Ok(cell)
     }
 
+    /// Adds a VM and starts it.
+    fn add_vm(&mut self, index: usize) -> io::Result<()> {
+        let name = format!("front-{index}");
+        let ip = format!("{}.{}", self.net, 10 + index);
+        let address = format!("{}.2:0", self.net);
+        let address = address.parse().map_err(io::Error::other)?;
+        let server = self.store.serve(index, address)?;
+        let path = self.folder.join(format!("{name}.toml"));
+        fs::write(&path, settings(&name, index % VMS, &ip, server.address))?;
+        let mut vm = Vm {
+            ip,
+            settings: path,
+            log: File::create(self.folder.join(format!("{name}.log")))?,
+            child: None,
+            kills: Vec::new(),
+        };
+        vm.boot()?;
+        self.vms.push(vm);
+        self._stores.push(server);
+        Ok(())
+    }
+
     fn spawn_heartbeats(&self) {
         let (store, fleet) = (Arc::clone(&self.store), Arc::clone(&self.fleet));
         tokio::spawn(async move {
@@ -335,6 +389,12 @@
         Err(io::Error::other("the VMs are not ready"))
     }
 
+    /// Returns where the VMs serve clients.
+    pub(crate) fn fronts(&self) -> Vec<SocketAddr> {
+        let address = |vm: &Vm| format!("{}:{FRONT_PORT}", vm.ip).parse().ok();
+        self.vms.iter().filter_map(address).collect()
+    }
+
     /// Sends one call of a client to a VM.
     pub(crate) async fn call(
         &self,
@@ -343,25 +403,16 @@
         path: &str,
         body: &Value,
     ) -> Option<Response> {
-        let address = format!("{}:{FRONT_PORT}", self.vms[vm % VMS].ip)
-            .parse()
-            .ok()?;
-        let (authorization, deadline) = (format!("Bearer {KEY}"), DEADLINE.as_millis().to_string());
-        let headers = [
-            ("host", HOST),
-            ("authorization", authorization.as_str()),
-            ("deadline-ms", deadline.as_str()),
-        ];
-        let answer = http::call(address, method, path, &headers, body, DEADLINE).await;
+        let fronts = self.fronts();
+        let vm = vm % fronts.len();
+        let answer = send(fronts[vm], method, path, body).await;
         let shown = answer
             .as_ref()
             .map_or("no answer".to_owned(), |(status, body)| {
                 format!("{status} {body}")
             });
-        self.record.line(&format!(
-            "client: {method} {path} at front-{}: {shown}",
-            vm % VMS
-        ));
+        self.record
+            .line(&format!("client: {method} {path} at front-{vm}: {shown}"));
         answer
     }
 
@@ -380,7 +431,7 @@
 
     /// Asks for the state of a job, at one VM after the other until one answers.
     pub(crate) async fn state(&self, path: &str) -> String {
-        for vm in 0..VMS {
+        for vm in 0..self.vms.len() {
             if let Some((status, body)) = self.call(vm, "GET", path, &Value::Null).await {
                 return match body["state"].as_str() {
                     Some(state) => state.to_owned(),
@@ -391,15 +442,63 @@
         "no answer".to_owned()
     }
 
-    /// Kills the process that last wrote to the store under a condition, and starts it again `down`
-    /// later.
-    pub(crate) async fn kill_leader(&mut self, down: Duration) -> io::Result<()> {
+    /// Kills the processes that exceed `memoryMb`, as the platform does, and starts those again that
+    /// were killed `down` ago. Counts only memory that is in no file. Returns the memory in MB and the
+    /// number of kills of each process.
+    pub(crate) fn enforce_memory(&mut self, down: Duration) -> io::Result<Vec<(u64, usize)>> {
+        for (index, vm) in self.vms.iter_mut().enumerate() {
+            let mega_bytes = vm.memory() / 1024;
+            if mega_bytes > MEMORY_MB {
+                vm.kill();
+                vm.kills.push(Instant::now());
+                self.record.say(&format!(
+                    "front-{index} holds {mega_bytes} MB, over memoryMb, and is killed"
+                ));
+            }
+            let is_due = vm.kills.last().is_some_and(|at| at.elapsed() >= down);
+            if vm.child.is_none() && is_due {
+                vm.boot()?;
+                self.record.say(&format!("front-{index} is started again"));
+            }
+        }
+        let of = |vm: &Vm| (vm.memory() / 1024, vm.kills.len());
+        Ok(self.vms.iter().map(of).collect())
+    }
+
+    /// Kills the process that last wrote to the store under a condition. Returns which one it was.
+    pub(crate) fn kill_leader_for_good(&mut self) -> io::Result<usize> {
         let leader = self.store.last_writer();
         let leader = leader.ok_or_else(|| io::Error::other("no VM has written"))?;
         self.record.say(&format!(
             "SIGKILL to front-{leader}, which last wrote under a condition"
         ));
         self.vms[leader].kill();
+        Ok(leader)
+    }
+
+    /// Adds a VM at another address.
+    pub(crate) fn replace_vm(&mut self) -> io::Result<()> {
+        let index = self.vms.len();
+        self.add_vm(index)?;
+        self.record
+            .say(&format!("front-{index} is started at another address"));
+        Ok(())
+    }
+
+    /// Removes the entries of the workers that are down.
+    pub(crate) fn remove_entries(&self) {
+        for index in 0..self.fleet.count() {
+            if let (id, None) = self.fleet.entry(index, 0) {
+                self.store.write("servers", &id, None);
+                self.record.line(&format!("the entry of {id} is removed"));
+            }
+        }
+    }
+
+    /// Kills the process that last wrote to the store under a condition, and starts it again `down`
+    /// later.
+    pub(crate) async fn kill_leader(&mut self, down: Duration) -> io::Result<()> {
+        let leader = self.kill_leader_for_good()?;
         sleep(down).await;
         self.record.say(&format!("front-{leader} is started again"));
         self.vms[leader].boot()
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -136,6 +136,7 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     state: Mutex<State>,
+    place_of: fn(usize) -> usize,
     record: Arc<Record>,
 }
 
@@ -450,9 +451,12 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(record: &Arc<Record>) -> Arc<Self> {
+    /// Creates a fleet whose workers stand in the places, zone and rack, that `place_of` tells by their
+    /// index.
+    pub(crate) fn new(record: &Arc<Record>, place_of: fn(usize) -> usize) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
+            place_of,
             record: Arc::clone(record),
         })
     }
@@ -516,14 +520,14 @@
     /// Returns the id and the entry of a worker, unless it is down.
     pub(crate) fn entry(&self, index: usize, sequence: u64) -> (String, Option<Value>) {
         let state = self.lock();
-        let worker = &state.workers[index];
+        let (worker, place) = (&state.workers[index], (self.place_of)(index));
         let entry = worker.life.as_ref().map(|life| {
             json!({
                 "service": "planner", "addr": worker.address.to_string(),
-                "zone": format!("zone-{}", index % 3), "version": "1", "slots": 8,
+                "zone": format!("zone-{place}"), "version": "1", "slots": 8,
                 "state": "ready", "coldLeftMs": 0, "seq": sequence, "born": life.born,
                 "capacity": {"cpu": worker.cpu, "memMb": worker.mem_mb, "gpu": 0},
-                "labels": ["a", format!("r{}-1", index % 3)],
+                "labels": ["a", format!("r{place}-1")],
             })
         });
         (worker.name.clone(), entry)
@@ -558,15 +562,17 @@
         lives.map(|life| life.running.len()).sum()
     }
 
-    /// Returns the worker with the most runs.
-    pub(crate) fn busiest(&self) -> usize {
+    /// Returns how many runs of a job there are on workers that are up.
+    pub(crate) fn running_of(&self, id: &str) -> usize {
         let state = self.lock();
-        let workers = state.workers.iter().enumerate();
-        let busiest = workers.max_by_key(|(_, worker)| {
-            let life = worker.life.as_ref();
-            life.map_or(0, |life| life.running.len())
-        });
-        busiest.map_or(0, |(index, _)| index)
+        let lives = state
+            .workers
+            .iter()
+            .filter_map(|worker| worker.life.as_ref());
+        lives
+            .flat_map(|life| life.running.keys())
+            .filter(|task| job_of(task) == id)
+            .count()
     }
 
     /// Returns the number of ends `failed` of a job that were taken note of.
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -36,9 +36,9 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     match case {
         "large-progress" => cases::large_progress(&record, trouble).await,
-        "crashes" => cases::crashes(&record, trouble).await,
         "large-batch" => cases::large_batch(&record, trouble).await,
-        "slow-return" => cases::slow_return(&record, trouble).await,
+        "lost-rack" => cases::lost_rack(&record, trouble).await,
+        "crowd" => cases::crowd(&record, trouble).await,
         "queue-back" => cases::queue_back(&record, trouble).await,
         _ => Err(io::Error::other("there is no such case")),
     }
