Store progress that outgrows a row in segments

Cause: the progress did not fit into a row of the store, even compressed. The record was left out of its transaction, the rest was committed, and the whole batch counted as stored, so that the ends were acknowledged. The log tells it from an acknowledgement ahead of the write and from a refused write: "progress can't be encoded" each round, no "batch not stored", no call refused by the store.

No record is left out of a write that counts as stored. A job whose progress may outgrow all that a head can name is refused at the hand-in; checkpoints of more than 256 bytes are not kept. A job that fits into a row is stored as before.

--- a/crates/cell/src/job_store.rs
+++ b/crates/cell/src/job_store.rs
@@ -219,7 +219,7 @@
     let progress = row.and_then(|row| row.value);
     let progress = progress.map(|text| record::decode_progress(&text));
     let progress = progress.transpose()?;
-    Ok(progress.map(|progress| progress.state))
+    Ok(progress.map(|progress| progress.state()))
 }
 
 /// Returns the state of a job, or a [`Kind::Gone`] error if there is no such job.
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -16,10 +16,17 @@
     Put,
     Row, //
 };
-use basilbridge_workflow::journal::Batch;
+use basilbridge_workflow::journal::{
+    Batch,
+    Record, //
+};
 use futures_util::StreamExt;
 
 use crate::{
+    large_progress::{
+        self,
+        SharedJobs, //
+    },
     owner::Owner,
     record::{
         self,
@@ -40,16 +47,27 @@
 /// The most writes in flight.
 const MAX_WRITES: u32 = 8;
 
+/// The delay before segments of finished jobs are removed, of which only the failed removals wait.
+const REMOVAL_DELAY: Duration = Duration::from_secs(1);
+
 /// Stores rounds until the future is dropped.
-pub(crate) async fn run(owner: Arc<Owner>) {
+pub(crate) async fn run(owner: Arc<Owner>, large: large_progress::Jobs) {
+    let large = SharedJobs::new(large);
     loop {
-        owner.unstored.notified().await;
+        let has_obsolete = large_progress::lock(&large).has_obsolete();
+        tokio::select! {
+            () = owner.unstored.notified() => {}
+            () = owner.node.timer.sleep(REMOVAL_DELAY), if has_obsolete => {}
+        }
         owner.node.timer.sleep(BATCH_DELAY).await;
         loop {
+            if large_progress::lock(&large).has_obsolete() {
+                large_progress::remove_obsolete(&owner, &large).await;
+            }
             let Some(round) = owner.engine().begin_round() else {
                 break;
             };
-            if store_all(&owner, &round.batches).await {
+            if store_all(&owner, &large, &round.batches).await {
                 owner.engine().finish_round(&round.ends);
                 owner.signal_stored_ends(&round.ends);
             } else {
@@ -64,10 +82,13 @@
 
 /// Stores the batches of a round, several at a time: an owner that is short of processor time takes long
 /// from an answer to the next write. Returns whether all of them are stored.
-async fn store_all(owner: &Owner, batches: &[Batch]) -> bool {
+async fn store_all(owner: &Owner, large: &SharedJobs, batches: &[Batch]) -> bool {
     let latency = owner.node.store_latency().max(Duration::from_millis(1));
     let writes = (MAX_QUEUE.as_millis() / latency.as_millis()).min(MAX_WRITES.into());
-    let calls: Vec<_> = batches.iter().map(|batch| store(owner, batch)).collect();
+    let calls: Vec<_> = batches
+        .iter()
+        .map(|batch| store(owner, large, batch))
+        .collect();
     futures_util::stream::iter(calls)
         .buffer_unordered((writes as usize).max(1))
         .fold(true, |all, stored| future::ready(all && stored))
@@ -75,28 +96,57 @@
 }
 
 /// Stores one batch. Returns whether its records are stored.
-async fn store(owner: &Owner, batch: &Batch) -> bool {
-    let mut checks = vec![owner.ownership.check()];
-    let mut puts = Vec::with_capacity(batch.records.len());
-    let max_bytes = owner.node.config.max_row_bytes();
-    for entry in &batch.records {
-        checks.push(Precondition {
-            table: PROGRESS_TABLE.into(),
-            key: entry.job.to_string(),
-            version: entry.replaces,
-        });
-        match record::encode_progress(&entry.progress, max_bytes) {
-            Ok(value) => puts.push(Put {
-                table: PROGRESS_TABLE.into(),
-                key: entry.job.to_string(),
-                value: Some(value),
-            }),
-            Err(error) => {
-                slog::error!(owner.node.log, "progress can't be encoded";
-                    "job" => %entry.job, "error" => %error);
+///
+/// Records that don't fit into a row are stored one by one, so that they hold back no others.
+async fn store(owner: &Owner, large: &SharedJobs, batch: &Batch) -> bool {
+    let rows: Vec<Option<Put>> = batch
+        .records
+        .iter()
+        .map(|record| whole_row(owner, large, record))
+        .collect();
+    if rows.iter().all(Option::is_some) {
+        return store_rows(owner, large, batch, rows.into_iter().flatten().collect()).await;
+    }
+    let (mut in_rows, mut puts, mut in_segments) = (Batch::default(), Vec::new(), Vec::new());
+    for (record, row) in batch.records.iter().zip(rows) {
+        match row {
+            Some(put) => {
+                in_rows.records.push(record.clone());
+                puts.push(put);
             }
+            None => in_segments.push(record),
         }
     }
+    let mut all = puts.is_empty() || store_rows(owner, large, &in_rows, puts).await;
+    for record in in_segments {
+        all &= large_progress::store(owner, large, record).await;
+    }
+    all
+}
+
+/// Returns the row that holds all of a record, or `None` if it needs several.
+fn whole_row(owner: &Owner, large: &SharedJobs, record: &Record) -> Option<Put> {
+    let is_final = record.progress.state.is_final();
+    if !is_final && large_progress::lock(large).contains(&record.job) {
+        return None;
+    }
+    let max_bytes = owner.node.config.max_row_bytes();
+    let value = record::encode_progress(&record.progress, max_bytes).ok()?;
+    Some(Put {
+        table: PROGRESS_TABLE.into(),
+        key: record.job.to_string(),
+        value: Some(value),
+    })
+}
+
+/// Stores records that take a row each. Returns whether they are stored.
+async fn store_rows(owner: &Owner, large: &SharedJobs, batch: &Batch, puts: Vec<Put>) -> bool {
+    let mut checks = vec![owner.ownership.check()];
+    checks.extend(batch.records.iter().map(|record| Precondition {
+        table: PROGRESS_TABLE.into(),
+        key: record.job.to_string(),
+        version: record.replaces,
+    }));
     let sent = owner.now();
     match owner.node.transact(checks, puts).await {
         Ok(Outcome::Committed(version)) => {
@@ -104,6 +154,10 @@
             owner
                 .engine_after_stall()
                 .handle_stored(batch, version, owner.now());
+            let finished = batch.records.iter();
+            for record in finished.filter(|record| record.progress.state.is_final()) {
+                large_progress::lock(large).finish(&record.job);
+            }
             // Starts may have waited for it.
             owner.wake.notify_one();
             true
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -23,13 +23,17 @@
 
 use crate::{
     feed,
+    large_progress,
     node::Node,
     owner::Owner,
     record::{
         self,
-        PROGRESS_TABLE, //
+        PROGRESS_TABLE,
+        SEGMENT_TABLE,
+        Stored, //
     },
     roster,
+    segments,
     sharing,
     silence,
     tombstone::Tombstone, //
@@ -46,6 +50,8 @@
     pub(crate) roster: roster::Stored,
     /// What the previous owner has stored of workers that did not answer it.
     pub(crate) silence: silence::Stored,
+    /// The jobs whose progress takes several rows.
+    pub(crate) large: large_progress::Jobs,
 }
 
 /// Reads all rows of a table, and retries until the store has answered.
@@ -92,9 +98,18 @@
     let node = &owner.node;
     let worker_table = node.clients.store.worker_table.clone();
     let begun = owner.now();
-    let ((job_rows, jobs), (progress_rows, _), (worker_rows, workers), usage, roster, silence) = tokio::join!(
+    let (
+        (job_rows, jobs),
+        (progress_rows, _),
+        (segment_rows, _),
+        (worker_rows, workers),
+        usage,
+        roster,
+        silence,
+    ) = tokio::join!(
         read_parts(owner, record::job_tables()),
         read_table(owner, PROGRESS_TABLE.into()),
+        read_table(owner, SEGMENT_TABLE.into()),
         read_table(owner, worker_table),
         sharing::read(node),
         roster::read(owner),
@@ -117,13 +132,25 @@
             engine.register_worker(entry, now);
         }
     }
+    let segments = segment_rows.iter();
+    let segments = segments.filter_map(|row| Some((row.key.as_str(), row.value.as_deref()?)));
+    let segments: HashMap<&str, &str> = segments.collect();
+    let mut heads: Vec<(&str, segments::Head)> = Vec::new();
     let mut stored: HashMap<&str, (Progress, Version)> = HashMap::new();
     // A job whose progress can't be decoded may have run, so it is not started again.
     let mut undecodable: HashSet<&str> = HashSet::new();
     for row in &progress_rows {
-        match record::decode_row_with(&node.log, row, record::decode_progress) {
-            Some(progress) => {
+        let decode = |text: &str| match record::decode_progress(text)? {
+            Stored::Whole(progress) => Ok((progress, None)),
+            Stored::Segmented(head) => {
+                let progress = large_progress::assemble(&row.key, &head, &segments)?;
+                Ok((progress, Some(head)))
+            }
+        };
+        match record::decode_row_with(&node.log, row, decode) {
+            Some((progress, head)) => {
                 stored.insert(&row.key, (progress, row.version));
+                heads.extend(head.map(|head| (row.key.as_str(), head)));
             }
             None => {
                 undecodable.insert(&row.key);
@@ -161,6 +188,17 @@
     if let Some(record) = &silence.record {
         engine.inherit_silence(record.clone());
     }
+    let mut large = large_progress::Jobs::default();
+    for (job, head) in &heads {
+        if engine.job(job).is_some() {
+            large.add_head(&(*job).into(), head);
+        }
+    }
+    for row in &segment_rows {
+        large.add_row(&row.key, |job| {
+            engine.job(job).is_some() || undecodable.contains(job)
+        });
+    }
     engine.set_accepted_version(jobs);
     engine.finish_loading(now);
     FeedStart {
@@ -168,5 +206,6 @@
         jobs,
         roster,
         silence,
+        large,
     }
 }
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -461,7 +461,9 @@
         follow_jobs(owner, from.jobs)
     });
     tasks.spawn(follow_policy(Arc::clone(owner)));
-    spawn_measured(tasks, owner, Part::Store, journal::run);
+    spawn_measured(tasks, owner, Part::Store, move |owner| {
+        journal::run(owner, from.large)
+    });
     spawn_measured(tasks, owner, Part::Store, move |owner| {
         roster::run(owner, from.roster)
     });
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -20,7 +20,10 @@
 use basilbridge_platform::table::Row;
 use basilbridge_workflow::{
     admission::outlook::Outlook,
-    job::Accepted,
+    job::{
+        Accepted,
+        State, //
+    },
     packed::Packed,
     progress::Progress, //
 };
@@ -30,7 +33,10 @@
 };
 use slog::Logger;
 
-use crate::packing;
+use crate::{
+    packing,
+    segments::Head, //
+};
 
 /// The table with the ownership claim, the owner's heartbeat, its list of workers and the entries
 /// of the VMs. It has a single part, since a transaction of the store covers one part only.
@@ -50,6 +56,13 @@
 /// The table with the progress of each job.
 pub(crate) const PROGRESS_TABLE: &str = "progress/0";
 
+/// The table with the segments of the progress of jobs that outgrow a row.
+pub(crate) const SEGMENT_TABLE: &str = "segments/0";
+
+/// The start of a row in [`PROGRESS_TABLE`] that names segments. An earlier version of this program
+/// can't decode such a row, and does not start the job.
+const HEAD_PREFIX: &str = "{\"segmented\":";
+
 /// The key of the ownership claim.
 pub(crate) const CLAIM_KEY: &str = "claim";
 
@@ -220,12 +233,47 @@
     }
 }
 
-/// Decodes the value of a row with the progress of a job.
-pub(crate) fn decode_progress(text: &str) -> Result<Progress> {
-    match packing::is_packed(text) {
+/// The content of a row of the progress table.
+pub(crate) enum Stored {
+    /// All of the progress.
+    Whole(Progress),
+    /// Where the progress is.
+    Segmented(Head),
+}
+
+impl Stored {
+    /// Returns the state of the job.
+    pub(crate) fn state(&self) -> State {
+        match self {
+            Self::Whole(progress) => progress.state,
+            Self::Segmented(head) => head.state,
+        }
+    }
+}
+
+#[data]
+struct Segmented {
+    segmented: Head,
+}
+
+/// Encodes the row that names the segments of a job for a row that takes at most `max_bytes`.
+pub(crate) fn encode_head(head: &Head, max_bytes: usize) -> Result<String> {
+    let row = Segmented {
+        segmented: head.clone(),
+    };
+    packing::pack(encode(&row)?, max_bytes)
+}
+
+/// Decodes the value of a row of the progress table.
+pub(crate) fn decode_progress(text: &str) -> Result<Stored> {
+    if packing::unpack(text)?.starts_with(HEAD_PREFIX) {
+        return decode::<Segmented>(text).map(|row| Stored::Segmented(row.segmented));
+    }
+    let progress = match packing::is_packed(text) {
         true => decode::<Packed>(text).map(Progress::from),
         false => decode(text),
-    }
+    };
+    progress.map(Stored::Whole)
 }
 
 /// Decodes the value of a row from JSON, which may be compressed.
--- a/crates/cell/src/request.rs
+++ b/crates/cell/src/request.rs
@@ -40,7 +40,7 @@
         Place, //
     },
     node::Node,
-    record, request_memory,
+    record, request_memory, segments,
 };
 
 /// The maximum length of a job name.
@@ -315,6 +315,7 @@
             }
             spec.check()
                 .map_err(|excess| Error::new(Kind::Malformed, excess))?;
+            segments::check(&spec, node.config.max_row_bytes())?;
             let own = OWN_COPIES * request.body.len();
             let memory = node
                 .request_memory
--- a/crates/cell/tests/cell/fake_platform.rs
+++ b/crates/cell/tests/cell/fake_platform.rs
@@ -13,6 +13,7 @@
 };
 
 use basilbridge_cell::{
+    call_size,
     clients::{
         Clients,
         Formats,
@@ -22,6 +23,7 @@
         Store,
         Workers, //
     },
+    config::NodeConfig,
     configuration::{
         Configuration,
         Limits,
@@ -170,6 +172,13 @@
     workers: Arc<Mutex<BTreeMap<Name, Worker>>>,
     /// How long a task runs that starts now.
     run_time: Arc<Mutex<Duration>>,
+    /// How long each tenth task runs instead, if that is set.
+    tenth_run_time: Arc<Mutex<Option<Duration>>>,
+    /// The size of a row in base64, and the length of the checkpoints that runs report, if they do.
+    row_bytes: Arc<AtomicUsize>,
+    checkpoint_length: Arc<AtomicUsize>,
+    /// How many writes were refused since they were too large.
+    refused_sizes: Arc<AtomicUsize>,
     /// How many more rows of workers make their decoder panic.
     panics: Arc<AtomicUsize>,
     /// Whether the advice service holds its answers back.
@@ -193,6 +202,10 @@
             changed: Arc::default(),
             workers: Arc::default(),
             run_time: Arc::new(Mutex::new(RUN_TIME)),
+            tenth_run_time: Arc::default(),
+            row_bytes: Arc::new(AtomicUsize::new(NodeConfig::DEFAULT_ROW_BYTES)),
+            checkpoint_length: Arc::default(),
+            refused_sizes: Arc::default(),
             panics: Arc::default(),
             advice_held: watch::Sender::new(false),
             advice_callers: Arc::default(),
@@ -239,6 +252,52 @@
         *self.run_time.lock().unwrap_or_else(PoisonError::into_inner) = run_time;
     }
 
+    /// Sets how long each tenth task runs that starts from now on.
+    pub(crate) fn set_tenth_run_time(&self, run_time: Duration) {
+        let tenth = self.tenth_run_time.lock();
+        *tenth.unwrap_or_else(PoisonError::into_inner) = Some(run_time);
+    }
+
+    /// Sets how many bytes in base64 the store takes in a row.
+    pub(crate) fn set_row_bytes(&self, bytes: usize) {
+        self.row_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns how many bytes in base64 the store takes in a row.
+    pub(crate) fn row_bytes(&self) -> usize {
+        self.row_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Makes runs report checkpoints of so many characters.
+    pub(crate) fn save_checkpoints(&self, characters: usize) {
+        self.checkpoint_length.store(characters, Ordering::Relaxed);
+    }
+
+    /// Returns how many writes were refused since they were too large.
+    pub(crate) fn refused_sizes(&self) -> usize {
+        self.refused_sizes.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many ends the workers list.
+    pub(crate) fn listed_ends(&self) -> usize {
+        let workers = self.lock_workers();
+        workers.values().map(|worker| worker.ended.len()).sum()
+    }
+
+    /// Returns how many runs have ended.
+    pub(crate) fn ends(&self) -> u64 {
+        self.lock_workers()
+            .values()
+            .map(|worker| worker.number)
+            .sum()
+    }
+
+    /// Returns the number of rows in a table.
+    pub(crate) fn rows_in(&self, table: &str) -> usize {
+        let rows = self.lock();
+        rows.rows.keys().filter(|(of, _)| **of == *table).count()
+    }
+
     /// Drops the history of the store.
     pub(crate) fn compact(&self) {
         let mut rows = self.lock();
@@ -264,6 +323,11 @@
         late.len()
     }
 
+    /// Returns how many writes got no answer and are still to be carried out.
+    pub(crate) fn late_writes(&self) -> usize {
+        self.lock().late.len()
+    }
+
     /// Delays the answers to complete reads of a table.
     pub(crate) fn delay_reads(&self, table: &str, delay: Duration) {
         self.lock().read_delays.insert(table.into(), delay);
@@ -430,6 +494,10 @@
         if mode.is_unavailable() || tables.any(|table| mode.refuses_table(table)) {
             return Err(unavailable());
         }
+        if self.is_too_large(transaction) {
+            self.refused_sizes.fetch_add(1, Ordering::Relaxed);
+            return Err(Error::new(Kind::StoreUnavailable, "the store answered 400"));
+        }
         if transaction
             .puts
             .iter()
@@ -448,6 +516,16 @@
         }
     }
 
+    fn is_too_large(&self, transaction: &Transaction) -> bool {
+        let row_bytes = self.row_bytes();
+        let values = transaction.puts.iter().filter_map(|put| put.value.as_ref());
+        let mut sizes = values.map(|value| value.len().div_ceil(3) * 4);
+        let bytes: usize = sizes.clone().sum();
+        transaction.puts.len() + transaction.checks.len() > call_size::MAX_ENTRIES
+            || bytes > call_size::MAX_BYTES
+            || sizes.any(|size| size > row_bytes)
+    }
+
     /// Applies a transaction if its conditions hold.
     fn carry_out(&self, transaction: &Transaction) -> Outcome {
         let mut rows = self.lock();
@@ -600,7 +678,8 @@
                 worker.ended.retain(|end| end.sequence > acknowledged);
                 worker.advance();
                 if !worker.ended.is_empty() || Instant::now() >= until {
-                    return Polled::Answered(worker.inventory(self.clock()));
+                    let length = self.checkpoint_length.load(Ordering::Relaxed);
+                    return Polled::Answered(worker.inventory(self.clock(), length));
                 }
                 worker.running.values().map(|active| active.ends_at).min()
             };
@@ -618,7 +697,12 @@
         }
         worker.epoch = epoch;
         worker.starts.push(order.task.clone());
+        let tenth = self.tenth_run_time.lock();
+        let tenth = *tenth.unwrap_or_else(PoisonError::into_inner);
         let run_time = *self.run_time.lock().unwrap_or_else(PoisonError::into_inner);
+        let run_time = tenth
+            .filter(|_| order.task.index.is_multiple_of(10))
+            .unwrap_or(run_time);
         let active = ActiveRun {
             run: order.run,
             ends_at: Instant::now() + run_time,
@@ -667,11 +751,11 @@
         }
     }
 
-    fn inventory(&self, clock: u64) -> report::Inventory {
+    fn inventory(&self, clock: u64, checkpoint_length: usize) -> report::Inventory {
         let running = self.running.iter().map(|(task, active)| Running {
             task: task.clone(),
             run: active.run,
-            checkpoint: None,
+            checkpoint: (checkpoint_length > 0).then(|| checkpoint(task, checkpoint_length)),
             percent: 50.0,
             measurement: 0.0,
         });
@@ -684,6 +768,19 @@
     }
 }
 
+/// Returns a checkpoint of a task that looks random.
+fn checkpoint(task: &TaskId, length: usize) -> Name {
+    const CHARACTERS: &[u8] = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+    let mut state = u64::from(task.index) + 1;
+    let characters = (0..length).map(|_| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        char::from(CHARACTERS[(state >> 40) as usize % CHARACTERS.len()])
+    });
+    characters.collect::<String>().into()
+}
+
 fn unavailable() -> Error {
     Error::new(Kind::StoreUnavailable, "the store is unavailable")
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod fake_platform;
 mod freshness;
 mod large_jobs;
+mod large_progress;
 mod logs;
 mod profile;
 mod requests;
--- a/crates/workflow/src/journal.rs
+++ b/crates/workflow/src/journal.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Gives up a job whose progress the store does not take.
+    pub fn fail(&mut self, id: &Name, now: Millis) {
+        if let Some(key) = self.jobs_by_id.get(id) {
+            self.end_job(*key, State::Failed, now);
+        }
+    }
+
     /// Returns the number of jobs without a started task, by queue. Scheduled jobs are not counted.
     pub fn queued_counts(&self) -> std::collections::BTreeMap<Name, u64> {
         let mut counts = std::collections::BTreeMap::new();
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod roster;
 pub mod runs;
 pub mod schedule;
+pub mod segment;
 pub mod selection;
 pub mod sharing;
 pub mod silence;
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -7,6 +7,10 @@
 
 use crate::job::State;
 
+/// Longest checkpoint that is kept, in bytes. Tasks are not resumed from a longer one: a job may have
+/// thousands, which an owner holds and stores.
+pub const MAX_CHECKPOINT_BYTES: usize = 256;
+
 /// Progress of a task.
 #[data]
 #[derive(Default)]
--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -15,6 +15,7 @@
         State,
         TaskId, //
     },
+    progress::MAX_CHECKPOINT_BYTES,
     report::{
         Ended,
         Inventory,
@@ -449,7 +450,8 @@
 
     /// Keeps the newest checkpoint of a task.
     fn keep_checkpoint(&mut self, position: TaskPosition, run: u32, checkpoint: Option<&Name>) {
-        let Some(checkpoint) = checkpoint else {
+        let is_kept = |checkpoint: &&Name| checkpoint.len() <= MAX_CHECKPOINT_BYTES;
+        let Some(checkpoint) = checkpoint.filter(is_kept) else {
             return;
         };
         // A run that was superseded can outlast its job.
