Send a batch of progress in as many calls as the store takes it in

Cause: a batch was bounded by its number of records, 45, not by the 1 MB of a call. The store refused it, and it was sent again unchanged; starts of long-running tasks and acknowledgements wait for it. The store's counts show it: the same call, refused each time for its size.

Change: the records of a batch are cut into calls by their size after base64, and each call counts by itself.

--- a/crates/cell/src/call_size.rs
+++ b/crates/cell/src/call_size.rs
@@ -21,9 +21,10 @@
 }
 
 /// Returns whether a call on so many conditions takes all of `puts`.
-pub fn fits(puts: &[Put], checks: usize) -> bool {
-    let bytes: usize = puts.iter().map(bytes).sum();
-    puts.len() + checks <= MAX_ENTRIES && bytes + checks * CONDITION_BYTES <= MAX_BYTES
+pub fn fits<'a>(puts: impl IntoIterator<Item = &'a Put>, checks: usize) -> bool {
+    let sizes: Vec<usize> = puts.into_iter().map(bytes).collect();
+    let bytes = sizes.iter().sum::<usize>() + checks * CONDITION_BYTES;
+    sizes.len() + checks <= MAX_ENTRIES && bytes <= MAX_BYTES
 }
 
 /// Cuts `puts` into calls on so many conditions each, in their order.
@@ -32,7 +33,7 @@
     for put in puts {
         if let Some(call) = calls.last_mut() {
             call.push(put);
-            if fits(call, checks) {
+            if fits(call.iter(), checks) {
                 continue;
             }
             let excess = call.pop();
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -23,6 +23,7 @@
 use futures_util::StreamExt;
 
 use crate::{
+    call_size,
     large_progress::{
         self,
         SharedJobs, //
@@ -97,33 +98,50 @@
 
 /// Stores one batch. Returns whether its records are stored.
 ///
-/// Records that don't fit into a row are stored one by one, so that they hold back no others.
+/// The records go into as many calls as the store takes them in, those that don't fit into a row one
+/// by one. None holds back another one.
 async fn store(owner: &Owner, large: &SharedJobs, batch: &Batch) -> bool {
     let rows: Vec<Option<Put>> = batch
         .records
         .iter()
         .map(|record| whole_row(owner, large, record))
         .collect();
-    if rows.iter().all(Option::is_some) {
+    let is_one_call = rows.iter().all(Option::is_some);
+    if is_one_call && call_size::fits(rows.iter().flatten(), batch.records.len() + 1) {
         return store_rows(owner, large, batch, rows.into_iter().flatten().collect()).await;
     }
-    let (mut in_rows, mut puts, mut in_segments) = (Batch::default(), Vec::new(), Vec::new());
+    let mut calls: Vec<(Batch, Vec<Put>)> = Vec::new();
+    let mut in_segments = Vec::new();
     for (record, row) in batch.records.iter().zip(rows) {
         match row {
-            Some(put) => {
-                in_rows.records.push(record.clone());
-                puts.push(put);
-            }
+            Some(put) => add_row(&mut calls, record, put),
             None => in_segments.push(record),
         }
     }
-    let mut all = puts.is_empty() || store_rows(owner, large, &in_rows, puts).await;
+    let mut all = true;
+    for (batch, puts) in calls {
+        all &= store_rows(owner, large, &batch, puts).await;
+    }
     for record in in_segments {
         all &= large_progress::store(owner, large, record).await;
     }
     all
 }
 
+/// Adds a record with its row to the last call, or to a new one if the store does not take both.
+fn add_row(calls: &mut Vec<(Batch, Vec<Put>)>, record: &Record, put: Put) {
+    let has_room = calls.last().is_some_and(|(batch, puts)| {
+        call_size::fits(puts.iter().chain([&put]), batch.records.len() + 2)
+    });
+    if !has_room {
+        calls.push((Batch::default(), Vec::new()));
+    }
+    if let Some((batch, puts)) = calls.last_mut() {
+        batch.records.push(record.clone());
+        puts.push(put);
+    }
+}
+
 /// Returns the row that holds all of a record, or `None` if it needs several.
 fn whole_row(owner: &Owner, large: &SharedJobs, record: &Record) -> Option<Put> {
     let is_final = record.progress.state.is_final();
--- a/crates/cell/tests/cell/large_progress.rs
+++ b/crates/cell/tests/cell/large_progress.rs
@@ -4,6 +4,7 @@
 
 use basilbridge_cell::{
     call_size,
+    config::NodeConfig,
     node::RunningNode, //
 };
 use http::{
@@ -121,3 +122,30 @@
     assert_eq!(platform.refused_sizes(), 0);
     assert!(rows > call_size::MAX_ENTRIES, "{rows}");
 }
+
+/// Jobs that each fit into a row were sent as one call of more than the store takes, again and again,
+/// so that none of them was stored and no end was acknowledged.
+#[tokio::test]
+async fn jobs_that_fit_into_rows_but_not_into_one_call_are_stored() {
+    const JOBS: usize = 45;
+    const TASKS: usize = 90;
+    let platform = platform(JOBS * TASKS, NodeConfig::DEFAULT_ROW_BYTES, 256);
+    let vm = start(&platform, "a").await;
+    for number in 0..JOBS {
+        accept(&vm, &format!("j{number}"), TASKS).await;
+    }
+
+    platform.set_store_mode("a", StoreMode::TableUnavailable("progress"));
+    until("the ends of a tenth of the tasks", async || {
+        platform.ends() == (JOBS * TASKS) as u64 / 10
+    })
+    .await;
+
+    platform.set_store_mode("a", StoreMode::Normal);
+
+    until("the acknowledgement of the ends", async || {
+        platform.listed_ends() == 0
+    })
+    .await;
+    assert_eq!(platform.refused_sizes(), 0);
+}
