Spread the names of workers over several rows where they exceed one

Callers saw: with 2,500 workers or more no task starts, nothing disrupted.

Cause: the names of all workers are one row. Above some 2,200 the store refuses it for its size, the same write is sent again for ever (`row not stored`, key `workers`, 94,189 bytes with 3,200 workers), and no worker gets work before its name is stored.

Change: names that exceed a row are spread by a hash over several, compressed, which are written by one call under the conditions of the one before. Small fleets are stored as before.

The names of 28,000 workers fit into one call (a test).

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -37,6 +37,7 @@
 mod request;
 mod request_memory;
 mod roster;
+pub mod roster_rows;
 pub mod rtt;
 pub mod segments;
 pub mod sharing;
--- a/crates/cell/src/load.rs
+++ b/crates/cell/src/load.rs
@@ -55,7 +55,7 @@
 }
 
 /// Reads all rows of a table, and retries until the store has answered.
-async fn read_table(owner: &Owner, table: Name) -> (Vec<Row>, Version) {
+pub(crate) async fn read_table(owner: &Owner, table: Name) -> (Vec<Row>, Version) {
     loop {
         match feed::read_all(&owner.node, std::slice::from_ref(&table)).await {
             Ok((rows, version)) if version >= owner.ownership.version => return (rows, version),
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -81,6 +81,9 @@
 /// The key of the owner's list of workers.
 pub(crate) const WORKERS_KEY: &str = "workers";
 
+/// The table with the owner's list of workers, if there are more than a row takes.
+pub(crate) const ROSTER_TABLE: &str = "roster/0";
+
 /// The key of those of them that don't count yet for the next owner.
 pub(crate) const JOINED_KEY: &str = "joined";
 
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -4,6 +4,7 @@
 //! The rules are in [`basilbridge_workflow::engine::Engine::roster`].
 
 use std::{
+    collections::HashMap,
     sync::Arc,
     time::Duration, //
 };
@@ -16,15 +17,20 @@
 use basilbridge_workflow::roster::Roster;
 
 use crate::{
-    election,
+    election, load,
     owned_row::OwnedRow,
     owner::Owner,
     record::{
         self,
         JOINED_KEY,
         LEAVING_KEY,
+        ROSTER_TABLE,
         WORKERS_KEY, //
     },
+    roster_rows::{
+        self,
+        Rows, //
+    },
 };
 
 /// The minimum time between two writes. Many workers are listed within seconds after an outage.
@@ -39,11 +45,20 @@
     row: OwnedRow,
     /// The roster; `None` if a row can't be decoded or its content is not known.
     pub(crate) roster: Option<Roster>,
+    /// The rows beside the first one; `None` if their content is not known.
+    rows: Option<Rows>,
+    /// A number above those of all such rows that may exist.
+    end: usize,
 }
 
 /// Reads the stored names, and retries until the store has answered.
 pub(crate) async fn read(owner: &Owner) -> Stored {
     let (row, names) = OwnedRow::read(owner, WORKERS_KEY).await;
+    let head = names.as_ref().and_then(|row| row.value.as_deref());
+    let end = head.map_or(0, roster_rows::row_count);
+    if end > 0 {
+        return read_several(owner, row, end).await;
+    }
     let (_, joined) = OwnedRow::read(owner, JOINED_KEY).await;
     let decode = |found: Option<Row>| -> Option<Vec<Name>> {
         match found {
@@ -55,7 +70,34 @@
         (Some(names), Some(joined)) => Some(Roster { names, joined }),
         _ => None,
     };
-    Stored { row, roster }
+    Stored {
+        row,
+        roster,
+        rows: Some(Rows::default()),
+        end,
+    }
+}
+
+/// Reads names that are spread over `end` rows.
+async fn read_several(owner: &Owner, row: OwnedRow, end: usize) -> Stored {
+    let (found, _) = load::read_table(owner, ROSTER_TABLE.into()).await;
+    let values = found.iter();
+    let values = values.filter_map(|row| Some((row.key.as_str(), row.value.as_deref()?)));
+    let values: HashMap<&str, &str> = values.collect();
+    let read = roster_rows::read(end, |key| values.get(key).copied());
+    let (roster, rows) = match read {
+        Ok((roster, rows)) => (Some(roster), Some(rows)),
+        Err(error) => {
+            slog::error!(owner.node.log, "workers can't be decoded"; "error" => %error);
+            (None, None)
+        }
+    };
+    Stored {
+        row,
+        roster,
+        rows,
+        end,
+    }
 }
 
 /// Keeps the stored names up to date until the future is dropped.
@@ -82,20 +124,27 @@
             }
             continue;
         };
-        let values = (
-            record::encode(&roster.names),
-            record::encode(&roster.joined),
-        );
-        let (names, joined) = match values {
-            (Ok(names), Ok(joined)) => (names, joined),
-            (Err(error), _) | (_, Err(error)) => {
-                slog::error!(owner.node.log, "workers can't be encoded"; "error" => %error);
-                return;
+        let max_bytes = owner.node.config.max_row_bytes();
+        let write = match roster_rows::encode(&roster, stored.rows.as_ref(), max_bytes) {
+            Ok(write) => write,
+            Err(error) => {
+                slog::error!(owner.node.log, "workers can't be encoded"; "error" => %error,
+                    "workers" => roster.names.len());
+                owner.node.metrics.count("roster_rejected");
+                timer.sleep(REMOVAL_INTERVAL).await;
+                continue;
             }
         };
         stored.roster = None;
-        let others = vec![election::put(JOINED_KEY, joined), no_departures()];
-        if stored.row.replace(&owner, names, others).await {
+        stored.rows = None;
+        let count = write.rows.count();
+        let mut others = write.others;
+        others.extend(roster_rows::removals(count, stored.end));
+        others.push(no_departures());
+        stored.end = stored.end.max(count);
+        if stored.row.replace(&owner, write.head, others).await {
+            stored.end = count;
+            stored.rows = Some(write.rows);
             owner.engine().confirm_roster(&roster);
             owner.wake.notify_one();
             stored.roster = Some(roster);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod logs;
 mod profile;
 mod requests;
+mod rosters;
 mod rtt;
 mod sharing;
 mod stalls;
--- a/crates/workflow/src/roster.rs
+++ b/crates/workflow/src/roster.rs
@@ -56,8 +56,9 @@
     /// Expects the workers that an earlier owner has stored, which may still run its tasks.
     pub fn inherit_roster(&mut self, roster: &Roster) {
         self.confirm_roster(roster);
+        let joined: HashSet<&Name> = roster.joined.iter().collect();
         let names = roster.names.iter();
-        let counted = names.filter(|name| !roster.joined.contains(name));
+        let counted = names.filter(|name| !joined.contains(name));
         self.electorate.elect(counted.cloned().collect());
         self.expect_workers(roster.names.iter().cloned());
     }
