Keep heartbeats and the rows beside them within a row of the store

The heartbeat tells the jobs that wait by queue and the shortage by queue and team, and the past use of teams is written in the same call. With thousands of queues or teams they exceed a row; the bound of past use, 64,000 bytes, forgot base64. The store would refuse each such heartbeat, and a sound owner would be replaced again and again. The task that records silent workers ended for a record that can't be encoded.

Change: the three rows are compressed where they exceed a row. A heartbeat that does not fit even so leaves out what it tells of queues and teams.

Measured: a heartbeat about 2,500 queues and the largest record of past use exceed a row as plain text, and fit now (crates/cell/tests/heartbeats.rs).

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -50,6 +50,7 @@
         self,
         Update, //
     },
+    heartbeat::Heartbeat,
     node::Node,
     owner::{
         self,
@@ -61,7 +62,6 @@
         CLAIM_KEY,
         Claim,
         HEARTBEAT_KEY,
-        Heartbeat,
         LINEAGE_KEY,
         NODE_PREFIX,
         OWNERSHIP_TABLE,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod evacuation;
 mod feed;
 pub mod freshness;
+pub mod heartbeat;
 pub mod ingress;
 mod job_store;
 mod journal;
--- a/crates/cell/src/owner.rs
+++ b/crates/cell/src/owner.rs
@@ -81,6 +81,7 @@
         self,
         Update, //
     },
+    heartbeat::Heartbeat,
     journal,
     load,
     node::Node,
@@ -91,7 +92,6 @@
         CLAIM_KEY,
         Claim,
         HEARTBEAT_KEY,
-        Heartbeat,
         JOB_TABLE,
         SUCCESSION_KEY,
         Succession, //
@@ -716,11 +716,12 @@
         let unstarted = owner.unstarted();
         self.sequence += 1;
         let mut puts = Vec::new();
-        match record::encode(&Heartbeat {
+        let heartbeat = Heartbeat {
             sequence: self.sequence,
             unstarted,
             outlook: admission::current(owner),
-        }) {
+        };
+        match heartbeat.encode(owner.node.config.max_row_bytes()) {
             Ok(value) => puts.push(election::put(HEARTBEAT_KEY, value)),
             Err(error) => {
                 slog::error!(owner.node.log, "heartbeat can't be encoded"; "error" => %error)
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -18,6 +18,7 @@
     deflate::compress_to_vec,
     inflate::decompress_to_vec_with_limit, //
 };
+use serde::Serialize;
 
 /// What encloses a compressed value, which is JSON like all others.
 const PREFIX: &str = "{\"deflate\":\"";
@@ -35,6 +36,19 @@
     value.starts_with(PREFIX)
 }
 
+/// Encodes a value as JSON, for a row that takes at most `max_bytes`.
+///
+/// # Errors
+///
+/// Returns [`Kind::TooLarge`] if it does not fit into a row.
+pub fn encode<T: Serialize>(value: &T, max_bytes: usize) -> Result<String> {
+    let text = serde_json::to_string(value);
+    pack(
+        text.map_err(|error| Error::new(Kind::Internal, error.to_string()))?,
+        max_bytes,
+    )
+}
+
 /// Returns `text` as it is stored in a row that takes at most `max_bytes`.
 ///
 /// # Errors
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -3,10 +3,7 @@
 //! `docs/design/programs.md` lists the rows. Some tables, keys and fields are stored under earlier
 //! names, so that rows written by an earlier version stay readable.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr, //
-};
+use std::net::SocketAddr;
 
 use basilbridge_common::{
     error::{
@@ -19,7 +16,6 @@
 use basilbridge_derives::data;
 use basilbridge_platform::table::Row;
 use basilbridge_workflow::{
-    admission::outlook::Outlook,
     job::{
         Accepted,
         State, //
@@ -145,21 +141,6 @@
     pub nonce: u64,
 }
 
-/// A heartbeat of the owner.
-#[data]
-#[derive(Default)]
-pub(crate) struct Heartbeat {
-    /// The number of this heartbeat, counted from one since the claim.
-    #[serde(rename = "beat")]
-    pub sequence: u64,
-    /// The number of jobs that have not begun, by queue; `None` until the owner has read the jobs.
-    #[serde(default)]
-    pub unstarted: Option<BTreeMap<Name, u64>>,
-    /// The shortage that the owner sees, if there is one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub outlook: Option<Outlook>,
-}
-
 /// The entry of a VM: its address for peers and its processor time.
 #[data]
 pub(crate) struct NodeEntry {
--- a/crates/cell/src/sharing.rs
+++ b/crates/cell/src/sharing.rs
@@ -18,6 +18,7 @@
     election,
     node::Node,
     owner::Owner,
+    packing,
     record::{
         self,
         OWNERSHIP_TABLE,
@@ -54,7 +55,7 @@
     if usage.teams.is_empty() {
         return None;
     }
-    match record::encode(&usage) {
+    match packing::encode(&usage, owner.node.config.max_row_bytes()) {
         Ok(value) => Some(election::put(USAGE_KEY, value)),
         Err(error) => {
             slog::error!(owner.node.log, "past use can't be encoded"; "error" => %error);
--- a/crates/cell/src/silence.rs
+++ b/crates/cell/src/silence.rs
@@ -17,6 +17,7 @@
         OwnedRow, //
     },
     owner::Owner,
+    packing,
     record::{
         self,
         SILENT_KEY, //
@@ -126,11 +127,13 @@
             owner.node.timer.sleep(INTERVAL).await;
             continue;
         };
-        let value = match record::encode(&record) {
+        let max_bytes = owner.node.config.max_row_bytes();
+        let value = match packing::encode(&record, max_bytes) {
             Ok(value) => value,
             Err(error) => {
                 slog::error!(owner.node.log, "silent workers can't be encoded"; "error" => %error);
-                return;
+                owner.node.timer.sleep(SHORTENING_INTERVAL).await;
+                continue;
             }
         };
         stored.record = None;
