Keep the latest failed runs of a long-running task only

One that fails again and again outgrew a row in the end: nothing was acknowledged any more, and with segments its job would fail.

Change: the latest 16 failed runs of a long-running task are kept. They tell only where it goes next.

--- a/crates/workflow/src/worker_reply.rs
+++ b/crates/workflow/src/worker_reply.rs
@@ -37,6 +37,10 @@
 /// Maximum number of ends that a worker lists at once; a full list may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Most failed runs that are kept of a long-running task, the latest ones. It has no limit of attempts, so
+/// that all of them would outgrow a row of the store.
+const MAX_KEPT_FAILURES: usize = 16;
+
 impl Engine {
     /// Handles the answer to a poll that was sent at `sent`.
     pub fn handle_inventory(
@@ -400,6 +404,9 @@
         for index in indexes {
             let task = &mut tasks[index];
             task.failed_runs.insert(run);
+            if long_running && task.failed_runs.len() > MAX_KEPT_FAILURES {
+                task.failed_runs.pop_first();
+            }
             exhausted |= task.failed_runs.len() >= max_attempts;
         }
         let failed_workers = &mut tasks[position.index].failed_workers;
--- a/crates/workflow/tests/engine/lasting.rs
+++ b/crates/workflow/tests/engine/lasting.rs
@@ -115,6 +115,24 @@
     assert!(!sim.engine.is_settled());
 }
 
+/// Its stored progress grew with each failure, until no row took it and no end was acknowledged.
+#[test]
+fn the_stored_progress_of_a_lasting_task_that_fails_again_and_again_stays_small() {
+    const FAILURES: usize = 100;
+    let mut sim = Simulation::new(&["w1", "w2"], |_, _| (20, Outcome::Failed, TASK_CPU));
+    let job = accepted(LONG_RUNNING, sim.now, vec![lasting(1)]);
+    sim.submit("service", job);
+
+    while starts_of(&sim, &task(0)) <= FAILURES {
+        sim.run(1000);
+    }
+
+    let job = sim.engine.job("service").expect("it lasts");
+    let failed = &job.progress().stages[&0].tasks[&0].failed;
+    assert!(failed.len() <= 16, "{}", failed.len());
+    assert!(failed.last() > Some(&(FAILURES as u32 / 2)), "{failed:?}");
+}
+
 #[test]
 fn a_lasting_task_of_a_job_that_is_older_than_the_lineage_waits_for_all_workers() {
     let mut sim = cell_with_a_service();
