--- a/crates/cell/src/large_progress.rs
+++ b/crates/cell/src/large_progress.rs
@@ -13,7 +13,10 @@
 };
 
 use basilbridge_common::{
-    error::Result,
+    error::{
+        Error,
+        Result, //
+    },
     id::{
         Name,
         Version, //
@@ -130,6 +133,8 @@
     head.assemble(job, |key| rows.get(key).copied())
 }
 
+type Written<T> = std::result::Result<T, Failure>;
+
 /// Why a version of the progress is not stored.
 enum Failure {
     /// Another VM has claimed the ownership.
@@ -149,13 +154,12 @@
 pub(crate) async fn store(owner: &Owner, jobs: &SharedJobs, record: &Record) -> bool {
     let id = &record.job;
     let mut job = lock(jobs).jobs.get(id).cloned().unwrap_or_default();
-    let written = write(owner, &mut job, record).await;
     let batch = Batch {
         records: vec![record.clone()],
     };
-    match written {
+    let written = write(owner, &mut job, record).await;
+    let is_stored = match written {
         Ok(version) => {
-            lock(jobs).jobs.insert(id.clone(), job);
             let mut engine = owner.engine_after_stall();
             engine.handle_stored(&batch, version, owner.now());
             drop(engine);
@@ -163,39 +167,46 @@
             true
         }
         Err(failure) => {
-            let found = match failure {
-                Failure::Deposed => {
-                    owner.end_ownership("the claim was replaced");
-                    return false;
-                }
-                Failure::Replaced(row) => {
-                    job.is_in_doubt = false;
-                    job.layout = layout(owner, row.as_ref());
-                    Some(row.map_or(Version(0), |row| row.version))
-                }
-                Failure::Settled(version) => {
-                    job.is_in_doubt = false;
-                    Some(version)
-                }
-                Failure::Unanswered => {
-                    job.is_in_doubt = true;
-                    None
-                }
-                Failure::Rejected => {
-                    // What its tasks have done can't be kept, and must not hold back other jobs.
-                    owner.engine().fail(id, owner.now());
-                    None
-                }
-            };
-            job.end_id = job.end_id.max(job.layout.next_id());
-            lock(jobs).jobs.insert(id.clone(), job);
-            let versions: Vec<(Name, Version)> = found
+            let version = handle_failure(owner, &mut job, id, failure);
+            let versions: Vec<(Name, Version)> = version
                 .map(|version| (id.clone(), version))
                 .into_iter()
                 .collect();
             owner.engine().handle_store_failure(&batch, &versions);
             false
         }
+    };
+    job.end_id = job.end_id.max(job.layout.next_id());
+    lock(jobs).jobs.insert(id.clone(), job);
+    is_stored
+}
+
+/// Records in `job` what a failure tells of the store. Returns the version of the job's row, if it is
+/// known.
+fn handle_failure(owner: &Owner, job: &mut Job, id: &Name, failure: Failure) -> Option<Version> {
+    match failure {
+        Failure::Deposed => {
+            owner.end_ownership("the claim was replaced");
+            None
+        }
+        Failure::Replaced(row) => {
+            job.is_in_doubt = false;
+            job.layout = layout(owner, row.as_ref());
+            Some(row.map_or(Version(0), |row| row.version))
+        }
+        Failure::Settled(version) => {
+            job.is_in_doubt = false;
+            Some(version)
+        }
+        Failure::Unanswered => {
+            job.is_in_doubt = true;
+            None
+        }
+        Failure::Rejected => {
+            // What its tasks have done can't be kept, and must not hold back other jobs.
+            owner.engine().fail(id, owner.now());
+            None
+        }
     }
 }
 
@@ -210,11 +221,7 @@
 }
 
 /// Writes the progress of a job, and records its segments in `job`.
-async fn write(
-    owner: &Owner,
-    job: &mut Job,
-    record: &Record,
-) -> std::result::Result<Version, Failure> {
+async fn write(owner: &Owner, job: &mut Job, record: &Record) -> Written<Version> {
     let mut draft = draft(owner, job, record).await?;
     job.end_id = job.end_id.max(draft.layout().next_id());
     let mut puts = draft.segment_rows(&record.job);
@@ -236,7 +243,7 @@
 }
 
 /// Encodes the changed segments. Lets other tasks run after each.
-async fn draft(owner: &Owner, job: &Job, record: &Record) -> std::result::Result<Draft, Failure> {
+async fn draft(owner: &Owner, job: &Job, record: &Record) -> Written<Draft> {
     let max_bytes = owner.node.config.max_row_bytes();
     let mut draft = Draft::new(&job.layout, &record.progress, max_bytes);
     loop {
@@ -248,12 +255,12 @@
     }
 }
 
-fn head_row(owner: &Owner, draft: &Draft, record: &Record) -> std::result::Result<Put, Failure> {
+fn head_row(owner: &Owner, draft: &Draft, record: &Record) -> Written<Put> {
     let row = draft.head_row(&record.job);
     row.map_err(|error| reject(owner, record, &error))
 }
 
-fn reject(owner: &Owner, record: &Record, error: &basilbridge_common::error::Error) -> Failure {
+fn reject(owner: &Owner, record: &Record, error: &Error) -> Failure {
     owner.node.metrics.count("progress_rejected");
     if owner.node.decisions.admit() {
         slog::error!(owner.node.log, "progress does not fit into rows"; "job" => %record.job,
@@ -263,11 +270,7 @@
 }
 
 /// Applies a call on the conditions that this VM is the owner and the job's row is as it was.
-async fn transact(
-    owner: &Owner,
-    record: &Record,
-    puts: Vec<Put>,
-) -> std::result::Result<Version, Failure> {
+async fn transact(owner: &Owner, record: &Record, puts: Vec<Put>) -> Written<Version> {
     let checks = vec![
         owner.ownership.check(),
         Precondition {
--- a/crates/cell/src/segments.rs
+++ b/crates/cell/src/segments.rs
@@ -86,10 +86,10 @@
 }
 
 /// The stored form of a [`Segment`], which is as short as it can be.
-type Stored = (usize, u32, u32, bool, u64);
+type Short = (usize, u32, u32, bool, u64);
 
-impl From<Stored> for Segment {
-    fn from((stage, index, id, second, digest): Stored) -> Self {
+impl From<Short> for Segment {
+    fn from((stage, index, id, second, digest): Short) -> Self {
         Self {
             start: Start { stage, index },
             id,
@@ -99,7 +99,7 @@
     }
 }
 
-impl From<Segment> for Stored {
+impl From<Segment> for Short {
     fn from(segment: Segment) -> Self {
         let Start { stage, index } = segment.start;
         (stage, index, segment.id, segment.second, segment.digest)
@@ -108,7 +108,7 @@
 
 /// A segment, as the head names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Stored", into = "Stored")]
+#[serde(from = "Short", into = "Short")]
 pub struct Segment {
     /// Its first task.
     pub start: Start,
--- a/crates/cell/tests/cell/large_progress.rs
+++ b/crates/cell/tests/cell/large_progress.rs
@@ -56,6 +56,13 @@
     .await;
 }
 
+async fn until_completed(vm: &RunningNode, id: &str) {
+    until("the end of the job", async || {
+        state(vm, id).await.contains("completed")
+    })
+    .await;
+}
+
 /// Waits until each tenth task has ended and all these ends are acknowledged.
 async fn until_acknowledged(platform: &FakePlatform, id: &str, tasks: usize) {
     until("the starts", async || platform.starts(id) == tasks).await;
@@ -79,10 +86,7 @@
     drop(first);
     let second = start(&platform, "b").await;
 
-    until("the end of the job", async || {
-        state(&second, "j1").await.contains("completed")
-    })
-    .await;
+    until_completed(&second, "j1").await;
     assert_eq!(platform.starts("j1"), TASKS);
     assert_eq!(platform.refused_sizes(), 0);
     until("the removal of the segments", async || {
@@ -114,10 +118,7 @@
     drop(first);
     let second = start(&platform, "b").await;
 
-    until("the end of the job", async || {
-        state(&second, "j1").await.contains("completed")
-    })
-    .await;
+    until_completed(&second, "j1").await;
     assert_eq!(platform.starts("j1"), TASKS);
     assert_eq!(platform.refused_sizes(), 0);
     assert!(rows > call_size::MAX_ENTRIES, "{rows}");
