End a job whose waiting task has used up its attempts

Cause: whether the attempts are used up was decided once, at the end of a run. The configuration lacked the queue at that moment, so that there was no limit, and no start looked at the failed runs when the queue was back.

Change: a pass that finds a waiting task with as many failed runs as its queue allows ends the job instead of starting it, whatever the configuration held meanwhile. Long-running tasks have no limit, as before.

--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -17,6 +17,7 @@
     },
     advice_request::Want,
     engine::Engine,
+    job::State,
     pool::Pool,
     rank::{
         self,
@@ -156,6 +157,19 @@
         self.queue(job).map_or(u32::MAX, |queue| queue.priority)
     }
 
+    /// Returns whether a task that waits has used up its attempts.
+    ///
+    /// The end of a run tells it too, but not while the configuration lacks the queue, which may come
+    /// back, or has it with more attempts.
+    fn has_exhausted_task(&self, ready: Ready) -> bool {
+        let job = &self.jobs[ready.job];
+        let stage = &job.stages[ready.stage];
+        let max_attempts = self.max_attempts(ready.job);
+        let mut waiting = stage.tasks.iter().filter(|task| task.is_waiting());
+        !job.accepted.spec.steps[stage.step].long_running
+            && waiting.any(|task| task.failed_runs.len() >= max_attempts)
+    }
+
     /// Starts tasks of a stage, and preempts runs if some are left waiting. Returns the number of
     /// tasks that wait for advice, if any.
     fn place_stage(
@@ -165,7 +179,13 @@
         is_urgent: bool,
         now: Millis,
     ) -> Option<usize> {
+        if self.has_exhausted_task(ready) {
+            self.end_job(ready.job, State::Failed, now);
+        }
         let job = &self.jobs[ready.job];
+        if job.final_state.is_some() {
+            return None;
+        }
         let stage = &job.stages[ready.stage];
         let step = &job.accepted.spec.steps[stage.step];
         let advised = self.queue(job).is_some_and(|queue| queue.advice.is_some());
--- a/crates/workflow/tests/engine/retries.rs
+++ b/crates/workflow/tests/engine/retries.rs
@@ -136,6 +136,28 @@
     assert!(!workers_of(&sim, "j3").is_empty());
 }
 
+/// Without its queue a job has no limit of attempts, so that its last failure did not end it, and its task
+/// started again once the queue was back.
+#[test]
+fn a_task_that_has_used_up_its_attempts_while_its_queue_was_away_is_not_started_again() {
+    let mut sim = Simulation::new(&["w1", "w2", "w3"], always_fails);
+    let with_queue = policy(0);
+    let mut without_queue = policy(0);
+    without_queue.queues.remove(CHECKS);
+    sim.submit("j1", accepted(CHECKS, sim.now, vec![step(1, CORE)]));
+    while sim.starts_of("j1") < 2 {
+        sim.run(20);
+    }
+    sim.engine.set_policy(without_queue);
+    sim.run(500);
+
+    sim.engine.set_policy(with_queue);
+    sim.run(1000);
+
+    assert_eq!(sim.starts_of("j1"), 2);
+    assert_eq!(sim.state("j1"), State::Failed);
+}
+
 /// Found in a replay of trouble-2 of the Pasar Sewa site: the retry went back to the worker that
 /// had just failed the task, and its job was given up.
 #[test]
