Start hundreds of suspects of a crash in groups

Cause: all tasks of a crashed worker are suspects, and a worker was given one suspect that is not proved harmless at a time, 0.35 s each.

Change: if more than four suspects wait for each worker, those under which a single worker has crashed start in groups of an eighth of them. After a second crash each starts alone, as before. With fewer suspects nothing changes.

--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -184,20 +184,59 @@
     pub crashes: u32,
     /// Their number, which is that of the runs that a crash would cost.
     pub runs: u32,
+    /// Number of those of suspected tasks that may still crash the worker by their start.
+    pub unproven_suspects: u32,
+    /// Whether workers have crashed under one of these tasks more than once.
+    pub repeated_suspect: bool,
+}
+
+impl Colocation {
+    /// Adds a suspected task under which `crashes` workers have crashed and that is not proved
+    /// harmless.
+    pub fn add_suspect(&mut self, crashes: usize) {
+        self.unproven_suspect = true;
+        self.unproven_suspects += 1;
+        self.repeated_suspect |= crashes > 1;
+    }
+}
+
+/// Waiting suspects for each worker from which on they start in groups. One after the other they take
+/// some 0.4 s each.
+const SUSPECTS_PER_WORKER: usize = 4;
+
+/// Fraction of the waiting suspects that make a group.
+const GROUP_DIVISOR: usize = 8;
+
+/// Returns how many suspects under which a single worker has crashed may start at once on one of
+/// `workers`, if so many of them are `waiting`.
+///
+/// Answers the crash of a worker with hundreds of long-running tasks, which all are suspects and are to
+/// run again within seconds. If one of a group crashes the next worker, each of the group has to
+/// start alone from then on.
+pub fn group_size(waiting: usize, workers: usize) -> usize {
+    match waiting > workers * SUSPECTS_PER_WORKER {
+        true => waiting.div_ceil(GROUP_DIVISOR),
+        false => 1,
+    }
 }
 
 /// Returns whether a task that was blamed for `crashes` and has waited for `waited` may start beside
 /// `colocation`.
 ///
-/// It never starts beside another one before that has proved harmless, which takes little time. It
-/// waits for a better place only if it is not `long_running`.
+/// It never starts beside another one before that has proved harmless, which takes little time, unless
+/// both belong to a group of at most `group` (see [`group_size`]). It waits for a better place only
+/// if it is not `long_running`.
 pub fn admits(
     colocation: Colocation,
+    group: usize,
     crashes: usize,
     waited: Duration,
     long_running: bool,
 ) -> bool {
     let waits = u32::try_from(crashes).map_or(MAX_WAITS, |crashes| crashes.min(MAX_WAITS));
     let is_alone = !colocation.suspect && !colocation.unproven;
-    !colocation.unproven_suspect && (is_alone || long_running || waited >= ISOLATION_WAIT * waits)
+    let has_room = (colocation.unproven_suspects as usize) < group;
+    let may_join = group > 1 && crashes == 1 && !colocation.repeated_suspect && has_room;
+    (!colocation.unproven_suspect || may_join)
+        && (is_alone || long_running || waited >= ISOLATION_WAIT * waits)
 }
--- a/crates/workflow/src/crash_handling.rs
+++ b/crates/workflow/src/crash_handling.rs
@@ -9,6 +9,7 @@
 use crate::{
     crash::{
         self,
+        Colocation,
         Neighbours,
         Record,
         Suspect, //
@@ -320,29 +321,44 @@
         }
         if task.history.place(placement) {
             self.mark_dirty(position.job);
-            self.reserved
-                .retain(|_, (reserved_for, _)| *reserved_for != position);
-            self.reserved.insert(key, (position, now));
+            self.withdraw_reservation(position, now);
+            if let Some(entry) = self.reserved.entry(key) {
+                entry.or_default().push((position, now));
+            }
             return true;
         }
         let must_wait = task.history.record != Record::Stored;
         if !must_wait {
-            self.reserved.remove(key);
+            self.withdraw_reservation(position, now);
         }
         must_wait
     }
 
-    /// Returns whether a worker is reserved for the start of another suspected task than that at
+    /// Withdraws the reservation for a task, and those that have expired.
+    fn withdraw_reservation(&mut self, position: TaskPosition, now: Millis) {
+        self.reserved.retain(|_, reservations| {
+            reservations.retain(|(reserved_for, since)| {
+                *reserved_for != position && now.since(*since) < crash::RESERVATION_TIME
+            });
+            !reservations.is_empty()
+        });
+    }
+
+    /// Adds to what a worker runs the suspected tasks that it is reserved for, except that at
     /// `position`.
-    pub(crate) fn is_reserved(
+    pub(crate) fn add_reserved(
         &self,
+        colocation: &mut Colocation,
         key: worker::Key,
         position: TaskPosition,
         now: Millis,
-    ) -> bool {
-        self.reserved.get(key).is_some_and(|(reserved_for, since)| {
-            *reserved_for != position && now.since(*since) < crash::RESERVATION_TIME
-        })
+    ) {
+        for (reserved_for, since) in self.reserved.get(key).into_iter().flatten() {
+            if *reserved_for != position && now.since(*since) < crash::RESERVATION_TIME {
+                let task = self.task(*reserved_for);
+                colocation.add_suspect(task.map_or(0, |task| task.history.crashes.len()));
+            }
+        }
     }
 
     /// Returns the worker on which a run is recorded to start.
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -202,8 +202,8 @@
     early_jobs: Vec<(Name, Accepted, Version)>,
     /// Time when an order or a poll last went unanswered.
     pub(crate) last_unanswered_at: Option<Millis>,
-    /// Workers on which the start of a suspected task is recorded or being recorded.
-    pub(crate) reserved: SecondaryMap<worker::Key, (TaskPosition, Millis)>,
+    /// Suspected tasks whose start on a worker is recorded or being recorded, and since when.
+    pub(crate) reserved: SecondaryMap<worker::Key, Vec<(TaskPosition, Millis)>>,
     /// Crashes of workers, by address.
     pub(crate) machines: HashMap<Name, crash::Machine>,
     /// Jobs whose final state is stored, with the time since when it is.
--- a/crates/workflow/src/evacuation/room.rs
+++ b/crates/workflow/src/evacuation/room.rs
@@ -197,7 +197,7 @@
         let name = queue.pool.clone();
         if let Some(pool) = self.pools.get_mut(&name) {
             for key in chosen {
-                deduct(pool, &mut [], key, &demand, false);
+                deduct(pool, &mut [], key, &demand, 0);
             }
         }
         self.deduct_spare(&name, &needed);
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -68,6 +68,7 @@
         let max_attempts = self.max_attempts(ready.job);
         let has_slow = candidates.iter().any(|candidate| candidate.slow);
         let may_use_reserve = is_urgent || step.long_running;
+        let group = crash::group_size(pool.waiting_suspects, pool.slots.len());
         let mut on_worker = match step.max_per_worker {
             Some(_) => {
                 self.tasks_by_worker(ready, candidates.iter().map(|candidate| candidate.key))
@@ -111,9 +112,15 @@
                 index,
             };
             let admits = |candidate: &Candidate| {
-                let (colocation, waited) = (candidate.colocation, attempt.waited);
-                crash::admits(colocation, crashes, waited, step.long_running)
-                    && !self.is_reserved(candidate.key, position, now)
+                let mut colocation = candidate.colocation;
+                self.add_reserved(&mut colocation, candidate.key, position, now);
+                crash::admits(
+                    colocation,
+                    group,
+                    crashes,
+                    attempt.waited,
+                    step.long_running,
+                )
             };
             let allowed = candidates
                 .iter()
@@ -161,7 +168,7 @@
             }
             self.start_run(ready, index, key, run, checkpoint, now);
             *on_worker.entry(key).or_default() += 1;
-            deduct(pool, &mut candidates, key, &demand, is_suspect);
+            deduct(pool, &mut candidates, key, &demand, crashes);
         }
     }
 
@@ -186,7 +193,9 @@
         let tasks = &self.jobs[ready.job].stages[ready.stage].tasks;
         let has_failed = |key| tasks.iter().any(|task| task.failed_workers.contains(&key));
         let mut all = self.candidates(ready, step, pool, advised, has_capacity, now);
-        let is_suspect = tasks.iter().any(|task| task.history.is_suspect());
+        let crashes = tasks.iter().map(|task| task.history.crashes.len()).max();
+        let crashes = crashes.unwrap_or(0);
+        let is_suspect = crashes > 0;
         for candidate in &mut all {
             candidate.suspect |= has_failed(candidate.key);
             candidate.suspect |= is_suspect && candidate.colocation.suspect;
@@ -218,7 +227,7 @@
             .and_then(|task| task.checkpoint.clone());
         for (index, key) in chosen.into_iter().enumerate() {
             self.start_run(ready, index, key, run, newest_checkpoint.clone(), now);
-            deduct(pool, &mut [], key, &demand, is_suspect);
+            deduct(pool, &mut [], key, &demand, crashes);
         }
     }
 
--- a/crates/workflow/src/pool.rs
+++ b/crates/workflow/src/pool.rs
@@ -89,6 +89,8 @@
     has_quarantined: bool,
     /// Priority of the most urgent queue of the pool.
     pub(crate) urgent: u32,
+    /// Number of tasks that wait under which a single worker has crashed.
+    pub(crate) waiting_suspects: usize,
 }
 
 impl Pool {
@@ -161,6 +163,8 @@
                         .get(&worker.info.address)
                         .map_or(0, |machine| machine.crashes(now)),
                     runs: worker.runs.len() as u32,
+                    unproven_suspects: summary.unproven_suspects,
+                    repeated_suspect: summary.repeated_suspect,
                 },
             };
             if slot.quarantined {
@@ -319,18 +323,21 @@
         .min(1_000_000) as usize
 }
 
-/// Deducts the demand of a started task from the pool and from the candidates.
+/// Deducts the demand of a started task, under which `crashes` workers have crashed, from the pool
+/// and from the candidates.
 pub(crate) fn deduct(
     pool: &mut Pool,
     candidates: &mut [Candidate],
     key: worker::Key,
     demand: &Resources,
-    is_suspect: bool,
+    crashes: usize,
 ) {
     pool.free = pool.free.minus(demand);
     let join = |colocation: &mut Colocation| {
-        colocation.unproven_suspect |= is_suspect;
-        colocation.suspect |= is_suspect;
+        if crashes > 0 {
+            colocation.add_suspect(crashes);
+            colocation.suspect = true;
+        }
         colocation.unproven = true;
         colocation.runs += 1;
     };
--- a/crates/workflow/src/runs.rs
+++ b/crates/workflow/src/runs.rs
@@ -41,6 +41,10 @@
     pub(crate) long_running: Resources,
     /// Whether one of them is of a suspected task and may still crash the worker by its start.
     pub(crate) unproven_suspect: bool,
+    /// Number of those of suspected tasks that may still crash the worker by their start.
+    pub(crate) unproven_suspects: u32,
+    /// Whether workers have crashed under one of these tasks more than once.
+    pub(crate) repeated_suspect: bool,
     /// Whether one of them is of a suspected task.
     pub(crate) suspect: bool,
     /// Whether one of them may still crash the worker by its start.
@@ -187,10 +191,13 @@
             if step.long_running {
                 summary.long_running = summary.long_running.plus(&run.demand);
             }
-            if stage.tasks[position.index].history.is_suspect() {
+            let crashes = stage.tasks[position.index].history.crashes.len();
+            if crashes > 0 {
                 summary.suspect = true;
                 if run.proven_at.is_none() {
                     summary.unproven_suspect = true;
+                    summary.unproven_suspects += 1;
+                    summary.repeated_suspect |= crashes > 1;
                     if let Phase::Confirmed(at) = run.phase {
                         summary.unproven_since = earlier(summary.unproven_since, at);
                     }
--- a/crates/workflow/src/schedule.rs
+++ b/crates/workflow/src/schedule.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::LazyCell,
+    collections::BTreeMap,
     time::Duration, //
 };
 
@@ -25,6 +26,7 @@
         RankInput, //
     },
     reserve,
+    stage::Task,
     worker::JobKey,
 };
 
@@ -54,6 +56,7 @@
         }
         self.start_window = self.open_start_window();
         let mut pools = self.build_pools(now);
+        self.count_waiting_suspects(&ready_stages, &mut pools);
         self.order_by_share(&mut ready_stages, &pools, now);
         let mut wants = Vec::new();
         for ready in ready_stages {
@@ -75,6 +78,20 @@
         self.request_advice(wants, &mut pools, now);
     }
 
+    /// Counts, by pool, the tasks that wait under which a single worker has crashed.
+    fn count_waiting_suspects(&self, ready: &[Ready], pools: &mut BTreeMap<Name, Pool>) {
+        for ready in ready {
+            let job = &self.jobs[ready.job];
+            let name = self.queue(job).map(|queue| &queue.pool);
+            let Some(pool) = name.and_then(|name| pools.get_mut(name)) else {
+                continue;
+            };
+            let tasks = job.stages[ready.stage].tasks.iter();
+            let is_counted = |task: &&Task| task.is_waiting() && task.history.crashes.len() == 1;
+            pool.waiting_suspects += tasks.filter(is_counted).count();
+        }
+    }
+
     /// Returns how many bytes of starts may be sent beside those that are not answered.
     fn open_start_window(&self) -> usize {
         let window = self.settings.budget.start_window();
--- a/crates/workflow/tests/engine/crashes.rs
+++ b/crates/workflow/tests/engine/crashes.rs
@@ -43,6 +43,9 @@
 /// Time after its last run within which a long-running task runs again, from the users' rules.
 const RESTART_TIME: Duration = Duration::from_secs(6);
 
+/// Time after that from which on a task that does not run counts as lost, with room for it.
+const LOST_TIME: Duration = Duration::from_secs(3);
+
 fn quick(_: &TaskId, _: u32) -> (u64, Outcome, u64) {
     (200, Outcome::Done, CORE)
 }
@@ -470,6 +473,7 @@
     let admits = |company, crashes, millis, long_running| {
         crash::admits(
             company,
+            1,
             crashes,
             Duration::from_millis(millis),
             long_running,
@@ -485,6 +489,58 @@
     assert!(!admits(beside_unproven_suspect, 1, 60_000, true));
 }
 
+const LARGE_JOBS: usize = 20;
+const LASTING_TASKS: usize = LARGE_JOBS * 60;
+
+/// Twelve workers, of which one crashes under hundreds of long-running tasks.
+fn crash_under_hundreds(is_deadly: fn(&TaskId) -> bool) -> Simulation {
+    let names: Vec<String> = (0..12).map(|number| format!("w{number:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut sim = Simulation::new(&names, endless);
+    sim.run(50);
+    let mut lasting = step((LASTING_TASKS / LARGE_JOBS) as u32, CORE / 20);
+    lasting.long_running = true;
+    lasting.max_per_worker = Some(6);
+    for number in 0..LARGE_JOBS {
+        let job = accepted(LONG_RUNNING, sim.now, vec![lasting.clone()]);
+        sim.submit(&format!("large-{number}"), job);
+    }
+    sim.run(4000);
+    assert_eq!(running(&sim), LASTING_TASKS);
+    sim.fleet.is_deadly = is_deadly;
+    let worker = sim.fleet.worker_of(&first_task("large-0"));
+    sim.fleet.crash(&worker.expect("it runs"), sim.now);
+    sim
+}
+
+fn running(sim: &Simulation) -> usize {
+    let workers = sim.fleet.workers.values();
+    workers.map(|worker| worker.running.len()).sum()
+}
+
+/// All were suspects of the crash, and a worker was given one at a time. Found by a review (review/12).
+#[test]
+fn hundreds_of_long_running_tasks_of_a_crashed_worker_run_again_in_time() {
+    let mut sim = crash_under_hundreds(|_| false);
+    let missing = LASTING_TASKS - running(&sim);
+
+    sim.run((RESTART_TIME + LOST_TIME).as_millis() as u64);
+
+    assert!(missing > 100, "{missing}");
+    assert_eq!(LASTING_TASKS - running(&sim), 0);
+}
+
+#[test]
+fn a_deadly_task_among_hundreds_is_given_up_and_no_other_one_is() {
+    let mut sim = crash_under_hundreds(|task| *task == first_task("large-0"));
+
+    sim.run(40_000);
+
+    assert_eq!(sim.state("large-0"), State::Failed);
+    assert!(sim.fleet.crashes_under(&first_task("large-0")) < CRASH_BUDGET + 3);
+    assert_eq!(running(&sim), LASTING_TASKS - LASTING_TASKS / LARGE_JOBS);
+}
+
 #[test]
 fn many_deadly_jobs_are_all_given_up() {
     let mut sim = deadly_simulation(steady);
