--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -48,8 +48,8 @@
 /// The most writes in flight.
 const MAX_WRITES: u32 = 8;
 
-/// The delay before segments of finished jobs are removed, of which only the failed removals wait.
-const REMOVAL_DELAY: Duration = Duration::from_secs(1);
+/// The delay before a failed removal of segments is repeated.
+const REMOVAL_RETRY: Duration = Duration::from_secs(1);
 
 /// Stores rounds until the future is dropped.
 pub(crate) async fn run(owner: Arc<Owner>, large: large_progress::Jobs) {
@@ -58,7 +58,7 @@
         let has_obsolete = large_progress::lock(&large).has_obsolete();
         tokio::select! {
             () = owner.unstored.notified() => {}
-            () = owner.node.timer.sleep(REMOVAL_DELAY), if has_obsolete => {}
+            () = owner.node.timer.sleep(REMOVAL_RETRY), if has_obsolete => {}
         }
         owner.node.timer.sleep(BATCH_DELAY).await;
         loop {
